--- /dev/null
+++ b/src/logic.cpp
@@ -0,0 +1,858 @@
+// The decision module. Its interface (settings, events, actions, the class Gateway) is logic.hpp.
+//
+// A request passes, in this order: shedding (can the fleet serve it in time?), the ceiling and the open cap
+// of its customer, the lease on the customer's quota, the choice of a host, and Issue(), the one place that
+// sends. Refusals and failures leave through Conclude(), the one place that gives final answers.
+#include "logic.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <random>
+#include <unordered_map>
+#include <utility>
+
+#include "util/hash.hpp"
+#include "util/lru_map.hpp"
+
+namespace curlewdoor {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// ---- Tuned constants ----------------------------------------------------------------------------------
+
+// Leases and windows.
+constexpr double kFirstLease = 1;      // units: a new customer is exact until it proves busy
+constexpr double kLeaseCap = 1.0 / 8;  // of a window's quota over the set size: bounds what idles elsewhere
+constexpr double kWaitShare =
+    1.0 / 16;              // of the shortest aim: what a request may lose waiting for the counter
+constexpr int kEarly = 4;  // a lease gone in less than a fourth of the window was too small
+constexpr Duration kLongestCount = seconds(60);  // the counter keeps no name for longer
+constexpr std::size_t kMostCustomers = 100'000;  // table size, some 400 bytes each
+
+// Share fallback.
+constexpr double kShareFloor = 0.02;     // the source document's floor: nobody is starved for good
+constexpr double kSharePrior = 1.0 / 4;  // of a window's quota: weight of the first guess, one over the set
+constexpr double kShareMemory = 2;       // windows: older use tells little of where a customer is now
+constexpr int kSilentAfter = 3;          // failed calls in a row: one or two are chance, more are a fault
+constexpr Duration kSilentTest = milliseconds(200);  // between test calls while the counter is silent
+constexpr Duration kLogGap = seconds(1);             // between like log lines
+
+// Hosts.
+constexpr std::size_t kCandidates = 16;  // hosts looked at for one attempt
+constexpr double kLatencyStep = 0.1;     // weight of one answer in a host's relative slowness
+constexpr double kMeanStep = 0.02;       // weight of one answer in a class's mean
+constexpr double kSlownessMemory = 10;   // seconds until an unvisited host's slowness is mostly forgotten
+constexpr double kReportMemory = 1;      // seconds after which a load report counts for little
+constexpr double kZoneWeight = 5;        // slowness put on a foreign zone per point of its price
+constexpr Duration kRestFirst = milliseconds(250);  // a failing host is left alone, doubling ...
+constexpr Duration kRestLongest = seconds(4);       // ... up to this: a returned host is seen again soon
+constexpr double kRestBound = 0.5;  // of the hosts: more that fail at once point at the fleet or at us
+constexpr double kRoomFirst = 8;    // attempts out at a host before anything is known of it
+constexpr double kRoomLeast = 2;
+constexpr double kRoomMost = 256;
+constexpr double kRoomCut = 0.9;  // on a late answer; gentle, since heavy requests are late anywhere
+constexpr double kColdFloor = 1;  // attempts a second to a cold host when nothing is known
+constexpr double kColdBurst = 2;  // attempts at once to a cold host
+
+// Attempts and shedding.
+constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
+constexpr double kRetryMost = 20;     // further attempts saved up
+constexpr double kShedFrom = 0.7;     // of the fleet's room: from here the least worthy are refused
+
+double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+Duration FromSeconds(double s) {
+  constexpr double kMost = 1e9;  // keeps the conversion in range
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(std::clamp(s, 0.0, kMost)));
+}
+
+}  // namespace
+
+// ---- State --------------------------------------------------------------------------------------------
+
+class Gateway::Impl {
+ public:
+  Impl(Settings settings, std::uint64_t seed) : settings_(std::move(settings)), rng_(seed) {}
+  void Handle(TimePoint now, const Event& event, std::vector<Action>& actions);
+
+ private:
+  struct Customer {
+    std::string name;
+    const Plan* plan = nullptr;
+    int set_size = 1;
+    bool in_set = true;  // whether this gateway belongs to the customer's set
+    // The current window.
+    std::int64_t window = 0;
+    double held = 0;       // units added to the count and not spent
+    double level = 0;      // units left in the quota as far as is known; below 0: added beyond it
+    double total = 0;      // the largest count known
+    double own_added = 0;  // of it by this gateway
+    double owed = 0;       // admitted here without an add, to be added with the next call
+    double lease = kFirstLease;
+    std::int64_t leased_window = -1;  // when the last lease was asked for
+    TimePoint leased_at;
+    // The call that is out, at most one.
+    bool calling = false;
+    bool given_up = false;  // nobody waits for it any more
+    CountName call_name;
+    std::int64_t call_window = 0;
+    double call_lease = 0, call_owed = 0;
+    std::deque<RequestId> waiting;
+    // Smoothed use, by this gateway and by all: their quotient is the share.
+    double own_use = 0, all_use = 0;
+    TimePoint use_at;
+    int open = 0;  // attempts out
+    double ceiling = 0;
+    TimePoint ceiling_at;
+  };
+
+  struct Attempt {
+    HostId host;
+    TimePoint sent;
+    bool out = true;
+    bool may_have_run = true;  // until an outcome proves otherwise
+  };
+
+  struct Request {
+    RequestId id;
+    Customer* customer = nullptr;
+    const RequestClass* kind = nullptr;
+    int class_index = 0;
+    double units = 1;
+    TimePoint arrived, deadline;
+    bool closed = false;
+    bool counted = false;  // its units were taken from the quota
+    std::vector<Attempt> attempts;
+  };
+
+  struct Host {
+    HostEntry entry;
+    bool listed = false;
+    int out = 0;
+    double room = kRoomFirst;
+    double slowness = 1;  // service time relative to the other hosts'
+    TimePoint slowness_at;
+    double others = 0;  // requests of other gateways, by the last report
+    TimePoint report_at;
+    int failures = 0;  // in a row
+    TimePoint rest_until;
+    double cold_budget = kColdBurst;
+    TimePoint cold_at;
+  };
+
+  struct ClassMean {
+    double latency = 0, units = 0, density = 0;
+  };
+
+  // Leases and windows.
+  Customer* FindCustomer(const RequestArrived& event);
+  Duration Window(const Plan& plan) const;
+  void Roll(Customer& c);
+  double Tokens(const Customer& c) const { return c.held + std::min(0.0, c.level); }
+  bool Spend(Customer& c, Request& r);
+  void Ask(Request& r);
+  void Call(Customer& c);
+  void OnCountAnswered(const CountAnswered& event);
+  void ApplyTotal(Customer& c, double total);
+  void ServeWaiting(Customer& c);
+  void DecideByShare(Customer& c);
+  Duration WaitLeft(const Customer& c) const;
+  void OnCallTimer(CountName name);
+  void RefuseBeyondQuota(Request& r, double tokens, double rate);
+  void ReturnUnits(Request& r);
+  void Settle(Request& r, double true_units);
+  // Share fallback.
+  double Share(const Customer& c) const;
+  void NoteCounter(bool answered);
+  void AskByShare(Request& r);
+  // Ceiling and open cap.
+  double RefillCeiling(Customer& c);
+  bool UnderCaps(Request& r);
+  // Hosts.
+  void OnHostList(const HostList& event);
+  bool IsCold(const Host& h) const;
+  double ColdPart(const Host& h) const;
+  double RefillCold(Host& h);
+  bool Resting(const Host& h) const { return now_ < h.rest_until || (h.failures > 0 && h.out > 0); }
+  double Delay(const Host& h) const;
+  bool MayRepeatAt(const Request& r, const Host& h) const;
+  Host* Choose(const Request& r, bool keep_room);
+  void NoteLoad(Host& h, const LoadReport& report);
+  void NoteOutcome(Host& h, const Request* r, const AttemptEnded& event);
+  // Attempts.
+  bool Issue(Request& r, Host& h);
+  void Dispatch(Request& r);
+  bool MayRefuse(const Request& r) const;
+  void Conclude(Request& r, bool refuse, Duration retry_after);
+  void OnAttemptEnded(const AttemptEnded& event);
+  bool TryAgain(Request& r);
+  void CancelOut(Request& r);
+  void Forget(RequestId id);
+  // Shedding.
+  double Density(const Request& r);
+  bool Fits(const Request& r);
+  Duration ComeBack(const Request& r);
+  // Dispatch.
+  void OnRequest(const RequestArrived& event);
+  void OnTimer(TimerToken token);
+  void Say(TimePoint& last, std::string text);
+  template <typename A>
+  void Act(A action) {
+    out_->push_back(std::move(action));
+  }
+  double Random() { return static_cast<double>(rng_() >> 11) * 0x1.0p-53; }
+
+  Settings settings_;
+  std::mt19937_64 rng_;
+  TimePoint now_;
+  TimePoint born_;
+  bool started_ = false;
+  std::vector<Action>* out_ = nullptr;
+  LruMap<Customer> customers_{kMostCustomers};
+  TimePoint last_eviction_;
+  std::unordered_map<CountName, Customer*, IdHash> calls_;
+  std::unordered_map<RequestId, Request, IdHash> requests_;
+  std::map<HostId, Host> hosts_;
+  std::vector<Host*> ready_;  // in order of id
+  std::vector<ClassMean> means_;
+  Duration wait_ = Duration::max();
+  double mean_density_ = 0;
+  bool silent_ = false;
+  int call_failures_ = 0;
+  TimePoint next_test_, silence_said_;
+  double retry_budget_ = kRetryMost;
+  double warm_rate_ = 0;  // good answers a second from one warm host to this gateway
+  int warm_answers_ = 0;
+  TimePoint warm_since_;
+};
+
+// ---- Leases and windows -------------------------------------------------------------------------------
+
+// A window lasts as long as the quota takes to refill the burst; its quota is the burst.
+Duration Gateway::Impl::Window(const Plan& plan) const {
+  return std::max<Duration>(FromSeconds(plan.burst / plan.rate), milliseconds(1));
+}
+
+Gateway::Impl::Customer* Gateway::Impl::FindCustomer(const RequestArrived& event) {
+  if (Customer* known = customers_.Find(event.customer)) return known;
+  const auto plan = std::find_if(settings_.plans.begin(), settings_.plans.end(),
+                                 [&](const Plan& p) { return p.name == event.plan; });
+  if (plan == settings_.plans.end()) return nullptr;
+  Customer c;
+  c.name = event.customer;
+  c.plan = &*plan;
+  c.set_size = std::clamp(event.set_size, 1, std::max(1, settings_.gateways));
+  const int gateways = std::max(1, settings_.gateways);
+  c.in_set = ((settings_.me - event.set_first) % gateways + gateways) % gateways < c.set_size;
+  c.window = -1;
+  c.all_use = plan->burst * kSharePrior;
+  c.own_use = c.all_use / c.set_size;
+  c.use_at = now_;
+  // Rule 5: an earlier life, or an entry that was evicted, may have spent this gateway's part of the
+  // ceiling to the last unit. So the part starts empty at that time and has refilled since.
+  c.ceiling_at = std::max(born_, last_eviction_);
+  const auto idle = [](const Customer& e) { return !e.calling && e.waiting.empty() && e.open == 0; };
+  auto [added, evicted] = customers_.Insert(event.customer, std::move(c), idle);
+  if (evicted) last_eviction_ = now_;
+  return added;
+}
+
+// Moves the customer to the present window. Unspent units die with the old one.
+void Gateway::Impl::Roll(Customer& c) {
+  const Duration length = Window(*c.plan);
+  const auto shift =
+      static_cast<std::int64_t>(StableHash(c.name) % static_cast<std::uint64_t>(length.count()));
+  const std::int64_t window = (now_.time_since_epoch().count() + shift) / length.count();
+  if (window == c.window) return;
+  if (c.held > c.lease / 2) c.lease = std::max(kFirstLease, c.lease / 2);
+  c.window = window;
+  c.held = c.total = c.own_added = 0;
+  c.level = c.plan->burst;
+}
+
+bool Gateway::Impl::Spend(Customer& c, Request& r) {
+  if (Tokens(c) < r.units) return false;
+  c.held -= r.units;
+  r.counted = true;
+  return true;
+}
+
+void Gateway::Impl::Ask(Request& r) {
+  Customer& c = *r.customer;
+  if (c.plan->rate <= 0) return Dispatch(r);
+  Roll(c);
+  if (c.waiting.empty() && Spend(c, r)) return Dispatch(r);
+  if (r.units > c.plan->burst) return RefuseBeyondQuota(r, 0, 0);  // no wait makes it fit
+  const bool waited = now_ >= r.arrived + wait_;
+  if (!settings_.counter.available || silent_ || waited || (c.calling && c.given_up)) return AskByShare(r);
+  // A count never falls within its window, so once it is known to leave less than the cost, an add could
+  // grant nothing: it would only swell the count and this gateway's share of it.
+  if (c.held + c.level < r.units) return RefuseBeyondQuota(r, c.held + c.level, c.plan->rate);
+  c.waiting.push_back(r.id);
+  if (!c.calling) Call(c);
+}
+
+// Adds a lease that covers what waits, and what was admitted without an add.
+void Gateway::Impl::Call(Customer& c) {
+  double need = -Tokens(c);
+  for (RequestId id : c.waiting) need += requests_.at(id).units;
+  need = std::max(0.0, need);
+  if (need > 0 && c.leased_window == c.window && now_ < c.leased_at + Window(*c.plan) / kEarly) {
+    const double cap = std::max(kFirstLease, c.plan->burst * kLeaseCap / c.set_size);
+    c.lease = std::min(2 * c.lease, cap);
+  }
+  // What a sibling gateway may need is not leased ahead: the less is left, the smaller the lease.
+  const double spare = std::max(0.0, c.level - need) / (2 * c.set_size);
+  c.call_lease = c.waiting.empty() ? 0 : std::max(need, std::min(c.lease, need + spare));
+  c.call_owed = c.owed;
+  c.calling = true;
+  c.given_up = c.waiting.empty();
+  c.call_window = c.leased_window = c.window;
+  c.leased_at = now_;
+  c.call_name = CountName{StableHash(c.name, static_cast<std::uint64_t>(c.window)) >> 1 | 1};
+  calls_[c.call_name] = &c;
+  Act(AddCount{c.call_name, std::min(2 * Window(*c.plan), kLongestCount), c.call_lease + c.call_owed});
+  if (!c.waiting.empty()) Act(SetTimer{TimerToken{c.call_name.value}, WaitLeft(c)});
+}
+
+// How long the first of those who wait may still do so.
+Duration Gateway::Impl::WaitLeft(const Customer& c) const {
+  return std::max(Duration::zero(), requests_.at(c.waiting.front()).arrived + wait_ - now_);
+}
+
+void Gateway::Impl::OnCountAnswered(const CountAnswered& event) {
+  const auto it = calls_.find(event.name);
+  if (it == calls_.end()) return;
+  Customer& c = *it->second;
+  calls_.erase(it);
+  c.calling = false;
+  const bool ok = event.outcome == Outcome::kOk;
+  const bool may_be_posted = ok || event.outcome == Outcome::kTimeout;
+  NoteCounter(ok);
+  // What timed out may have been added: it is not added blindly a second time.
+  if (may_be_posted) c.owed = std::max(0.0, c.owed - c.call_owed);
+  if (ok) {
+    const bool same_window = c.call_window == c.window;
+    if (same_window) ApplyTotal(c, event.total);
+  }
+  Roll(c);
+  if (ok) {
+    ServeWaiting(c);
+  } else {
+    DecideByShare(c);
+  }
+}
+
+// Takes in a total read back after an add of this gateway.
+void Gateway::Impl::ApplyTotal(Customer& c, double total) {
+  const double added = c.call_lease + c.call_owed;
+  const double noise = 1e-6 * std::abs(total) + 1e-3;  // totals come with seven digits
+  const bool lost = total - c.total < added - noise;
+  const double grown = lost ? added : total - c.total;
+  c.total += grown;
+  c.level -= std::max(0.0, grown - c.call_owed);
+  c.held += c.call_lease;
+  // Units admitted by share while this call was out are paid from it.
+  const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);
+  c.held -= paid;
+  c.owed -= paid;
+  // The counter lost numbers: the quota is not granted again. The larger knowledge holds, and what this
+  // gateway had added before goes in once more with the next call.
+  if (lost) c.owed += std::exchange(c.own_added, 0);
+  c.own_added += added;
+  const double keep = std::exp(-Seconds(now_ - c.use_at) / (kShareMemory * Seconds(Window(*c.plan))));
+  c.own_use = c.own_use * keep + added;
+  c.all_use = c.all_use * keep + std::max(added, grown);
+  c.use_at = now_;
+}
+
+void Gateway::Impl::ServeWaiting(Customer& c) {
+  std::deque<RequestId> waiting;
+  waiting.swap(c.waiting);
+  for (RequestId id : waiting) {
+    Ask(requests_.at(id));
+    Forget(id);
+  }
+}
+
+void Gateway::Impl::DecideByShare(Customer& c) {
+  std::deque<RequestId> waiting;
+  waiting.swap(c.waiting);
+  for (RequestId id : waiting) {
+    AskByShare(requests_.at(id));
+    Forget(id);
+  }
+}
+
+// The counter did not answer within the wait: those who wait are decided by share. The call stays out, and
+// its units are this gateway's if the answer still comes.
+void Gateway::Impl::OnCallTimer(CountName name) {
+  const auto it = calls_.find(name);
+  if (it == calls_.end()) return;
+  Customer& c = *it->second;
+  if (c.waiting.empty()) return;
+  const Duration left = WaitLeft(c);
+  if (left > Duration::zero()) return Act(SetTimer{TimerToken{name.value}, left});
+  c.given_up = true;
+  NoteCounter(false);
+  DecideByShare(c);
+}
+
+void Gateway::Impl::RefuseBeyondQuota(Request& r, double tokens, double rate) {
+  const Duration wait = rate > 0 ? FromSeconds((r.units - tokens) / rate) : Duration::zero();
+  Conclude(r, true, wait);
+}
+
+// Gives back the units of a request that was never sent.
+void Gateway::Impl::ReturnUnits(Request& r) {
+  if (!r.counted || !r.attempts.empty()) return;
+  r.counted = false;
+  r.customer->held += r.units;
+}
+
+// The units were a guess: the difference goes to, or comes out of, what is held.
+void Gateway::Impl::Settle(Request& r, double true_units) {
+  if (!settings_.quota.settles || true_units <= 0 || !r.counted) return;
+  Customer& c = *r.customer;
+  Roll(c);
+  const double more = true_units - r.units;
+  r.units = true_units;
+  const double from_held = std::min(more, std::max(0.0, c.held));
+  c.held -= from_held;
+  c.owed += more - from_held;
+  c.level -= more - from_held;
+}
+
+// ---- Share fallback -----------------------------------------------------------------------------------
+
+double Gateway::Impl::Share(const Customer& c) const {
+  const double share = c.all_use > 0 ? c.own_use / c.all_use : 1.0 / c.set_size;
+  return std::clamp(share, kShareFloor, 1.0);
+}
+
+void Gateway::Impl::NoteCounter(bool answered) {
+  if (answered) {
+    call_failures_ = 0;
+    if (silent_) Say(silence_said_, "counter answers again: back to leases");
+    silent_ = false;
+    return;
+  }
+  if (++call_failures_ < kSilentAfter || silent_) return;
+  silent_ = true;
+  next_test_ = now_ + kSilentTest;
+  Say(silence_said_, "counter silent: quotas held by share");
+}
+
+// Quota times share. A unit admitted here stands for 1 / share units by all, so the level known last goes
+// on counting for the whole set.
+void Gateway::Impl::AskByShare(Request& r) {
+  Customer& c = *r.customer;
+  Roll(c);
+  if (Spend(c, r)) return Dispatch(r);
+  const double share = Share(c);
+  const double left = share * c.level;
+  const bool untouched = c.level >= c.plan->burst;  // a small share of a small quota still admits one
+  if (left < r.units && !untouched) {
+    RefuseBeyondQuota(r, left, c.plan->rate * share);
+  } else {
+    c.level -= r.units / share;
+    c.total += r.units / share;
+    c.owed += r.units;
+    r.counted = true;
+    Dispatch(r);
+  }
+  if (!silent_ || c.calling || now_ < next_test_ || !settings_.counter.available) return;
+  next_test_ = now_ + kSilentTest;
+  Call(c);
+}
+
+// ---- Ceiling and open caps ----------------------------------------------------------------------------
+
+// Rule 5. Each gateway of the set holds a bucket with its part of the ceiling's rate and burst. What all of
+// them pass on in any span is at most the sum of the buckets, which is the ceiling; nothing is shared, so
+// no failure of the counter or of a gateway can widen it.
+double Gateway::Impl::RefillCeiling(Customer& c) {
+  const Plan& plan = *c.plan;
+  if (!c.in_set) return 0;
+  const double gained = plan.ceiling_rate / c.set_size * Seconds(now_ - c.ceiling_at);
+  c.ceiling = std::min(plan.ceiling_burst / c.set_size, c.ceiling + gained);
+  c.ceiling_at = now_;
+  return c.ceiling;
+}
+
+bool Gateway::Impl::UnderCaps(Request& r) {
+  Customer& c = *r.customer;
+  const Plan& plan = *c.plan;
+  if (plan.ceiling_rate > 0 && RefillCeiling(c) < r.units) {
+    Conclude(r, true, FromSeconds((r.units - c.ceiling) * c.set_size / plan.ceiling_rate));
+    return false;
+  }
+  if (plan.open_cap > 0 && c.open >= std::max(1.0, std::floor(plan.open_cap * Share(c) + 0.5))) {
+    Conclude(r, true, ComeBack(r));
+    return false;
+  }
+  return true;
+}
+
+// ---- Host health and choice ---------------------------------------------------------------------------
+
+void Gateway::Impl::OnHostList(const HostList& event) {
+  if (event.kind == ListKind::kFailed) {
+    if (settings_.discovery == Discovery::kAsk) Act(SetTimer{TimerToken{0}, FromSeconds(0.5 + Random())});
+    return;
+  }
+  if (event.kind != ListKind::kDelta)
+    for (auto& [id, h] : hosts_) h.listed = false;
+  for (const HostEntry& entry : event.entries) {
+    Host& h = hosts_[entry.host];
+    if (h.entry.started != entry.started) {  // a new process: what was known of the old one is void
+      const int out = h.out;
+      h = Host{};
+      h.out = out;
+      h.cold_at = now_;
+    }
+    h.entry = entry;
+    h.listed = entry.state == HostState::kReady;  // rule 3: draining or gone gets nothing from now on
+  }
+  ready_.clear();
+  for (auto it = hosts_.begin(); it != hosts_.end();) {
+    if (it->second.listed) ready_.push_back(&it->second);
+    it = !it->second.listed && it->second.out == 0 ? hosts_.erase(it) : std::next(it);
+  }
+}
+
+bool Gateway::Impl::IsCold(const Host& h) const {
+  return h.entry.started != TimePoint{} && now_ < h.entry.started + settings_.rules.cold_time;
+}
+
+// The part of its full capacity that a cold host has at the least.
+double Gateway::Impl::ColdPart(const Host& h) const {
+  const double age = std::max(0.0, Seconds(now_ - h.entry.started) / Seconds(settings_.rules.cold_time));
+  return settings_.rules.cold_from + (1 - settings_.rules.cold_from) * std::min(1.0, age);
+}
+
+// Rule 4. A cold host gets what a warm one takes from this gateway, times the part it can do. If every
+// gateway keeps to that, all of them together stay at the part, a factor of fall_multiple under the bound.
+double Gateway::Impl::RefillCold(Host& h) {
+  const double rate = std::max(kColdFloor, warm_rate_) * ColdPart(h);
+  h.cold_budget = std::min(kColdBurst, h.cold_budget + rate * Seconds(now_ - h.cold_at));
+  h.cold_at = now_;
+  return h.cold_budget;
+}
+
+// Expected delay at a host, in service times of a usual one.
+double Gateway::Impl::Delay(const Host& h) const {
+  const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
+  const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
+  const double others = h.others * std::exp(-Seconds(now_ - h.report_at) / kReportMemory);
+  const double size = settings_.size_hint == SizeHint::kNone ? 1 : std::max(0.05, h.entry.size_hint);
+  const bool foreign = h.entry.zone != settings_.zone;
+  const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
+  return (slowness + zone) * (1 + h.out + others) / size;
+}
+
+// Rule 2: where a request that may have run may be sent again.
+bool Gateway::Impl::MayRepeatAt(const Request& r, const Host& h) const {
+  for (const Attempt& a : r.attempts) {
+    if (a.out && !settings_.limits.second_copies) return false;
+    if (!a.may_have_run || r.kind->repeat == Repeat::kSafe) continue;
+    if (r.kind->repeat == Repeat::kUnsafe) return false;
+    if (now_ >= a.sent + r.kind->repeat_window) return false;
+    const auto first = hosts_.find(a.host);
+    if (r.kind->group == RepeatGroup::kAll || a.host == h.entry.host) continue;
+    if (first == hosts_.end() || first->second.entry.zone != h.entry.zone) return false;
+    if (r.kind->group == RepeatGroup::kCell && first->second.entry.cell != h.entry.cell) return false;
+  }
+  return true;
+}
+
+Gateway::Impl::Host* Gateway::Impl::Choose(const Request& r, bool keep_room) {
+  if (ready_.empty()) return nullptr;
+  const std::size_t count = std::min(kCandidates, ready_.size());
+  const std::size_t start = rng_() % ready_.size();
+  // Many hosts failing at once point at the fleet, the network or this gateway: then none is left out.
+  std::size_t resting = 0;
+  for (const Host* h : ready_) resting += Resting(*h);
+  const bool heed_rest = static_cast<double>(resting) <= kRestBound * static_cast<double>(ready_.size());
+  Host* best = nullptr;
+  double best_delay = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    Host& h = *ready_[(start + i) % ready_.size()];
+    if ((heed_rest && Resting(h)) || (keep_room && h.out >= h.room)) continue;
+    if (!MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
+    const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
+                                   [&](const Attempt& a) { return a.host == h.entry.host; });
+    const double delay = Delay(h) * (tried ? 4 : 1);
+    if (best != nullptr && delay >= best_delay) continue;
+    best = &h;
+    best_delay = delay;
+  }
+  return best;
+}
+
+void Gateway::Impl::NoteLoad(Host& h, const LoadReport& report) {
+  for (const LoadValue& v : report) {
+    if (v.name != "inflight") continue;
+    h.others = std::max(0.0, v.value - h.out);
+    h.report_at = now_;
+  }
+}
+
+void Gateway::Impl::NoteOutcome(Host& h, const Request* r, const AttemptEnded& event) {
+  h.out = std::max(0, h.out - 1);
+  NoteLoad(h, event.load);
+  if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
+  if (event.outcome == Outcome::kFull) {
+    h.room = std::max(kRoomLeast, std::min(h.room, h.out + 1.0) * kRoomCut);
+    return;
+  }
+  if (event.outcome != Outcome::kOk) {
+    const Duration rest = std::min(kRestLongest, kRestFirst * (1 << std::min(h.failures, 4)));
+    ++h.failures;
+    if (h.failures > 1 || event.outcome != Outcome::kError) h.rest_until = now_ + rest;
+    return;
+  }
+  h.failures = 0;
+  h.rest_until = TimePoint{};
+  if (!IsCold(h)) ++warm_answers_;
+  if (now_ - warm_since_ >= seconds(1)) {
+    const auto warm = std::count_if(ready_.begin(), ready_.end(), [&](Host* w) { return !IsCold(*w); });
+    const double rate = warm_answers_ / Seconds(now_ - warm_since_) / std::max<double>(1, warm);
+    warm_rate_ = warm_rate_ == 0 ? rate : 0.7 * warm_rate_ + 0.3 * rate;
+    warm_answers_ = 0;
+    warm_since_ = now_;
+  }
+  if (r == nullptr) return;
+  ClassMean& mean = means_[r->class_index];
+  const double latency = Seconds(event.latency);
+  if (mean.latency > 0) {
+    const double expected = mean.latency * (mean.units > 0 ? r->units / mean.units : 1);
+    h.slowness += kLatencyStep * (std::min(20.0, latency / std::max(1e-6, expected)) - h.slowness);
+    h.slowness_at = now_;
+  }
+  mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
+  mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r->units - mean.units);
+  if (event.latency > r->kind->aim) {
+    h.room = std::max(kRoomLeast, h.room * kRoomCut);
+  } else if (event.latency < r->kind->aim / 2 && h.out + 1 >= h.room / 2) {
+    h.room = std::min(kRoomMost, h.room + 1 / h.room);
+  }
+}
+
+// ---- Attempts -----------------------------------------------------------------------------------------
+
+// The one place that sends. Every rule on sending is checked here, whatever led to it.
+bool Gateway::Impl::Issue(Request& r, Host& h) {
+  if (r.closed || now_ >= r.deadline) return false;  // rule 1
+  if (static_cast<int>(r.attempts.size()) >= settings_.limits.max_attempts) return false;
+  if (!MayRepeatAt(r, h)) return false;              // rule 2
+  if (!h.listed) return false;                       // rule 3
+  if (IsCold(h) && RefillCold(h) < 1) return false;  // rule 4
+  Customer& c = *r.customer;
+  const bool first = r.attempts.empty();
+  if (first && c.plan->ceiling_rate > 0 && RefillCeiling(c) < r.units) return false;  // rule 5
+  if (first && c.plan->ceiling_rate > 0) c.ceiling -= r.units;
+  if (IsCold(h)) h.cold_budget -= 1;
+  r.attempts.push_back({h.entry.host, now_});
+  ++h.out;
+  ++c.open;
+  Act(SendAttempt{r.id, h.entry.host, r.deadline});
+  return true;
+}
+
+void Gateway::Impl::Dispatch(Request& r) {
+  Host* h = Choose(r, true);
+  if (h == nullptr) h = Choose(r, false);
+  if (h != nullptr && Issue(r, *h)) return;
+  ReturnUnits(r);
+  Conclude(r, true, ComeBack(r));
+}
+
+// Rule 2: a refusal tells the client that asking again is harmless.
+bool Gateway::Impl::MayRefuse(const Request& r) const {
+  if (r.kind->repeat == Repeat::kSafe) return true;
+  if (r.kind->repeat == Repeat::kKeyed && r.kind->group == RepeatGroup::kAll) return true;
+  return std::none_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+}
+
+// The one place that gives final answers of our own.
+void Gateway::Impl::Conclude(Request& r, bool refuse, Duration retry_after) {
+  if (r.closed) return;
+  r.closed = true;
+  if (!refuse || !MayRefuse(r)) {
+    Act(Fail{r.id});
+  } else {
+    const Duration advice = std::max<Duration>(retry_after, Duration::zero());
+    Act(Refuse{r.id, settings_.limits.retry_after ? advice : Duration::zero()});
+  }
+  CancelOut(r);
+}
+
+void Gateway::Impl::CancelOut(Request& r) {
+  if (!settings_.limits.cancel) return;
+  for (std::size_t i = 0; i < r.attempts.size(); ++i)
+    if (r.attempts[i].out) Act(CancelAttempt{r.id, static_cast<int>(i)});
+}
+
+void Gateway::Impl::Forget(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || !it->second.closed) return;
+  for (const Attempt& a : it->second.attempts)
+    if (a.out) return;
+  requests_.erase(it);
+}
+
+void Gateway::Impl::OnAttemptEnded(const AttemptEnded& event) {
+  const auto found = requests_.find(event.id);
+  Request* r = found == requests_.end() ? nullptr : &found->second;
+  const auto index = static_cast<std::size_t>(event.attempt);
+  const bool known = r != nullptr && index < r->attempts.size() && r->attempts[index].out;
+  const auto host = hosts_.find(event.host);
+  if (known && host != hosts_.end()) NoteOutcome(host->second, r, event);
+  if (!known) return;
+  Attempt& attempt = r->attempts[index];
+  attempt.out = false;
+  attempt.may_have_run = event.outcome != Outcome::kFull && event.outcome != Outcome::kConnectFailed &&
+                         event.outcome != Outcome::kMoot;
+  --r->customer->open;
+  if (event.outcome == Outcome::kOk) Settle(*r, event.true_units);
+  if (event.closed && !r->closed) {
+    r->closed = true;
+    CancelOut(*r);
+  }
+  if (!r->closed && !TryAgain(*r)) {
+    const bool waiting = std::any_of(r->attempts.begin(), r->attempts.end(), [](auto& a) { return a.out; });
+    if (!waiting) Conclude(*r, true, ComeBack(*r));
+  }
+  Forget(event.id);
+}
+
+// A further attempt, where it can still be in time and the budget allows it.
+bool Gateway::Impl::TryAgain(Request& r) {
+  const double expected = means_[r.class_index].latency;
+  const TimePoint last = r.kind->late_worth > 0 ? r.deadline : std::min(r.deadline, r.arrived + r.kind->aim);
+  if (retry_budget_ < 1 || now_ + FromSeconds(expected / 2) >= last) return false;
+  Host* h = Choose(r, true);
+  if (h == nullptr || !Issue(r, *h)) return false;
+  retry_budget_ -= 1;
+  return true;
+}
+
+// ---- Shedding -----------------------------------------------------------------------------------------
+
+// Worth per second of host time.
+double Gateway::Impl::Density(const Request& r) {
+  const ClassMean& mean = means_[r.class_index];
+  const double work = mean.latency > 0 ? mean.latency / std::max(1e-6, mean.units) : 1;
+  return r.kind->worth * r.customer->plan->price / work;
+}
+
+// Whether it can be served in time. A client's late try may come with next to no time left (guards rule 1:
+// such a request never waits for the counter). When the fleet's room runs out, the least worthy go first.
+bool Gateway::Impl::Fits(const Request& r) {
+  const Duration needed = FromSeconds(means_[r.class_index].latency / 2);
+  if (r.deadline - now_ < std::max(2 * wait_, needed)) return false;
+  double room = 0, out = 0;
+  for (const Host* h : ready_) {
+    if (Resting(*h)) continue;
+    const double part = IsCold(*h) ? ColdPart(*h) : 1;
+    room += h->room * part;
+    out += h->out;
+  }
+  const double density = Density(r);
+  mean_density_ += (mean_density_ == 0 ? 1 : kMeanStep) * (density - mean_density_);
+  const double rank = mean_density_ > 0 ? std::min(1.0, density / mean_density_) : 1;
+  return out < room * (kShedFrom + (1 - kShedFrom) * rank) || room == 0;
+}
+
+// When to come back after a refusal that is not the quota's: spread, so that the refused do not return
+// together.
+Duration Gateway::Impl::ComeBack(const Request& r) {
+  const double mean = std::max(0.05, means_[r.class_index].latency);
+  return FromSeconds(mean * (1 + 2 * Random()));
+}
+
+// ---- Event dispatch -----------------------------------------------------------------------------------
+
+void Gateway::Impl::OnRequest(const RequestArrived& event) {
+  const auto kind = std::find_if(settings_.classes.begin(), settings_.classes.end(),
+                                 [&](const RequestClass& k) { return k.name == event.request_class; });
+  Customer* c = FindCustomer(event);
+  if (kind == settings_.classes.end() || c == nullptr) {  // neither quota nor repeat rules are known
+    Act(Refuse{event.id});
+    return;
+  }
+  c->set_size = std::max(c->set_size, std::min(event.set_size, settings_.gateways));
+  Request& r = requests_[event.id];
+  r.id = event.id;
+  r.customer = c;
+  r.kind = &*kind;
+  r.class_index = static_cast<int>(kind - settings_.classes.begin());
+  r.units = event.units;
+  r.arrived = now_;
+  r.deadline = now_ + event.time_left;
+  retry_budget_ = std::min(kRetryMost, retry_budget_ + kRetryEarned);
+  if (!Fits(r)) {
+    Conclude(r, true, ComeBack(r));
+  } else if (UnderCaps(r)) {
+    Ask(r);
+  }
+  Forget(event.id);
+}
+
+void Gateway::Impl::OnTimer(TimerToken token) {
+  if (token.value == 0) return Act(Watch{true});
+  OnCallTimer(CountName{token.value});
+}
+
+void Gateway::Impl::Say(TimePoint& last, std::string text) {
+  if (last != TimePoint{} && now_ - last < kLogGap) return;
+  last = now_;
+  Act(Log{std::move(text)});
+}
+
+void Gateway::Impl::Handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
+  now_ = now;
+  out_ = &actions;
+  if (!started_) {
+    started_ = true;
+    born_ = warm_since_ = last_eviction_ = now;
+    means_.resize(settings_.classes.size());
+    for (const RequestClass& k : settings_.classes)
+      wait_ = std::min(wait_, FromSeconds(Seconds(k.aim) * kWaitShare));
+    if (settings_.discovery == Discovery::kAsk) Act(Watch{true});
+  }
+  if (const auto* e = std::get_if<RequestArrived>(&event)) OnRequest(*e);
+  if (const auto* e = std::get_if<AttemptEnded>(&event)) OnAttemptEnded(*e);
+  if (const auto* e = std::get_if<CountAnswered>(&event)) OnCountAnswered(*e);
+  if (const auto* e = std::get_if<TimerFired>(&event)) OnTimer(e->token);
+  if (const auto* e = std::get_if<HostList>(&event)) OnHostList(*e);
+  if (const auto* e = std::get_if<RequestGone>(&event)) {
+    const auto it = requests_.find(e->id);
+    if (it != requests_.end() && !it->second.closed) {
+      it->second.closed = true;
+      std::erase(it->second.customer->waiting, e->id);
+      CancelOut(it->second);
+      Forget(e->id);
+    }
+  }
+  if (const auto* e = std::get_if<ProbeEnded>(&event)) {
+    const auto it = hosts_.find(e->host);
+    if (it != hosts_.end()) NoteLoad(it->second, e->load);
+  }
+}
+
+Gateway::Gateway(Settings settings, std::uint64_t seed)
+    : impl_(std::make_unique<Impl>(std::move(settings), seed)) {}
+Gateway::~Gateway() = default;
+Gateway::Gateway(Gateway&&) noexcept = default;
+Gateway& Gateway::operator=(Gateway&&) noexcept = default;
+
+void Gateway::handle(TimePoint now, const Event& event, std::vector<Action>& actions) {
+  impl_->Handle(now, event, actions);
+}
+
+}  // namespace curlewdoor
--- /dev/null
+++ b/tests/logic_test.cpp
@@ -0,0 +1,551 @@
+// Tests of the decision module: events in by hand, actions out. No bench, no simulator.
+#include "logic.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "wire/codec.hpp"
+
+namespace curlewdoor {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Three classes (safe, unsafe, keyed within a cell), four plans, one zone.
+Settings TestSettings() {
+  Settings s;
+  s.gateways = 2;
+  s.zone = "a";
+  s.classes.resize(3);
+  for (std::size_t i = 0; i < 3; ++i) {
+    s.classes[i].name = i == 0 ? "safe" : i == 1 ? "unsafe" : "keyed";
+    s.classes[i].aim = milliseconds(800);
+    s.classes[i].deadline = seconds(2);
+    s.classes[i].repeat = i == 0 ? Repeat::kSafe : i == 1 ? Repeat::kUnsafe : Repeat::kKeyed;
+    s.classes[i].group = RepeatGroup::kCell;
+    s.classes[i].repeat_window = milliseconds(300);
+  }
+  s.plans.resize(5);
+  s.plans[0].name = "small";
+  s.plans[0].rate = 2;
+  s.plans[0].burst = 10;
+  s.plans[1].name = "capped";
+  s.plans[1].rate = 1000;
+  s.plans[1].burst = 1000;
+  s.plans[1].ceiling_rate = 10;
+  s.plans[1].ceiling_burst = 20;
+  s.plans[2].name = "open";
+  s.plans[2].open_cap = 4;
+  s.plans[3].name = "free";
+  s.plans[4].name = "large";
+  s.plans[4].rate = 100;
+  s.plans[4].burst = 400;
+  s.counter.available = true;
+  s.counter.timeout = milliseconds(100);
+  s.quota.largest_request = 6;
+  s.limits.cancel = s.limits.retry_after = s.limits.second_copies = true;
+  s.limits.max_attempts = 4;
+  s.limits.max_retry_after = seconds(2);
+  s.rules.answer_slack = milliseconds(8);
+  s.rules.cold_from = 0.2;
+  s.rules.cold_time = seconds(10);
+  s.rules.fall_time = seconds(2);
+  s.rules.fall_multiple = 3;
+  return s;
+}
+
+class Door {
+ public:
+  explicit Door(Settings settings = TestSettings(), int hosts = 4, std::uint64_t seed = 1)
+      : gateway_(std::move(settings), seed) {
+    for (int i = 0; i < hosts; ++i) list_.push_back(HostEntry{HostId{100u + i}, "a", "k", i / 2, {}, 1, {}});
+    Tell(HostList{ListKind::kCached, 1, list_});
+  }
+
+  template <typename E>
+  std::vector<Action> Tell(E event) {
+    std::vector<Action> actions;
+    gateway_.handle(now, Event(std::move(event)), actions);
+    for (const Action& a : actions) {
+      wire::AppendAction(a, transcript);
+      if (const auto* s = std::get_if<SendAttempt>(&a)) sent[s->id].push_back(s->host);
+    }
+    return actions;
+  }
+
+  std::vector<Action> Arrive(std::uint64_t id, const std::string& plan = "small", double units = 1,
+                             const std::string& kind = "safe", const std::string& customer = "c") {
+    RequestArrived r;
+    r.id = RequestId{id};
+    r.customer = customer;
+    r.plan = plan;
+    r.request_class = kind;
+    r.units = units;
+    r.set_size = 2;
+    r.time_left = seconds(2);
+    return Tell(r);
+  }
+
+  std::vector<Action> Count(const AddCount& call, double total, Outcome outcome = Outcome::kOk) {
+    return Tell(CountAnswered{call.name, outcome, total, milliseconds(1)});
+  }
+
+  std::vector<Action> End(std::uint64_t id, Outcome outcome, bool closed = false, int attempt = -1) {
+    const auto& hosts = sent[RequestId{id}];
+    const int index = attempt < 0 ? static_cast<int>(hosts.size()) - 1 : attempt;
+    AttemptEnded e;
+    e.id = RequestId{id};
+    e.attempt = index;
+    e.host = hosts.at(index);
+    e.outcome = outcome;
+    e.closed = closed;
+    e.latency = milliseconds(50);
+    return Tell(e);
+  }
+
+  // Lets a counter answer every call among `actions` and those that follow; tells all that was done.
+  std::vector<Action> Serve(std::map<CountName, double>& counter, std::vector<Action> actions) {
+    for (std::size_t i = 0; i < actions.size(); ++i) {
+      const auto* call = std::get_if<AddCount>(&actions[i]);
+      if (call == nullptr) continue;
+      const auto more = Count(*call, counter[call->name] += call->amount);
+      actions.insert(actions.end(), more.begin(), more.end());
+    }
+    return actions;
+  }
+
+  void Pass(Duration d) { now += d; }
+
+  TimePoint now{seconds(1000)};
+  std::map<RequestId, std::vector<HostId>> sent;
+  std::string transcript;
+  std::vector<HostEntry> list_;
+
+ private:
+  Gateway gateway_;
+};
+
+std::string Name(std::uint64_t number) { return std::string("c").append(std::to_string(number)); }
+
+template <typename A>
+std::vector<A> All(const std::vector<Action>& actions) {
+  std::vector<A> found;
+  for (const Action& a : actions)
+    if (const auto* match = std::get_if<A>(&a)) found.push_back(*match);
+  return found;
+}
+template <typename A>
+A One(const std::vector<Action>& actions) {
+  const auto found = All<A>(actions);
+  EXPECT_EQ(found.size(), 1u);
+  return found.empty() ? A{} : found.front();
+}
+
+// Makes the counter silent by failing three calls.
+void Silence(Door& door, std::uint64_t first_id) {
+  for (std::uint64_t i = 0; i < 3; ++i)
+    for (const auto& call : All<AddCount>(door.Arrive(first_id + i, "large", 1, "safe", "silencer")))
+      door.Count(call, 0, Outcome::kConnectFailed);
+}
+
+// ---- Leases and windows ---------------------------------------------------------------------------------
+
+TEST(Leases, ALeaseIsAddedAndWhatItGrantsIsSpent) {
+  Door door;
+  const auto call = One<AddCount>(door.Arrive(1, "small", 3));
+  EXPECT_DOUBLE_EQ(call.amount, 3);  // never below the cost
+  EXPECT_EQ(call.lifetime, seconds(10));
+  EXPECT_EQ(call.name.value % 2, 1u);
+  EXPECT_EQ(One<SendAttempt>(door.Count(call, 3)).id.value, 1u);
+}
+
+TEST(Leases, GrowWhenExhaustedEarlyUnderTheirCapAndHalveWhenUnused) {
+  Door door;
+  std::map<CountName, double> counter;
+  double most = 0;
+  std::uint64_t id = 0;
+  const auto ask = [&] {
+    const auto actions = door.Serve(counter, door.Arrive(++id, "large"));
+    door.End(id, Outcome::kOk, true);
+    const auto calls = All<AddCount>(actions);
+    return calls.empty() ? 0 : calls[0].amount;
+  };
+  for (int i = 0; i < 60; ++i) most = std::max(most, ask());
+  EXPECT_GT(most, 4);
+  EXPECT_LE(most, 400 / 8 / 2 + 1);
+  double last = 0;
+  for (int i = 0; i < 12; ++i) {  // a call a window, most of it unused
+    door.Pass(seconds(4));
+    last = ask();
+  }
+  EXPECT_DOUBLE_EQ(last, 1);
+}
+
+TEST(Leases, OneCallIsOutAndTheNextCoversWhoWaits) {
+  Door door;
+  const auto first = One<AddCount>(door.Arrive(1, "large"));
+  EXPECT_TRUE(All<AddCount>(door.Arrive(2, "large", 2)).empty());
+  EXPECT_TRUE(All<AddCount>(door.Arrive(3, "large", 3)).empty());
+  const auto actions = door.Count(first, 1);
+  EXPECT_EQ(One<SendAttempt>(actions).id.value, 1u);
+  const auto second = One<AddCount>(actions);
+  EXPECT_GE(second.amount, 2);
+  const auto rest = door.Count(second, 1 + second.amount);
+  ASSERT_FALSE(All<SendAttempt>(rest).empty());
+  EXPECT_EQ(All<SendAttempt>(rest)[0].id.value, 2u);
+}
+
+TEST(Leases, TwoGatewaysShareAWindowThroughTheCounter) {
+  Settings other = TestSettings();
+  other.me = 1;
+  Door a, b(other);
+  std::map<CountName, double> counter;
+  std::size_t admitted = 0;
+  for (std::uint64_t id = 1; id <= 30; ++id) {
+    Door& door = id % 3 ? a : b;
+    admitted += All<SendAttempt>(door.Serve(counter, door.Arrive(id))).size();
+  }
+  EXPECT_EQ(admitted, 10u);
+}
+
+TEST(Leases, BeyondTheQuotaIsRefusedWithATimeToComeBackAndNoFurtherAdd) {
+  Door door;
+  const auto call = One<AddCount>(door.Arrive(1, "small", 4));
+  const auto refused = One<Refuse>(door.Count(call, 12));              // 2 of the 4 lie beyond 10
+  EXPECT_EQ(refused.retry_after, seconds(1));                          // (4 - 2) / 2 a second
+  EXPECT_EQ(All<SendAttempt>(door.Arrive(2, "small", 2)).size(), 1u);  // the 2 that were granted
+  const auto spent = door.Arrive(3, "small", 1);
+  EXPECT_TRUE(All<AddCount>(spent).empty());
+  EXPECT_GT(One<Refuse>(spent).retry_after, Duration::zero());
+}
+
+TEST(Leases, ACounterThatLostItsNumbersDoesNotGrantTheQuotaAgain) {
+  Door door;
+  const auto call = One<AddCount>(door.Arrive(1, "large", 6));
+  door.Count(call, 395);
+  const auto next = One<AddCount>(door.Arrive(2, "large", 5));
+  const auto answer = door.Count(next, 5);  // 400 were known
+  EXPECT_EQ(All<SendAttempt>(answer).size(), 1u);
+  EXPECT_EQ(All<Refuse>(door.Arrive(3, "large", 1)).size(), 1u);
+}
+
+TEST(Leases, OwnUseIsPutBackAfterALoss) {
+  Door door;
+  door.Count(One<AddCount>(door.Arrive(1, "large", 6)), 106);
+  door.Count(One<AddCount>(door.Arrive(2, "large", 6)), 6);
+  const auto call = One<AddCount>(door.Arrive(3, "large", 6));
+  EXPECT_GE(call.amount, 12);  // six for itself, six put back
+}
+
+TEST(Leases, ARequestTooLargeForTheBurstIsRefusedWithoutAdvice) {
+  Door door;
+  const auto actions = door.Arrive(1, "small", 11);
+  EXPECT_EQ(One<Refuse>(actions).retry_after, Duration::zero());
+  EXPECT_TRUE(All<AddCount>(actions).empty());
+}
+
+TEST(Leases, APlanWithoutAnyQuotaNeedsNoCall) {
+  Door door;
+  const auto actions = door.Arrive(1, "free");
+  EXPECT_EQ(All<SendAttempt>(actions).size(), 1u);
+  EXPECT_TRUE(All<AddCount>(actions).empty());
+}
+
+// ---- Share fallback -------------------------------------------------------------------------------------
+
+TEST(Fallback, ASilentCounterDelaysARequestByASmallPartOfTheAimOnly) {
+  Door door;
+  const auto actions = door.Arrive(1);
+  const auto timer = One<SetTimer>(actions);
+  EXPECT_EQ(timer.delay, milliseconds(50));  // 800 ms / 16
+  door.Pass(timer.delay);
+  EXPECT_EQ(All<SendAttempt>(door.Tell(TimerFired{timer.token})).size(), 1u);
+}
+
+TEST(Fallback, ALateAnswerIsStillOurs) {
+  Door door;
+  const auto actions = door.Arrive(1, "large", 2);
+  door.Pass(milliseconds(60));
+  door.Tell(TimerFired{One<SetTimer>(actions).token});
+  const auto call = One<AddCount>(actions);
+  EXPECT_TRUE(All<SendAttempt>(door.Count(call, 2)).empty());
+  // The late units pay for the request that was let in by share: nothing is owed.
+  EXPECT_LE(One<AddCount>(door.Arrive(2, "large", 2)).amount, 2.01);
+}
+
+TEST(Fallback, WhatTimedOutIsNotPostedBlindlyAgainAndWhatWasTurnedAwayIs) {
+  for (const Outcome outcome : {Outcome::kTimeout, Outcome::kFull}) {
+    Door door;
+    EXPECT_EQ(All<SendAttempt>(door.Count(One<AddCount>(door.Arrive(1, "large", 5)), 0, outcome)).size(), 1u);
+    // Five units were let in by share without an add; they are owed either way, once.
+    const auto call = One<AddCount>(door.Arrive(2, "large", 5));
+    EXPECT_NEAR(call.amount, 10, 0.01);
+    door.Count(call, 0, outcome);
+    const auto third = One<AddCount>(door.Arrive(3, "large", 5));
+    EXPECT_NEAR(third.amount, outcome == Outcome::kTimeout ? 10 : 15, 0.01);
+  }
+}
+
+TEST(Fallback, AnUnseenCustomerGetsOneOverItsSetSize) {
+  Door door;
+  Silence(door, 900);
+  std::size_t admitted = 0;
+  for (std::uint64_t id = 1; id <= 20; ++id) admitted += All<SendAttempt>(door.Arrive(id)).size();
+  EXPECT_EQ(admitted, 5u);  // half of the ten
+}
+
+TEST(Fallback, TheShareFollowsSkewedTraffic) {
+  Settings other = TestSettings();
+  other.me = 1;
+  Door a, b(other);
+  std::map<CountName, double> counter;
+  for (std::uint64_t id = 1; id <= 400; ++id) {  // a quarter of the customer comes through b
+    Door& door = id % 4 ? a : b;
+    door.Serve(counter, door.Arrive(id, "large"));
+    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+    a.Pass(milliseconds(50));
+    b.Pass(milliseconds(50));
+  }
+  Silence(b, 900);
+  b.Pass(seconds(8));
+  std::size_t admitted = 0;
+  for (std::uint64_t id = 1000; id <= 1400; ++id) {
+    const auto actions = b.Arrive(id, "large");
+    for (const auto& call : All<AddCount>(actions)) b.Count(call, 0, Outcome::kFull);
+    if (All<SendAttempt>(actions).empty()) continue;
+    ++admitted;
+    b.End(id, Outcome::kOk, true);
+  }
+  EXPECT_GT(admitted, 70u);  // of 400
+  EXPECT_LT(admitted, 160u);
+}
+
+TEST(Fallback, IsSaidInTheLogAndTheCounterIsTestedSparingly) {
+  Door door;
+  Silence(door, 900);
+  EXPECT_NE(door.transcript.find("counter silent"), std::string::npos);
+  std::vector<AddCount> tests;
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    door.Pass(milliseconds(10));
+    const auto calls = All<AddCount>(door.Arrive(id, "large", 1, "safe", Name(id)));
+    for (const auto& call : calls) {
+      tests.push_back(call);
+      door.Count(call, 0, Outcome::kTimeout);
+    }
+    door.End(id, Outcome::kOk, true);
+  }
+  EXPECT_GE(tests.size(), 3u);
+  EXPECT_LE(tests.size(), 6u);
+  door.Pass(milliseconds(300));
+  const auto test = One<AddCount>(door.Arrive(500, "large", 1, "safe", "d"));
+  EXPECT_NE(door.transcript.find("counter silent"), std::string::npos);
+  door.Count(test, test.amount);
+  EXPECT_NE(door.transcript.find("back to leases"), std::string::npos);
+  EXPECT_EQ(All<AddCount>(door.Arrive(501, "large", 1, "safe", "e")).size(), 1u);
+}
+
+// ---- Rules ----------------------------------------------------------------------------------------------
+
+TEST(RuleOneAnswer, ATryWithNextToNoTimeLeftIsAnsweredAtOnce) {
+  Door door;
+  RequestArrived r;
+  r.id = RequestId{1};
+  r.customer = "c";
+  r.plan = "small";
+  r.request_class = "unsafe";
+  r.time_left = milliseconds(14);
+  EXPECT_EQ(All<Refuse>(door.Tell(r)).size(), 1u);
+}
+
+TEST(RuleOneAnswer, NothingIsSentAndNothingAnsweredAfterTheClientLeft) {
+  Door door;
+  const auto call = One<AddCount>(door.Arrive(1));
+  door.Tell(RequestGone{RequestId{1}});
+  EXPECT_TRUE(door.Count(call, 1).empty());
+  door.Arrive(2, "free");
+  EXPECT_EQ(All<CancelAttempt>(door.Tell(RequestGone{RequestId{2}})).size(), 1u);
+  EXPECT_TRUE(door.End(2, Outcome::kCancelled, true).empty());
+  EXPECT_TRUE(door.Tell(RequestGone{RequestId{2}}).empty());  // already dropped
+  EXPECT_TRUE(door.End(2, Outcome::kOk, true).empty());
+}
+
+TEST(RuleOneAnswer, ATimeOutAtTheDeadlineIsAnswered) {
+  Door door;
+  door.Arrive(1, "free", 1, "unsafe");
+  door.Pass(seconds(2));
+  EXPECT_EQ(All<Fail>(door.End(1, Outcome::kTimeout)).size(), 1u);
+}
+
+TEST(RuleOneAnswer, WithoutHostsARequestIsRefusedAtOnce) {
+  Door door(TestSettings(), 0);
+  const auto actions = door.Count(One<AddCount>(door.Arrive(1)), 1);
+  EXPECT_EQ(All<Refuse>(actions).size(), 1u);
+}
+
+TEST(RuleNoRepeat, AnUnsafeRequestThatMayHaveRunIsFailedNotRepeatedNorRefused) {
+  for (const Outcome outcome : {Outcome::kError, Outcome::kReset, Outcome::kTimeout, Outcome::kCancelled}) {
+    Door door;
+    door.Arrive(1, "free", 1, "unsafe");
+    const auto actions = door.End(1, outcome);
+    EXPECT_TRUE(All<SendAttempt>(actions).empty());
+    EXPECT_TRUE(All<Refuse>(actions).empty());
+    EXPECT_EQ(All<Fail>(actions).size(), 1u);
+  }
+}
+
+TEST(RuleNoRepeat, AnUnsafeRequestThatNeverRanIsSentElsewhere) {
+  for (const Outcome outcome : {Outcome::kFull, Outcome::kConnectFailed}) {
+    Door door;
+    door.Arrive(1, "free", 1, "unsafe");
+    EXPECT_EQ(All<SendAttempt>(door.End(1, outcome)).size(), 1u);
+    EXPECT_NE(door.sent[RequestId{1}][0], door.sent[RequestId{1}][1]);
+  }
+}
+
+TEST(RuleNoRepeat, AKeyedRequestStaysWithinItsCellAndItsTime) {
+  Door door;
+  door.Arrive(1, "free", 1, "keyed");
+  EXPECT_EQ(All<SendAttempt>(door.End(1, Outcome::kReset)).size(), 1u);
+  const auto& hosts = door.sent[RequestId{1}];
+  EXPECT_EQ((hosts[0].value - 100) / 2, (hosts[1].value - 100) / 2);  // two hosts a cell
+  door.Arrive(2, "free", 1, "keyed");
+  door.Pass(milliseconds(301));
+  const auto late = door.End(2, Outcome::kReset);
+  EXPECT_TRUE(All<SendAttempt>(late).empty());
+  EXPECT_EQ(All<Fail>(late).size(), 1u);  // the group is a cell: no refusal either
+}
+
+TEST(RuleNoRepeat, AttemptsAreBounded) {
+  Door door(TestSettings(), 8);
+  door.Arrive(1, "free");
+  std::size_t attempts = 1, finals = 0;
+  for (int i = 0; i < 10 && finals == 0; ++i) {
+    const auto actions = door.End(1, Outcome::kConnectFailed);
+    attempts += All<SendAttempt>(actions).size();
+    finals += All<Refuse>(actions).size() + All<Fail>(actions).size();
+  }
+  EXPECT_LE(attempts, 4u);
+  EXPECT_EQ(finals, 1u);
+}
+
+TEST(RuleDrain, ADrainingOrGoneHostGetsNothing) {
+  Door door(TestSettings(), 2);
+  door.list_[0].state = HostState::kDraining;
+  door.Tell(HostList{ListKind::kDelta, 2, {door.list_[0]}});
+  for (std::uint64_t id = 1; id <= 6; ++id) {
+    door.Arrive(id, "free");
+    ASSERT_EQ(door.sent[RequestId{id}].size(), 1u);
+    EXPECT_EQ(door.sent[RequestId{id}][0].value, 101u);
+    door.End(id, Outcome::kOk, true);
+  }
+  door.Tell(HostList{ListKind::kFull, 3, {}});  // absent from a whole list: gone
+  EXPECT_EQ(All<Refuse>(door.Arrive(9, "free")).size(), 1u);
+}
+
+TEST(RuleColdHost, GetsItsPartOnly) {
+  Door door(TestSettings(), 1);
+  door.list_[0].started = door.now;
+  door.Tell(HostList{ListKind::kDelta, 2, {door.list_[0]}});
+  std::size_t sent = 0;
+  for (std::uint64_t id = 1; id <= 200; ++id) {
+    sent += All<SendAttempt>(door.Arrive(id, "free", 1, id % 2 ? "safe" : "unsafe")).size();
+    door.Pass(milliseconds(10));
+    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kFull);
+  }
+  EXPECT_GE(sent, 1u);
+  EXPECT_LE(sent, 5u);  // two at once, then a part of one a second: further tries count too
+}
+
+// The part of the ceiling that one gateway of two holds: 10 units, 5 a second.
+double SentUnderCeiling(Door& door, std::uint64_t first_id, int tries, Duration gap) {
+  double units = 0;
+  std::map<CountName, double> counter;
+  for (int i = 0; i < tries; ++i) {
+    const std::uint64_t id = first_id + i;
+    door.Serve(counter, door.Arrive(id, "capped", 2));
+    if (!door.sent[RequestId{id}].empty()) units += 2, door.End(id, Outcome::kOk, true);
+    door.Pass(gap);
+  }
+  return units;
+}
+
+TEST(RuleCeiling, AGatewayPassesOnItsPartWhateverTheQuotaSays) {
+  Door door;
+  EXPECT_EQ(SentUnderCeiling(door, 1, 20, {}), 0);  // a gateway that starts does not know what was spent
+  door.Pass(seconds(60));
+  EXPECT_LE(SentUnderCeiling(door, 100, 50, {}), 10);
+  const double in_four_seconds = SentUnderCeiling(door, 200, 400, milliseconds(10));
+  EXPECT_LE(in_four_seconds, 20);
+  EXPECT_GE(in_four_seconds, 16);
+}
+
+TEST(RuleCeiling, OutsideTheCustomersSetNothingIsPassedOn) {
+  Settings settings = TestSettings();
+  settings.gateways = 4;
+  settings.me = 3;
+  Door door(settings);  // the set is 0 and 1
+  door.Pass(seconds(60));
+  EXPECT_EQ(SentUnderCeiling(door, 1, 20, {}), 0);
+}
+
+TEST(OpenCap, IsHeldByShareAndNeverBelowOne) {
+  Door door;
+  std::size_t sent = 0;
+  for (std::uint64_t id = 1; id <= 6; ++id) sent += All<SendAttempt>(door.Arrive(id, "open")).size();
+  EXPECT_EQ(sent, 2u);  // four over two gateways
+  door.End(1, Outcome::kOk, true);
+  EXPECT_EQ(All<SendAttempt>(door.Arrive(7, "open")).size(), 1u);
+}
+
+// ---- Hosts ----------------------------------------------------------------------------------------------
+
+TEST(Hosts, OneThatFailsFastDoesNotAttractTraffic) {
+  Door door;
+  std::map<HostId, int> sent;
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    door.Arrive(id, "free", 1, "unsafe");
+    const HostId host = door.sent[RequestId{id}].at(0);
+    ++sent[host];
+    door.End(id, host.value == 100 ? Outcome::kReset : Outcome::kOk, host.value != 100);
+    door.Pass(milliseconds(5));
+  }
+  EXPECT_LE(sent[HostId{100}], 8);
+}
+
+TEST(Hosts, WhenMostFailAtOnceNoneIsLeftOut) {
+  Door door;
+  for (std::uint64_t id = 1; id <= 12; ++id) {
+    door.Arrive(id, "free", 1, "unsafe");
+    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kReset);
+  }
+  EXPECT_EQ(All<SendAttempt>(door.Arrive(50, "free")).size(), 1u);
+}
+
+// ---- Determinism ----------------------------------------------------------------------------------------
+
+TEST(Determinism, TheSameEventsGiveTheSameActions) {
+  const auto play = [] {
+    Door door(TestSettings(), 6, 42);
+    for (std::uint64_t id = 1; id <= 300; ++id) {
+      const auto actions =
+          door.Arrive(id, id % 2 ? "large" : "small", 1 + id % 3, id % 3 ? "safe" : "unsafe", Name(id % 7));
+      for (const auto& call : All<AddCount>(actions))
+        door.Count(call, static_cast<double>(id % 50), id % 11 ? Outcome::kOk : Outcome::kTimeout);
+      if (!door.sent[RequestId{id}].empty())
+        door.End(id, id % 13 ? Outcome::kOk : Outcome::kFull, id % 13 != 0);
+      door.Pass(milliseconds(7));
+    }
+    return door.transcript;
+  };
+  const std::string once = play();
+  EXPECT_EQ(once, play());
+  EXPECT_GT(once.size(), 1000u);
+}
+
+}  // namespace
+}  // namespace curlewdoor
