--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -86,8 +86,9 @@
     bool in_set = true;  // whether this gateway belongs to the customer's set
     // The current window.
     std::int64_t window = 0;
-    double held = 0;       // units added to the count and not spent
-    double level = 0;      // units left in the quota as far as is known; below 0: added beyond it
+    double held = 0;   // units added to the count and not spent
+    double level = 0;  // units left in the quota at level_at, as far as is known; below 0: added beyond
+    TimePoint level_at;
     double total = 0;      // the largest count known
     double own_added = 0;  // of it by this gateway
     double owed = 0;       // admitted here without an add, to be added with the next call
@@ -151,7 +152,10 @@
   Customer* FindCustomer(const RequestArrived& event);
   Duration Window(const Plan& plan) const;
   void Roll(Customer& c);
-  double Tokens(const Customer& c) const { return c.held + std::min(0.0, c.level); }
+  double Refill(const Customer& c) const { return c.plan->rate * Seconds(now_ - c.level_at); }
+  double Level(const Customer& c) const { return std::min(c.plan->burst, c.level + Refill(c)); }
+  double Tokens(const Customer& c) const { return c.held + std::min(0.0, Level(c)); }
+  void Take(Customer& c, double units, double by_others);
   bool Spend(Customer& c, Request& r);
   void Ask(Request& r);
   void Call(Customer& c);
@@ -260,6 +264,17 @@
   return added;
 }
 
+// Books units that left the quota: others' during the time since the last booking, ours now.
+//
+// Exception to the window's quota, which would come back whole at each edge: it comes back evenly, as the
+// quota that the plan promises does. Guards against refusals while half of the quota has long refilled, and
+// against twice the quota across an edge. It errs, by what siblings took between this gateway's last look at
+// a window and its edge, towards letting in.
+void Gateway::Impl::Take(Customer& c, double units, double by_others) {
+  c.level = std::min(c.plan->burst, c.level + Refill(c) - by_others) - units;
+  c.level_at = now_;
+}
+
 // Moves the customer to the present window. Unspent units die with the old one.
 void Gateway::Impl::Roll(Customer& c) {
   const Duration length = Window(*c.plan);
@@ -268,9 +283,13 @@
   const std::int64_t window = (now_.time_since_epoch().count() + shift) / length.count();
   if (window == c.window) return;
   if (c.held > c.lease / 2) c.lease = std::max(kFirstLease, c.lease / 2);
+  if (c.window < 0) {  // unseen: what the count tells was taken since this window began
+    c.level = c.plan->burst;
+    c.level_at = now_ - Duration((now_.time_since_epoch().count() + shift) % length.count());
+  }
+  Take(c, -c.held, 0);
   c.window = window;
   c.held = c.total = c.own_added = 0;
-  c.level = c.plan->burst;
 }
 
 bool Gateway::Impl::Spend(Customer& c, Request& r) {
@@ -290,7 +309,7 @@
   if (!settings_.counter.available || silent_ || waited || (c.calling && c.given_up)) return AskByShare(r);
   // A count never falls within its window, so once it is known to leave less than the cost, an add could
   // grant nothing: it would only swell the count and this gateway's share of it.
-  if (c.held + c.level < r.units) return RefuseBeyondQuota(r, c.held + c.level, c.plan->rate);
+  if (c.held + Level(c) < r.units) return RefuseBeyondQuota(r, c.held + Level(c), c.plan->rate);
   c.waiting.push_back(r.id);
   if (!c.calling) Call(c);
 }
@@ -305,7 +324,7 @@
     c.lease = std::min(2 * c.lease, cap);
   }
   // What a sibling gateway may need is not leased ahead: the less is left, the smaller the lease.
-  const double spare = std::max(0.0, c.level - need) / (2 * c.set_size);
+  const double spare = std::max(0.0, Level(c) - need) / (2 * c.set_size);
   c.call_lease = c.waiting.empty() ? 0 : std::max(need, std::min(c.lease, need + spare));
   c.call_owed = c.owed;
   c.calling = true;
@@ -353,7 +372,7 @@
   const bool lost = total - c.total < added - noise;
   const double grown = lost ? added : total - c.total;
   c.total += grown;
-  c.level -= std::max(0.0, grown - c.call_owed);
+  Take(c, c.call_lease, std::max(0.0, grown - added));
   c.held += c.call_lease;
   // Units admitted by share while this call was out are paid from it.
   const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);
@@ -423,7 +442,7 @@
   const double from_held = std::min(more, std::max(0.0, c.held));
   c.held -= from_held;
   c.owed += more - from_held;
-  c.level -= more - from_held;
+  Take(c, more - from_held, 0);
 }
 
 // ---- Share fallback -----------------------------------------------------------------------------------
@@ -453,12 +472,12 @@
   Roll(c);
   if (Spend(c, r)) return Dispatch(r);
   const double share = Share(c);
-  const double left = share * c.level;
-  const bool untouched = c.level >= c.plan->burst;  // a small share of a small quota still admits one
+  const double left = share * Level(c);
+  const bool untouched = Level(c) >= c.plan->burst;  // a small share of a small quota still admits one
   if (left < r.units && !untouched) {
     RefuseBeyondQuota(r, left, c.plan->rate * share);
   } else {
-    c.level -= r.units / share;
+    Take(c, r.units / share, 0);
     c.total += r.units / share;
     c.owed += r.units;
     r.counted = true;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -224,6 +224,27 @@
   EXPECT_GT(One<Refuse>(spent).retry_after, Duration::zero());
 }
 
+TEST(Leases, TheQuotaComesBackEvenlyNotWholeAtTheWindowsEdge) {
+  Door door;
+  std::map<CountName, double> counter;
+  std::uint64_t id = 0;
+  const auto admitted = [&](int tries) {
+    std::size_t sent = 0;
+    for (int i = 0; i < tries; ++i) {
+      sent += All<SendAttempt>(door.Serve(counter, door.Arrive(++id))).size();
+      if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+    }
+    return sent;
+  };
+  EXPECT_EQ(admitted(20), 10u);
+  for (int second = 0; second < 10; ++second) {  // two windows, so two edges
+    door.Pass(seconds(1));
+    const std::size_t sent = admitted(20);
+    EXPECT_GE(sent, 1u);
+    EXPECT_LE(sent, 3u);  // two a second
+  }
+}
+
 TEST(Leases, ACounterThatLostItsNumbersDoesNotGrantTheQuotaAgain) {
   Door door;
   const auto call = One<AddCount>(door.Arrive(1, "large", 6));
