--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -50,18 +50,23 @@
 constexpr double kZoneWeight = 5;        // slowness put on a foreign zone per point of its price
 constexpr Duration kRestFirst = milliseconds(250);  // a failing host is left alone, doubling ...
 constexpr Duration kRestLongest = seconds(4);       // ... up to this: a returned host is seen again soon
-constexpr double kRestBound = 0.5;  // of the hosts: more that fail at once point at the fleet or at us
-constexpr double kRoomFirst = 8;    // attempts out at a host before anything is known of it
-constexpr double kRoomLeast = 2;
-constexpr double kRoomMost = 256;
-constexpr double kRoomCut = 0.9;  // on a late answer; gentle, since heavy requests are late anywhere
-constexpr double kColdFloor = 1;  // attempts a second to a cold host when nothing is known
-constexpr double kColdBurst = 2;  // attempts at once to a cold host
+constexpr double kRestBound = 0.5;     // of the hosts: more that fail at once point at the fleet or at us
+constexpr double kTroubleReset = 3;    // trouble points: a refused, broken or failed connection,
+constexpr double kTroubleError = 1.5;  // an error,
+constexpr double kTroubleLate = 1;     // an answer past its aim, which a heavy request has anywhere
+constexpr double kTroubleMost = 3;     // points in a row from which a host rests
+constexpr double kLateSlowness = 20;   // slowness booked for an attempt past its aim; also the most booked
+constexpr double kColdFloor = 1;       // attempts a second to a cold host when nothing is known
+constexpr double kColdBurst = 2;       // attempts at once to a cold host
 
 // Attempts and shedding.
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
 constexpr double kRetryMost = 20;     // further attempts saved up
-constexpr double kShedFrom = 0.7;     // of the fleet's room: from here the least worthy are refused
+constexpr double kRoomFirst = 6;      // attempts out at one host by all gateways, before anything is known
+constexpr double kRoomLeast = 1;      // attempts out at this gateway: something must go on telling
+constexpr double kRoomGrown = 0.1;    // by an answer within its aim while the room is used ...
+constexpr double kRoomCut = 0.9;      // ... and cut by a late one: settles where one in ten is late
+constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration FromSeconds(double s) {
@@ -114,6 +119,7 @@
     HostId host;
     TimePoint sent;
     bool out = true;
+    bool late = false;         // it was noted that it passed its aim
     bool may_have_run = true;  // until an outcome proves otherwise
   };
 
@@ -133,19 +139,25 @@
     HostEntry entry;
     bool listed = false;
     int out = 0;
-    double room = kRoomFirst;
     double slowness = 1;  // service time relative to the other hosts'
     TimePoint slowness_at;
     double others = 0;  // requests of other gateways, by the last report
     TimePoint report_at;
-    int failures = 0;  // in a row
+    double trouble = 0;  // points since the last answer in time
     TimePoint rest_until;
     double cold_budget = kColdBurst;
     TimePoint cold_at;
   };
 
-  struct ClassMean {
-    double latency = 0, units = 0, density = 0;
+  struct Due {
+    RequestId id;
+    std::size_t attempt;
+    TimePoint at;
+  };
+
+  struct ClassState {
+    double latency = 0, units = 0;  // smoothed, of good answers
+    std::deque<Due> due;            // attempts out, by when they pass the class's aim
   };
 
   // Leases and windows.
@@ -180,14 +192,22 @@
   bool IsCold(const Host& h) const;
   double ColdPart(const Host& h) const;
   double RefillCold(Host& h);
-  bool Resting(const Host& h) const { return now_ < h.rest_until || (h.failures > 0 && h.out > 0); }
+  bool Resting(const Host& h) const {
+    return now_ < h.rest_until || (h.trouble >= kTroubleMost && h.out > 0);
+  }
   double Delay(const Host& h) const;
   bool MayRepeatAt(const Request& r, const Host& h) const;
-  Host* Choose(const Request& r, bool keep_room);
+  Host* Choose(const Request& r);
   void NoteLoad(Host& h, const LoadReport& report);
-  void NoteOutcome(Host& h, const Request* r, const AttemptEnded& event);
+  void NoteTrouble(Host& h, double points);
+  void NoteSlowness(Host& h, double slowness);
+  void NoteLate(Host& h);
+  void SweepDue();
+  void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
+  void NoteWarmRate(const Host& h);
   // Attempts.
   bool Issue(Request& r, Host& h);
+  TimePoint GiveUpAt(const Request& r) const;
   void Dispatch(Request& r);
   bool MayRefuse(const Request& r) const;
   void Conclude(Request& r, bool refuse, Duration retry_after);
@@ -221,7 +241,9 @@
   std::unordered_map<RequestId, Request, IdHash> requests_;
   std::map<HostId, Host> hosts_;
   std::vector<Host*> ready_;  // in order of id
-  std::vector<ClassMean> means_;
+  std::vector<ClassState> means_;
+  int out_now_ = 0;  // attempts out at this gateway
+  double room_ = 0;  // how many may be, by what came back in time; 0: not known yet
   Duration wait_ = Duration::max();
   double mean_density_ = 0;
   bool silent_ = false;
@@ -588,7 +610,7 @@
   return true;
 }
 
-Gateway::Impl::Host* Gateway::Impl::Choose(const Request& r, bool keep_room) {
+Gateway::Impl::Host* Gateway::Impl::Choose(const Request& r) {
   if (ready_.empty()) return nullptr;
   const std::size_t count = std::min(kCandidates, ready_.size());
   const std::size_t start = rng_() % ready_.size();
@@ -600,8 +622,7 @@
   double best_delay = 0;
   for (std::size_t i = 0; i < count; ++i) {
     Host& h = *ready_[(start + i) % ready_.size()];
-    if ((heed_rest && Resting(h)) || (keep_room && h.out >= h.room)) continue;
-    if (!MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
+    if ((heed_rest && Resting(h)) || !MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
     const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                    [&](const Attempt& a) { return a.host == h.entry.host; });
     const double delay = Delay(h) * (tried ? 4 : 1);
@@ -620,45 +641,75 @@
   }
 }
 
-void Gateway::Impl::NoteOutcome(Host& h, const Request* r, const AttemptEnded& event) {
+// A host that keeps failing, or answers nothing in time, rests for longer and longer spells and is then
+// tried with one attempt at a time. Guards against hosts that fail fast, hang or have gone unannounced.
+void Gateway::Impl::NoteTrouble(Host& h, double points) {
+  h.trouble += points;
+  if (h.trouble < kTroubleMost) return;
+  const int spells = std::min(4, static_cast<int>(h.trouble / kTroubleMost) - 1);
+  h.rest_until = now_ + std::min(kRestLongest, kRestFirst * (1 << spells));
+}
+
+void Gateway::Impl::NoteSlowness(Host& h, double slowness) {
+  h.slowness += kLatencyStep * (std::min(kLateSlowness, slowness) - h.slowness);
+  h.slowness_at = now_;
+}
+
+// An attempt has passed its class's aim, answered or not.
+void Gateway::Impl::NoteLate(Host& h) {
+  room_ = std::max(kRoomLeast, room_ - kRoomCut);
+  NoteSlowness(h, kLateSlowness);
+  NoteTrouble(h, kTroubleLate);
+}
+
+// Attempts that hang count as late when they pass the aim, not when they end.
+void Gateway::Impl::SweepDue() {
+  for (ClassState& state : means_) {
+    for (; !state.due.empty() && state.due.front().at <= now_; state.due.pop_front()) {
+      const auto it = requests_.find(state.due.front().id);
+      if (it == requests_.end()) continue;
+      Attempt& attempt = it->second.attempts[state.due.front().attempt];
+      const auto host = hosts_.find(attempt.host);
+      if (!attempt.out || host == hosts_.end()) continue;
+      attempt.late = true;
+      NoteLate(host->second);
+    }
+  }
+}
+
+void Gateway::Impl::NoteOutcome(Host& h, const Request& r, const Attempt& attempt,
+                                const AttemptEnded& event) {
   h.out = std::max(0, h.out - 1);
   NoteLoad(h, event.load);
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
-  if (event.outcome == Outcome::kFull) {
-    h.room = std::max(kRoomLeast, std::min(h.room, h.out + 1.0) * kRoomCut);
-    return;
-  }
+  const bool late = event.latency >= r.kind->aim;
+  if (late && !attempt.late) NoteLate(h);
+  if (event.outcome == Outcome::kTimeout) return;
   if (event.outcome != Outcome::kOk) {
-    const Duration rest = std::min(kRestLongest, kRestFirst * (1 << std::min(h.failures, 4)));
-    ++h.failures;
-    if (h.failures > 1 || event.outcome != Outcome::kError) h.rest_until = now_ + rest;
-    return;
+    return NoteTrouble(h, event.outcome == Outcome::kError ? kTroubleError : kTroubleReset);
   }
-  h.failures = 0;
-  h.rest_until = TimePoint{};
-  if (!IsCold(h)) ++warm_answers_;
-  if (now_ - warm_since_ >= seconds(1)) {
-    const auto warm = std::count_if(ready_.begin(), ready_.end(), [&](Host* w) { return !IsCold(*w); });
-    const double rate = warm_answers_ / Seconds(now_ - warm_since_) / std::max<double>(1, warm);
-    warm_rate_ = warm_rate_ == 0 ? rate : 0.7 * warm_rate_ + 0.3 * rate;
-    warm_answers_ = 0;
-    warm_since_ = now_;
-  }
-  if (r == nullptr) return;
-  ClassMean& mean = means_[r->class_index];
+  NoteWarmRate(h);
+  ClassState& mean = means_[r.class_index];
   const double latency = Seconds(event.latency);
-  if (mean.latency > 0) {
-    const double expected = mean.latency * (mean.units > 0 ? r->units / mean.units : 1);
-    h.slowness += kLatencyStep * (std::min(20.0, latency / std::max(1e-6, expected)) - h.slowness);
-    h.slowness_at = now_;
-  }
+  const double expected = mean.latency * (mean.units > 0 ? r.units / mean.units : 1);
   mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
-  mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r->units - mean.units);
-  if (event.latency > r->kind->aim) {
-    h.room = std::max(kRoomLeast, h.room * kRoomCut);
-  } else if (event.latency < r->kind->aim / 2 && h.out + 1 >= h.room / 2) {
-    h.room = std::min(kRoomMost, h.room + 1 / h.room);
-  }
+  mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
+  if (late) return;
+  h.trouble = 0;
+  h.rest_until = TimePoint{};
+  if (expected > 0) NoteSlowness(h, latency / expected);
+  if (out_now_ >= room_ / 2) room_ += kRoomGrown;
+}
+
+// What a warm host answers to this gateway, for judging what a cold one may get.
+void Gateway::Impl::NoteWarmRate(const Host& h) {
+  if (!IsCold(h)) ++warm_answers_;
+  if (now_ - warm_since_ < seconds(1)) return;
+  const auto warm = std::count_if(ready_.begin(), ready_.end(), [&](Host* w) { return !IsCold(*w); });
+  const double rate = warm_answers_ / Seconds(now_ - warm_since_) / std::max<double>(1, warm);
+  warm_rate_ = warm_rate_ == 0 ? rate : 0.7 * warm_rate_ + 0.3 * rate;
+  warm_answers_ = 0;
+  warm_since_ = now_;
 }
 
 // ---- Attempts -----------------------------------------------------------------------------------------
@@ -678,13 +729,19 @@
   r.attempts.push_back({h.entry.host, now_});
   ++h.out;
   ++c.open;
-  Act(SendAttempt{r.id, h.entry.host, r.deadline});
+  ++out_now_;
+  means_[r.class_index].due.push_back({r.id, r.attempts.size() - 1, now_ + r.kind->aim});
+  Act(SendAttempt{r.id, h.entry.host, GiveUpAt(r)});
   return true;
 }
 
+// When an attempt is given up: at the aim where a late answer is worth nothing, so that it frees the host.
+TimePoint Gateway::Impl::GiveUpAt(const Request& r) const {
+  return r.kind->late_worth > 0 ? r.deadline : std::min(r.deadline, r.arrived + r.kind->aim);
+}
+
 void Gateway::Impl::Dispatch(Request& r) {
-  Host* h = Choose(r, true);
-  if (h == nullptr) h = Choose(r, false);
+  Host* h = Choose(r);
   if (h != nullptr && Issue(r, *h)) return;
   ReturnUnits(r);
   Conclude(r, true, ComeBack(r));
@@ -730,10 +787,11 @@
   const auto index = static_cast<std::size_t>(event.attempt);
   const bool known = r != nullptr && index < r->attempts.size() && r->attempts[index].out;
   const auto host = hosts_.find(event.host);
-  if (known && host != hosts_.end()) NoteOutcome(host->second, r, event);
   if (!known) return;
   Attempt& attempt = r->attempts[index];
   attempt.out = false;
+  --out_now_;
+  if (host != hosts_.end()) NoteOutcome(host->second, *r, attempt, event);
   attempt.may_have_run = event.outcome != Outcome::kFull && event.outcome != Outcome::kConnectFailed &&
                          event.outcome != Outcome::kMoot;
   --r->customer->open;
@@ -752,9 +810,8 @@
 // A further attempt, where it can still be in time and the budget allows it.
 bool Gateway::Impl::TryAgain(Request& r) {
   const double expected = means_[r.class_index].latency;
-  const TimePoint last = r.kind->late_worth > 0 ? r.deadline : std::min(r.deadline, r.arrived + r.kind->aim);
-  if (retry_budget_ < 1 || now_ + FromSeconds(expected / 2) >= last) return false;
-  Host* h = Choose(r, true);
+  if (retry_budget_ < 1 || now_ + FromSeconds(expected / 2) >= GiveUpAt(r)) return false;
+  Host* h = Choose(r);
   if (h == nullptr || !Issue(r, *h)) return false;
   retry_budget_ -= 1;
   return true;
@@ -764,7 +821,7 @@
 
 // Worth per second of host time.
 double Gateway::Impl::Density(const Request& r) {
-  const ClassMean& mean = means_[r.class_index];
+  const ClassState& mean = means_[r.class_index];
   const double work = mean.latency > 0 ? mean.latency / std::max(1e-6, mean.units) : 1;
   return r.kind->worth * r.customer->plan->price / work;
 }
@@ -774,17 +831,11 @@
 bool Gateway::Impl::Fits(const Request& r) {
   const Duration needed = FromSeconds(means_[r.class_index].latency / 2);
   if (r.deadline - now_ < std::max(2 * wait_, needed)) return false;
-  double room = 0, out = 0;
-  for (const Host* h : ready_) {
-    if (Resting(*h)) continue;
-    const double part = IsCold(*h) ? ColdPart(*h) : 1;
-    room += h->room * part;
-    out += h->out;
-  }
+  if (room_ == 0) room_ = kRoomFirst * static_cast<double>(ready_.size()) / std::max(1, settings_.gateways);
   const double density = Density(r);
   mean_density_ += (mean_density_ == 0 ? 1 : kMeanStep) * (density - mean_density_);
   const double rank = mean_density_ > 0 ? std::min(1.0, density / mean_density_) : 1;
-  return out < room * (kShedFrom + (1 - kShedFrom) * rank) || room == 0;
+  return out_now_ < std::max(kRoomLeast, room_ * (kShedFrom + (1 - kShedFrom) * rank));
 }
 
 // When to come back after a refusal that is not the quota's: spread, so that the refused do not return
@@ -844,6 +895,7 @@
       wait_ = std::min(wait_, FromSeconds(Seconds(k.aim) * kWaitShare));
     if (settings_.discovery == Discovery::kAsk) Act(Watch{true});
   }
+  SweepDue();
   if (const auto* e = std::get_if<RequestArrived>(&event)) OnRequest(*e);
   if (const auto* e = std::get_if<AttemptEnded>(&event)) OnAttemptEnded(*e);
   if (const auto* e = std::get_if<CountAnswered>(&event)) OnCountAnswered(*e);
