--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,10 +62,13 @@
 // Attempts and shedding.
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
 constexpr double kRetryMost = 20;     // further attempts saved up
-constexpr double kRoomFirst = 6;      // attempts out at one host by all gateways, before anything is known
+constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
 constexpr double kRoomLeast = 1;      // attempts out at this gateway: something must go on telling
 constexpr double kRoomGrown = 0.1;    // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.9;      // ... and cut by a late one: settles where one in ten is late
+constexpr double kStretch = 2.5;      // times its idle latency: beyond it an answer says that hosts queue
+constexpr double kStretchMost = 5;    // the most one answer may say: a heavy request is long anywhere
+constexpr double kBaseDrift = 0.02;   // a second: how fast the idle latency is taken to grow, lest it sticks
 constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -157,7 +160,9 @@
 
   struct ClassState {
     double latency = 0, units = 0;  // smoothed, of good answers
-    std::deque<Due> due;            // attempts out, by when they pass the class's aim
+    double idle = 0;                // the least that latency has been, drifting up
+    TimePoint idle_at;
+    std::deque<Due> due;  // attempts out, by when they pass the class's aim
   };
 
   // Leases and windows.
@@ -242,8 +247,9 @@
   std::map<HostId, Host> hosts_;
   std::vector<Host*> ready_;  // in order of id
   std::vector<ClassState> means_;
-  int out_now_ = 0;  // attempts out at this gateway
-  double room_ = 0;  // how many may be, by what came back in time; 0: not known yet
+  int out_now_ = 0;     // attempts out at this gateway
+  double stretch_ = 1;  // smoothed latency over idle latency
+  double room_ = 0;     // how many may be, by what came back in time; 0: not known yet
   Duration wait_ = Duration::max();
   double mean_density_ = 0;
   bool silent_ = false;
@@ -694,11 +700,21 @@
   const double expected = mean.latency * (mean.units > 0 ? r.units / mean.units : 1);
   mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
   mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
+  const double unit_latency = mean.latency / std::max(1e-6, mean.units);
+  mean.idle *= 1 + kBaseDrift * Seconds(now_ - mean.idle_at);
+  mean.idle = mean.idle == 0 ? unit_latency : std::min(mean.idle, unit_latency);
+  mean.idle_at = now_;
+  const double stretch = std::min(kStretchMost, latency / std::max(1e-6, mean.idle * r.units));
+  stretch_ += kMeanStep * (stretch - stretch_);
   if (late) return;
   h.trouble = 0;
   h.rest_until = TimePoint{};
   if (expected > 0) NoteSlowness(h, latency / expected);
-  if (out_now_ >= room_ / 2) room_ += kRoomGrown;
+  if (stretch_ > kStretch) {
+    room_ = std::max(kRoomLeast, room_ - kRoomGrown);
+  } else if (out_now_ >= room_ / 2) {
+    room_ += kRoomGrown;
+  }
 }
 
 // What a warm host answers to this gateway, for judging what a cold one may get.
