--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -63,12 +63,12 @@
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
 constexpr double kRetryMost = 20;     // further attempts saved up
 constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
-constexpr double kRoomLeast = 1;      // attempts out at this gateway: something must go on telling
 constexpr double kRoomGrown = 0.1;    // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.9;      // ... and cut by a late one: settles where one in ten is late
 constexpr double kStretch = 2.5;      // times its idle latency: beyond it an answer says that hosts queue
-constexpr double kStretchMost = 5;    // the most one answer may say: a heavy request is long anywhere
-constexpr double kBaseDrift = 0.02;   // a second: how fast the idle latency is taken to grow, lest it sticks
+constexpr double kMiddleStep = 0.03;  // of the middle latency, by one answer: some fifty answers to follow
+constexpr double kIdleDrift = 0.01;   // a second: the idle latency is taken to grow, lest a low guess sticks
+constexpr double kIdleRelearn = 0.3;  // a second, at the least room
 constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -160,7 +160,7 @@
 
   struct ClassState {
     double latency = 0, units = 0;  // smoothed, of good answers
-    double idle = 0;                // the least that latency has been, drifting up
+    double middle = 0, idle = 0;    // running median of a unit's latency, and the least it has been
     TimePoint idle_at;
     std::deque<Due> due;  // attempts out, by when they pass the class's aim
   };
@@ -210,6 +210,8 @@
   void SweepDue();
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);
+  void NoteStretch(ClassState& state, double unit_latency);
+  double RoomLeast() const;
   // Attempts.
   bool Issue(Request& r, Host& h);
   TimePoint GiveUpAt(const Request& r) const;
@@ -247,9 +249,8 @@
   std::map<HostId, Host> hosts_;
   std::vector<Host*> ready_;  // in order of id
   std::vector<ClassState> means_;
-  int out_now_ = 0;     // attempts out at this gateway
-  double stretch_ = 1;  // smoothed latency over idle latency
-  double room_ = 0;     // how many may be, by what came back in time; 0: not known yet
+  int out_now_ = 0;  // attempts out at this gateway
+  double room_ = 0;  // how many may be, by what came back in time; 0: not known yet
   Duration wait_ = Duration::max();
   double mean_density_ = 0;
   bool silent_ = false;
@@ -663,7 +664,7 @@
 
 // An attempt has passed its class's aim, answered or not.
 void Gateway::Impl::NoteLate(Host& h) {
-  room_ = std::max(kRoomLeast, room_ - kRoomCut);
+  room_ = std::max(RoomLeast(), room_ - kRoomCut);
   NoteSlowness(h, kLateSlowness);
   NoteTrouble(h, kTroubleLate);
 }
@@ -700,23 +701,35 @@
   const double expected = mean.latency * (mean.units > 0 ? r.units / mean.units : 1);
   mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
   mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
-  const double unit_latency = mean.latency / std::max(1e-6, mean.units);
-  mean.idle *= 1 + kBaseDrift * Seconds(now_ - mean.idle_at);
-  mean.idle = mean.idle == 0 ? unit_latency : std::min(mean.idle, unit_latency);
-  mean.idle_at = now_;
-  const double stretch = std::min(kStretchMost, latency / std::max(1e-6, mean.idle * r.units));
-  stretch_ += kMeanStep * (stretch - stretch_);
+  NoteStretch(mean, latency / std::max(1e-6, r.units));
   if (late) return;
   h.trouble = 0;
   h.rest_until = TimePoint{};
   if (expected > 0) NoteSlowness(h, latency / expected);
-  if (stretch_ > kStretch) {
-    room_ = std::max(kRoomLeast, room_ - kRoomGrown);
+  if (mean.middle > kStretch * mean.idle) {
+    room_ = std::max(RoomLeast(), room_ - kRoomGrown);
   } else if (out_now_ >= room_ / 2) {
     room_ += kRoomGrown;
   }
 }
 
+// Whether hosts queue shows in the middle latency against the least it has been. The middle and not the mean:
+// a few heavy requests don't move it. At the least room it cannot be our load: then the idle latency was
+// misjudged, or the hosts have all become slower, and it is taken anew quickly.
+void Gateway::Impl::NoteStretch(ClassState& state, double unit_latency) {
+  if (state.middle == 0) state.middle = state.idle = unit_latency;
+  state.middle *= unit_latency > state.middle ? 1 + kMiddleStep : 1 - kMiddleStep;
+  const double drift = room_ <= RoomLeast() ? kIdleRelearn : kIdleDrift;
+  state.idle =
+      std::min(state.middle, state.idle * (1 + drift * std::min(1.0, Seconds(now_ - state.idle_at))));
+  state.idle_at = now_;
+}
+
+// One attempt a host, by all gateways together: less would tell nothing of the hosts any more.
+double Gateway::Impl::RoomLeast() const {
+  return std::max(1.0, static_cast<double>(ready_.size()) / std::max(1, settings_.gateways));
+}
+
 // What a warm host answers to this gateway, for judging what a cold one may get.
 void Gateway::Impl::NoteWarmRate(const Host& h) {
   if (!IsCold(h)) ++warm_answers_;
@@ -851,7 +864,7 @@
   const double density = Density(r);
   mean_density_ += (mean_density_ == 0 ? 1 : kMeanStep) * (density - mean_density_);
   const double rank = mean_density_ > 0 ? std::min(1.0, density / mean_density_) : 1;
-  return out_now_ < std::max(kRoomLeast, room_ * (kShedFrom + (1 - kShedFrom) * rank));
+  return out_now_ < std::max(1.0, room_ * (kShedFrom + (1 - kShedFrom) * rank));
 }
 
 // When to come back after a refusal that is not the quota's: spread, so that the refused do not return
