--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -68,7 +68,7 @@
 constexpr double kStretch = 2.5;      // times its idle latency: beyond it an answer says that hosts queue
 constexpr double kMiddleStep = 0.03;  // of the middle latency, by one answer: some fifty answers to follow
 constexpr double kIdleDrift = 0.01;   // a second: the idle latency is taken to grow, lest a low guess sticks
-constexpr double kIdleRelearn = 0.05;  // a second, at the least room
+constexpr double kIdleRelearn = 0.3;  // a second, at the least room
 constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
