--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,8 +62,8 @@
 // Attempts and shedding.
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
 constexpr double kRetryMost = 20;     // further attempts saved up
-constexpr double kRoomFirst = 6;      // attempts out at one host by all gateways, before anything is known
-constexpr double kRoomGrown = 0.3;    // by an answer within its aim while the room is used ...
+constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
+constexpr double kRoomGrown = 0.1;    // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.9;      // ... and cut by a late one: settles where one in ten is late
 constexpr double kStretch = 2.5;      // times its idle latency: beyond it an answer says that hosts queue
 constexpr double kMiddleStep = 0.03;  // of the middle latency, by one answer: some fifty answers to follow
