--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -60,17 +60,16 @@
 constexpr double kColdBurst = 2;       // attempts at once to a cold host
 
 // Attempts and shedding.
-constexpr double kRetryEarned = 0.2;   // further attempts earned by a first one: bounds the amplification
-constexpr double kRetryMost = 20;      // further attempts saved up
-constexpr double kRoomFirst = 4;       // attempts out at one host by all gateways, before anything is known
-constexpr double kRoomGrown = 0.1;     // by an answer within its aim while the room is used ...
-constexpr double kRoomCut = 0.9;       // ... and cut by a late one: settles where one in ten is late
-constexpr double kStretch = 2.5;       // times its idle latency: beyond it an answer says that hosts queue
-constexpr double kMiddleStep = 0.03;   // of the middle latency, by one answer: some fifty answers to follow
-constexpr double kIdleDrift = 0.01;    // a second: the idle latency is taken to grow, lest a low guess sticks
-constexpr double kIdleRelearn = 0.3;   // a second, at the least room
-constexpr double kBacklogWait = 0.25;  // of the aim: the longest that a request waits for room
-constexpr double kBacklogLow = 0.3;    // part of that which is left to the least worthy
+constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
+constexpr double kRetryMost = 20;     // further attempts saved up
+constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
+constexpr double kRoomGrown = 0.1;    // by an answer within its aim while the room is used ...
+constexpr double kRoomCut = 0.9;      // ... and cut by a late one: settles where one in ten is late
+constexpr double kStretch = 2.5;      // times its idle latency: beyond it an answer says that hosts queue
+constexpr double kMiddleStep = 0.03;  // of the middle latency, by one answer: some fifty answers to follow
+constexpr double kIdleDrift = 0.01;   // a second: the idle latency is taken to grow, lest a low guess sticks
+constexpr double kIdleRelearn = 0.3;  // a second, at the least room
+constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration FromSeconds(double s) {
@@ -225,11 +224,7 @@
   void Forget(RequestId id);
   // Shedding.
   double Density(const Request& r);
-  Duration LongestWait(const Request& r);
-  void Admit(Request& r);
-  void LetIn(Request& r);
-  void ServeBacklog();
-  void OnBacklogTimer(RequestId id);
+  bool Fits(const Request& r);
   Duration ComeBack(const Request& r);
   // Dispatch.
   void OnRequest(const RequestArrived& event);
@@ -252,8 +247,7 @@
   std::unordered_map<CountName, Customer*, IdHash> calls_;
   std::unordered_map<RequestId, Request, IdHash> requests_;
   std::map<HostId, Host> hosts_;
-  std::vector<Host*> ready_;       // in order of id
-  std::deque<RequestId> backlog_;  // requests that wait for room, oldest first
+  std::vector<Host*> ready_;  // in order of id
   std::vector<ClassState> means_;
   int out_now_ = 0;  // attempts out at this gateway
   double room_ = 0;  // how many may be, by what came back in time; 0: not known yet
@@ -840,7 +834,6 @@
     if (!waiting) Conclude(*r, true, ComeBack(*r));
   }
   Forget(event.id);
-  ServeBacklog();
 }
 
 // A further attempt, where it can still be in time and the budget allows it.
@@ -862,51 +855,16 @@
   return r.kind->worth * r.customer->plan->price / work;
 }
 
-// How long a request may wait for room; the less it is worth, the less of the backlog is open to it.
-Duration Gateway::Impl::LongestWait(const Request& r) {
+// Whether it can be served in time. A client's late try may come with next to no time left (guards rule 1:
+// such a request never waits for the counter). When the fleet's room runs out, the least worthy go first.
+bool Gateway::Impl::Fits(const Request& r) {
+  const Duration needed = FromSeconds(means_[r.class_index].latency / 2);
+  if (r.deadline - now_ < std::max(2 * wait_, needed)) return false;
+  if (room_ == 0) room_ = kRoomFirst * static_cast<double>(ready_.size()) / std::max(1, settings_.gateways);
   const double density = Density(r);
   mean_density_ += (mean_density_ == 0 ? 1 : kMeanStep) * (density - mean_density_);
   const double rank = mean_density_ > 0 ? std::min(1.0, density / mean_density_) : 1;
-  const Duration most = std::min(r.kind->aim, (r.deadline - now_) / 2);
-  return FromSeconds(Seconds(most) * kBacklogWait * (kBacklogLow + (1 - kBacklogLow) * rank));
-}
-
-// Lets a request in at once while there is room, lets it wait where a burst will pass in time, or refuses it.
-// A client's late try may come with next to no time left (guards rule 1: such a one never waits).
-void Gateway::Impl::Admit(Request& r) {
-  if (room_ == 0) room_ = kRoomFirst * static_cast<double>(ready_.size()) / std::max(1, settings_.gateways);
-  const double service = means_[r.class_index].latency;
-  const Duration needed = FromSeconds(service / 2);
-  if (r.deadline - now_ < std::max(2 * wait_, needed)) return Conclude(r, true, ComeBack(r));
-  const Duration longest = LongestWait(r);
-  if (backlog_.empty() && out_now_ < std::max(1.0, room_)) return LetIn(r);
-  const double wait = service * static_cast<double>(backlog_.size() + 1) / std::max(1, out_now_);
-  if (FromSeconds(wait) > longest) return Conclude(r, true, ComeBack(r));
-  backlog_.push_back(r.id);
-  Act(SetTimer{TimerToken{2 * r.id.value + 2}, longest});
-}
-
-void Gateway::Impl::LetIn(Request& r) {
-  if (UnderCaps(r)) Ask(r);
-}
-
-void Gateway::Impl::ServeBacklog() {
-  while (!backlog_.empty() && out_now_ < std::max(1.0, room_)) {
-    const RequestId id = backlog_.front();
-    backlog_.pop_front();
-    LetIn(requests_.at(id));
-    Forget(id);
-  }
-}
-
-// The wait is over: whoever is still in the backlog is refused.
-void Gateway::Impl::OnBacklogTimer(RequestId id) {
-  const auto it = std::find(backlog_.begin(), backlog_.end(), id);
-  if (it == backlog_.end()) return;
-  backlog_.erase(it);
-  Request& r = requests_.at(id);
-  Conclude(r, true, ComeBack(r));
-  Forget(id);
+  return out_now_ < std::max(1.0, room_ * (kShedFrom + (1 - kShedFrom) * rank));
 }
 
 // When to come back after a refusal that is not the quota's: spread, so that the refused do not return
@@ -936,14 +894,17 @@
   r.arrived = now_;
   r.deadline = now_ + event.time_left;
   retry_budget_ = std::min(kRetryMost, retry_budget_ + kRetryEarned);
-  Admit(r);
+  if (!Fits(r)) {
+    Conclude(r, true, ComeBack(r));
+  } else if (UnderCaps(r)) {
+    Ask(r);
+  }
   Forget(event.id);
 }
 
 void Gateway::Impl::OnTimer(TimerToken token) {
   if (token.value == 0) return Act(Watch{true});
-  if (token.value % 2 == 0) return OnBacklogTimer(RequestId{token.value / 2 - 1});
-  OnCallTimer(CountName{token.value});  // names of counts are odd
+  OnCallTimer(CountName{token.value});
 }
 
 void Gateway::Impl::Say(TimePoint& last, std::string text) {
@@ -974,7 +935,6 @@
     if (it != requests_.end() && !it->second.closed) {
       it->second.closed = true;
       std::erase(it->second.customer->waiting, e->id);
-      std::erase(backlog_, e->id);
       CancelOut(it->second);
       Forget(e->id);
     }
