--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -65,10 +65,7 @@
 constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
 constexpr double kRoomGrown = 0.1;    // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.9;      // ... and cut by a late one: settles where one in ten is late
-constexpr double kStretch = 2.5;      // times its idle latency: beyond it an answer says that hosts queue
-constexpr double kMiddleStep = 0.03;  // of the middle latency, by one answer: some fifty answers to follow
-constexpr double kIdleDrift = 0.01;   // a second: the idle latency is taken to grow, lest a low guess sticks
-constexpr double kIdleRelearn = 0.3;  // a second, at the least room
+constexpr double kLateShare = 0.5;    // of the aim: later answers say that hosts queue
 constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -160,9 +157,7 @@
 
   struct ClassState {
     double latency = 0, units = 0;  // smoothed, of good answers
-    double middle = 0, idle = 0;    // running median of a unit's latency, and the least it has been
-    TimePoint idle_at;
-    std::deque<Due> due;  // attempts out, by when they pass the class's aim
+    std::deque<Due> due;            // attempts out, by when they pass the class's aim
   };
 
   // Leases and windows.
@@ -210,8 +205,8 @@
   void SweepDue();
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);
-  void NoteStretch(ClassState& state, double unit_latency);
   double RoomLeast() const;
+  static Duration LateAfter(const RequestClass& kind) { return FromSeconds(Seconds(kind.aim) * kLateShare); }
   // Attempts.
   bool Issue(Request& r, Host& h);
   TimePoint GiveUpAt(const Request& r) const;
@@ -662,14 +657,14 @@
   h.slowness_at = now_;
 }
 
-// An attempt has passed its class's aim, answered or not.
+// An attempt has used up its part of the aim, answered or not.
 void Gateway::Impl::NoteLate(Host& h) {
   room_ = std::max(RoomLeast(), room_ - kRoomCut);
   NoteSlowness(h, kLateSlowness);
   NoteTrouble(h, kTroubleLate);
 }
 
-// Attempts that hang count as late when they pass the aim, not when they end.
+// Attempts that hang count as late when they become it, not when they end.
 void Gateway::Impl::SweepDue() {
   for (ClassState& state : means_) {
     for (; !state.due.empty() && state.due.front().at <= now_; state.due.pop_front()) {
@@ -689,7 +684,7 @@
   h.out = std::max(0, h.out - 1);
   NoteLoad(h, event.load);
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
-  const bool late = event.latency >= r.kind->aim;
+  const bool late = event.latency >= LateAfter(*r.kind);
   if (late && !attempt.late) NoteLate(h);
   if (event.outcome == Outcome::kTimeout) return;
   if (event.outcome != Outcome::kOk) {
@@ -701,28 +696,11 @@
   const double expected = mean.latency * (mean.units > 0 ? r.units / mean.units : 1);
   mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
   mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
-  NoteStretch(mean, latency / std::max(1e-6, r.units));
   if (late) return;
   h.trouble = 0;
   h.rest_until = TimePoint{};
   if (expected > 0) NoteSlowness(h, latency / expected);
-  if (mean.middle > kStretch * mean.idle) {
-    room_ = std::max(RoomLeast(), room_ - kRoomGrown);
-  } else if (out_now_ >= room_ / 2) {
-    room_ += kRoomGrown;
-  }
-}
-
-// Whether hosts queue shows in the middle latency against the least it has been. The middle and not the mean:
-// a few heavy requests don't move it. At the least room it cannot be our load: then the idle latency was
-// misjudged, or the hosts have all become slower, and it is taken anew quickly.
-void Gateway::Impl::NoteStretch(ClassState& state, double unit_latency) {
-  if (state.middle == 0) state.middle = state.idle = unit_latency;
-  state.middle *= unit_latency > state.middle ? 1 + kMiddleStep : 1 - kMiddleStep;
-  const double drift = room_ <= RoomLeast() ? kIdleRelearn : kIdleDrift;
-  state.idle =
-      std::min(state.middle, state.idle * (1 + drift * std::min(1.0, Seconds(now_ - state.idle_at))));
-  state.idle_at = now_;
+  if (out_now_ >= room_ / 2) room_ += kRoomGrown;
 }
 
 // One attempt a host, by all gateways together: less would tell nothing of the hosts any more.
@@ -759,7 +737,7 @@
   ++h.out;
   ++c.open;
   ++out_now_;
-  means_[r.class_index].due.push_back({r.id, r.attempts.size() - 1, now_ + r.kind->aim});
+  means_[r.class_index].due.push_back({r.id, r.attempts.size() - 1, now_ + LateAfter(*r.kind)});
   Act(SendAttempt{r.id, h.entry.host, GiveUpAt(r)});
   return true;
 }
