--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -55,7 +55,7 @@
 constexpr double kTroubleError = 1.5;  // an error,
 constexpr double kTroubleLate = 1;     // an answer past its aim, which a heavy request has anywhere
 constexpr double kTroubleMost = 3;     // points in a row from which a host rests
-constexpr double kLateSlowness = 20;   // slowness booked for an attempt past its aim; also the most booked
+constexpr double kLateSlowness = 4;   // slowness booked for an attempt past its aim; also the most booked
 constexpr double kColdFloor = 1;       // attempts a second to a cold host when nothing is known
 constexpr double kColdBurst = 2;       // attempts at once to a cold host
 
