--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -55,7 +55,7 @@
 constexpr double kTroubleError = 1.5;  // an error,
 constexpr double kTroubleLate = 1;     // an answer past its aim, which a heavy request has anywhere
 constexpr double kTroubleMost = 3;     // points in a row from which a host rests
-constexpr double kLateSlowness = 4;   // slowness booked for an attempt past its aim; also the most booked
+constexpr double kLateSlowness = 4;    // slowness booked for an attempt past its aim; also the most booked
 constexpr double kColdFloor = 1;       // attempts a second to a cold host when nothing is known
 constexpr double kColdBurst = 2;       // attempts at once to a cold host
 
@@ -118,6 +118,7 @@
   struct Attempt {
     HostId host;
     TimePoint sent;
+    double weight = 1;  // its work, in usual requests
     bool out = true;
     bool late = false;         // it was noted that it passed its aim
     bool may_have_run = true;  // until an outcome proves otherwise
@@ -138,7 +139,8 @@
   struct Host {
     HostEntry entry;
     bool listed = false;
-    int out = 0;
+    int out = 0;          // attempts out from here ...
+    double load = 0;      // ... and their work, in usual requests
     double slowness = 1;  // service time relative to the other hosts'
     TimePoint slowness_at;
     double others = 0;  // requests of other gateways, by the last report
@@ -206,7 +208,8 @@
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);
   double RoomLeast() const;
-  static Duration LateAfter(const RequestClass& kind) { return FromSeconds(Seconds(kind.aim) * kLateShare); }
+  double Expected(const Request& r) const;
+  Duration LateAfter(const Request& r) const;
   // Attempts.
   bool Issue(Request& r, Host& h);
   TimePoint GiveUpAt(const Request& r) const;
@@ -244,8 +247,9 @@
   std::map<HostId, Host> hosts_;
   std::vector<Host*> ready_;  // in order of id
   std::vector<ClassState> means_;
-  int out_now_ = 0;  // attempts out at this gateway
-  double room_ = 0;  // how many may be, by what came back in time; 0: not known yet
+  double out_now_ = 0;     // work out from here, in usual requests
+  double mean_units_ = 0;  // smoothed, of all requests
+  double room_ = 0;        // how many may be, by what came back in time; 0: not known yet
   Duration wait_ = Duration::max();
   double mean_density_ = 0;
   bool silent_ = false;
@@ -552,9 +556,10 @@
   for (const HostEntry& entry : event.entries) {
     Host& h = hosts_[entry.host];
     if (h.entry.started != entry.started) {  // a new process: what was known of the old one is void
-      const int out = h.out;
+      const auto [out, load] = std::pair(h.out, h.load);
       h = Host{};
       h.out = out;
+      h.load = load;
       h.cold_at = now_;
     }
     h.entry = entry;
@@ -594,7 +599,7 @@
   const double size = settings_.size_hint == SizeHint::kNone ? 1 : std::max(0.05, h.entry.size_hint);
   const bool foreign = h.entry.zone != settings_.zone;
   const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
-  return (slowness + zone) * (1 + h.out + others) / size;
+  return (slowness + zone) * (1 + h.load + others) / size;
 }
 
 // Rule 2: where a request that may have run may be sent again.
@@ -682,9 +687,10 @@
 void Gateway::Impl::NoteOutcome(Host& h, const Request& r, const Attempt& attempt,
                                 const AttemptEnded& event) {
   h.out = std::max(0, h.out - 1);
+  h.load = h.out == 0 ? 0 : std::max(0.0, h.load - attempt.weight);
   NoteLoad(h, event.load);
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
-  const bool late = event.latency >= LateAfter(*r.kind);
+  const bool late = event.latency >= LateAfter(r);
   if (late && !attempt.late) NoteLate(h);
   if (event.outcome == Outcome::kTimeout) return;
   if (event.outcome != Outcome::kOk) {
@@ -693,7 +699,7 @@
   NoteWarmRate(h);
   ClassState& mean = means_[r.class_index];
   const double latency = Seconds(event.latency);
-  const double expected = mean.latency * (mean.units > 0 ? r.units / mean.units : 1);
+  const double expected = Expected(r);
   mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
   mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
   if (late) return;
@@ -703,6 +709,18 @@
   if (out_now_ >= room_ / 2) room_ += kRoomGrown;
 }
 
+// Seconds that a request usually takes, by its class and units; 0 while nothing is known.
+double Gateway::Impl::Expected(const Request& r) const {
+  const ClassState& state = means_[r.class_index];
+  return state.units > 0 ? state.latency * r.units / state.units : 0;
+}
+
+// A part of the aim, and what the request's own size takes beyond the usual.
+Duration Gateway::Impl::LateAfter(const Request& r) const {
+  const double own = std::max(0.0, Expected(r) - means_[r.class_index].latency);
+  return std::min(r.kind->aim, FromSeconds(Seconds(r.kind->aim) * kLateShare + own));
+}
+
 // One attempt a host, by all gateways together: less would tell nothing of the hosts any more.
 double Gateway::Impl::RoomLeast() const {
   return std::max(1.0, static_cast<double>(ready_.size()) / std::max(1, settings_.gateways));
@@ -733,11 +751,13 @@
   if (first && c.plan->ceiling_rate > 0 && RefillCeiling(c) < r.units) return false;  // rule 5
   if (first && c.plan->ceiling_rate > 0) c.ceiling -= r.units;
   if (IsCold(h)) h.cold_budget -= 1;
-  r.attempts.push_back({h.entry.host, now_});
+  const double weight = mean_units_ > 0 ? r.units / mean_units_ : 1;
+  r.attempts.push_back({h.entry.host, now_, weight});
   ++h.out;
+  h.load += weight;
   ++c.open;
-  ++out_now_;
-  means_[r.class_index].due.push_back({r.id, r.attempts.size() - 1, now_ + LateAfter(*r.kind)});
+  out_now_ += weight;
+  means_[r.class_index].due.push_back({r.id, r.attempts.size() - 1, now_ + LateAfter(r)});
   Act(SendAttempt{r.id, h.entry.host, GiveUpAt(r)});
   return true;
 }
@@ -797,7 +817,7 @@
   if (!known) return;
   Attempt& attempt = r->attempts[index];
   attempt.out = false;
-  --out_now_;
+  out_now_ = std::max(0.0, out_now_ - attempt.weight);
   if (host != hosts_.end()) NoteOutcome(host->second, *r, attempt, event);
   attempt.may_have_run = event.outcome != Outcome::kFull && event.outcome != Outcome::kConnectFailed &&
                          event.outcome != Outcome::kMoot;
@@ -871,6 +891,7 @@
   r.units = event.units;
   r.arrived = now_;
   r.deadline = now_ + event.time_left;
+  mean_units_ += (mean_units_ == 0 ? 1 : kMeanStep) * (r.units - mean_units_);
   retry_budget_ = std::min(kRetryMost, retry_budget_ + kRetryEarned);
   if (!Fits(r)) {
     Conclude(r, true, ComeBack(r));
