--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -599,7 +599,7 @@
   const double size = settings_.size_hint == SizeHint::kNone ? 1 : std::max(0.05, h.entry.size_hint);
   const bool foreign = h.entry.zone != settings_.zone;
   const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
-  return (slowness + zone) * (1 + h.load + others) / size;
+  return (slowness + zone) * (1 + h.trouble) * (1 + h.load + others) / size;
 }
 
 // Rule 2: where a request that may have run may be sent again.
@@ -702,9 +702,9 @@
   const double expected = Expected(r);
   mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
   mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
-  if (late) return;
-  h.trouble = 0;
+  h.trouble = 0;  // late or not, it answers
   h.rest_until = TimePoint{};
+  if (late) return;
   if (expected > 0) NoteSlowness(h, latency / expected);
   if (out_now_ >= room_ / 2) room_ += kRoomGrown;
 }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -96,6 +96,11 @@
   }
 
   std::vector<Action> End(std::uint64_t id, Outcome outcome, bool closed = false, int attempt = -1) {
+    return EndAfter(milliseconds(50), id, outcome, closed, attempt);
+  }
+
+  std::vector<Action> EndAfter(Duration latency, std::uint64_t id, Outcome outcome, bool closed = false,
+                               int attempt = -1) {
     const auto& hosts = sent[RequestId{id}];
     const int index = attempt < 0 ? static_cast<int>(hosts.size()) - 1 : attempt;
     AttemptEnded e;
@@ -104,7 +109,7 @@
     e.host = hosts.at(index);
     e.outcome = outcome;
     e.closed = closed;
-    e.latency = milliseconds(50);
+    e.latency = latency;
     return Tell(e);
   }
 
@@ -547,6 +552,26 @@
   EXPECT_EQ(All<SendAttempt>(door.Arrive(50, "free")).size(), 1u);
 }
 
+// Incident i19a378: a zone died while the rest was late; with more than half resting, none was left out, and
+// the dead hosts, which hold nothing, looked the least loaded.
+TEST(Hosts, DeadOnesDoNotAttractTrafficWhileTheRestIsLate) {
+  Door door;
+  std::uint64_t id = 0;
+  std::map<HostId, int> sent;
+  for (int i = 0; i < 200; ++i) {
+    door.Arrive(++id, "free", 1, "unsafe");
+    const auto& hosts = door.sent[RequestId{id}];
+    for (std::size_t k = 0; k < hosts.size(); ++k) {  // further attempts too
+      ++sent[hosts[k]];
+      const bool dead = hosts[k].value < 102;
+      door.EndAfter(milliseconds(500), id, dead ? Outcome::kConnectFailed : Outcome::kOk, !dead);
+    }
+    door.Pass(milliseconds(5));
+  }
+  EXPECT_LE(sent[HostId{100}] + sent[HostId{101}], 20);
+  EXPECT_GE(sent[HostId{102}] + sent[HostId{103}], 60);
+}
+
 // ---- Determinism ----------------------------------------------------------------------------------------
 
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
