--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -147,7 +147,7 @@
     TimePoint report_at;
     double trouble = 0;  // points since the last answer in time
     TimePoint rest_until;
-    double cold_budget = kColdBurst;
+    double cold_budget = 0;
     TimePoint cold_at;
   };
 
@@ -561,6 +561,7 @@
       h.out = out;
       h.load = load;
       h.cold_at = now_;
+      h.cold_budget = Random();  // gateways that learn of it together don't send their first together
     }
     h.entry = entry;
     h.listed = entry.state == HostState::kReady;  // rule 3: draining or gone gets nothing from now on
@@ -585,8 +586,8 @@
 // Rule 4. A cold host gets what a warm one takes from this gateway, times the part it can do. If every
 // gateway keeps to that, all of them together stay at the part, a factor of fall_multiple under the bound.
 double Gateway::Impl::RefillCold(Host& h) {
-  const double rate = std::max(kColdFloor, warm_rate_) * ColdPart(h);
-  h.cold_budget = std::min(kColdBurst, h.cold_budget + rate * Seconds(now_ - h.cold_at));
+  const double rate = std::max(kColdFloor / std::max(1, settings_.gateways), warm_rate_) * ColdPart(h);
+  h.cold_budget = std::min(1.0, h.cold_budget + rate * Seconds(now_ - h.cold_at));
   h.cold_at = now_;
   return h.cold_budget;
 }
@@ -596,7 +597,8 @@
   const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
   const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
   const double others = h.others * std::exp(-Seconds(now_ - h.report_at) / kReportMemory);
-  const double size = settings_.size_hint == SizeHint::kNone ? 1 : std::max(0.05, h.entry.size_hint);
+  const double hint = settings_.size_hint == SizeHint::kNone ? 1 : std::max(0.05, h.entry.size_hint);
+  const double size = hint * (IsCold(h) ? ColdPart(h) : 1);
   const bool foreign = h.entry.zone != settings_.zone;
   const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
   return (slowness + zone) * (1 + h.trouble) * (1 + h.load + others) / size;
