Try: only few candidates for a choice of host

Fewer candidates help only where hosts report their load: it is the stale report that herds, not the number.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,7 +42,7 @@
 constexpr Duration kLogGap = seconds(1);             // between like log lines
 
 // Hosts.
-constexpr std::size_t kCandidates = 16;  // hosts looked at for one attempt
+constexpr std::size_t kCandidates = 4;  // hosts looked at for one attempt
 constexpr double kLatencyStep = 0.1;     // weight of one answer in a host's relative slowness
 constexpr double kMeanStep = 0.02;       // weight of one answer in a class's mean
 constexpr double kSlownessMemory = 10;   // seconds until an unvisited host's slowness is mostly forgotten
