--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,11 +42,10 @@
 constexpr Duration kLogGap = seconds(1);             // between like log lines
 
 // Hosts.
-constexpr std::size_t kCandidates = 4;  // hosts looked at for one attempt
+constexpr std::size_t kCandidates = 16;  // hosts looked at for one attempt
 constexpr double kLatencyStep = 0.1;     // weight of one answer in a host's relative slowness
 constexpr double kMeanStep = 0.02;       // weight of one answer in a class's mean
 constexpr double kSlownessMemory = 10;   // seconds until an unvisited host's slowness is mostly forgotten
-constexpr double kReportMemory = 1;      // seconds after which a load report counts for little
 constexpr double kZoneWeight = 5;        // slowness put on a foreign zone per point of its price
 constexpr Duration kRestFirst = milliseconds(250);  // a failing host is left alone, doubling ...
 constexpr Duration kRestLongest = seconds(4);       // ... up to this: a returned host is seen again soon
@@ -143,8 +142,6 @@
     double load = 0;      // ... and their work, in usual requests
     double slowness = 1;  // service time relative to the other hosts'
     TimePoint slowness_at;
-    double others = 0;  // requests of other gateways, by the last report
-    TimePoint report_at;
     double trouble = 0;  // points since the last answer in time
     TimePoint rest_until;
     double cold_budget = 0;
@@ -200,7 +197,6 @@
   double Delay(const Host& h) const;
   bool MayRepeatAt(const Request& r, const Host& h) const;
   Host* Choose(const Request& r);
-  void NoteLoad(Host& h, const LoadReport& report);
   void NoteTrouble(Host& h, double points);
   void NoteSlowness(Host& h, double slowness);
   void NoteLate(Host& h);
@@ -592,16 +588,17 @@
   return h.cold_budget;
 }
 
-// Expected delay at a host, in service times of a usual one.
+// Expected delay at a host, in service times of a usual one. By this gateway's own attempts only: reported
+// loads are old when they arrive, and all gateways then turn to the same host at once (measured: leaving
+// them out gained more than smoothing them).
 double Gateway::Impl::Delay(const Host& h) const {
   const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
   const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
-  const double others = h.others * std::exp(-Seconds(now_ - h.report_at) / kReportMemory);
   const double hint = settings_.size_hint == SizeHint::kNone ? 1 : std::max(0.05, h.entry.size_hint);
   const double size = hint * (IsCold(h) ? ColdPart(h) : 1);
   const bool foreign = h.entry.zone != settings_.zone;
   const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
-  return (slowness + zone) * (1 + h.trouble) * (1 + h.load + others) / size;
+  return (slowness + zone) * (1 + h.trouble) * (1 + h.load) / size;
 }
 
 // Rule 2: where a request that may have run may be sent again.
@@ -642,14 +639,6 @@
   return best;
 }
 
-void Gateway::Impl::NoteLoad(Host& h, const LoadReport& report) {
-  for (const LoadValue& v : report) {
-    if (v.name != "inflight") continue;
-    h.others = std::max(0.0, v.value - h.out);
-    h.report_at = now_;
-  }
-}
-
 // A host that keeps failing, or answers nothing in time, rests for longer and longer spells and is then
 // tried with one attempt at a time. Guards against hosts that fail fast, hang or have gone unannounced.
 void Gateway::Impl::NoteTrouble(Host& h, double points) {
@@ -690,7 +679,6 @@
                                 const AttemptEnded& event) {
   h.out = std::max(0, h.out - 1);
   h.load = h.out == 0 ? 0 : std::max(0.0, h.load - attempt.weight);
-  NoteLoad(h, event.load);
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
   const bool late = event.latency >= LateAfter(r);
   if (late && !attempt.late) NoteLate(h);
@@ -940,10 +928,6 @@
       Forget(e->id);
     }
   }
-  if (const auto* e = std::get_if<ProbeEnded>(&event)) {
-    const auto it = hosts_.find(e->host);
-    if (it != hosts_.end()) NoteLoad(it->second, e->load);
-  }
 }
 
 Gateway::Gateway(Settings settings, std::uint64_t seed)
