--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -64,7 +64,7 @@
 constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
 constexpr double kRoomGrown = 0.25;   // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.75;     // ... and cut by a late one: settles where one in four is late
-constexpr double kLateShare = 0.5;    // of the aim: later answers say that hosts queue
+constexpr double kLateShare = 0.25;   // of the aim: later answers say that hosts queue
 constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
