--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -49,14 +49,13 @@
 constexpr double kZoneWeight = 5;        // slowness put on a foreign zone per point of its price
 constexpr Duration kRestFirst = milliseconds(250);  // a failing host is left alone, doubling ...
 constexpr Duration kRestLongest = seconds(4);       // ... up to this: a returned host is seen again soon
-constexpr double kRestBound = 0.5;     // of the hosts: more that fail at once point at the fleet or at us
-constexpr double kTroubleReset = 3;    // trouble points: a refused, broken or failed connection,
-constexpr double kTroubleError = 1.5;  // an error,
-constexpr double kTroubleLate = 1;     // an answer past its aim, which a heavy request has anywhere
-constexpr double kTroubleMost = 3;     // points in a row from which a host rests
-constexpr double kLateSlowness = 4;    // slowness booked for an attempt past its aim; also the most booked
-constexpr double kColdFloor = 1;       // attempts a second to a cold host when nothing is known
-constexpr double kColdBurst = 2;       // attempts at once to a cold host
+constexpr double kRestBound = 0.5;   // of the hosts: more that fail at once point at the fleet or at us
+constexpr int kRestAfter = 3;        // failed or hanging attempts with no answer between them
+constexpr double kFailStep = 0.05;   // weight of one attempt in a host's rate of failure
+constexpr double kFailWeight = 4;    // slowness put on a host per its rate of failure
+constexpr double kLateSlowness = 4;  // slowness booked for an attempt past its aim; also the most booked
+constexpr double kColdFloor = 1;     // attempts a second to a cold host when nothing is known
+constexpr double kColdBurst = 2;     // attempts at once to a cold host
 
 // Attempts and shedding.
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
@@ -64,7 +63,7 @@
 constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
 constexpr double kRoomGrown = 0.25;   // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.75;     // ... and cut by a late one: settles where one in four is late
-constexpr double kLateShare = 0.25;   // of the aim: later answers say that hosts queue
+constexpr double kLateShare = 0.35;   // of the aim: later answers say that hosts queue
 constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -142,7 +141,8 @@
     double load = 0;      // ... and their work, in usual requests
     double slowness = 1;  // service time relative to the other hosts'
     TimePoint slowness_at;
-    double trouble = 0;  // points since the last answer in time
+    int trouble = 0;       // failed or hanging attempts since the last answer
+    double fail_rate = 0;  // smoothed
     TimePoint rest_until;
     double cold_budget = 0;
     TimePoint cold_at;
@@ -191,13 +191,11 @@
   bool IsCold(const Host& h) const;
   double ColdPart(const Host& h) const;
   double RefillCold(Host& h);
-  bool Resting(const Host& h) const {
-    return now_ < h.rest_until || (h.trouble >= kTroubleMost && h.out > 0);
-  }
+  bool Resting(const Host& h) const { return now_ < h.rest_until || (h.trouble >= kRestAfter && h.out > 0); }
   double Delay(const Host& h) const;
   bool MayRepeatAt(const Request& r, const Host& h) const;
   Host* Choose(const Request& r);
-  void NoteTrouble(Host& h, double points);
+  void NoteTrouble(Host& h);
   void NoteSlowness(Host& h, double slowness);
   void NoteLate(Host& h);
   void SweepDue();
@@ -598,7 +596,7 @@
   const double size = hint * (IsCold(h) ? ColdPart(h) : 1);
   const bool foreign = h.entry.zone != settings_.zone;
   const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
-  return (slowness + zone) * (1 + h.trouble) * (1 + h.load) / size;
+  return (slowness + zone) * (1 + h.trouble + kFailWeight * h.fail_rate) * (1 + h.load) / size;
 }
 
 // Rule 2: where a request that may have run may be sent again.
@@ -639,13 +637,13 @@
   return best;
 }
 
-// A host that keeps failing, or answers nothing in time, rests for longer and longer spells and is then
-// tried with one attempt at a time. Guards against hosts that fail fast, hang or have gone unannounced.
-void Gateway::Impl::NoteTrouble(Host& h, double points) {
-  h.trouble += points;
-  if (h.trouble < kTroubleMost) return;
-  const int spells = std::min(4, static_cast<int>(h.trouble / kTroubleMost) - 1);
-  h.rest_until = now_ + std::min(kRestLongest, kRestFirst * (1 << spells));
+// A host that keeps failing, or hangs, rests for longer and longer spells and is then tried with one attempt
+// at a time. Guards against hosts that fail fast, hang or have gone unannounced. One that fails now and then
+// is not rested, since it still serves most: it is given less, by its rate of failure.
+void Gateway::Impl::NoteTrouble(Host& h) {
+  h.fail_rate += kFailStep * (1 - h.fail_rate);
+  if (++h.trouble < kRestAfter) return;
+  h.rest_until = now_ + std::min(kRestLongest, kRestFirst * (1 << std::min(4, h.trouble - kRestAfter)));
 }
 
 void Gateway::Impl::NoteSlowness(Host& h, double slowness) {
@@ -657,7 +655,7 @@
 void Gateway::Impl::NoteLate(Host& h) {
   room_ = std::max(RoomLeast(), room_ - kRoomCut);
   NoteSlowness(h, kLateSlowness);
-  NoteTrouble(h, kTroubleLate);
+  NoteTrouble(h);
 }
 
 // Attempts that hang count as late when they become it, not when they end.
@@ -683,9 +681,7 @@
   const bool late = event.latency >= LateAfter(r);
   if (late && !attempt.late) NoteLate(h);
   if (event.outcome == Outcome::kTimeout) return;
-  if (event.outcome != Outcome::kOk) {
-    return NoteTrouble(h, event.outcome == Outcome::kError ? kTroubleError : kTroubleReset);
-  }
+  if (event.outcome != Outcome::kOk) return NoteTrouble(h);
   NoteWarmRate(h);
   ClassState& mean = means_[r.class_index];
   const double latency = Seconds(event.latency);
@@ -693,6 +689,7 @@
   mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
   mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
   h.trouble = 0;  // late or not, it answers
+  h.fail_rate -= kFailStep * h.fail_rate;
   h.rest_until = TimePoint{};
   if (late) return;
   if (expected > 0) NoteSlowness(h, latency / expected);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -552,6 +552,28 @@
   EXPECT_EQ(All<SendAttempt>(door.Arrive(50, "free")).size(), 1u);
 }
 
+// Incident i0e830b: a quarter of the attempts was reset at most hosts; resting them at each reset threw away
+// the three quarters that they still served.
+TEST(Hosts, OneThatFailsNowAndThenStillServesItsPart) {
+  Door door(TestSettings(), 2);
+  std::map<HostId, int> sent;
+  std::vector<std::uint64_t> out;
+  for (std::uint64_t id = 1; id <= 400; ++id) {
+    door.Arrive(id, "free", 1, "unsafe");
+    out.push_back(id);
+    door.Pass(milliseconds(10));
+    if (out.size() < 5) continue;  // some are out at any time, so one host alone is busy
+    const std::uint64_t done = out.front();
+    out.erase(out.begin());
+    const HostId host = door.sent[RequestId{done}].at(0);
+    const bool reset = host.value == 100 && ++sent[host] % 4 == 0;
+    if (host.value != 100) ++sent[host];
+    door.End(done, reset ? Outcome::kReset : Outcome::kOk, !reset);
+  }
+  EXPECT_GT(sent[HostId{100}], 60);
+  EXPECT_LT(sent[HostId{100}], sent[HostId{101}]);
+}
+
 // Incident i19a378: a zone died while the rest was late; with more than half resting, none was left out, and
 // the dead hosts, which hold nothing, looked the least loaded.
 TEST(Hosts, DeadOnesDoNotAttractTrafficWhileTheRestIsLate) {
