What is owed ends with its window; a timed-out add pays for what was let in by share

Cause: units let in by share were posted into the next window's count, where siblings, who had booked them by their own shares, booked them again; and timed-out adds that had arrived were posted a second time as owed.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -312,6 +312,7 @@
   Take(c, -c.held, 0);
   c.window = window;
   c.held = c.total = c.own_added = 0;
+  c.owed = 0;  // belongs to the old count; the siblings booked it by their shares already
 }
 
 bool Gateway::Impl::Spend(Customer& c, Request& r) {
@@ -373,8 +374,9 @@
   const bool ok = event.outcome == Outcome::kOk;
   const bool may_be_posted = ok || event.outcome == Outcome::kTimeout;
   NoteCounter(ok);
-  // What timed out may have been added: it is not added blindly a second time.
-  if (may_be_posted) c.owed = std::max(0.0, c.owed - c.call_owed);
+  // What timed out may have been added: it is not added blindly a second time, and what was let in by share
+  // meanwhile is taken as paid from it.
+  if (may_be_posted) c.owed = std::max(0.0, c.owed - c.call_owed - (ok ? 0 : c.call_lease));
   if (ok) {
     const bool same_window = c.call_window == c.window;
     if (same_window) ApplyTotal(c, event.total);
