--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -37,9 +37,7 @@
 constexpr double kShareFloor = 0.02;     // the source document's floor: nobody is starved for good
 constexpr double kSharePrior = 1.0 / 4;  // of a window's quota: weight of the first guess, one over the set
 constexpr double kShareMemory = 2;       // windows: older use tells little of where a customer is now
-constexpr double kTrustKept = 0.5;       // of the trust in the counter after a failed call
-constexpr double kTrustGained = 0.05;    // by an answered one: gateways come back to the counter gradually
-constexpr double kSilent = 0.2;          // trust under which the counter is taken as silent
+constexpr int kSilentAfter = 3;          // failed calls in a row: one or two are chance, more are a fault
 constexpr Duration kSilentTest = milliseconds(200);  // between test calls while the counter is silent
 constexpr Duration kLogGap = seconds(1);             // between like log lines
 
@@ -249,7 +247,7 @@
   Duration wait_ = Duration::max();
   double mean_density_ = 0;
   bool silent_ = false;
-  double trust_ = 1;  // in the counter, by how its calls went
+  int call_failures_ = 0;
   TimePoint next_test_, silence_said_;
   double retry_budget_ = kRetryMost;
   double warm_rate_ = 0;  // good answers a second from one warm host to this gateway
@@ -331,8 +329,7 @@
   if (c.waiting.empty() && Spend(c, r)) return Dispatch(r);
   if (r.units > c.plan->burst) return RefuseBeyondQuota(r, 0, 0);  // no wait makes it fit
   const bool waited = now_ >= r.arrived + wait_;
-  const bool trusted = settings_.counter.available && !silent_ && (trust_ >= 1 || Random() < trust_);
-  if (!trusted || waited || (c.calling && c.given_up)) return AskByShare(r);
+  if (!settings_.counter.available || silent_ || waited || (c.calling && c.given_up)) return AskByShare(r);
   // A count never falls within its window, so once it is known to leave less than the cost, an add could
   // grant nothing: it would only swell the count and this gateway's share of it.
   if (c.held + Level(c) < r.units) return RefuseBeyondQuota(r, c.held + Level(c), c.plan->rate);
@@ -480,17 +477,17 @@
   return std::clamp(share, kShareFloor, 1.0);
 }
 
-// Trust in the counter falls with each call that fails and comes back slowly. Below full trust only that part
-// of the requests asks the counter, the others go by share at once. Guards against a counter that is down,
-// refuses or is slow under load: it gets the calls it can answer, and not all of them at once on its return.
 void Gateway::Impl::NoteCounter(bool answered) {
-  trust_ = answered ? std::min(1.0, trust_ + kTrustGained) : trust_ * kTrustKept;
-  const bool silent = trust_ < kSilent;
-  if (silent == silent_) return;
-  silent_ = silent;
+  if (answered) {
+    call_failures_ = 0;
+    if (silent_) Say(silence_said_, "counter answers again: back to leases");
+    silent_ = false;
+    return;
+  }
+  if (++call_failures_ < kSilentAfter || silent_) return;
+  silent_ = true;
   next_test_ = now_ + kSilentTest;
-  Say(silence_said_,
-      silent ? "counter silent: quotas held by share" : "counter answers again: back to leases");
+  Say(silence_said_, "counter silent: quotas held by share");
 }
 
 // Quota times share. A unit admitted here stands for 1 / share units by all, so the level known last goes
