--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -26,7 +26,7 @@
 
 // Leases and windows.
 constexpr double kFirstLease = 1;      // units: a new customer is exact until it proves busy
-constexpr double kLeaseCap = 1.0 / 8;  // of a window's quota over the set size: bounds what idles elsewhere
+constexpr double kLeaseCap = 1.0 / 4;  // of a window's quota over the set size: bounds what idles elsewhere
 constexpr double kWaitShare =
     1.0 / 16;              // of the shortest aim: what a request may lose waiting for the counter
 constexpr int kEarly = 4;  // a lease gone in less than a fourth of the window was too small
