--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -61,9 +61,9 @@
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
 constexpr double kRetryMost = 20;     // further attempts saved up
 constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
-constexpr double kRoomGrown = 0.2;   // by an answer within its aim while the room is used ...
-constexpr double kRoomCut = 0.8;     // ... and cut by a late one: settles where one in four is late
-constexpr double kLateShare = 0.3;   // of the aim: later answers say that hosts queue
+constexpr double kRoomGrown = 0.25;   // by an answer within its aim while the room is used ...
+constexpr double kRoomCut = 0.75;     // ... and cut by a late one: settles where one in four is late
+constexpr double kLateShare = 0.35;   // of the aim: later answers say that hosts queue
 constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
