--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -64,7 +64,8 @@
 constexpr double kRoomGrown = 0.25;   // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.75;     // ... and cut by a late one: settles where one in four is late
 constexpr double kLateShare = 0.35;   // of the aim: later answers say that hosts queue
-constexpr double kShedFrom = 0.7;     // of the room: from here the least worthy are refused
+constexpr double kShedFrom = 0.4;     // of the room: from here the least worthy are refused
+constexpr double kWorthMost = 1.3;    // times the mean worth for its work: what gets all of the room
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration FromSeconds(double s) {
@@ -851,7 +852,7 @@
   if (room_ == 0) room_ = kRoomFirst * static_cast<double>(ready_.size()) / std::max(1, settings_.gateways);
   const double density = Density(r);
   mean_density_ += (mean_density_ == 0 ? 1 : kMeanStep) * (density - mean_density_);
-  const double rank = mean_density_ > 0 ? std::min(1.0, density / mean_density_) : 1;
+  const double rank = mean_density_ > 0 ? std::min(1.0, density / (kWorthMost * mean_density_)) : 1;
   return out_now_ < std::max(1.0, room_ * (kShedFrom + (1 - kShedFrom) * rank));
 }
 
