--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -321,7 +321,11 @@
   Door door;
   Silence(door, 900);
   std::size_t admitted = 0;
-  for (std::uint64_t id = 1; id <= 20; ++id) admitted += All<SendAttempt>(door.Arrive(id)).size();
+  for (std::uint64_t id = 1; id <= 20; ++id) {
+    if (All<SendAttempt>(door.Arrive(id)).empty()) continue;
+    ++admitted;
+    door.End(id, Outcome::kOk, true);
+  }
   EXPECT_EQ(admitted, 5u);  // half of the ten
 }
 
