--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -96,6 +96,7 @@
     double total = 0;      // the largest count known
     double own_added = 0;  // of it by this gateway
     double owed = 0;       // admitted here without an add, to be added with the next call
+    double guessed = 0;    // booked by share as the siblings' use, not yet seen in the count
     double lease = kFirstLease;
     std::int64_t leased_window = -1;  // when the last lease was asked for
     TimePoint leased_at;
@@ -313,7 +314,7 @@
   Take(c, -c.held, 0);
   c.window = window;
   c.held = c.total = c.own_added = 0;
-  c.owed = 0;  // belongs to the old count; the siblings booked it by their shares already
+  c.owed = c.guessed = 0;  // belong to the old count; the siblings booked it by their shares already
 }
 
 bool Gateway::Impl::Spend(Customer& c, Request& r) {
@@ -398,7 +399,10 @@
   const bool lost = total - c.total < added - noise;
   const double grown = lost ? added : total - c.total;
   c.total += grown;
-  Take(c, c.call_lease, std::max(0.0, grown - added));
+  const double others = std::max(0.0, grown - added);
+  const double guessed = std::min(others, c.guessed);  // booked already
+  c.guessed -= guessed;
+  Take(c, c.call_lease, others - guessed);
   c.held += c.call_lease;
   // Units admitted by share while this call was out are paid from it.
   const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);
@@ -504,7 +508,7 @@
     RefuseBeyondQuota(r, left, c.plan->rate * share);
   } else {
     Take(c, r.units / share, 0);
-    c.total += r.units / share;
+    c.guessed += r.units / share - r.units;
     c.owed += r.units;
     r.counted = true;
     Dispatch(r);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -317,6 +317,20 @@
   }
 }
 
+// Incident i9f522c: the siblings' use guessed during a failed call was taken for a known total, so the next
+// good answer looked like a loss and everything was put back into the count.
+TEST(Fallback, AGuessOfTheSiblingsUseIsNotTakenForALoss) {
+  Door door;
+  door.Count(One<AddCount>(door.Arrive(1, "large", 6)), 6);
+  door.Count(One<AddCount>(door.Arrive(2, "large", 6)), 0, Outcome::kFull);
+  const auto call = One<AddCount>(door.Arrive(3, "large", 6));
+  EXPECT_GE(call.amount, 12);  // its own six, and the six let in by share
+  door.Count(call, 6 + call.amount);
+  std::vector<AddCount> calls;
+  for (std::uint64_t id = 4; calls.empty(); ++id) calls = All<AddCount>(door.Arrive(id, "large", 6));
+  EXPECT_LT(calls[0].amount, 12);  // nothing is put back
+}
+
 TEST(Fallback, AnUnseenCustomerGetsOneOverItsSetSize) {
   Door door;
   Silence(door, 900);
