--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -90,7 +90,6 @@
     bool in_set = true;  // whether this gateway belongs to the customer's set
     // The current window.
     std::int64_t window = 0;
-    TimePoint window_start;
     double held = 0;   // units added to the count and not spent
     double level = 0;  // units left in the quota at level_at, as far as is known; below 0: added beyond
     TimePoint level_at;
@@ -108,9 +107,8 @@
     std::int64_t call_window = 0;
     double call_lease = 0, call_owed = 0;
     std::deque<RequestId> waiting;
-    // Smoothed use, by this gateway in all seconds and by its siblings in those that its answers covered.
-    double own_use = 0, own_seconds = 0;
-    double others_use = 0, others_seconds = 0;
+    // Smoothed use, by this gateway and by all: their quotient is the share.
+    double own_use = 0, all_use = 0;
     TimePoint use_at;
     int open = 0;  // attempts out
     double ceiling = 0;
@@ -184,7 +182,6 @@
   void ReturnUnits(Request& r);
   void Settle(Request& r, double true_units);
   // Share fallback.
-  void NoteUse(Customer& c, double own, double others);
   double Share(const Customer& c) const;
   void NoteCounter(bool answered);
   void AskByShare(Request& r);
@@ -279,9 +276,8 @@
   const int gateways = std::max(1, settings_.gateways);
   c.in_set = ((settings_.me - event.set_first) % gateways + gateways) % gateways < c.set_size;
   c.window = -1;
-  c.own_use = plan->burst * kSharePrior / c.set_size;
-  c.others_use = c.own_use * (c.set_size - 1);
-  c.own_seconds = c.others_seconds = plan->rate > 0 ? Seconds(Window(*plan)) * kSharePrior : 1;
+  c.all_use = plan->burst * kSharePrior;
+  c.own_use = c.all_use / c.set_size;
   c.use_at = now_;
   // Rule 5: an earlier life, or an entry that was evicted, may have spent this gateway's part of the
   // ceiling to the last unit. So the part starts empty at that time and has refilled since.
@@ -311,10 +307,9 @@
   const std::int64_t window = (now_.time_since_epoch().count() + shift) / length.count();
   if (window == c.window) return;
   if (c.held > c.lease / 2) c.lease = std::max(kFirstLease, c.lease / 2);
-  c.window_start = now_ - Duration((now_.time_since_epoch().count() + shift) % length.count());
   if (c.window < 0) {  // unseen: what the count tells was taken since this window began
     c.level = c.plan->burst;
-    c.level_at = c.window_start;
+    c.level_at = now_ - Duration((now_.time_since_epoch().count() + shift) % length.count());
   }
   Take(c, -c.held, 0);
   c.window = window;
@@ -417,7 +412,10 @@
   // gateway had added before goes in once more with the next call.
   if (lost) c.owed += std::exchange(c.own_added, 0);
   c.own_added += added;
-  NoteUse(c, added, others);
+  const double keep = std::exp(-Seconds(now_ - c.use_at) / (kShareMemory * Seconds(Window(*c.plan))));
+  c.own_use = c.own_use * keep + added;
+  c.all_use = c.all_use * keep + std::max(added, grown);
+  c.use_at = now_;
 }
 
 void Gateway::Impl::ServeWaiting(Customer& c) {
@@ -479,24 +477,9 @@
 
 // ---- Share fallback -----------------------------------------------------------------------------------
 
-// What siblings take between this gateway's last answer in a window and its edge is seen by no answer. So
-// their use is taken over the seconds that answers covered, or a gateway that asks seldom would overrate its
-// share.
-void Gateway::Impl::NoteUse(Customer& c, double own, double others) {
-  const double window = Seconds(Window(*c.plan));
-  const double passed = Seconds(now_ - c.use_at);
-  const double keep = std::exp(-passed / (kShareMemory * window));
-  c.own_use = c.own_use * keep + own;
-  c.own_seconds = c.own_seconds * keep + passed;
-  c.others_use = c.others_use * keep + others;
-  c.others_seconds = c.others_seconds * keep + std::min(passed, Seconds(now_ - c.window_start));
-  c.use_at = now_;
-}
-
 double Gateway::Impl::Share(const Customer& c) const {
-  const double own = c.own_use / std::max(1e-3, c.own_seconds);
-  const double others = c.others_use / std::max(1e-3, c.others_seconds);
-  return std::clamp(own + others > 0 ? own / (own + others) : 1.0 / c.set_size, kShareFloor, 1.0);
+  const double share = c.all_use > 0 ? c.own_use / c.all_use : 1.0 / c.set_size;
+  return std::clamp(share, kShareFloor, 1.0);
 }
 
 void Gateway::Impl::NoteCounter(bool answered) {
