--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -120,7 +120,8 @@
     TimePoint sent;
     double weight = 1;  // its work, in usual requests
     bool out = true;
-    bool late = false;         // it was noted that it passed its aim
+    bool late = false;         // it was noted that it is late
+    bool started = false;      // its stream has begun: no time-out, no calling off
     bool may_have_run = true;  // until an outcome proves otherwise
   };
 
@@ -213,6 +214,7 @@
   bool MayRefuse(const Request& r) const;
   void Conclude(Request& r, bool refuse, Duration retry_after);
   void OnAttemptEnded(const AttemptEnded& event);
+  void OnAttemptStarted(const AttemptStarted& event);
   bool TryAgain(Request& r);
   void CancelOut(Request& r);
   void Forget(RequestId id);
@@ -265,10 +267,18 @@
 }
 
 Gateway::Impl::Customer* Gateway::Impl::FindCustomer(const RequestArrived& event) {
-  if (Customer* known = customers_.Find(event.customer)) return known;
+  Customer* known = customers_.Find(event.customer);
+  if (known != nullptr && known->plan->name == event.plan) return known;
   const auto plan = std::find_if(settings_.plans.begin(), settings_.plans.end(),
                                  [&](const Plan& p) { return p.name == event.plan; });
   if (plan == settings_.plans.end()) return nullptr;
+  if (known != nullptr) {  // moved to another plan: a new window, and rule 5 from an empty part
+    known->plan = &*plan;
+    known->window = -1;
+    known->held = known->ceiling = 0;
+    known->ceiling_at = now_;
+    return known;
+  }
   Customer c;
   c.name = event.customer;
   c.plan = &*plan;
@@ -674,7 +684,7 @@
       if (it == requests_.end()) continue;
       Attempt& attempt = it->second.attempts[state.due.front().attempt];
       const auto host = hosts_.find(attempt.host);
-      if (!attempt.out || host == hosts_.end()) continue;
+      if (!attempt.out || attempt.started || host == hosts_.end()) continue;
       attempt.late = true;
       NoteLate(host->second);
     }
@@ -686,6 +696,7 @@
   h.out = std::max(0, h.out - 1);
   h.load = h.out == 0 ? 0 : std::max(0.0, h.load - attempt.weight);
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
+  if (attempt.started && event.outcome == Outcome::kOk) return;  // how long a stream ran tells nothing
   const bool late = event.latency >= LateAfter(r);
   if (late && !attempt.late) NoteLate(h);
   if (event.outcome == Outcome::kTimeout) return;
@@ -726,8 +737,10 @@
   if (!IsCold(h)) ++warm_answers_;
   if (now_ - warm_since_ < seconds(1)) return;
   const auto warm = std::count_if(ready_.begin(), ready_.end(), [&](Host* w) { return !IsCold(*w); });
-  const double rate = warm_answers_ / Seconds(now_ - warm_since_) / std::max<double>(1, warm);
-  warm_rate_ = warm_rate_ == 0 ? rate : 0.7 * warm_rate_ + 0.3 * rate;
+  if (warm > 0) {  // with all of them cold, what is known of the warm still holds
+    const double rate = warm_answers_ / Seconds(now_ - warm_since_) / static_cast<double>(warm);
+    warm_rate_ = warm_rate_ == 0 ? rate : 0.7 * warm_rate_ + 0.3 * rate;
+  }
   warm_answers_ = 0;
   warm_since_ = now_;
 }
@@ -759,7 +772,8 @@
 
 // When an attempt is given up: at the aim where a late answer is worth nothing, so that it frees the host.
 TimePoint Gateway::Impl::GiveUpAt(const Request& r) const {
-  return r.kind->late_worth > 0 ? r.deadline : std::min(r.deadline, r.arrived + r.kind->aim);
+  const bool worthless = r.kind->late_worth <= 0 && r.kind->aim_stretch <= 0;
+  return worthless ? std::min(r.deadline, r.arrived + r.kind->aim) : r.deadline;
 }
 
 void Gateway::Impl::Dispatch(Request& r) {
@@ -792,7 +806,7 @@
 void Gateway::Impl::CancelOut(Request& r) {
   if (!settings_.limits.cancel) return;
   for (std::size_t i = 0; i < r.attempts.size(); ++i)
-    if (r.attempts[i].out) Act(CancelAttempt{r.id, static_cast<int>(i)});
+    if (r.attempts[i].out && !r.attempts[i].started) Act(CancelAttempt{r.id, static_cast<int>(i)});
 }
 
 void Gateway::Impl::Forget(RequestId id) {
@@ -829,6 +843,15 @@
   Forget(event.id);
 }
 
+// A stream has begun: the request is bound to this attempt, any other is called off.
+void Gateway::Impl::OnAttemptStarted(const AttemptStarted& event) {
+  const auto found = requests_.find(event.id);
+  const auto index = static_cast<std::size_t>(event.attempt);
+  if (found == requests_.end() || index >= found->second.attempts.size()) return;
+  found->second.attempts[index].started = true;
+  CancelOut(found->second);
+}
+
 // A further attempt, where it can still be in time and the budget allows it.
 bool Gateway::Impl::TryAgain(Request& r) {
   const double expected = means_[r.class_index].latency;
@@ -921,6 +944,7 @@
   SweepDue();
   if (const auto* e = std::get_if<RequestArrived>(&event)) OnRequest(*e);
   if (const auto* e = std::get_if<AttemptEnded>(&event)) OnAttemptEnded(*e);
+  if (const auto* e = std::get_if<AttemptStarted>(&event)) OnAttemptStarted(*e);
   if (const auto* e = std::get_if<CountAnswered>(&event)) OnCountAnswered(*e);
   if (const auto* e = std::get_if<TimerFired>(&event)) OnTimer(e->token);
   if (const auto* e = std::get_if<HostList>(&event)) OnHostList(*e);
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -546,6 +546,47 @@
   EXPECT_EQ(All<SendAttempt>(door.Arrive(7, "open")).size(), 1u);
 }
 
+TEST(RuleCeiling, AnEvictedOrMovedCustomerGetsNoFreshPart) {
+  Door door;
+  door.Pass(seconds(60));
+  EXPECT_GT(SentUnderCeiling(door, 1, 50, {}), 8);
+  door.Arrive(100, "free");  // the same customer on another plan, and back
+  door.End(100, Outcome::kOk, true);
+  EXPECT_EQ(SentUnderCeiling(door, 101, 50, {}), 0);
+}
+
+TEST(RuleColdHost, AFleetThatRestartsWholeIsServedByWhatItsWarmHostsTook) {
+  Door door(TestSettings(), 4);
+  std::uint64_t id = 0;
+  const auto serve = [&](int tries) {
+    std::size_t sent = 0;
+    for (int i = 0; i < tries; ++i) {
+      sent += All<SendAttempt>(door.Arrive(++id, "free")).size();
+      if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+      door.Pass(milliseconds(20));
+    }
+    return sent;
+  };
+  EXPECT_EQ(serve(500), 500u);  // ten seconds: twelve a second and host
+  for (HostEntry& entry : door.list_) entry.started = door.now;
+  door.Tell(HostList{ListKind::kFull, 2, door.list_});
+  const std::size_t sent = serve(250);  // five seconds at a fifth and more of that
+  EXPECT_GE(sent, 60u);
+  EXPECT_LE(sent, 150u);
+}
+
+TEST(Streams, AnAttemptThatHasBegunIsNotCalledOffNorLate) {
+  Settings settings = TestSettings();
+  settings.classes[0].stream = true;
+  Door door(settings);
+  door.Arrive(1, "free");
+  door.Pass(milliseconds(100));
+  door.Tell(AttemptStarted{RequestId{1}, 0, door.sent[RequestId{1}][0], milliseconds(100)});
+  door.Pass(seconds(30));
+  EXPECT_TRUE(door.Tell(RequestGone{RequestId{1}}).empty());
+  EXPECT_TRUE(door.End(1, Outcome::kOk, true).empty());
+}
+
 // ---- Hosts ----------------------------------------------------------------------------------------------
 
 TEST(Hosts, OneThatFailsFastDoesNotAttractTraffic) {
