--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -887,8 +887,7 @@
 // together.
 Duration Gateway::Impl::ComeBack(const Request& r) {
   const double mean = std::max(0.05, means_[r.class_index].latency);
-  return std::max(FromSeconds(mean * (1 + 2 * Random())),
-                  FromSeconds(Seconds(settings_.limits.max_retry_after) * (0.25 + 0.5 * Random())));
+  return FromSeconds(mean * (1 + 2 * Random()));
 }
 
 // ---- Event dispatch -----------------------------------------------------------------------------------
