No host holds more than one and a half times its even part of the room

Also guards against any host that looks best by mistake; could harm fleets of very unlike sizes without size hints.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,6 +42,7 @@
 constexpr Duration kLogGap = seconds(1);             // between like log lines
 
 // Hosts.
+constexpr double kUneven = 1.5;          // of an even part of the room: the most that one host holds
 constexpr std::size_t kCandidates = 16;  // hosts looked at for one attempt
 constexpr double kLatencyStep = 0.1;     // weight of one answer in a host's relative slowness
 constexpr double kMeanStep = 0.02;       // weight of one answer in a class's mean
@@ -640,11 +641,13 @@
   std::size_t resting = 0;
   for (const Host* h : ready_) resting += Resting(*h);
   const bool heed_rest = static_cast<double>(resting) <= kRestBound * static_cast<double>(ready_.size());
+  const double fair = std::max(1.0, kUneven * room_ / static_cast<double>(ready_.size()));
   Host* best = nullptr;
   double best_delay = 0;
   for (std::size_t i = 0; i < count; ++i) {
     Host& h = *ready_[(start + i) % ready_.size()];
-    if ((heed_rest && Resting(h)) || !MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
+    if ((heed_rest && Resting(h)) || h.load > fair || !MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1))
+      continue;
     const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                    [&](const Attempt& a) { return a.host == h.entry.host; });
     const double delay = Delay(h) * (tried ? 4 : 1);
