--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -42,7 +42,7 @@
 constexpr Duration kLogGap = seconds(1);             // between like log lines
 
 // Hosts.
-constexpr double kUneven = 1.5;          // of an even part of the room: the most that one host holds
+constexpr double kUneven = 1.2;          // of an even part of the room: the most that one host holds
 constexpr std::size_t kCandidates = 16;  // hosts looked at for one attempt
 constexpr double kLatencyStep = 0.1;     // weight of one answer in a host's relative slowness
 constexpr double kMeanStep = 0.02;       // weight of one answer in a class's mean
