--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -39,10 +39,7 @@
 constexpr double kShareMemory = 2;       // windows: older use tells little of where a customer is now
 constexpr int kSilentAfter = 3;          // failed calls in a row: one or two are chance, more are a fault
 constexpr Duration kSilentTest = milliseconds(200);  // between test calls while the counter is silent
-constexpr Duration kSilentTestMost =
-    milliseconds(3200);                   // before the first one, where silences follow closely
-constexpr int kTrustedAfter = 30;         // answered calls that make a silence a new one
-constexpr Duration kLogGap = seconds(1);  // between like log lines
+constexpr Duration kLogGap = seconds(1);             // between like log lines
 
 // Hosts.
 constexpr double kUneven = 1.2;          // of an even part of the room: the most that one host holds
@@ -255,8 +252,7 @@
   Duration wait_ = Duration::max();
   double mean_density_ = 0;
   bool silent_ = false;
-  int call_failures_ = 0, calls_answered_ = 0;  // in a row; since the last silence
-  Duration test_gap_ = kSilentTest;
+  int call_failures_ = 0;
   TimePoint next_test_, silence_said_;
   double retry_budget_ = kRetryMost;
   double warm_rate_ = 0;  // good answers a second from one warm host to this gateway
@@ -497,22 +493,16 @@
   return std::clamp(share, kShareFloor, 1.0);
 }
 
-// Three failed calls in a row make the counter silent. A counter that falls silent again soon after its
-// return is crowded: it is left alone for longer each time, or the gateways that come back together crowd it
-// anew.
 void Gateway::Impl::NoteCounter(bool answered) {
   if (answered) {
     call_failures_ = 0;
     if (silent_) Say(silence_said_, "counter answers again: back to leases");
     silent_ = false;
-    if (++calls_answered_ >= kTrustedAfter) test_gap_ = kSilentTest;
     return;
   }
   if (++call_failures_ < kSilentAfter || silent_) return;
   silent_ = true;
-  if (calls_answered_ < kTrustedAfter) test_gap_ = std::min(2 * test_gap_, kSilentTestMost);
-  calls_answered_ = 0;
-  next_test_ = now_ + FromSeconds(Seconds(test_gap_) * (0.5 + Random()));
+  next_test_ = now_ + kSilentTest;
   Say(silence_said_, "counter silent: quotas held by share");
 }
 
