--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,6 +62,7 @@
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
 constexpr double kRetryMost = 20;     // further attempts saved up
 constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
+constexpr double kRoomLeast = 2;      // attempts out at one host by all gateways, however late they are
 constexpr double kRoomGrown = 0.25;   // by an answer within its aim while the room is used ...
 constexpr double kRoomCut = 0.75;     // ... and cut by a late one: settles where one in four is late
 constexpr double kLateShare = 0.35;   // of the aim: later answers say that hosts queue
@@ -732,7 +733,7 @@
 
 // One attempt a host, by all gateways together: less would tell nothing of the hosts any more.
 double Gateway::Impl::RoomLeast() const {
-  return std::max(1.0, static_cast<double>(ready_.size()) / std::max(1, settings_.gateways));
+  return std::max(1.0, kRoomLeast * static_cast<double>(ready_.size()) / std::max(1, settings_.gateways));
 }
 
 // What a warm host answers to this gateway, for judging what a cold one may get.
