--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -551,7 +551,7 @@
     Conclude(r, true, FromSeconds((r.units - c.ceiling) * c.set_size / plan.ceiling_rate));
     return false;
   }
-  if (plan.open_cap > 0 && c.open >= std::max(1.0, std::floor(plan.open_cap * Share(c)))) {
+  if (plan.open_cap > 0 && c.open >= std::max(1.0, std::floor(plan.open_cap * Share(c) + 0.5))) {
     Conclude(r, true, ComeBack(r));
     return false;
   }
