--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -319,15 +319,11 @@
   const std::int64_t window = (now_.time_since_epoch().count() + shift) / length.count();
   if (window == c.window) return;
   if (c.held > c.lease / 2) c.lease = std::max(kFirstLease, c.lease / 2);
-  const TimePoint start = now_ - Duration((now_.time_since_epoch().count() + shift) % length.count());
   if (c.window < 0) {  // unseen: what the count tells was taken since this window began
     c.level = c.plan->burst;
-    c.level_at = start;
+    c.level_at = now_ - Duration((now_.time_since_epoch().count() + shift) % length.count());
   }
-  // What the siblings took after this gateway's last answer in the old window is in no answer of the new one.
-  const double seconds_unseen = std::clamp(Seconds(start - c.use_at), 0.0, Seconds(length));
-  const double siblings_rate = (c.all_use - c.own_use) / (kShareMemory * Seconds(length));
-  Take(c, -c.held, c.window < 0 ? 0 : siblings_rate * seconds_unseen);
+  Take(c, -c.held, 0);
   c.window = window;
   c.held = c.total = c.own_added = 0;
   c.owed = c.guessed = 0;  // belong to the old count; the siblings booked it by their shares already
