--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -776,7 +776,7 @@
 
 // When an attempt is given up: at the aim where a late answer is worth nothing, so that it frees the host.
 TimePoint Gateway::Impl::GiveUpAt(const Request& r) const {
-  const bool worthless = r.kind->late_worth < 0.5 && r.kind->aim_stretch <= 0;
+  const bool worthless = r.kind->late_worth <= 0 && r.kind->aim_stretch <= 0;
   return worthless ? std::min(r.deadline, r.arrived + r.kind->aim) : r.deadline;
 }
 
