--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -283,6 +283,20 @@
   EXPECT_TRUE(All<AddCount>(actions).empty());
 }
 
+TEST(Leases, GuessedUnitsAreSettledWithTheFirstGoodAnswer) {
+  Settings settings = TestSettings();
+  settings.quota.settles = true;
+  Door door(settings);
+  std::map<CountName, double> counter;
+  door.Serve(counter, door.Arrive(1, "small", 2));
+  AttemptEnded ended{
+      RequestId{1}, 0, door.sent[RequestId{1}][0], Outcome::kOk, true, milliseconds(50), 8, 0, {}};
+  door.Tell(ended);
+  EXPECT_EQ(All<SendAttempt>(door.Serve(counter, door.Arrive(2, "small", 3))).size(), 0u);  // 10 - 8 left
+  EXPECT_EQ(All<SendAttempt>(door.Serve(counter, door.Arrive(3, "small", 2))).size(), 1u);
+  EXPECT_NEAR(counter.begin()->second, 10, 0.01);  // the difference reached the count
+}
+
 // ---- Share fallback -------------------------------------------------------------------------------------
 
 TEST(Fallback, ASilentCounterDelaysARequestByASmallPartOfTheAimOnly) {
@@ -555,6 +569,39 @@
   EXPECT_EQ(SentUnderCeiling(door, 101, 50, {}), 0);
 }
 
+TEST(RuleCeiling, TheTablesEvictionHandsOutNoFreshPart) {
+  Door door;
+  door.Pass(seconds(60));
+  EXPECT_GT(SentUnderCeiling(door, 1, 50, {}), 8);
+  for (std::uint64_t i = 0; i < 100'001; ++i) {
+    door.Arrive(1000 + i, "free", 1, "safe", Name(i));
+    door.End(1000 + i, Outcome::kOk, true);
+  }
+  EXPECT_EQ(SentUnderCeiling(door, 500, 50, {}), 0);
+}
+
+TEST(Discovery, ASubscriptionIsAskedForAndAskedForAgainWhenItBreaks) {
+  Settings settings = TestSettings();
+  settings.discovery = Discovery::kAsk;
+  Door door(settings, 0);
+  EXPECT_NE(door.transcript.find("KEEP_INFORMED want=1"), std::string::npos);
+  const auto timer = One<SetTimer>(door.Tell(HostList{ListKind::kFailed, 0, {}}));
+  EXPECT_LT(timer.delay,
+            settings.rules.ask_within == Duration::zero() ? seconds(2) : settings.rules.ask_within);
+  door.Pass(timer.delay);
+  EXPECT_TRUE(One<Watch>(door.Tell(TimerFired{timer.token})).on);
+}
+
+TEST(Discovery, AStaleListAtTheStartIsReplaced) {
+  Door door(TestSettings(), 2);
+  door.Tell(HostList{ListKind::kFull, 9, {HostEntry{HostId{7}, "a", "k", 0, {}, 1, {}}}});
+  for (std::uint64_t id = 1; id <= 5; ++id) {
+    door.Arrive(id, "free");
+    EXPECT_EQ(door.sent[RequestId{id}].at(0).value, 7u);
+    door.End(id, Outcome::kOk, true);
+  }
+}
+
 TEST(RuleColdHost, AFleetThatRestartsWholeIsServedByWhatItsWarmHostsTook) {
   Door door(TestSettings(), 4);
   std::uint64_t id = 0;
