--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -25,11 +25,10 @@
 // ---- Tuned constants ----------------------------------------------------------------------------------
 
 // Leases and windows.
-constexpr double kFirstLease = 1;      // units: a new customer is exact until it proves busy
-constexpr double kLeaseCap = 1.0 / 4;  // of a window's quota over the set size: bounds what idles elsewhere
-constexpr double kWaitShare =
-    1.0 / 16;              // of the shortest aim: what a request may lose waiting for the counter
-constexpr int kEarly = 4;  // a lease gone in less than a fourth of the window was too small
+constexpr double kFirstLease = 1;        // units: a new customer is exact until it proves busy
+constexpr double kLeaseCap = 1.0 / 4;    // of a window's quota over the set size: bounds what idles elsewhere
+constexpr double kWaitShare = 1.0 / 16;  // of the shortest aim: the most lost waiting for the counter
+constexpr int kEarly = 4;                // a lease gone in less than a fourth of the window was too small
 constexpr Duration kLongestCount = seconds(60);  // the counter keeps no name for longer
 constexpr std::size_t kMostCustomers = 100'000;  // table size, some 400 bytes each
 
@@ -54,9 +53,8 @@
 constexpr int kRestAfter = 3;        // failed or hanging attempts with no answer between them
 constexpr double kFailStep = 0.05;   // weight of one attempt in a host's rate of failure
 constexpr double kFailWeight = 4;    // slowness put on a host per its rate of failure
-constexpr double kLateSlowness = 4;  // slowness booked for an attempt past its aim; also the most booked
-constexpr double kColdFloor = 1;     // attempts a second to a cold host when nothing is known
-constexpr double kColdBurst = 2;     // attempts at once to a cold host
+constexpr double kLateSlowness = 4;  // slowness booked for a late attempt; also the most that one books
+constexpr double kColdFloor = 1;  // attempts a second to a cold host by all gateways, when nothing is known
 
 // Attempts and shedding.
 constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
@@ -161,7 +159,7 @@
 
   struct ClassState {
     double latency = 0, units = 0;  // smoothed, of good answers
-    std::deque<Due> due;            // attempts out, by when they pass the class's aim
+    std::deque<Due> due;            // attempts out, by when they become late
   };
 
   // Leases and windows.
@@ -177,8 +175,7 @@
   void Call(Customer& c);
   void OnCountAnswered(const CountAnswered& event);
   void ApplyTotal(Customer& c, double total);
-  void ServeWaiting(Customer& c);
-  void DecideByShare(Customer& c);
+  void DecideWaiting(Customer& c, void (Impl::*decide)(Request&));
   Duration WaitLeft(const Customer& c) const;
   void OnCallTimer(CountName name);
   void RefuseBeyondQuota(Request& r, double tokens, double rate);
@@ -396,9 +393,9 @@
   }
   Roll(c);
   if (ok) {
-    ServeWaiting(c);
+    DecideWaiting(c, &Impl::Ask);
   } else {
-    DecideByShare(c);
+    DecideWaiting(c, &Impl::AskByShare);
     // What is let in by share instead is taken as paid by an add that may have arrived.
     if (may_be_posted) c.owed = std::max(0.0, c.owed - c.call_lease);
   }
@@ -430,20 +427,12 @@
   c.use_at = now_;
 }
 
-void Gateway::Impl::ServeWaiting(Customer& c) {
+// Decides all who wait, in order, by the counter (Ask) or by share (AskByShare).
+void Gateway::Impl::DecideWaiting(Customer& c, void (Impl::*decide)(Request&)) {
   std::deque<RequestId> waiting;
   waiting.swap(c.waiting);
   for (RequestId id : waiting) {
-    Ask(requests_.at(id));
-    Forget(id);
-  }
-}
-
-void Gateway::Impl::DecideByShare(Customer& c) {
-  std::deque<RequestId> waiting;
-  waiting.swap(c.waiting);
-  for (RequestId id : waiting) {
-    AskByShare(requests_.at(id));
+    (this->*decide)(requests_.at(id));
     Forget(id);
   }
 }
@@ -459,7 +448,7 @@
   if (left > Duration::zero()) return Act(SetTimer{TimerToken{name.value}, left});
   c.given_up = true;
   NoteCounter(false);
-  DecideByShare(c);
+  DecideWaiting(c, &Impl::AskByShare);
 }
 
 void Gateway::Impl::RefuseBeyondQuota(Request& r, double tokens, double rate) {
