--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -54,18 +54,24 @@
 constexpr double kFailStep = 0.05;   // weight of one attempt in a host's rate of failure
 constexpr double kFailWeight = 4;    // slowness put on a host per its rate of failure
 constexpr double kLateSlowness = 4;  // slowness booked for a late attempt; also the most that one books
+constexpr double kTriedWeight = 4;   // times the delay of a host that this request was sent to before
+constexpr double kLeastSize = 0.05;  // a size hint of zero would make a host look endlessly slow
+constexpr double kWarmStep = 0.3;    // weight of one second in what a warm host answers
+constexpr double kAskAgain = 1;      // seconds, about, until a broken subscription is asked for again
 constexpr double kColdFloor = 1;  // attempts a second to a cold host by all gateways, when nothing is known
 
 // Attempts and shedding.
-constexpr double kRetryEarned = 0.2;  // further attempts earned by a first one: bounds the amplification
-constexpr double kRetryMost = 20;     // further attempts saved up
-constexpr double kRoomFirst = 4;      // attempts out at one host by all gateways, before anything is known
-constexpr double kRoomLeast = 2;      // attempts out at one host by all gateways, however late they are
-constexpr double kRoomGrown = 0.25;   // by an answer within its aim while the room is used ...
-constexpr double kRoomCut = 0.75;     // ... and cut by a late one: settles where one in four is late
-constexpr double kLateShare = 0.35;   // of the aim: later answers say that hosts queue
-constexpr double kShedFrom = 0.4;     // of the room: from here the least worthy are refused
-constexpr double kWorthMost = 1.3;    // times the mean worth for its work: what gets all of the room
+constexpr double kRetryEarned = 0.2;    // further attempts earned by a first one: bounds the amplification
+constexpr double kRetryMost = 20;       // further attempts saved up
+constexpr double kRoomFirst = 4;        // attempts out at one host by all gateways, before anything is known
+constexpr double kRoomLeast = 2;        // attempts out at one host by all gateways, however late they are
+constexpr double kRoomGrown = 0.25;     // by an answer within its aim while the room is used ...
+constexpr double kRoomCut = 0.75;       // ... and cut by a late one: settles where one in four is late
+constexpr double kLateShare = 0.35;     // of the aim: later answers say that hosts queue
+constexpr double kLeastService = 0.05;  // seconds: a return asked for sooner only adds calls
+constexpr double kComeBackSpread = 2;   // service times: spreads the return of what was refused
+constexpr double kShedFrom = 0.4;       // of the room: from here the least worthy are refused
+constexpr double kWorthMost = 1.3;      // times the mean worth for its work: what gets all of the room
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration FromSeconds(double s) {
@@ -194,6 +200,7 @@
   double ColdPart(const Host& h) const;
   double RefillCold(Host& h);
   bool Resting(const Host& h) const { return now_ < h.rest_until || (h.trouble >= kRestAfter && h.out > 0); }
+  double Size(const Host& h) const;
   double Delay(const Host& h) const;
   bool MayRepeatAt(const Request& r, const Host& h) const;
   Host* Choose(const Request& r);
@@ -551,7 +558,8 @@
 
 void Gateway::Impl::OnHostList(const HostList& event) {
   if (event.kind == ListKind::kFailed) {
-    if (settings_.discovery == Discovery::kAsk) Act(SetTimer{TimerToken{0}, FromSeconds(0.5 + Random())});
+    if (settings_.discovery == Discovery::kAsk)
+      Act(SetTimer{TimerToken{0}, FromSeconds(kAskAgain * (0.5 + Random()))});
     return;
   }
   if (event.kind != ListKind::kDelta)
@@ -595,14 +603,18 @@
   return h.cold_budget;
 }
 
+// A host's size for comparison with the others', where it is told.
+double Gateway::Impl::Size(const Host& h) const {
+  return settings_.size_hint == SizeHint::kNone ? 1 : std::max(kLeastSize, h.entry.size_hint);
+}
+
 // Expected delay at a host, in service times of a usual one. By this gateway's own attempts only: reported
 // loads are old when they arrive, and all gateways then turn to the same host at once (measured: leaving
 // them out gained more than smoothing them).
 double Gateway::Impl::Delay(const Host& h) const {
   const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
   const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
-  const double hint = settings_.size_hint == SizeHint::kNone ? 1 : std::max(0.05, h.entry.size_hint);
-  const double size = hint * (IsCold(h) ? ColdPart(h) : 1);
+  const double size = Size(h) * (IsCold(h) ? ColdPart(h) : 1);
   const bool foreign = h.entry.zone != settings_.zone;
   const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
   return (slowness + zone) * (1 + h.trouble + kFailWeight * h.fail_rate) * (1 + h.load) / size;
@@ -629,18 +641,23 @@
   const std::size_t start = rng_() % ready_.size();
   // Many hosts failing at once point at the fleet, the network or this gateway: then none is left out.
   std::size_t resting = 0;
-  for (const Host* h : ready_) resting += Resting(*h);
+  double sizes = 0;
+  for (const Host* h : ready_) {
+    resting += Resting(*h);
+    sizes += Size(*h);
+  }
   const bool heed_rest = static_cast<double>(resting) <= kRestBound * static_cast<double>(ready_.size());
-  const double fair = std::max(1.0, kUneven * room_ / static_cast<double>(ready_.size()));
   Host* best = nullptr;
   double best_delay = 0;
   for (std::size_t i = 0; i < count; ++i) {
     Host& h = *ready_[(start + i) % ready_.size()];
-    if ((heed_rest && Resting(h)) || h.load > fair || !MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1))
-      continue;
+    if (heed_rest && Resting(h)) continue;
+    // Guards against a host that looks best, by chance or mistake, being pushed over its limit.
+    if (h.load > std::max(1.0, kUneven * room_ * Size(h) / sizes)) continue;
+    if (!MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
     const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                    [&](const Attempt& a) { return a.host == h.entry.host; });
-    const double delay = Delay(h) * (tried ? 4 : 1);
+    const double delay = Delay(h) * (tried ? kTriedWeight : 1);
     if (best != nullptr && delay >= best_delay) continue;
     best = &h;
     best_delay = delay;
@@ -732,7 +749,7 @@
   const auto warm = std::count_if(ready_.begin(), ready_.end(), [&](Host* w) { return !IsCold(*w); });
   if (warm > 0) {  // with all of them cold, what is known of the warm still holds
     const double rate = warm_answers_ / Seconds(now_ - warm_since_) / static_cast<double>(warm);
-    warm_rate_ = warm_rate_ == 0 ? rate : 0.7 * warm_rate_ + 0.3 * rate;
+    warm_rate_ = warm_rate_ == 0 ? rate : warm_rate_ + kWarmStep * (rate - warm_rate_);
   }
   warm_answers_ = 0;
   warm_since_ = now_;
@@ -879,8 +896,8 @@
 // When to come back after a refusal that is not the quota's: spread, so that the refused do not return
 // together.
 Duration Gateway::Impl::ComeBack(const Request& r) {
-  const double mean = std::max(0.05, means_[r.class_index].latency);
-  return FromSeconds(mean * (1 + 2 * Random()));
+  const double mean = std::max(kLeastService, means_[r.class_index].latency);
+  return FromSeconds(mean * (1 + kComeBackSpread * Random()));
 }
 
 // ---- Event dispatch -----------------------------------------------------------------------------------
