--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -865,11 +865,10 @@
 // A further attempt, where it can still be in time and the budget allows it.
 bool Gateway::Impl::TryAgain(Request& r) {
   const double expected = means_[r.class_index].latency;
-  const bool turned_away = !r.attempts.back().may_have_run;  // cost the host next to nothing
-  if ((retry_budget_ < 1 && !turned_away) || now_ + FromSeconds(expected / 2) >= GiveUpAt(r)) return false;
+  if (retry_budget_ < 1 || now_ + FromSeconds(expected / 2) >= GiveUpAt(r)) return false;
   Host* h = Choose(r);
   if (h == nullptr || !Issue(r, *h)) return false;
-  if (!turned_away) retry_budget_ -= 1;
+  retry_budget_ -= 1;
   return true;
 }
 
