--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -29,8 +29,6 @@
 constexpr double kLeaseCap = 1.0 / 4;    // of a window's quota over the set size: bounds what idles elsewhere
 constexpr double kWaitShare = 1.0 / 16;  // of the shortest aim: the most lost waiting for the counter
 constexpr int kEarly = 4;                // a lease gone in less than a fourth of the window was too small
-constexpr double kStrainMost = 4;        // leases this much larger while calls to the counter fail ...
-constexpr double kStrainKept = 0.98;     // ... and the part kept of that after each answer
 constexpr Duration kLongestCount = seconds(60);  // the counter keeps no name for longer
 constexpr std::size_t kMostCustomers = 100'000;  // table size, some 400 bytes each
 
@@ -260,7 +258,6 @@
   double mean_density_ = 0;
   bool silent_ = false;
   int call_failures_ = 0;
-  double strain_ = 1;  // on the counter: leases grow with it, so that it is called less
   TimePoint next_test_, silence_said_;
   double retry_budget_ = kRetryMost;
   double warm_rate_ = 0;  // good answers a second from one warm host to this gateway
@@ -369,7 +366,7 @@
   }
   // What a sibling gateway may need is not leased ahead: the less is left, the smaller the lease.
   const double spare = std::max(0.0, Level(c) - need) / (2 * c.set_size);
-  c.call_lease = c.waiting.empty() ? 0 : std::max(need, std::min(c.lease * strain_, need + spare));
+  c.call_lease = c.waiting.empty() ? 0 : std::max(need, std::min(c.lease, need + spare));
   c.call_owed = c.owed;
   c.calling = true;
   c.given_up = c.waiting.empty();
@@ -494,7 +491,6 @@
 }
 
 void Gateway::Impl::NoteCounter(bool answered) {
-  strain_ = answered ? std::max(1.0, strain_ * kStrainKept) : std::min(kStrainMost, strain_ * 2);
   if (answered) {
     call_failures_ = 0;
     if (silent_) Say(silence_said_, "counter answers again: back to leases");
