--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -511,7 +511,7 @@
   if (Spend(c, r)) return Dispatch(r);
   const double share = Share(c);
   const double left = share * Level(c);
-  const bool untouched = Level(c) >= c.plan->burst && Random() * r.units < left;
+  const bool untouched = Level(c) >= c.plan->burst;  // a small share of a small quota still admits one
   if (left < r.units && !untouched) {
     RefuseBeyondQuota(r, left, c.plan->rate * share);
   } else {
