--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -330,9 +330,7 @@
   Take(c, -c.held, 0);
   c.window = window;
   c.held = c.total = c.own_added = 0;
-  c.guessed = 0;
-  // While the counter is silent the siblings book our use by their shares; else only the count tells them.
-  if (silent_) c.owed = 0;
+  c.owed = c.guessed = 0;  // belong to the old count; the siblings booked it by their shares already
 }
 
 bool Gateway::Impl::Spend(Customer& c, Request& r) {
