--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -152,7 +152,7 @@
     TimePoint slowness_at;
     int trouble = 0;       // failed or hanging attempts since the last answer
     double fail_rate = 0;  // smoothed
-    TimePoint rest_until;
+    TimePoint trouble_at;
     double cold_budget = 0;
     TimePoint cold_at;
   };
@@ -199,7 +199,7 @@
   bool IsCold(const Host& h) const;
   double ColdPart(const Host& h) const;
   double RefillCold(Host& h);
-  bool Resting(const Host& h) const { return now_ < h.rest_until || (h.trouble >= kRestAfter && h.out > 0); }
+  bool Resting(const Host& h, Duration longest) const;
   double Size(const Host& h) const;
   double Delay(const Host& h) const;
   bool MayRepeatAt(const Request& r, const Host& h) const;
@@ -639,19 +639,20 @@
   if (ready_.empty()) return nullptr;
   const std::size_t count = std::min(kCandidates, ready_.size());
   const std::size_t start = rng_() % ready_.size();
-  // Many hosts failing at once point at the fleet, the network or this gateway: then none is left out.
+  // Many hosts failing at once point at the fleet, the network or this gateway: then none rests for long.
   std::size_t resting = 0;
   double sizes = 0;
   for (const Host* h : ready_) {
-    resting += Resting(*h);
+    resting += Resting(*h, kRestLongest);
     sizes += Size(*h);
   }
-  const bool heed_rest = static_cast<double>(resting) <= kRestBound * static_cast<double>(ready_.size());
+  const bool many = static_cast<double>(resting) > kRestBound * static_cast<double>(ready_.size());
+  const Duration longest = many ? kRestFirst : kRestLongest;
   Host* best = nullptr;
   double best_delay = 0;
   for (std::size_t i = 0; i < count; ++i) {
     Host& h = *ready_[(start + i) % ready_.size()];
-    if (heed_rest && Resting(h)) continue;
+    if (Resting(h, longest)) continue;
     // Guards against a host that looks best, by chance or mistake, being pushed over its limit.
     if (h.load > std::max(1.0, kUneven * room_ * Size(h) / sizes)) continue;
     if (!MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
@@ -670,8 +671,14 @@
 // is not rested, since it still serves most: it is given less, by its rate of failure.
 void Gateway::Impl::NoteTrouble(Host& h) {
   h.fail_rate += kFailStep * (1 - h.fail_rate);
-  if (++h.trouble < kRestAfter) return;
-  h.rest_until = now_ + std::min(kRestLongest, kRestFirst * (1 << std::min(4, h.trouble - kRestAfter)));
+  ++h.trouble;
+  h.trouble_at = now_;
+}
+
+bool Gateway::Impl::Resting(const Host& h, Duration longest) const {
+  if (h.trouble < kRestAfter) return false;
+  const Duration rest = std::min(longest, kRestFirst * (1 << std::min(4, h.trouble - kRestAfter)));
+  return now_ < h.trouble_at + rest || (h.out > 0 && longest == kRestLongest);
 }
 
 void Gateway::Impl::NoteSlowness(Host& h, double slowness) {
@@ -719,7 +726,6 @@
   mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
   h.trouble = 0;  // late or not, it answers
   h.fail_rate -= kFailStep * h.fail_rate;
-  h.rest_until = TimePoint{};
   if (late) return;
   if (expected > 0) NoteSlowness(h, latency / expected);
   if (out_now_ >= room_ / 2) room_ += kRoomGrown;
