--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -153,7 +153,6 @@
     int trouble = 0;       // failed or hanging attempts since the last answer
     double fail_rate = 0;  // smoothed
     TimePoint trouble_at;
-    TimePoint answered_sent;  // when the youngest attempt that it answered was sent
     double cold_budget = 0;
     TimePoint cold_at;
   };
@@ -207,7 +206,7 @@
   Host* Choose(const Request& r);
   void NoteTrouble(Host& h);
   void NoteSlowness(Host& h, double slowness);
-  void NoteLate(Host& h, bool overtaken);
+  void NoteLate(Host& h);
   void SweepDue();
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);
@@ -688,10 +687,8 @@
 }
 
 // An attempt has used up its part of the aim, answered or not.
-// Where the host has answered one that was sent much later, it hangs or is heavy on its own: no sign of a
-// queue. Guards against losing the room to hosts that swallow some of what they are sent.
-void Gateway::Impl::NoteLate(Host& h, bool overtaken) {
-  if (!overtaken) room_ = std::max(RoomLeast(), room_ - kRoomCut);
+void Gateway::Impl::NoteLate(Host& h) {
+  room_ = std::max(RoomLeast(), room_ - kRoomCut);
   NoteSlowness(h, kLateSlowness);
   NoteTrouble(h);
 }
@@ -706,8 +703,7 @@
       const auto host = hosts_.find(attempt.host);
       if (!attempt.out || attempt.started || host == hosts_.end()) continue;
       attempt.late = true;
-      const TimePoint overtaken_by = host->second.answered_sent;
-      NoteLate(host->second, overtaken_by > attempt.sent + LateAfter(it->second) / 2);
+      NoteLate(host->second);
     }
   }
 }
@@ -719,10 +715,9 @@
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
   if (attempt.started && event.outcome == Outcome::kOk) return;  // how long a stream ran tells nothing
   const bool late = event.latency >= LateAfter(r);
-  if (late && !attempt.late) NoteLate(h, false);
+  if (late && !attempt.late) NoteLate(h);
   if (event.outcome == Outcome::kTimeout) return;
   if (event.outcome != Outcome::kOk) return NoteTrouble(h);
-  h.answered_sent = std::max(h.answered_sent, attempt.sent);
   NoteWarmRate(h);
   ClassState& mean = means_[r.class_index];
   const double latency = Seconds(event.latency);
