--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -62,7 +62,6 @@
 
 // Attempts and shedding.
 constexpr double kRetryEarned = 0.2;    // further attempts earned by a first one: bounds the amplification
-constexpr double kCopyFrom = 0.1;       // rate of failure of a host from which a late attempt there is copied
 constexpr double kRetryMost = 20;       // further attempts saved up
 constexpr double kRoomFirst = 4;        // attempts out at one host by all gateways, before anything is known
 constexpr double kRoomLeast = 2;        // attempts out at one host by all gateways, however late they are
@@ -705,8 +704,6 @@
       if (!attempt.out || attempt.started || host == hosts_.end()) continue;
       attempt.late = true;
       NoteLate(host->second);
-      // Where the host often fails or hangs, a second copy elsewhere may still be in time.
-      if (host->second.fail_rate > kCopyFrom && !it->second.closed) TryAgain(it->second);
     }
   }
 }
