--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -65,7 +65,7 @@
 constexpr double kRetryMost = 20;       // further attempts saved up
 constexpr double kRoomFirst = 4;        // attempts out at one host by all gateways, before anything is known
 constexpr double kRoomLeast = 2;        // attempts out at one host by all gateways, however late they are
-constexpr double kRoomGrown = 0.25;     // by an answer within its aim while the room is used ...
+constexpr double kRoomGrown = 0.25;     // by an answer in time while the room is used ...
 constexpr double kRoomCut = 0.75;       // ... and cut by a late one: settles where one in four is late
 constexpr double kLateShare = 0.35;     // of the aim: later answers say that hosts queue
 constexpr double kLeastService = 0.05;  // seconds: a return asked for sooner only adds calls
@@ -912,7 +912,8 @@
   const auto kind = std::find_if(settings_.classes.begin(), settings_.classes.end(),
                                  [&](const RequestClass& k) { return k.name == event.request_class; });
   Customer* c = FindCustomer(event);
-  if (kind == settings_.classes.end() || c == nullptr) {  // neither quota nor repeat rules are known
+  // Neither quota nor repeat rules are known. Nothing of it was ever sent, so rule 2 allows the refusal.
+  if (kind == settings_.classes.end() || c == nullptr) {
     Act(Refuse{event.id});
     return;
   }
