--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -73,6 +73,9 @@
 constexpr double kShedFrom = 0.4;       // of the room: from here the least worthy are refused
 constexpr double kWorthMost = 1.3;      // times the mean worth for its work: what gets all of the room
 
+// Moves a running mean towards a value; the first value is taken as it is.
+void Smooth(double& mean, double value, double step) { mean += (mean == 0 ? 1 : step) * (value - mean); }
+
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 Duration FromSeconds(double s) {
   constexpr double kMost = 1e9;  // keeps the conversion in range
@@ -109,7 +112,6 @@
     // The call that is out, at most one.
     bool calling = false;
     bool given_up = false;  // nobody waits for it any more
-    CountName call_name;
     std::int64_t call_window = 0;
     double call_lease = 0, call_owed = 0;
     std::deque<RequestId> waiting;
@@ -210,7 +212,9 @@
   void SweepDue();
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);
-  double RoomLeast() const;
+  int Gateways() const { return std::max(1, settings_.gateways); }
+  double Room(double per_host) const { return per_host * static_cast<double>(ready_.size()) / Gateways(); }
+  double RoomLeast() const { return std::max(1.0, Room(kRoomLeast)); }
   double Expected(const Request& r) const;
   Duration LateAfter(const Request& r) const;
   // Attempts.
@@ -241,15 +245,15 @@
   Settings settings_;
   std::mt19937_64 rng_;
   TimePoint now_;
-  TimePoint born_;
   bool started_ = false;
   std::vector<Action>* out_ = nullptr;
   LruMap<Customer> customers_{kMostCustomers};
-  TimePoint last_eviction_;
+  TimePoint forgot_at_;  // when a customer was last forgotten: at an eviction, or at the start
   std::unordered_map<CountName, Customer*, IdHash> calls_;
   std::unordered_map<RequestId, Request, IdHash> requests_;
   std::map<HostId, Host> hosts_;
   std::vector<Host*> ready_;  // in order of id
+  double sizes_ = 0;          // of these together
   std::vector<ClassState> means_;
   double out_now_ = 0;     // work out from here, in usual requests
   double mean_units_ = 0;  // smoothed, of all requests
@@ -288,19 +292,18 @@
   Customer c;
   c.name = event.customer;
   c.plan = &*plan;
-  c.set_size = std::clamp(event.set_size, 1, std::max(1, settings_.gateways));
-  const int gateways = std::max(1, settings_.gateways);
-  c.in_set = ((settings_.me - event.set_first) % gateways + gateways) % gateways < c.set_size;
+  c.set_size = std::clamp(event.set_size, 1, Gateways());
+  c.in_set = ((settings_.me - event.set_first) % Gateways() + Gateways()) % Gateways() < c.set_size;
   c.window = -1;
   c.all_use = plan->burst * kSharePrior;
   c.own_use = c.all_use / c.set_size;
   c.use_at = now_;
   // Rule 5: an earlier life, or an entry that was evicted, may have spent this gateway's part of the
   // ceiling to the last unit. So the part starts empty at that time and has refilled since.
-  c.ceiling_at = std::max(born_, last_eviction_);
+  c.ceiling_at = forgot_at_;
   const auto idle = [](const Customer& e) { return !e.calling && e.waiting.empty() && e.open == 0; };
   auto [added, evicted] = customers_.Insert(event.customer, std::move(c), idle);
-  if (evicted) last_eviction_ = now_;
+  if (evicted) forgot_at_ = now_;
   return added;
 }
 
@@ -372,10 +375,10 @@
   c.given_up = c.waiting.empty();
   c.call_window = c.leased_window = c.window;
   c.leased_at = now_;
-  c.call_name = CountName{StableHash(c.name, static_cast<std::uint64_t>(c.window)) >> 1 | 1};
-  calls_[c.call_name] = &c;
-  Act(AddCount{c.call_name, std::min(2 * Window(*c.plan), kLongestCount), c.call_lease + c.call_owed});
-  if (!c.waiting.empty()) Act(SetTimer{TimerToken{c.call_name.value}, WaitLeft(c)});
+  const CountName name{StableHash(c.name, static_cast<std::uint64_t>(c.window)) >> 1 | 1};
+  calls_[name] = &c;
+  Act(AddCount{name, std::min(2 * Window(*c.plan), kLongestCount), c.call_lease + c.call_owed});
+  if (!c.waiting.empty()) Act(SetTimer{TimerToken{name.value}, WaitLeft(c)});
 }
 
 // How long the first of those who wait may still do so.
@@ -394,10 +397,7 @@
   NoteCounter(ok);
   // What timed out may have been added: it is not added blindly a second time.
   if (may_be_posted) c.owed = std::max(0.0, c.owed - c.call_owed);
-  if (ok) {
-    const bool same_window = c.call_window == c.window;
-    if (same_window) ApplyTotal(c, event.total);
-  }
+  if (ok && c.call_window == c.window) ApplyTotal(c, event.total);
   Roll(c);
   if (ok) {
     DecideWaiting(c, &Impl::Ask);
@@ -578,8 +578,12 @@
     h.listed = entry.state == HostState::kReady;  // rule 3: draining or gone gets nothing from now on
   }
   ready_.clear();
+  sizes_ = 0;
   for (auto it = hosts_.begin(); it != hosts_.end();) {
-    if (it->second.listed) ready_.push_back(&it->second);
+    if (it->second.listed) {
+      ready_.push_back(&it->second);
+      sizes_ += Size(it->second);
+    }
     it = !it->second.listed && it->second.out == 0 ? hosts_.erase(it) : std::next(it);
   }
 }
@@ -597,7 +601,7 @@
 // Rule 4. A cold host gets what a warm one takes from this gateway, times the part it can do. If every
 // gateway keeps to that, all of them together stay at the part, a factor of fall_multiple under the bound.
 double Gateway::Impl::RefillCold(Host& h) {
-  const double rate = std::max(kColdFloor / std::max(1, settings_.gateways), warm_rate_) * ColdPart(h);
+  const double rate = std::max(kColdFloor / Gateways(), warm_rate_) * ColdPart(h);
   h.cold_budget = std::min(1.0, h.cold_budget + rate * Seconds(now_ - h.cold_at));
   h.cold_at = now_;
   return h.cold_budget;
@@ -641,11 +645,7 @@
   const std::size_t start = rng_() % ready_.size();
   // Many hosts failing at once point at the fleet, the network or this gateway: then none rests for long.
   std::size_t resting = 0;
-  double sizes = 0;
-  for (const Host* h : ready_) {
-    resting += Resting(*h, kRestLongest);
-    sizes += Size(*h);
-  }
+  for (const Host* h : ready_) resting += Resting(*h, kRestLongest);
   const bool many = static_cast<double>(resting) > kRestBound * static_cast<double>(ready_.size());
   const Duration longest = many ? kRestFirst : kRestLongest;
   Host* best = nullptr;
@@ -654,7 +654,7 @@
     Host& h = *ready_[(start + i) % ready_.size()];
     if (Resting(h, longest)) continue;
     // Guards against a host that looks best, by chance or mistake, being pushed over its limit.
-    if (h.load > std::max(1.0, kUneven * room_ * Size(h) / sizes)) continue;
+    if (h.load > std::max(1.0, kUneven * room_ * Size(h) / sizes_)) continue;
     if (!MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
     const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                    [&](const Attempt& a) { return a.host == h.entry.host; });
@@ -722,8 +722,8 @@
   ClassState& mean = means_[r.class_index];
   const double latency = Seconds(event.latency);
   const double expected = Expected(r);
-  mean.latency += (mean.latency == 0 ? 1 : kMeanStep) * (latency - mean.latency);
-  mean.units += (mean.units == 0 ? 1 : kMeanStep) * (r.units - mean.units);
+  Smooth(mean.latency, latency, kMeanStep);
+  Smooth(mean.units, r.units, kMeanStep);
   h.trouble = 0;  // late or not, it answers
   h.fail_rate -= kFailStep * h.fail_rate;
   if (late) return;
@@ -743,11 +743,6 @@
   return std::min(r.kind->aim, FromSeconds(Seconds(r.kind->aim) * kLateShare + own));
 }
 
-// One attempt a host, by all gateways together: less would tell nothing of the hosts any more.
-double Gateway::Impl::RoomLeast() const {
-  return std::max(1.0, kRoomLeast * static_cast<double>(ready_.size()) / std::max(1, settings_.gateways));
-}
-
 // What a warm host answers to this gateway, for judging what a cold one may get.
 void Gateway::Impl::NoteWarmRate(const Host& h) {
   if (!IsCold(h)) ++warm_answers_;
@@ -755,7 +750,7 @@
   const auto warm = std::count_if(ready_.begin(), ready_.end(), [&](Host* w) { return !IsCold(*w); });
   if (warm > 0) {  // with all of them cold, what is known of the warm still holds
     const double rate = warm_answers_ / Seconds(now_ - warm_since_) / static_cast<double>(warm);
-    warm_rate_ = warm_rate_ == 0 ? rate : warm_rate_ + kWarmStep * (rate - warm_rate_);
+    Smooth(warm_rate_, rate, kWarmStep);
   }
   warm_answers_ = 0;
   warm_since_ = now_;
@@ -835,26 +830,26 @@
 
 void Gateway::Impl::OnAttemptEnded(const AttemptEnded& event) {
   const auto found = requests_.find(event.id);
-  Request* r = found == requests_.end() ? nullptr : &found->second;
   const auto index = static_cast<std::size_t>(event.attempt);
-  const bool known = r != nullptr && index < r->attempts.size() && r->attempts[index].out;
-  const auto host = hosts_.find(event.host);
-  if (!known) return;
-  Attempt& attempt = r->attempts[index];
+  if (found == requests_.end() || index >= found->second.attempts.size()) return;
+  Request& r = found->second;
+  Attempt& attempt = r.attempts[index];
+  if (!attempt.out) return;
   attempt.out = false;
   out_now_ = std::max(0.0, out_now_ - attempt.weight);
-  if (host != hosts_.end()) NoteOutcome(host->second, *r, attempt, event);
+  const auto host = hosts_.find(event.host);
+  if (host != hosts_.end()) NoteOutcome(host->second, r, attempt, event);
   attempt.may_have_run = event.outcome != Outcome::kFull && event.outcome != Outcome::kConnectFailed &&
                          event.outcome != Outcome::kMoot;
-  --r->customer->open;
-  if (event.outcome == Outcome::kOk) Settle(*r, event.true_units);
-  if (event.closed && !r->closed) {
-    r->closed = true;
-    CancelOut(*r);
+  --r.customer->open;
+  if (event.outcome == Outcome::kOk) Settle(r, event.true_units);
+  if (event.closed && !r.closed) {
+    r.closed = true;
+    CancelOut(r);
   }
-  if (!r->closed && !TryAgain(*r)) {
-    const bool waiting = std::any_of(r->attempts.begin(), r->attempts.end(), [](auto& a) { return a.out; });
-    if (!waiting) Conclude(*r, true, ComeBack(*r));
+  if (!r.closed && !TryAgain(r)) {
+    const bool waiting = std::any_of(r.attempts.begin(), r.attempts.end(), [](auto& a) { return a.out; });
+    if (!waiting) Conclude(r, true, ComeBack(r));
   }
   Forget(event.id);
 }
@@ -892,9 +887,9 @@
 bool Gateway::Impl::Fits(const Request& r) {
   const Duration needed = FromSeconds(means_[r.class_index].latency / 2);
   if (r.deadline - now_ < std::max(2 * wait_, needed)) return false;
-  if (room_ == 0) room_ = kRoomFirst * static_cast<double>(ready_.size()) / std::max(1, settings_.gateways);
+  if (room_ == 0) room_ = Room(kRoomFirst);
   const double density = Density(r);
-  mean_density_ += (mean_density_ == 0 ? 1 : kMeanStep) * (density - mean_density_);
+  Smooth(mean_density_, density, kMeanStep);
   const double rank = mean_density_ > 0 ? std::min(1.0, density / (kWorthMost * mean_density_)) : 1;
   return out_now_ < std::max(1.0, room_ * (kShedFrom + (1 - kShedFrom) * rank));
 }
@@ -926,7 +921,7 @@
   r.units = event.units;
   r.arrived = now_;
   r.deadline = now_ + event.time_left;
-  mean_units_ += (mean_units_ == 0 ? 1 : kMeanStep) * (r.units - mean_units_);
+  Smooth(mean_units_, r.units, kMeanStep);
   retry_budget_ = std::min(kRetryMost, retry_budget_ + kRetryEarned);
   if (!Fits(r)) {
     Conclude(r, true, ComeBack(r));
@@ -952,7 +947,7 @@
   out_ = &actions;
   if (!started_) {
     started_ = true;
-    born_ = warm_since_ = last_eviction_ = now;
+    warm_since_ = forgot_at_ = now;
     means_.resize(settings_.classes.size());
     for (const RequestClass& k : settings_.classes)
       wait_ = std::min(wait_, FromSeconds(Seconds(k.aim) * kWaitShare));
