Room leaves space for requests that meet by chance, and grows in small fleets of work too

Now the room is the even part plus two standard deviations of what meets by chance, and the answered attempt counts as use. It should also help small customers of a large fleet; it lets more through in overload, where late answers cut it as before.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -65,6 +65,7 @@
 constexpr double kRetryMost = 20;       // further attempts saved up
 constexpr double kRoomFirst = 4;        // attempts out at one host by all gateways, before anything is known
 constexpr double kRoomLeast = 2;        // attempts out at one host by all gateways, however late they are
+constexpr double kRoomChance = 2;       // standard deviations of what comes by chance, above the even part
 constexpr double kRoomGrown = 0.25;     // by an answer in time while the room is used ...
 constexpr double kRoomCut = 0.75;       // ... and cut by a late one: settles where one in four is late
 constexpr double kLateShare = 0.35;     // of the aim: later answers say that hosts queue
@@ -213,8 +214,7 @@
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);
   int Gateways() const { return std::max(1, settings_.gateways); }
-  double Room(double per_host) const { return per_host * static_cast<double>(ready_.size()) / Gateways(); }
-  double RoomLeast() const { return std::max(1.0, Room(kRoomLeast)); }
+  double Room(double per_host) const;
   double Expected(const Request& r) const;
   Duration LateAfter(const Request& r) const;
   // Attempts.
@@ -688,7 +688,7 @@
 
 // An attempt has used up its part of the aim, answered or not.
 void Gateway::Impl::NoteLate(Host& h) {
-  room_ = std::max(RoomLeast(), room_ - kRoomCut);
+  room_ = std::max(Room(kRoomLeast), room_ - kRoomCut);
   NoteSlowness(h, kLateSlowness);
   NoteTrouble(h);
 }
@@ -728,7 +728,14 @@
   h.fail_rate -= kFailStep * h.fail_rate;
   if (late) return;
   if (expected > 0) NoteSlowness(h, latency / expected);
-  if (out_now_ >= room_ / 2) room_ += kRoomGrown;
+  if (out_now_ + attempt.weight >= room_ / 2) room_ += kRoomGrown;
+}
+
+// This gateway's part of what the hosts may have in work, and as much above it as requests that come by
+// chance need. Guards against hundreds of gateways of which each may have one attempt out and none more.
+double Gateway::Impl::Room(double per_host) const {
+  const double part = per_host * static_cast<double>(ready_.size()) / Gateways();
+  return std::max(1.0, part + kRoomChance * std::sqrt(part));
 }
 
 // Seconds that a request usually takes, by its class and units; 0 while nothing is known.
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -727,6 +727,22 @@
 
 // ---- Determinism ----------------------------------------------------------------------------------------
 
+// One of hundreds of gateways has less than one attempt as its even part of the room.
+TEST(Size, AnEvenPartBelowOneAttemptStillLetsRequestsMeetByChance) {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  Door door(settings, 100);
+  for (std::uint64_t i = 0; i < 3; ++i) EXPECT_EQ(All<SendAttempt>(door.Arrive(i, "free")).size(), 1u) << i;
+  for (std::uint64_t i = 0; i < 3; ++i) door.End(i, Outcome::kOk, true);
+  for (std::uint64_t i = 10; i < 40; i += 2) {  // answers in time make more room, two at once are enough
+    door.Arrive(i, "free");
+    door.Arrive(i + 1, "free");
+    door.End(i, Outcome::kOk, true);
+    door.End(i + 1, Outcome::kOk, true);
+  }
+  for (std::uint64_t i = 50; i < 54; ++i) EXPECT_EQ(All<SendAttempt>(door.Arrive(i, "free")).size(), 1u) << i;
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Door door(TestSettings(), 6, 42);
