Calls to the counter are paced by its answers; siblings' use is scaled to what is counted

What is then let in by share stays uncounted, so a sibling's growth of a count is scaled by how much of its own admissions this gateway could count, and a total read back replaces what was guessed. The floor of a share is one over the set where that is less. Also guards against a slow counter.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -38,7 +38,14 @@
 constexpr double kShareMemory = 2;       // windows: older use tells little of where a customer is now
 constexpr int kSilentAfter = 3;          // failed calls in a row: one or two are chance, more are a fault
 constexpr Duration kSilentTest = milliseconds(200);  // between test calls while the counter is silent
-constexpr Duration kLogGap = seconds(1);             // between like log lines
+constexpr double kCallsLeast = 100;    // calls a second by all gateways that keep no counter down
+constexpr double kCallsFirst = 1000;   // calls a second by all gateways: what a small store serves; a start
+constexpr double kLeastCounted = 0.2;  // of the use: less is too few to judge the siblings by
+constexpr double kCallsSaved = 4;      // calls saved up: requests come in twos and threads by chance ...
+constexpr double kCallsBurst = 0.25;   // ... and as many as come in this many seconds
+constexpr double kCallsGrown = 1.04;   // times the rate of calls for one that was answered ...
+constexpr double kCallsCut = 0.7;      // ... and for one that was not: settles where one in ten is not
+constexpr Duration kLogGap = seconds(1);  // between like log lines
 
 // Hosts.
 constexpr double kUneven = 1.2;          // of an even part of the room: the most that one host holds
@@ -74,7 +81,7 @@
 constexpr double kShedFrom = 0.4;       // of the room: from here the least worthy are refused
 constexpr double kWorthMost = 1.3;      // times the mean worth for its work: what gets all of the room
 
-// Moves a running mean towards a value; the first value is taken as it is.
+// Moves a running mean towards a value; the first is taken as it is.
 void Smooth(double& mean, double value, double step) { mean += (mean == 0 ? 1 : step) * (value - mean); }
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -171,7 +178,6 @@
     std::deque<Due> due;            // attempts out, by when they become late
   };
 
-  // Leases and windows.
   Customer* FindCustomer(const RequestArrived& event);
   Duration Window(const Plan& plan) const;
   void Roll(Customer& c);
@@ -190,11 +196,16 @@
   void RefuseBeyondQuota(Request& r, double tokens, double rate);
   void ReturnUnits(Request& r);
   void Settle(Request& r, double true_units);
-  // Share fallback.
+  // Share fallback, ceiling and open cap.
   double Share(const Customer& c) const;
+  void PayOwed(Customer& c, double units);
+  void NoteAdmitted(double units, double counted);
   void NoteCounter(bool answered);
   void AskByShare(Request& r);
-  // Ceiling and open cap.
+  bool WorthACall(const Request& r);
+  Duration SilentTest() {
+    return std::max(kSilentTest, FromSeconds((0.5 + Random()) * Gateways() / kCallsLeast));
+  }
   double RefillCeiling(Customer& c);
   bool UnderCaps(Request& r);
   // Hosts.
@@ -217,7 +228,6 @@
   double Room(double per_host) const;
   double Expected(const Request& r) const;
   Duration LateAfter(const Request& r) const;
-  // Attempts.
   bool Issue(Request& r, Host& h);
   TimePoint GiveUpAt(const Request& r) const;
   void Dispatch(Request& r);
@@ -228,11 +238,10 @@
   bool TryAgain(Request& r);
   void CancelOut(Request& r);
   void Forget(RequestId id);
-  // Shedding.
+  // Shedding and dispatch.
   double Density(const Request& r);
   bool Fits(const Request& r);
   Duration ComeBack(const Request& r);
-  // Dispatch.
   void OnRequest(const RequestArrived& event);
   void OnTimer(TimerToken token);
   void Say(TimePoint& last, std::string text);
@@ -263,6 +272,9 @@
   bool silent_ = false;
   int call_failures_ = 0;
   TimePoint next_test_, silence_said_;
+  double call_rate_ = 0, calls_left_ = 0;  // calls a second, and those saved up
+  TimePoint calls_at_;
+  double mean_stake_ = 0, admitted_ = 1, counted_ = 1;  // smoothed: worth at stake, units let in, and counted
   double retry_budget_ = kRetryMost;
   double warm_rate_ = 0;  // good answers a second from one warm host to this gateway
   int warm_answers_ = 0;
@@ -310,9 +322,8 @@
 // Books units that left the quota: others' during the time since the last booking, ours now.
 //
 // Exception to the window's quota, which would come back whole at each edge: it comes back evenly, as the
-// quota that the plan promises does. Guards against refusals while half of the quota has long refilled, and
-// against twice the quota across an edge. It errs, by what siblings took between this gateway's last look at
-// a window and its edge, towards letting in.
+// plan promises. Guards against refusals while half of it has long refilled, and against twice the quota
+// across an edge. It errs, by what siblings took unseen, towards letting in.
 void Gateway::Impl::Take(Customer& c, double units, double by_others) {
   c.level = std::min(c.plan->burst, c.level + Refill(c) - by_others) - units;
   c.level_at = now_;
@@ -340,6 +351,7 @@
   if (Tokens(c) < r.units) return false;
   c.held -= r.units;
   r.counted = true;
+  NoteAdmitted(r.units, r.units);
   return true;
 }
 
@@ -351,6 +363,7 @@
   if (r.units > c.plan->burst) return RefuseBeyondQuota(r, 0, 0);  // no wait makes it fit
   const bool waited = now_ >= r.arrived + wait_;
   if (!settings_.counter.available || silent_ || waited || (c.calling && c.given_up)) return AskByShare(r);
+  if (!c.calling && !WorthACall(r)) return AskByShare(r);
   // A count never falls within its window, so once it is known to leave less than the cost, an add could
   // grant nothing: it would only swell the count and this gateway's share of it.
   if (c.held + Level(c) < r.units) return RefuseBeyondQuota(r, c.held + Level(c), c.plan->rate);
@@ -372,6 +385,7 @@
   c.call_lease = c.waiting.empty() ? 0 : std::max(need, std::min(c.lease, need + spare));
   c.call_owed = c.owed;
   c.calling = true;
+  calls_left_ = std::max(0.0, calls_left_ - 1);
   c.given_up = c.waiting.empty();
   c.call_window = c.leased_window = c.window;
   c.leased_at = now_;
@@ -394,9 +408,9 @@
   c.calling = false;
   const bool ok = event.outcome == Outcome::kOk;
   const bool may_be_posted = ok || event.outcome == Outcome::kTimeout;
-  NoteCounter(ok);
+  if (ok || !c.given_up) NoteCounter(ok);
   // What timed out may have been added: it is not added blindly a second time.
-  if (may_be_posted) c.owed = std::max(0.0, c.owed - c.call_owed);
+  if (may_be_posted) PayOwed(c, c.call_owed);
   if (ok && c.call_window == c.window) ApplyTotal(c, event.total);
   Roll(c);
   if (ok) {
@@ -404,7 +418,7 @@
   } else {
     DecideWaiting(c, &Impl::AskByShare);
     // What is let in by share instead is taken as paid by an add that may have arrived.
-    if (may_be_posted) c.owed = std::max(0.0, c.owed - c.call_lease);
+    if (may_be_posted) PayOwed(c, c.call_lease);
   }
 }
 
@@ -415,22 +429,22 @@
   const bool lost = total - c.total < added - noise;
   const double grown = lost ? added : total - c.total;
   c.total += grown;
-  const double others = std::max(0.0, grown - added);
-  const double guessed = std::min(others, c.guessed);  // booked already
-  c.guessed -= guessed;
-  Take(c, c.call_lease, others - guessed);
+  // Siblings count as much of what they let in as this gateway does, which is less than all where calls are
+  // scarce. What was guessed of them makes way for what is known.
+  const double others = std::max(0.0, grown - added) / std::clamp(counted_ / admitted_, kLeastCounted, 1.0);
+  Take(c, c.call_lease, others - std::exchange(c.guessed, 0));
   c.held += c.call_lease;
   // Units admitted by share while this call was out are paid from it.
   const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);
   c.held -= paid;
-  c.owed -= paid;
+  PayOwed(c, paid);
   // The counter lost numbers: the quota is not granted again. The larger knowledge holds, and what this
   // gateway had added before goes in once more with the next call.
   if (lost) c.owed += std::exchange(c.own_added, 0);
   c.own_added += added;
   const double keep = std::exp(-Seconds(now_ - c.use_at) / (kShareMemory * Seconds(Window(*c.plan))));
   c.own_use = c.own_use * keep + added;
-  c.all_use = c.all_use * keep + std::max(added, grown);
+  c.all_use = c.all_use * keep + added + others;
   c.use_at = now_;
 }
 
@@ -444,8 +458,7 @@
   }
 }
 
-// The counter did not answer within the wait: those who wait are decided by share. The call stays out, and
-// its units are this gateway's if the answer still comes.
+// No answer within the wait: those who wait are decided by share. The call stays out, its units ours.
 void Gateway::Impl::OnCallTimer(CountName name) {
   const auto it = calls_.find(name);
   if (it == calls_.end()) return;
@@ -459,8 +472,7 @@
 }
 
 void Gateway::Impl::RefuseBeyondQuota(Request& r, double tokens, double rate) {
-  const Duration wait = rate > 0 ? FromSeconds((r.units - tokens) / rate) : Duration::zero();
-  Conclude(r, true, wait);
+  Conclude(r, true, rate > 0 ? FromSeconds((r.units - tokens) / rate) : Duration::zero());
 }
 
 // Gives back the units of a request that was never sent.
@@ -487,10 +499,25 @@
 
 double Gateway::Impl::Share(const Customer& c) const {
   const double share = c.all_use > 0 ? c.own_use / c.all_use : 1.0 / c.set_size;
-  return std::clamp(share, kShareFloor, 1.0);
+  return std::clamp(share, std::min(kShareFloor, 1.0 / c.set_size), 1.0);
+}
+
+// Owed units that are, or may be, in the count now.
+void Gateway::Impl::PayOwed(Customer& c, double units) {
+  const double paid = std::min(units, c.owed);
+  c.owed -= paid;
+  counted_ += paid;
+}
+
+// What is let in here, and how much of that the counts tell the siblings.
+void Gateway::Impl::NoteAdmitted(double units, double counted) {
+  admitted_ += units - kMeanStep * admitted_;
+  counted_ += counted - kMeanStep * counted_;
 }
 
 void Gateway::Impl::NoteCounter(bool answered) {
+  if (!silent_)
+    call_rate_ = std::max(kCallsLeast / Gateways(), call_rate_ * (answered ? kCallsGrown : kCallsCut));
   if (answered) {
     call_failures_ = 0;
     if (silent_) Say(silence_said_, "counter answers again: back to leases");
@@ -499,10 +526,23 @@
   }
   if (++call_failures_ < kSilentAfter || silent_) return;
   silent_ = true;
-  next_test_ = now_ + kSilentTest;
+  next_test_ = now_ + SilentTest();
   Say(silence_said_, "counter silent: quotas held by share");
 }
 
+// Whether a call is left for a request. No setting tells what the counter serves, so the rate of calls grows
+// with what is answered and falls with what is not; when few are left, those with most worth at stake go
+// first, the others are decided by share at once. Guards against our own calls crowding the counter until
+// few are answered in time, and against a slow one; harms where failures have nothing to do with calls.
+bool Gateway::Impl::WorthACall(const Request& r) {
+  const double most = kCallsSaved + kCallsBurst * call_rate_;
+  calls_left_ = std::min(most, calls_left_ + call_rate_ * Seconds(now_ - calls_at_));
+  calls_at_ = now_;
+  const double stake = r.kind->worth * r.customer->plan->price * r.units;
+  Smooth(mean_stake_, stake, kMeanStep);
+  return calls_left_ >= 1 + (most - 1) * std::max(0.0, 1 - stake / (kWorthMost * mean_stake_));
+}
+
 // Quota times share. A unit admitted here stands for 1 / share units by all, so the level known last goes
 // on counting for the whole set.
 void Gateway::Impl::AskByShare(Request& r) {
@@ -519,18 +559,18 @@
     c.guessed += r.units / share - r.units;
     c.owed += r.units;
     r.counted = true;
+    if (!silent_) NoteAdmitted(r.units, 0);
     Dispatch(r);
   }
   if (!silent_ || c.calling || now_ < next_test_ || !settings_.counter.available) return;
-  next_test_ = now_ + kSilentTest;
+  next_test_ = now_ + SilentTest();
   Call(c);
 }
 
 // ---- Ceiling and open caps ----------------------------------------------------------------------------
 
-// Rule 5. Each gateway of the set holds a bucket with its part of the ceiling's rate and burst. What all of
-// them pass on in any span is at most the sum of the buckets, which is the ceiling; nothing is shared, so
-// no failure of the counter or of a gateway can widen it.
+// Rule 5. Each gateway of the set holds a bucket with its part of the ceiling's rate and burst: together they
+// are the ceiling. Nothing is shared, so no failure of the counter or of a gateway can widen it.
 double Gateway::Impl::RefillCeiling(Customer& c) {
   const Plan& plan = *c.plan;
   if (!c.in_set) return 0;
@@ -612,15 +652,13 @@
   return settings_.size_hint == SizeHint::kNone ? 1 : std::max(kLeastSize, h.entry.size_hint);
 }
 
-// Expected delay at a host, in service times of a usual one. By this gateway's own attempts only: reported
-// loads are old when they arrive, and all gateways then turn to the same host at once (measured: leaving
-// them out gained more than smoothing them).
+// Expected delay at a host, in service times of a usual one, by this gateway's own attempts only: reported
+// loads are old, and all gateways then turn to the same host at once (measured: worse even if smoothed).
 double Gateway::Impl::Delay(const Host& h) const {
   const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
   const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
   const double size = Size(h) * (IsCold(h) ? ColdPart(h) : 1);
-  const bool foreign = h.entry.zone != settings_.zone;
-  const double zone = foreign ? kZoneWeight * settings_.prices.cross_zone : 0;
+  const double zone = h.entry.zone != settings_.zone ? kZoneWeight * settings_.prices.cross_zone : 0;
   return (slowness + zone) * (1 + h.trouble + kFailWeight * h.fail_rate) * (1 + h.load) / size;
 }
 
@@ -666,9 +704,9 @@
   return best;
 }
 
-// A host that keeps failing, or hangs, rests for longer and longer spells and is then tried with one attempt
-// at a time. Guards against hosts that fail fast, hang or have gone unannounced. One that fails now and then
-// is not rested, since it still serves most: it is given less, by its rate of failure.
+// A host that keeps failing, or hangs, rests for longer and longer spells, then gets one attempt at a time.
+// Guards against hosts that fail fast, hang or have gone unannounced. One that fails now and then still
+// serves most: it is given less, by its rate of failure.
 void Gateway::Impl::NoteTrouble(Host& h) {
   h.fail_rate += kFailStep * (1 - h.fail_rate);
   ++h.trouble;
@@ -803,8 +841,8 @@
 
 // Rule 2: a refusal tells the client that asking again is harmless.
 bool Gateway::Impl::MayRefuse(const Request& r) const {
-  if (r.kind->repeat == Repeat::kSafe) return true;
-  if (r.kind->repeat == Repeat::kKeyed && r.kind->group == RepeatGroup::kAll) return true;
+  const bool keyed_by_all = r.kind->repeat == Repeat::kKeyed && r.kind->group == RepeatGroup::kAll;
+  if (r.kind->repeat == Repeat::kSafe || keyed_by_all) return true;
   return std::none_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
 }
 
@@ -889,8 +927,8 @@
   return r.kind->worth * r.customer->plan->price / work;
 }
 
-// Whether it can be served in time. A client's late try may come with next to no time left (guards rule 1:
-// such a request never waits for the counter). When the fleet's room runs out, the least worthy go first.
+// Whether it can be served in time. A late try may come with next to no time left (guards rule 1: it never
+// waits for the counter). When the fleet's room runs out, the least worthy go first.
 bool Gateway::Impl::Fits(const Request& r) {
   const Duration needed = FromSeconds(means_[r.class_index].latency / 2);
   if (r.deadline - now_ < std::max(2 * wait_, needed)) return false;
@@ -901,11 +939,10 @@
   return out_now_ < std::max(1.0, room_ * (kShedFrom + (1 - kShedFrom) * rank));
 }
 
-// When to come back after a refusal that is not the quota's: spread, so that the refused do not return
-// together.
+// When to come back after a refusal that is not the quota's: spread, so that they do not return together.
 Duration Gateway::Impl::ComeBack(const Request& r) {
-  const double mean = std::max(kLeastService, means_[r.class_index].latency);
-  return FromSeconds(mean * (1 + kComeBackSpread * Random()));
+  return FromSeconds(std::max(kLeastService, means_[r.class_index].latency) *
+                     (1 + kComeBackSpread * Random()));
 }
 
 // ---- Event dispatch -----------------------------------------------------------------------------------
@@ -954,7 +991,9 @@
   out_ = &actions;
   if (!started_) {
     started_ = true;
-    warm_since_ = forgot_at_ = now;
+    warm_since_ = forgot_at_ = calls_at_ = now;
+    call_rate_ = kCallsFirst / Gateways();
+    calls_left_ = kCallsSaved + kCallsBurst * call_rate_;
     means_.resize(settings_.classes.size());
     for (const RequestClass& k : settings_.classes)
       wait_ = std::min(wait_, FromSeconds(Seconds(k.aim) * kWaitShare));
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -743,6 +743,69 @@
   for (std::uint64_t i = 50; i < 54; ++i) EXPECT_EQ(All<SendAttempt>(door.Arrive(i, "free")).size(), 1u) << i;
 }
 
+// Hundreds of gateways together ask more of the counter than it serves: most calls went unanswered.
+TEST(Size, CallsThatAreNotAnsweredBecomeFewerAndComeBack) {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  Door door(settings, 100);
+  std::uint64_t id = 0;
+  const auto calls_in = [&](int requests, bool answered) {  // ten requests a second, each of another customer
+    int calls = 0;
+    for (int i = 0; i < requests; ++i, ++id) {
+      door.Pass(milliseconds(100));
+      for (const auto& call : All<AddCount>(door.Arrive(id, "large", 1, "safe", Name(id)))) {
+        ++calls;
+        const bool ok = answered || calls % 2 == 0;  // every other: a crowded counter, not a silent one
+        door.Count(call, call.amount, ok ? Outcome::kOk : Outcome::kFull);
+      }
+      if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+    }
+    return calls;
+  };
+  calls_in(200, false);
+  EXPECT_LT(calls_in(100, false), 30);
+  calls_in(1000, true);
+  EXPECT_GT(calls_in(100, true), 80);
+}
+
+TEST(Size, ScarceCallsGoToTheRequestsWithMostAtStake) {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  Door door(settings, 100);
+  std::map<double, int> calls;  // by units
+  for (std::uint64_t id = 0; id < 400; ++id) {
+    const double units = id % 2 ? 6 : 1;
+    door.Pass(milliseconds(50));
+    for (const auto& call : All<AddCount>(door.Arrive(id, "large", units, "safe", Name(id)))) {
+      ++calls[units];
+      door.Count(call, 0, calls[1] + calls[6] <= 100 && calls[6] % 2 ? Outcome::kFull : Outcome::kOk);
+    }
+    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+  }
+  EXPECT_GT(calls[6], 3 * calls[1]);
+}
+
+// Three hundred gateways that each test a silent counter five times a second would keep it down.
+TEST(Size, TestsOfASilentCounterAreFewOverAllGateways) {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  Door door(settings, 100);
+  Silence(door, 90000);
+  for (std::uint64_t id = 90000; id < 90003; ++id)
+    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+  int tests = 0;
+  for (std::uint64_t id = 0; id < 1200; ++id) {  // a minute
+    door.Pass(milliseconds(50));
+    for (const auto& call : All<AddCount>(door.Arrive(id, "large", 1, "safe", Name(id)))) {
+      ++tests;
+      door.Count(call, 0, Outcome::kTimeout);
+    }
+    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+  }
+  EXPECT_GE(tests, 10);
+  EXPECT_LE(tests, 30);
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Door door(TestSettings(), 6, 42);
