--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -75,6 +75,10 @@
 constexpr double kRoomChance = 2;       // standard deviations of what comes by chance, above the even part
 constexpr double kRoomGrown = 0.25;     // by an answer in time while the room is used ...
 constexpr double kRoomCut = 0.75;       // ... and cut by a late one: settles where one in four is late
+constexpr double kRoomLost = 1.2;       // cut further by an attempt that took all of the aim
+constexpr double kRoomFine = 4;         // attempts: the steps shrink with a smaller room ...
+constexpr double kRoomSlow = 0.25;      // ... down to this part of them, so that it comes back
+constexpr double kRoomLow = 0.5;        // attempts out at one host by all gateways, whatever is lost
 constexpr double kLateShare = 0.35;     // of the aim: later answers say that hosts queue
 constexpr double kLeastService = 0.05;  // seconds: a return asked for sooner only adds calls
 constexpr double kComeBackSpread = 2;   // service times: spreads the return of what was refused
@@ -105,7 +109,6 @@
     const Plan* plan = nullptr;
     int set_size = 1;
     bool in_set = true;  // whether this gateway belongs to the customer's set
-    // The current window.
     std::int64_t window = 0;
     double held = 0;   // units added to the count and not spent
     double level = 0;  // units left in the quota at level_at, as far as is known; below 0: added beyond
@@ -192,7 +195,7 @@
   void ApplyTotal(Customer& c, double total);
   void DecideWaiting(Customer& c, void (Impl::*decide)(Request&));
   Duration WaitLeft(const Customer& c) const;
-  void OnCallTimer(CountName name);
+  void OnCallTimer(CountName name);  // no answer within the wait; the call stays out, its units ours
   void RefuseBeyondQuota(Request& r, double tokens, double rate);
   void ReturnUnits(Request& r);
   void Settle(Request& r, double true_units);
@@ -211,23 +214,24 @@
   // Hosts.
   void OnHostList(const HostList& event);
   bool IsCold(const Host& h) const;
-  double ColdPart(const Host& h) const;
+  double ColdPart(const Host& h) const;  // of its full capacity, at the least
   double RefillCold(Host& h);
   bool Resting(const Host& h, Duration longest) const;
   double Size(const Host& h) const;
   double Delay(const Host& h) const;
-  bool MayRepeatAt(const Request& r, const Host& h) const;
+  bool MayRepeatAt(const Request& r, const Host& h) const;  // rule 2
   Host* Choose(const Request& r);
   void NoteTrouble(Host& h);
   void NoteSlowness(Host& h, double slowness);
   void NoteLate(Host& h);
   void SweepDue();
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
-  void NoteWarmRate(const Host& h);
+  void NoteWarmRate(const Host& h);  // for judging what a cold one may get
   int Gateways() const { return std::max(1, settings_.gateways); }
   double Room(double per_host) const;
-  double Expected(const Request& r) const;
-  Duration LateAfter(const Request& r) const;
+  void MoveRoom(double step, double least);
+  double Expected(const Request& r) const;     // seconds, by class and units; 0: nothing is known
+  Duration LateAfter(const Request& r) const;  // part of the aim, and what its own size takes more
   bool Issue(Request& r, Host& h);
   TimePoint GiveUpAt(const Request& r) const;
   void Dispatch(Request& r);
@@ -239,9 +243,9 @@
   void CancelOut(Request& r);
   void Forget(RequestId id);
   // Shedding and dispatch.
-  double Density(const Request& r);
+  double Density(const Request& r);  // worth per second of host time
   bool Fits(const Request& r);
-  Duration ComeBack(const Request& r);
+  Duration ComeBack(const Request& r);  // spread, so that what is refused does not return together
   void OnRequest(const RequestArrived& event);
   void OnTimer(TimerToken token);
   void Say(TimePoint& last, std::string text);
@@ -320,7 +324,6 @@
 }
 
 // Books units that left the quota: others' during the time since the last booking, ours now.
-//
 // Exception to the window's quota, which would come back whole at each edge: it comes back evenly, as the
 // plan promises. Guards against refusals while half of it has long refilled, and against twice the quota
 // across an edge. It errs, by what siblings took unseen, towards letting in.
@@ -395,7 +398,6 @@
   if (!c.waiting.empty()) Act(SetTimer{TimerToken{name.value}, WaitLeft(c)});
 }
 
-// How long the first of those who wait may still do so.
 Duration Gateway::Impl::WaitLeft(const Customer& c) const {
   return std::max(Duration::zero(), requests_.at(c.waiting.front()).arrived + wait_ - now_);
 }
@@ -458,7 +460,6 @@
   }
 }
 
-// No answer within the wait: those who wait are decided by share. The call stays out, its units ours.
 void Gateway::Impl::OnCallTimer(CountName name) {
   const auto it = calls_.find(name);
   if (it == calls_.end()) return;
@@ -475,7 +476,6 @@
   Conclude(r, true, rate > 0 ? FromSeconds((r.units - tokens) / rate) : Duration::zero());
 }
 
-// Gives back the units of a request that was never sent.
 void Gateway::Impl::ReturnUnits(Request& r) {
   if (!r.counted || !r.attempts.empty()) return;
   r.counted = false;
@@ -632,7 +632,6 @@
   return h.entry.started != TimePoint{} && now_ < h.entry.started + settings_.rules.cold_time;
 }
 
-// The part of its full capacity that a cold host has at the least.
 double Gateway::Impl::ColdPart(const Host& h) const {
   const double age = std::max(0.0, Seconds(now_ - h.entry.started) / Seconds(settings_.rules.cold_time));
   return settings_.rules.cold_from + (1 - settings_.rules.cold_from) * std::min(1.0, age);
@@ -647,7 +646,6 @@
   return h.cold_budget;
 }
 
-// A host's size for comparison with the others', where it is told.
 double Gateway::Impl::Size(const Host& h) const {
   return settings_.size_hint == SizeHint::kNone ? 1 : std::max(kLeastSize, h.entry.size_hint);
 }
@@ -662,7 +660,6 @@
   return (slowness + zone) * (1 + h.trouble + kFailWeight * h.fail_rate) * (1 + h.load) / size;
 }
 
-// Rule 2: where a request that may have run may be sent again.
 bool Gateway::Impl::MayRepeatAt(const Request& r, const Host& h) const {
   for (const Attempt& a : r.attempts) {
     if (a.out && !settings_.limits.second_copies) return false;
@@ -726,7 +723,7 @@
 
 // An attempt has used up its part of the aim, answered or not.
 void Gateway::Impl::NoteLate(Host& h) {
-  room_ = std::max(Room(kRoomLeast), room_ - kRoomCut);
+  MoveRoom(-kRoomCut, Room(kRoomLeast));
   NoteSlowness(h, kLateSlowness);
   NoteTrouble(h);
 }
@@ -754,6 +751,7 @@
   if (attempt.started && event.outcome == Outcome::kOk) return;  // how long a stream ran tells nothing
   const bool late = event.latency >= LateAfter(r);
   if (late && !attempt.late) NoteLate(h);
+  if (event.latency >= r.kind->aim) MoveRoom(-kRoomLost, 0);
   if (event.outcome == Outcome::kTimeout) return;
   if (event.outcome != Outcome::kOk) return NoteTrouble(h);
   NoteWarmRate(h);
@@ -766,29 +764,34 @@
   h.fail_rate -= kFailStep * h.fail_rate;
   if (late) return;
   if (expected > 0) NoteSlowness(h, latency / expected);
-  if (out_now_ + attempt.weight >= room_ / 2) room_ += kRoomGrown;
+  if (out_now_ + attempt.weight >= room_ / 2) MoveRoom(kRoomGrown, 0);
 }
 
-// This gateway's part of what the hosts may have in work, and as much above it as requests that come by
-// chance need. Guards against hundreds of gateways of which each may have one attempt out and none more.
+// This gateway's part of what the hosts may have in work, and above it what requests that meet by chance
+// need. Guards against hundreds of gateways of which each may have one attempt out and none more.
 double Gateway::Impl::Room(double per_host) const {
   const double part = per_host * static_cast<double>(ready_.size()) / Gateways();
   return std::max(1.0, part + kRoomChance * std::sqrt(part));
 }
 
-// Seconds that a request usually takes, by its class and units; 0 while nothing is known.
+// Steps are a part of a small room. What comes late leaves the even part; only work that missed its aim takes
+// more. Guards against hundreds of gateways that keep an overloaded fleet so with one attempt each.
+void Gateway::Impl::MoveRoom(double step, double least) {
+  const double low = kRoomLow * static_cast<double>(ready_.size()) / Gateways();
+  room_ = std::max(std::min(room_, std::max(low, least)),
+                   room_ + step * std::clamp(room_ / kRoomFine, kRoomSlow, 1.0));
+}
+
 double Gateway::Impl::Expected(const Request& r) const {
   const ClassState& state = means_[r.class_index];
   return state.units > 0 ? state.latency * r.units / state.units : 0;
 }
 
-// A part of the aim, and what the request's own size takes beyond the usual.
 Duration Gateway::Impl::LateAfter(const Request& r) const {
   const double own = std::max(0.0, Expected(r) - means_[r.class_index].latency);
   return std::min(r.kind->aim, FromSeconds(Seconds(r.kind->aim) * kLateShare + own));
 }
 
-// What a warm host answers to this gateway, for judging what a cold one may get.
 void Gateway::Impl::NoteWarmRate(const Host& h) {
   if (!IsCold(h)) ++warm_answers_;
   if (now_ - warm_since_ < seconds(1)) return;
@@ -908,7 +911,6 @@
   CancelOut(found->second);
 }
 
-// A further attempt, where it can still be in time and the budget allows it.
 bool Gateway::Impl::TryAgain(Request& r) {
   const double expected = means_[r.class_index].latency;
   if (retry_budget_ < 1 || now_ + FromSeconds(expected / 2) >= GiveUpAt(r)) return false;
@@ -920,7 +922,6 @@
 
 // ---- Shedding -----------------------------------------------------------------------------------------
 
-// Worth per second of host time.
 double Gateway::Impl::Density(const Request& r) {
   const ClassState& mean = means_[r.class_index];
   const double work = mean.latency > 0 ? mean.latency / std::max(1e-6, mean.units) : 1;
@@ -936,10 +937,10 @@
   const double density = Density(r);
   Smooth(mean_density_, density, kMeanStep);
   const double rank = mean_density_ > 0 ? std::min(1.0, density / (kWorthMost * mean_density_)) : 1;
-  return out_now_ < std::max(1.0, room_ * (kShedFrom + (1 - kShedFrom) * rank));
+  const double open = std::max(std::min(1.0, room_), room_ * (kShedFrom + (1 - kShedFrom) * rank));
+  return out_now_ < open && Random() < open;  // a room below one attempt is used by chance
 }
 
-// When to come back after a refusal that is not the quota's: spread, so that they do not return together.
 Duration Gateway::Impl::ComeBack(const Request& r) {
   return FromSeconds(std::max(kLeastService, means_[r.class_index].latency) *
                      (1 + kComeBackSpread * Random()));
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -806,6 +806,31 @@
   EXPECT_LE(tests, 30);
 }
 
+// Incidents ifccfb7, i973625: with one attempt of each of hundreds of gateways the fleet stayed overloaded.
+TEST(Size, WorkThatMissesItsAimTakesTheRoomBelowOneAttempt) {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  Door door(settings, 100);
+  std::uint64_t id = 0;
+  const auto sent_of = [&](int requests, bool in_time) {  // one after the other, never two at once
+    int sent = 0;
+    for (int i = 0; i < requests; ++i, ++id) {
+      door.Pass(milliseconds(100));
+      if (All<SendAttempt>(door.Arrive(id, "free")).empty()) continue;
+      ++sent;
+      door.Pass(in_time ? milliseconds(20) : milliseconds(900));
+      door.EndAfter(in_time ? milliseconds(20) : milliseconds(900), id,
+                    in_time ? Outcome::kOk : Outcome::kTimeout, in_time);
+      if (!in_time) door.Tell(RequestGone{RequestId{id}});
+    }
+    return sent;
+  };
+  sent_of(100, false);
+  EXPECT_LT(sent_of(100, false), 25);
+  sent_of(400, true);
+  EXPECT_EQ(sent_of(100, true), 100);
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Door door(TestSettings(), 6, 42);
