--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -48,12 +48,12 @@
 constexpr Duration kLogGap = seconds(1);  // between like log lines
 
 // Hosts.
-constexpr double kUneven = 1.2;          // of an even part of the room: the most that one host holds
-constexpr std::size_t kCandidates = 16;  // hosts looked at for one attempt
-constexpr double kLatencyStep = 0.1;     // weight of one answer in a host's relative slowness
-constexpr double kMeanStep = 0.02;       // weight of one answer in a class's mean
-constexpr double kSlownessMemory = 10;   // seconds until an unvisited host's slowness is mostly forgotten
-constexpr double kZoneWeight = 5;        // slowness put on a foreign zone per point of its price
+constexpr double kUneven = 1.2;         // of an even part of the room: the most that one host holds
+constexpr std::size_t kCandidates = 8;  // hosts looked at by chance, and as many that answered in time lately
+constexpr double kLatencyStep = 0.1;    // weight of one answer in a host's relative slowness
+constexpr double kMeanStep = 0.02;      // weight of one answer in a class's mean
+constexpr double kSlownessMemory = 10;  // seconds until an unvisited host's slowness is mostly forgotten
+constexpr double kZoneWeight = 5;       // slowness put on a foreign zone per point of its price
 constexpr Duration kRestFirst = milliseconds(250);  // a failing host is left alone, doubling ...
 constexpr Duration kRestLongest = seconds(4);       // ... up to this: a returned host is seen again soon
 constexpr double kRestBound = 0.5;   // of the hosts: more that fail at once point at the fleet or at us
@@ -85,7 +85,6 @@
 constexpr double kShedFrom = 0.4;       // of the room: from here the least worthy are refused
 constexpr double kWorthMost = 1.3;      // times the mean worth for its work: what gets all of the room
 
-// Moves a running mean towards a value; the first is taken as it is.
 void Smooth(double& mean, double value, double step) { mean += (mean == 0 ? 1 : step) * (value - mean); }
 
 double Seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -182,7 +181,7 @@
   };
 
   Customer* FindCustomer(const RequestArrived& event);
-  Duration Window(const Plan& plan) const;
+  Duration Window(const Plan& plan) const;  // as long as the burst, its quota, takes to refill
   void Roll(Customer& c);
   double Refill(const Customer& c) const { return c.plan->rate * Seconds(now_ - c.level_at); }
   double Level(const Customer& c) const { return std::min(c.plan->burst, c.level + Refill(c)); }
@@ -198,7 +197,7 @@
   void OnCallTimer(CountName name);  // no answer within the wait; the call stays out, its units ours
   void RefuseBeyondQuota(Request& r, double tokens, double rate);
   void ReturnUnits(Request& r);
-  void Settle(Request& r, double true_units);
+  void Settle(Request& r, double true_units);  // the difference to a guess goes to what is held
   // Share fallback, ceiling and open cap.
   double Share(const Customer& c) const;
   void PayOwed(Customer& c, double units);
@@ -223,8 +222,8 @@
   Host* Choose(const Request& r);
   void NoteTrouble(Host& h);
   void NoteSlowness(Host& h, double slowness);
-  void NoteLate(Host& h);
-  void SweepDue();
+  void NoteLate(Host& h);  // an attempt has used up its part of the aim, answered or not
+  void SweepDue();         // attempts that hang count as late when they become it, not when they end
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);  // for judging what a cold one may get
   int Gateways() const { return std::max(1, settings_.gateways); }
@@ -235,8 +234,8 @@
   bool Issue(Request& r, Host& h);
   TimePoint GiveUpAt(const Request& r) const;
   void Dispatch(Request& r);
-  bool MayRefuse(const Request& r) const;
-  void Conclude(Request& r, bool refuse, Duration retry_after);
+  bool MayRefuse(const Request& r) const;  // rule 2: it says that asking again is harmless
+  void Conclude(Request& r, bool refuse, Duration retry_after);  // the one place of our final answers
   void OnAttemptEnded(const AttemptEnded& event);
   void OnAttemptStarted(const AttemptStarted& event);
   bool TryAgain(Request& r);
@@ -265,6 +264,7 @@
   std::unordered_map<CountName, Customer*, IdHash> calls_;
   std::unordered_map<RequestId, Request, IdHash> requests_;
   std::map<HostId, Host> hosts_;
+  std::deque<HostId> met_;    // hosts that answered in time, the latest first
   std::vector<Host*> ready_;  // in order of id
   double sizes_ = 0;          // of these together
   std::vector<ClassState> means_;
@@ -287,7 +287,6 @@
 
 // ---- Leases and windows -------------------------------------------------------------------------------
 
-// A window lasts as long as the quota takes to refill the burst; its quota is the burst.
 Duration Gateway::Impl::Window(const Plan& plan) const {
   return std::max<Duration>(FromSeconds(plan.burst / plan.rate), milliseconds(1));
 }
@@ -482,7 +481,6 @@
   r.customer->held += r.units;
 }
 
-// The units were a guess: the difference goes to, or comes out of, what is held.
 void Gateway::Impl::Settle(Request& r, double true_units) {
   if (!settings_.quota.settles || true_units <= 0 || !r.counted) return;
   Customer& c = *r.customer;
@@ -676,7 +674,6 @@
 
 Gateway::Impl::Host* Gateway::Impl::Choose(const Request& r) {
   if (ready_.empty()) return nullptr;
-  const std::size_t count = std::min(kCandidates, ready_.size());
   const std::size_t start = rng_() % ready_.size();
   // Many hosts failing at once point at the fleet, the network or this gateway: then none rests for long.
   std::size_t resting = 0;
@@ -685,19 +682,24 @@
   const Duration longest = many ? kRestFirst : kRestLongest;
   Host* best = nullptr;
   double best_delay = 0;
-  for (std::size_t i = 0; i < count; ++i) {
-    Host& h = *ready_[(start + i) % ready_.size()];
-    if (Resting(h, longest)) continue;
+  const auto look_at = [&](Host& h) {
+    if (Resting(h, longest)) return;
     // Guards against a host that looks best, by chance or mistake, being pushed over its limit.
-    if (h.load > std::max(1.0, kUneven * room_ * Size(h) / sizes_)) continue;
-    if (!MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) continue;
+    if (h.load > std::max(1.0, kUneven * room_ * Size(h) / sizes_)) return;
+    if (!h.listed || !MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) return;
     const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                    [&](const Attempt& a) { return a.host == h.entry.host; });
     const double delay = Delay(h) * (tried ? kTriedWeight : 1);
-    if (best != nullptr && delay >= best_delay) continue;
+    if (best != nullptr && delay >= best_delay) return;
     best = &h;
     best_delay = delay;
-  }
+  };
+  // With hundreds of gateways each meets a host too seldom to know it. It returns to few that served it well,
+  // and by chance meets others; one that gets slow or fails loses its place. Harms if all keep to the same
+  // few.
+  for (HostId id : met_)
+    if (const auto it = hosts_.find(id); it != hosts_.end()) look_at(it->second);
+  for (std::size_t i = 0; i < kCandidates; ++i) look_at(*ready_[(start + i) % ready_.size()]);
   return best;
 }
 
@@ -721,14 +723,12 @@
   h.slowness_at = now_;
 }
 
-// An attempt has used up its part of the aim, answered or not.
 void Gateway::Impl::NoteLate(Host& h) {
   MoveRoom(-kRoomCut, Room(kRoomLeast));
   NoteSlowness(h, kLateSlowness);
   NoteTrouble(h);
 }
 
-// Attempts that hang count as late when they become it, not when they end.
 void Gateway::Impl::SweepDue() {
   for (ClassState& state : means_) {
     for (; !state.due.empty() && state.due.front().at <= now_; state.due.pop_front()) {
@@ -756,14 +756,16 @@
   if (event.outcome != Outcome::kOk) return NoteTrouble(h);
   NoteWarmRate(h);
   ClassState& mean = means_[r.class_index];
-  const double latency = Seconds(event.latency);
-  const double expected = Expected(r);
+  const double latency = Seconds(event.latency), expected = Expected(r);
   Smooth(mean.latency, latency, kMeanStep);
   Smooth(mean.units, r.units, kMeanStep);
   h.trouble = 0;  // late or not, it answers
   h.fail_rate -= kFailStep * h.fail_rate;
   if (late) return;
   if (expected > 0) NoteSlowness(h, latency / expected);
+  std::erase(met_, h.entry.host);
+  met_.push_front(h.entry.host);
+  if (met_.size() > kCandidates) met_.pop_back();
   if (out_now_ + attempt.weight >= room_ / 2) MoveRoom(kRoomGrown, 0);
 }
 
@@ -842,14 +844,12 @@
   Conclude(r, true, ComeBack(r));
 }
 
-// Rule 2: a refusal tells the client that asking again is harmless.
 bool Gateway::Impl::MayRefuse(const Request& r) const {
   const bool keyed_by_all = r.kind->repeat == Repeat::kKeyed && r.kind->group == RepeatGroup::kAll;
   if (r.kind->repeat == Repeat::kSafe || keyed_by_all) return true;
   return std::none_of(r.attempts.begin(), r.attempts.end(), [](const Attempt& a) { return a.may_have_run; });
 }
 
-// The one place that gives final answers of our own.
 void Gateway::Impl::Conclude(Request& r, bool refuse, Duration retry_after) {
   if (r.closed) return;
   r.closed = true;
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -831,6 +831,28 @@
   EXPECT_EQ(sent_of(100, true), 100);
 }
 
+// Incident ia92cd6: two fifths of a hundred listed hosts were dead, and each gateway had to find out about
+// each.
+TEST(Size, AmongAHundredHostsThoseThatServedWellAreReturnedTo) {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  Door door(settings, 100);
+  int failed = 0;
+  for (std::uint64_t id = 0; id < 100; ++id) {  // every second host refuses connections
+    door.Pass(milliseconds(300));
+    door.Arrive(id, "free");
+    const auto& hosts = door.sent[RequestId{id}];
+    while (!hosts.empty() && hosts.back().value % 2 != 0 && hosts.size() <= 3) {
+      const auto before = hosts.size();
+      ++failed;
+      door.EndAfter(milliseconds(1), id, Outcome::kConnectFailed);
+      if (hosts.size() == before) break;
+    }
+    if (!hosts.empty() && hosts.back().value % 2 == 0) door.End(id, Outcome::kOk, true);
+  }
+  EXPECT_LT(failed, 20);
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Door door(TestSettings(), 6, 42);
