Hosts returned to are remembered for each class, for hosts that fail one class and serve the rest

Cause: a host's mark for failing one class is wiped by its answers to another. What a host is returned to for is now what it answered in time of the same class. It also helps where classes differ in work; it costs learning time where hosts die, since each class learns by itself.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -178,6 +178,7 @@
   struct ClassState {
     double latency = 0, units = 0;  // smoothed, of good answers
     std::deque<Due> due;            // attempts out, by when they become late
+    std::deque<HostId> met;         // hosts that answered it in time, the latest first
   };
 
   Customer* FindCustomer(const RequestArrived& event);
@@ -264,7 +265,6 @@
   std::unordered_map<CountName, Customer*, IdHash> calls_;
   std::unordered_map<RequestId, Request, IdHash> requests_;
   std::map<HostId, Host> hosts_;
-  std::deque<HostId> met_;    // hosts that answered in time, the latest first
   std::vector<Host*> ready_;  // in order of id
   double sizes_ = 0;          // of these together
   std::vector<ClassState> means_;
@@ -697,7 +697,7 @@
   // With hundreds of gateways each meets a host too seldom to know it. It returns to few that served it well,
   // and by chance meets others; one that gets slow or fails loses its place. Harms if all keep to the same
   // few.
-  for (HostId id : met_)
+  for (HostId id : means_[r.class_index].met)
     if (const auto it = hosts_.find(id); it != hosts_.end()) look_at(it->second);
   for (std::size_t i = 0; i < kCandidates; ++i) look_at(*ready_[(start + i) % ready_.size()]);
   return best;
@@ -763,9 +763,9 @@
   h.fail_rate -= kFailStep * h.fail_rate;
   if (late) return;
   if (expected > 0) NoteSlowness(h, latency / expected);
-  std::erase(met_, h.entry.host);
-  met_.push_front(h.entry.host);
-  if (met_.size() > kCandidates) met_.pop_back();
+  std::erase(mean.met, h.entry.host);
+  mean.met.push_front(h.entry.host);
+  if (mean.met.size() > kCandidates) mean.met.pop_back();
   if (out_now_ + attempt.weight >= room_ / 2) MoveRoom(kRoomGrown, 0);
 }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -853,6 +853,26 @@
   EXPECT_LT(failed, 20);
 }
 
+// Standard day big-2 of wahldienst-main-later: hosts that failed one class looked healthy by another.
+TEST(Size, AHostKnownByOneClassIsNotPreferredForAnother) {
+  int followed = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Settings settings = TestSettings();
+    settings.gateways = 300;
+    Door door(settings, 100, seed);
+    for (std::uint64_t id = 1; id <= 6; ++id) {
+      door.Arrive(id, "free");
+      door.EndAfter(id == 6 ? milliseconds(10) : milliseconds(100), id, Outcome::kOk, true);
+    }
+    door.Arrive(7, "free");
+    EXPECT_EQ(door.sent[RequestId{7}], door.sent[RequestId{6}]);  // the same class returns
+    door.EndAfter(milliseconds(10), 7, Outcome::kOk, true);
+    door.Arrive(8, "free", 1, "unsafe");
+    followed += door.sent[RequestId{8}] == door.sent[RequestId{6}];
+  }
+  EXPECT_LT(followed, 10);  // met by chance now and then
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Door door(TestSettings(), 6, 42);
