--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -873,6 +873,60 @@
   EXPECT_LT(followed, 10);  // met by chance now and then
 }
 
+// The same rules at the extremes: sets of one, three and three hundred, one host and a hundred, requests
+// minutes apart, a quota (10 units) and an open cap (4) smaller than the set.
+TEST(Size, EverySizeAnswersEachRequestOnceAndServesWhatFits) {
+  for (const int gateways : {1, 3, 300}) {
+    for (const int hosts : {1, 100}) {
+      Settings settings = TestSettings();
+      settings.gateways = gateways;
+      Door door(settings, hosts);
+      std::map<CountName, double> counter;
+      int served = 0;
+      for (std::uint64_t id = 1; id <= 30; ++id) {
+        door.Pass(std::chrono::minutes(2));
+        RequestArrived r;
+        r.id = RequestId{id};
+        r.customer = Name(id % 5);
+        r.plan = id % 2 ? "small" : "open";
+        r.request_class = "safe";
+        r.set_size = gateways;
+        r.time_left = seconds(2);
+        const auto actions = door.Serve(counter, door.Tell(r));
+        EXPECT_EQ(All<SendAttempt>(actions).size() + All<Refuse>(actions).size(), 1u)
+            << gateways << " " << hosts;
+        if (door.sent[RequestId{id}].empty()) continue;
+        ++served;
+        EXPECT_TRUE(All<Refuse>(door.End(id, Outcome::kOk, true)).empty());
+      }
+      EXPECT_EQ(served, 30) << gateways << " " << hosts;
+    }
+  }
+}
+
+// Three hundred gateways, a quota of ten: what they pass on together stays near the quota while the counter
+// answers, though each asks for one unit only.
+TEST(Size, ThreeHundredGatewaysPassOnOneQuotaTogether) {
+  std::map<CountName, double> counter;
+  int admitted = 0;
+  for (int me = 0; me < 300; ++me) {
+    Settings settings = TestSettings();
+    settings.gateways = 300;
+    settings.me = me;
+    Door door(settings, 4, static_cast<std::uint64_t>(me + 1));
+    RequestArrived r;
+    r.id = RequestId{1};
+    r.customer = "c";
+    r.plan = "small";
+    r.request_class = "safe";
+    r.set_size = 300;
+    r.time_left = seconds(2);
+    admitted += static_cast<int>(All<SendAttempt>(door.Serve(counter, door.Tell(r))).size());
+  }
+  EXPECT_GE(admitted, 10);
+  EXPECT_LE(admitted, 20);  // the window's quota, and what came back since the window began
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Door door(TestSettings(), 6, 42);
