A host that answered the class in time is preferred to an equal stranger

Cause: with most of a hundred hosts unknown to a gateway, a stranger counted as good as the usual host, and in trouble that strikes a third of them it is the larger risk. The delay of a host remembered for the class counts 0.8.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -61,6 +61,7 @@
 constexpr double kFailStep = 0.05;   // weight of one attempt in a host's rate of failure
 constexpr double kFailWeight = 4;    // slowness put on a host per its rate of failure
 constexpr double kLateSlowness = 4;  // slowness booked for a late attempt; also the most that one books
+constexpr double kMetWeight = 0.8;   // times the delay of one that answered in time: a doubt about strangers
 constexpr double kTriedWeight = 4;   // times the delay of a host that this request was sent to before
 constexpr double kLeastSize = 0.05;  // a size hint of zero would make a host look endlessly slow
 constexpr double kWarmStep = 0.3;    // weight of one second in what a warm host answers
@@ -435,8 +436,7 @@
   const double others = std::max(0.0, grown - added) / std::clamp(counted_ / admitted_, kLeastCounted, 1.0);
   Take(c, c.call_lease, others - std::exchange(c.guessed, 0));
   c.held += c.call_lease;
-  // Units admitted by share while this call was out are paid from it.
-  const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);
+  const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);  // admitted by share during the call
   c.held -= paid;
   PayOwed(c, paid);
   // The counter lost numbers: the quota is not granted again. The larger knowledge holds, and what this
@@ -682,14 +682,14 @@
   const Duration longest = many ? kRestFirst : kRestLongest;
   Host* best = nullptr;
   double best_delay = 0;
-  const auto look_at = [&](Host& h) {
+  const auto look_at = [&](Host& h, double weight) {
     if (Resting(h, longest)) return;
     // Guards against a host that looks best, by chance or mistake, being pushed over its limit.
     if (h.load > std::max(1.0, kUneven * room_ * Size(h) / sizes_)) return;
     if (!h.listed || !MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) return;
     const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                    [&](const Attempt& a) { return a.host == h.entry.host; });
-    const double delay = Delay(h) * (tried ? kTriedWeight : 1);
+    const double delay = Delay(h) * (tried ? kTriedWeight : 1) * weight;
     if (best != nullptr && delay >= best_delay) return;
     best = &h;
     best_delay = delay;
@@ -698,8 +698,8 @@
   // and by chance meets others; one that gets slow or fails loses its place. Harms if all keep to the same
   // few.
   for (HostId id : means_[r.class_index].met)
-    if (const auto it = hosts_.find(id); it != hosts_.end()) look_at(it->second);
-  for (std::size_t i = 0; i < kCandidates; ++i) look_at(*ready_[(start + i) % ready_.size()]);
+    if (const auto it = hosts_.find(id); it != hosts_.end()) look_at(it->second, kMetWeight);
+  for (std::size_t i = 0; i < kCandidates; ++i) look_at(*ready_[(start + i) % ready_.size()], 1);
   return best;
 }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -927,6 +927,27 @@
   EXPECT_LE(admitted, 20);  // the window's quota, and what came back since the window began
 }
 
+// Incident ia92cd6 again: a stranger that looks as good as a host that has just answered is the larger risk.
+TEST(Size, AHostThatAnsweredIsPreferredToAnEqualStranger) {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  int returned = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Door door(settings, 100, seed);
+    for (std::uint64_t id = 1; id <= 2; ++id) {
+      door.Arrive(id, "free");
+      door.EndAfter(milliseconds(100), id, Outcome::kOk, true);
+    }
+    door.Arrive(3, "free");
+    const HostId host = door.sent[RequestId{3}].front();
+    returned += host == door.sent[RequestId{1}].front() || host == door.sent[RequestId{2}].front();
+    door.EndAfter(milliseconds(105), 3, Outcome::kOk, true);  // hardly slower than the mean, and still known
+    door.Arrive(4, "free");
+    returned += door.sent[RequestId{4}].front() == host;
+  }
+  EXPECT_EQ(returned, 40);
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   const auto play = [] {
     Door door(TestSettings(), 6, 42);
