--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -229,6 +229,7 @@
   void NoteOutcome(Host& h, const Request& r, const Attempt& attempt, const AttemptEnded& event);
   void NoteWarmRate(const Host& h);  // for judging what a cold one may get
   int Gateways() const { return std::max(1, settings_.gateways); }
+  double EvenPart(double each) const { return each * static_cast<double>(ready_.size()) / Gateways(); }
   double Room(double per_host) const;
   void MoveRoom(double step, double least);
   double Expected(const Request& r) const;     // seconds, by class and units; 0: nothing is known
@@ -772,15 +773,14 @@
 // This gateway's part of what the hosts may have in work, and above it what requests that meet by chance
 // need. Guards against hundreds of gateways of which each may have one attempt out and none more.
 double Gateway::Impl::Room(double per_host) const {
-  const double part = per_host * static_cast<double>(ready_.size()) / Gateways();
+  const double part = EvenPart(per_host);
   return std::max(1.0, part + kRoomChance * std::sqrt(part));
 }
 
 // Steps are a part of a small room. What comes late leaves the even part; only work that missed its aim takes
 // more. Guards against hundreds of gateways that keep an overloaded fleet so with one attempt each.
 void Gateway::Impl::MoveRoom(double step, double least) {
-  const double low = kRoomLow * static_cast<double>(ready_.size()) / Gateways();
-  room_ = std::max(std::min(room_, std::max(low, least)),
+  room_ = std::max(std::min(room_, std::max(EvenPart(kRoomLow), least)),
                    room_ + step * std::clamp(room_ / kRoomFine, kRoomSlow, 1.0));
 }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -79,14 +79,15 @@
   }
 
   std::vector<Action> Arrive(std::uint64_t id, const std::string& plan = "small", double units = 1,
-                             const std::string& kind = "safe", const std::string& customer = "c") {
+                             const std::string& kind = "safe", const std::string& customer = "c",
+                             int set_size = 2) {
     RequestArrived r;
     r.id = RequestId{id};
     r.customer = customer;
     r.plan = plan;
     r.request_class = kind;
     r.units = units;
-    r.set_size = 2;
+    r.set_size = set_size;
     r.time_left = seconds(2);
     return Tell(r);
   }
@@ -113,6 +114,11 @@
     return Tell(e);
   }
 
+  // Answers a request well, if it was let in.
+  void EndIfSent(std::uint64_t id) {
+    if (!sent[RequestId{id}].empty()) End(id, Outcome::kOk, true);
+  }
+
   // Lets a counter answer every call among `actions` and those that follow; tells all that was done.
   std::vector<Action> Serve(std::map<CountName, double>& counter, std::vector<Action> actions) {
     for (std::size_t i = 0; i < actions.size(); ++i) {
@@ -158,6 +164,13 @@
       door.Count(call, 0, Outcome::kConnectFailed);
 }
 
+// One of three hundred gateways.
+Settings LargeFleet() {
+  Settings settings = TestSettings();
+  settings.gateways = 300;
+  return settings;
+}
+
 // ---- Leases and windows ---------------------------------------------------------------------------------
 
 TEST(Leases, ALeaseIsAddedAndWhatItGrantsIsSpent) {
@@ -238,7 +251,7 @@
     std::size_t sent = 0;
     for (int i = 0; i < tries; ++i) {
       sent += All<SendAttempt>(door.Serve(counter, door.Arrive(++id))).size();
-      if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+      door.EndIfSent(id);
     }
     return sent;
   };
@@ -365,7 +378,7 @@
   for (std::uint64_t id = 1; id <= 400; ++id) {  // a quarter of the customer comes through b
     Door& door = id % 4 ? a : b;
     door.Serve(counter, door.Arrive(id, "large"));
-    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+    door.EndIfSent(id);
     a.Pass(milliseconds(50));
     b.Pass(milliseconds(50));
   }
@@ -609,7 +622,7 @@
     std::size_t sent = 0;
     for (int i = 0; i < tries; ++i) {
       sent += All<SendAttempt>(door.Arrive(++id, "free")).size();
-      if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+      door.EndIfSent(id);
       door.Pass(milliseconds(20));
     }
     return sent;
@@ -729,9 +742,7 @@
 
 // One of hundreds of gateways has less than one attempt as its even part of the room.
 TEST(Size, AnEvenPartBelowOneAttemptStillLetsRequestsMeetByChance) {
-  Settings settings = TestSettings();
-  settings.gateways = 300;
-  Door door(settings, 100);
+  Door door(LargeFleet(), 100);
   for (std::uint64_t i = 0; i < 3; ++i) EXPECT_EQ(All<SendAttempt>(door.Arrive(i, "free")).size(), 1u) << i;
   for (std::uint64_t i = 0; i < 3; ++i) door.End(i, Outcome::kOk, true);
   for (std::uint64_t i = 10; i < 40; i += 2) {  // answers in time make more room, two at once are enough
@@ -745,9 +756,7 @@
 
 // Hundreds of gateways together ask more of the counter than it serves: most calls went unanswered.
 TEST(Size, CallsThatAreNotAnsweredBecomeFewerAndComeBack) {
-  Settings settings = TestSettings();
-  settings.gateways = 300;
-  Door door(settings, 100);
+  Door door(LargeFleet(), 100);
   std::uint64_t id = 0;
   const auto calls_in = [&](int requests, bool answered) {  // ten requests a second, each of another customer
     int calls = 0;
@@ -758,7 +767,7 @@
         const bool ok = answered || calls % 2 == 0;  // every other: a crowded counter, not a silent one
         door.Count(call, call.amount, ok ? Outcome::kOk : Outcome::kFull);
       }
-      if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+      door.EndIfSent(id);
     }
     return calls;
   };
@@ -769,9 +778,7 @@
 }
 
 TEST(Size, ScarceCallsGoToTheRequestsWithMostAtStake) {
-  Settings settings = TestSettings();
-  settings.gateways = 300;
-  Door door(settings, 100);
+  Door door(LargeFleet(), 100);
   std::map<double, int> calls;  // by units
   for (std::uint64_t id = 0; id < 400; ++id) {
     const double units = id % 2 ? 6 : 1;
@@ -780,19 +787,16 @@
       ++calls[units];
       door.Count(call, 0, calls[1] + calls[6] <= 100 && calls[6] % 2 ? Outcome::kFull : Outcome::kOk);
     }
-    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+    door.EndIfSent(id);
   }
   EXPECT_GT(calls[6], 3 * calls[1]);
 }
 
 // Three hundred gateways that each test a silent counter five times a second would keep it down.
 TEST(Size, TestsOfASilentCounterAreFewOverAllGateways) {
-  Settings settings = TestSettings();
-  settings.gateways = 300;
-  Door door(settings, 100);
+  Door door(LargeFleet(), 100);
   Silence(door, 90000);
-  for (std::uint64_t id = 90000; id < 90003; ++id)
-    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+  for (std::uint64_t id = 90000; id < 90003; ++id) door.EndIfSent(id);
   int tests = 0;
   for (std::uint64_t id = 0; id < 1200; ++id) {  // a minute
     door.Pass(milliseconds(50));
@@ -800,7 +804,7 @@
       ++tests;
       door.Count(call, 0, Outcome::kTimeout);
     }
-    if (!door.sent[RequestId{id}].empty()) door.End(id, Outcome::kOk, true);
+    door.EndIfSent(id);
   }
   EXPECT_GE(tests, 10);
   EXPECT_LE(tests, 30);
@@ -808,9 +812,7 @@
 
 // Incidents ifccfb7, i973625: with one attempt of each of hundreds of gateways the fleet stayed overloaded.
 TEST(Size, WorkThatMissesItsAimTakesTheRoomBelowOneAttempt) {
-  Settings settings = TestSettings();
-  settings.gateways = 300;
-  Door door(settings, 100);
+  Door door(LargeFleet(), 100);
   std::uint64_t id = 0;
   const auto sent_of = [&](int requests, bool in_time) {  // one after the other, never two at once
     int sent = 0;
@@ -834,9 +836,7 @@
 // Incident ia92cd6: two fifths of a hundred listed hosts were dead, and each gateway had to find out about
 // each.
 TEST(Size, AmongAHundredHostsThoseThatServedWellAreReturnedTo) {
-  Settings settings = TestSettings();
-  settings.gateways = 300;
-  Door door(settings, 100);
+  Door door(LargeFleet(), 100);
   int failed = 0;
   for (std::uint64_t id = 0; id < 100; ++id) {  // every second host refuses connections
     door.Pass(milliseconds(300));
@@ -885,14 +885,8 @@
       int served = 0;
       for (std::uint64_t id = 1; id <= 30; ++id) {
         door.Pass(std::chrono::minutes(2));
-        RequestArrived r;
-        r.id = RequestId{id};
-        r.customer = Name(id % 5);
-        r.plan = id % 2 ? "small" : "open";
-        r.request_class = "safe";
-        r.set_size = gateways;
-        r.time_left = seconds(2);
-        const auto actions = door.Serve(counter, door.Tell(r));
+        const std::string plan = id % 2 ? "small" : "open";
+        const auto actions = door.Serve(counter, door.Arrive(id, plan, 1, "safe", Name(id % 5), gateways));
         EXPECT_EQ(All<SendAttempt>(actions).size() + All<Refuse>(actions).size(), 1u)
             << gateways << " " << hosts;
         if (door.sent[RequestId{id}].empty()) continue;
@@ -914,14 +908,8 @@
     settings.gateways = 300;
     settings.me = me;
     Door door(settings, 4, static_cast<std::uint64_t>(me + 1));
-    RequestArrived r;
-    r.id = RequestId{1};
-    r.customer = "c";
-    r.plan = "small";
-    r.request_class = "safe";
-    r.set_size = 300;
-    r.time_left = seconds(2);
-    admitted += static_cast<int>(All<SendAttempt>(door.Serve(counter, door.Tell(r))).size());
+    const auto actions = door.Serve(counter, door.Arrive(1, "small", 1, "safe", "c", 300));
+    admitted += static_cast<int>(All<SendAttempt>(actions).size());
   }
   EXPECT_GE(admitted, 10);
   EXPECT_LE(admitted, 20);  // the window's quota, and what came back since the window began
