SIGHUP moves discovery and the counter to the addresses of a new configuration

At fault: no handler in service.cpp; Discovery and Counter held their address as const. Now the file is read and checked whole; a faulty one is logged by key and changes nothing. Discovery goes on at its new address from the whole list (versions of the old one may mean nothing there). New calls go to the new counter; written calls stay on their old connections until answered, since they may have been added. Tests: AHangUpMovesDiscoveryAndTheCounter, TheFileGoesFirstOnReload.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -22,11 +22,13 @@
 constexpr int kLeastSockets = 128;
 constexpr int kMostSockets = 1'000'000;
 
+enum class Precedence { kEnvironment, kFile };  // which goes before the other, where both tell
+
 // Reads parts of the file; remembers the first that is faulty.
 class Reader {
  public:
-  Reader(const json& file, const Environment& environment, std::string& error)
-      : file_(file), environment_(environment), error_(error) {}
+  Reader(const json& file, const Environment& environment, Precedence first, std::string& error)
+      : file_(file), environment_(environment), first_(first), error_(error) {}
 
   void Fail(std::string_view key, std::string_view what) {
     if (error_.empty()) error_.append(key).append(": ").append(what);
@@ -39,9 +41,9 @@
 
   // A text that the environment may give instead.
   std::optional<std::string> Text(const char* key, const char* variable) {
-    if (variable != nullptr)
-      if (const auto it = environment_.find(variable); it != environment_.end()) return it->second;
     const json* value = Find(key);
+    if (variable != nullptr && (first_ == Precedence::kEnvironment || value == nullptr))
+      if (const auto it = environment_.find(variable); it != environment_.end()) return it->second;
     if (value == nullptr) return std::nullopt;
     if (value->is_string()) return value->get<std::string>();
     Fail(key, "is not a text");
@@ -75,6 +77,7 @@
  private:
   const json& file_;
   const Environment& environment_;
+  const Precedence first_;
   std::string& error_;
 };
 
@@ -152,14 +155,17 @@
   return environment;
 }
 
-std::optional<Config> ParseConfig(std::string_view text, const Environment& environment, std::string& error) {
+namespace {
+
+std::optional<Config> Parse(std::string_view text, const Environment& environment, Precedence first,
+                            std::string& error) {
   error.clear();
   const json file = json::parse(text, nullptr, false);
   if (!file.is_object()) {
     error = "the configuration is not a JSON object";
     return std::nullopt;
   }
-  Reader reader(file, environment, error);
+  Reader reader(file, environment, first, error);
   Config config;
   config.name = reader.Text("name", "RELAY_NAME").value_or("gateway");
   config.listen = reader.Address("listen", "RELAY_LISTEN");
@@ -169,6 +175,7 @@
   config.memory_mb = reader.Limit("memory_mb", 16, 1 << 24, config.memory_mb);
   config.sockets = SocketsAllowed(reader.Limit("sockets", kLeastSockets, kMostSockets, config.sockets));
   ReadSettings(reader, config.settings);
+  if (const json* settings = reader.Find("settings")) config.settings_digest = StableHash(settings->dump());
   if (config.settings.counter.available) config.counter = reader.Address("counter", nullptr);
   if (const json* known = reader.Find("known")) {
     std::string what;
@@ -179,7 +186,10 @@
   return config;
 }
 
-std::optional<Config> LoadConfig(std::string path, const Environment& environment, std::string& error) {
+// The name of the file, for messages, goes before what is wrong in it.
+std::optional<Config> ReadFile(const std::string& given, const Environment& environment, Precedence first,
+                               std::string& error) {
+  std::string path = given;
   if (path.empty())
     if (const auto it = environment.find("RELAY_CONFIG"); it != environment.end()) path = it->second;
   if (path.empty()) {
@@ -192,9 +202,33 @@
     return std::nullopt;
   }
   const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-  auto config = ParseConfig(text, environment, error);
+  auto config = Parse(text, environment, first, error);
   if (!config) error = fmt::format("{}: {}", path, error);
   return config;
 }
 
+}  // namespace
+
+std::optional<Config> ParseConfig(std::string_view text, const Environment& environment, std::string& error) {
+  return Parse(text, environment, Precedence::kEnvironment, error);
+}
+
+std::optional<Config> LoadConfig(const std::string& path, const Environment& environment,
+                                 std::string& error) {
+  return ReadFile(path, environment, Precedence::kEnvironment, error);
+}
+
+std::optional<Config> ReloadConfig(const std::string& path, const Environment& environment,
+                                   std::string& error) {
+  return ReadFile(path, environment, Precedence::kFile, error);
+}
+
+std::vector<std::string> NeedRestart(const Config& running, const Config& next) {
+  std::vector<std::string> keys;
+  if (next.listen != running.listen) keys.emplace_back("listen");
+  if (next.sockets != running.sockets) keys.emplace_back("limits.sockets");
+  if (next.settings_digest != running.settings_digest) keys.emplace_back("settings");
+  return keys;
+}
+
 }  // namespace curlewdoor::config
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "logic.hpp"
 #include "net/address.hpp"
@@ -22,6 +23,7 @@
   int sockets = 1024;
   std::optional<net::MemberList> known;
   Settings settings;
+  std::uint64_t settings_digest = 0;  // tells whether two files have the same settings
 };
 
 // What the environment says, by the names of its variables; what stands there goes before the file.
@@ -31,6 +33,12 @@
 // On nullopt, `error` names the faulty key.
 std::optional<Config> ParseConfig(std::string_view text, const Environment& environment, std::string& error);
 // The file is `path` or, if that is empty, the one that RELAY_CONFIG names.
-std::optional<Config> LoadConfig(std::string path, const Environment& environment, std::string& error);
+std::optional<Config> LoadConfig(const std::string& path, const Environment& environment, std::string& error);
+// The same while the program runs: the environment is as old as the start, so the file goes before it.
+std::optional<Config> ReloadConfig(const std::string& path, const Environment& environment,
+                                   std::string& error);
+
+// The keys that differ and that only a restart brings into force.
+std::vector<std::string> NeedRestart(const Config& running, const Config& next);
 
 }  // namespace curlewdoor::config
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -40,7 +40,10 @@
   }
   int result = kOk;
   {
-    net::Service service(loop, *config, logger);
+    const auto reload = [&](std::string& error) {
+      return config::ReloadConfig(path, config::ReadEnvironment(), error);
+    };
+    net::Service service(loop, *config, reload, logger);
     std::string error;
     if (service.Start(error)) {
       logger.Info("{} listens on {}; {} classes, {} plans, {} hosts known; {} descriptors, {} MB",
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -58,7 +58,7 @@
   Line* best = nullptr;
   std::size_t usable = 0;
   for (Line& line : lines_) {
-    if (Stuck(line)) continue;
+    if (line.left || Stuck(line)) continue;
     ++usable;
     const bool fewer = best == nullptr || line.calls.size() < best->calls.size() ||
                        (line.calls.size() == best->calls.size() && line.used > best->used);
@@ -114,6 +114,7 @@
   const CallId id = line.calls.front().id;
   line.calls.pop_front();
   line.used = inputs_.Now();
+  if (line.left && line.calls.empty()) Retire(line);
   inputs_.Post(CallAnswered{id, answer.status(), ReadTotal(answer.body())});
 }
 
@@ -124,6 +125,18 @@
   for (const Pending& call : calls) inputs_.Post(CallBroken{call.id});
 }
 
+// A written call can't be sent again elsewhere, it may have been added, so it keeps its connection. One that
+// waits for a connection to come up was not, and says so.
+void Counter::MoveTo(const Address& address) {
+  if (address == address_) return;
+  address_ = address;
+  for (auto it = lines_.begin(); it != lines_.end();) {
+    Line& line = *it++;
+    line.left = true;
+    if (line.calls.empty() || !line.connection.up()) OnBroken(line);
+  }
+}
+
 // A call that waits for its connection is taken out; one that was written keeps its place.
 void Counter::Drop(CallId id) {
   for (Line& line : lines_)
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -17,6 +17,8 @@
 
   void Start(const StartCall& effect);
   void Drop(CallId call);
+  // Calls from now on go to this address. Those that are out are still answered by the old one, if it does.
+  void MoveTo(const Address& address);
   // Closes connections that have stood idle for too long. To be called now and then.
   void CloseIdle();
   void Reap() { retired_.clear(); }
@@ -43,6 +45,7 @@
     std::list<Line>::iterator self;
     std::deque<Pending> calls;  // in the order of their answers; one that timed out keeps its place
     TimePoint used;
+    bool left = false;  // leads to an address that was moved away from
   };
 
   Line* Choose();
@@ -57,7 +60,7 @@
 
   struct ev_loop* loop_;
   const Settings& settings_;
-  const Address address_;
+  Address address_;
   Descriptors& descriptors_;
   Inputs& inputs_;
   std::list<Line> lines_, retired_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -34,6 +34,15 @@
   Next();
 }
 
+void Discovery::MoveTo(const Address& address) {
+  if (address == address_) return;
+  address_ = address;
+  again_timer_.Stop();
+  Retire();
+  version_.reset();
+  Next();
+}
+
 // The list may have been asked for while a watch waits: the watch goes on after it.
 void Discovery::Fetch() {
   fetching_ = true;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -19,6 +19,8 @@
             log::Logger& logger);
 
   void Watch(bool on);
+  // Goes on at another address, from the whole list: versions of the old one may mean nothing there.
+  void MoveTo(const Address& address);
   void Fetch();
   void Reap() { retired_.clear(); }
 
@@ -43,7 +45,7 @@
 
   struct ev_loop* loop_;
   const Settings& settings_;
-  const Address address_;
+  Address address_;
   const bool keep_watch_;
   std::optional<std::uint64_t> version_;
   Descriptors& descriptors_;
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -1,5 +1,6 @@
 #include "net/service.hpp"
 
+#include <csignal>
 #include <utility>
 
 namespace curlewdoor::net {
@@ -10,9 +11,10 @@
 
 }  // namespace
 
-Service::Service(struct ev_loop* loop, const config::Config& config, log::Logger& logger)
+Service::Service(struct ev_loop* loop, const config::Config& config, Reload reload, log::Logger& logger)
     : loop_(loop),
       config_(config),
+      reload_(std::move(reload)),
       logger_(logger),
       descriptors_(config.sockets),
       reducer_(config.settings, config.seed),
@@ -23,6 +25,7 @@
           loop, config.settings, config.discovery, config.settings.discovery == curlewdoor::Discovery::kPush,
           config.known ? std::optional(config.known->version) : std::nullopt, descriptors_, *this, logger_),
       shutdown_(loop, listener_, *this),
+      hang_up_(loop, SIGHUP, [this](int) { OnHangUp(); }),
       before_wait_(loop, [this](int) { BeforeWait(); }),
       after_wait_(loop, [this](int) { stalls_.Wakes(clock_.Now()); }),
       due_timer_(loop, [](int) {}),  // only wakes the loop
@@ -84,6 +87,17 @@
   counter_.Start(effect);
 }
 
+void Service::OnHangUp() {
+  std::string error;
+  const auto next = reload_(error);
+  if (!next) return logger_.Error("reload: {}; the old configuration stays", error);
+  discovery_.MoveTo(next->discovery);
+  if (config_.settings.counter.available && next->settings.counter.available) counter_.MoveTo(next->counter);
+  logger_.Info("reload: discovery {}, counter {}", next->discovery.ToText(), next->counter.ToText());
+  for (const std::string& key : config::NeedRestart(config_, *next))
+    logger_.Warning("reload: {} differs: needs a restart", key);
+}
+
 // Runs before each wait: frees what was closed, and sees to it that the loop wakes when something is due.
 void Service::BeforeWait() {
   listener_.Reap();
--- a/src/net/service.hpp
+++ b/src/net/service.hpp
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <deque>
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,7 +19,10 @@
 
 class Service : Inputs {
  public:
-  Service(struct ev_loop* loop, const config::Config& config, log::Logger& logger);
+  // Reads the configuration anew, while the program runs; on nullopt the text tells the faulty key.
+  using Reload = std::function<std::optional<config::Config>(std::string& error)>;
+
+  Service(struct ev_loop* loop, const config::Config& config, Reload reload, log::Logger& logger);
   ~Service() override;
 
   // Listens and asks discovery. Tells in `error` why it can't.
@@ -45,12 +50,15 @@
   void Apply(const FetchMembers&) { discovery_.Fetch(); }
   void Apply(const WriteLog& effect) { logger_.Info("module: {}", effect.text); }
 
+  // A new configuration: moves to its discovery and counter. A faulty one changes nothing.
+  void OnHangUp();
   void BeforeWait();
   void KeepHouse();
   void LogFigures();
 
   struct ev_loop* loop_;
   const config::Config& config_;
+  const Reload reload_;
   log::Logger& logger_;
   WallClock clock_;
   StallMeter stalls_;
@@ -61,6 +69,7 @@
   Counter counter_;
   Discovery discovery_;
   Shutdown shutdown_;
+  SignalWatcher hang_up_;
   PrepareWatcher before_wait_;
   CheckWatcher after_wait_;
   TimerWatcher due_timer_, house_timer_, figures_timer_;
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -57,6 +57,26 @@
   EXPECT_EQ(config->listen.ToText(), "127.0.0.9:80");
 }
 
+// The environment is that of the start: a file that moves discovery later goes before it.
+TEST(Config, TheFileGoesFirstOnReload) {
+  const std::string path = ::testing::TempDir() + "curlewdoor_reload_test.json";
+  std::ofstream(path) << With(SampleConfig(), "discovery", R"("127.0.0.1:7")");
+  std::string error;
+  const Environment environment{{"RELAY_DISCOVERY", "127.0.0.1:8"}, {"RELAY_CONFIG", path}};
+  const auto start = LoadConfig("", environment, error);
+  ASSERT_TRUE(start) << error;
+  EXPECT_EQ(start->discovery.ToText(), "127.0.0.1:8");
+  const auto next = ReloadConfig("", environment, error);
+  ASSERT_TRUE(next) << error;
+  EXPECT_EQ(next->discovery.ToText(), "127.0.0.1:7");
+  EXPECT_TRUE(NeedRestart(*start, *next).empty());
+  std::ofstream(path) << Without(SampleConfig(), "discovery");
+  ASSERT_TRUE(ReloadConfig("", environment, error)) << error;
+  std::ofstream(path) << "{";
+  EXPECT_FALSE(ReloadConfig("", environment, error));
+  std::remove(path.c_str());
+}
+
 TEST(Config, MessagesNameTheFaultyKey) {
   EXPECT_EQ(ErrorOf("[1]"), "the configuration is not a JSON object");
   EXPECT_EQ(ErrorOf(Without(SampleConfig(), "listen")), "listen: is missing, and so is RELAY_LISTEN");
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -65,7 +65,8 @@
     std::string error;
     config_ = config::ParseConfig(config_json_.dump(), {}, error);
     ASSERT_TRUE(config_) << error;
-    service_.emplace(loop_, *config_, logger_);
+    const auto reload = [this](std::string& what) { return config::ParseConfig(reloaded_, {}, what); };
+    service_.emplace(loop_, *config_, reload, logger_);
     ASSERT_TRUE(service_->Start(error)) << error;
   }
 
@@ -120,6 +121,7 @@
   std::FILE* log_;
   log::Logger logger_;
   nlohmann::json config_json_;
+  std::string reloaded_;  // the file that SIGHUP finds
   std::optional<TestServer> host_, counter_, discovery_;
   std::optional<config::Config> config_;
   std::optional<Service> service_;
@@ -615,6 +617,52 @@
   upstream.Reap();
 }
 
+// ---- Reload -------------------------------------------------------------------------------------------
+
+// A faulty file changes nothing and is told by its key; a good one moves discovery and the counter, and what
+// is out on the old counter is still taken.
+TEST_F(ServiceTest, AHangUpMovesDiscoveryAndTheCounter) {
+  Start();
+  Peer* watch = PeerThatSaid(*discovery_, 0, "from=41&");
+  ASSERT_NE(watch, nullptr);
+  reloaded_ = Without(config_json_.dump(), "counter");
+  ::raise(SIGHUP);
+  ASSERT_TRUE(
+      Until([&] { return LogText().find("error reload: counter: is missing") != std::string::npos; }));
+  EXPECT_FALSE(watch->ended);
+
+  Peer& client = NewClient();
+  client.Send(Get("r1", "", "5000m", "team"));
+  Peer* call = PeerThatSaid(*counter_, 0, "keep_ms=");
+  ASSERT_NE(call, nullptr);
+
+  TestServer discovery(loop_), counter(loop_);
+  auto next = config_json_;
+  next["discovery"] = discovery.address.ToText();
+  next["counter"] = counter.address.ToText();
+  next["settings"]["limits"]["max_attempts"] = 3;
+  reloaded_ = next.dump();
+  ::raise(SIGHUP);
+  ASSERT_TRUE(Until([&] { return watch->ended; }));
+  Peer* moved = PeerThatSaid(discovery, 0, "GET /catalog/members HTTP/1.1\r\n");
+  ASSERT_NE(moved, nullptr);
+  moved->Send(Answer(
+      nlohmann::json{{"rev", 3}, {"all", true}, {"targets", {HostJson("h1", host_->address)}}}.dump()));
+  ASSERT_TRUE(UntilGot(*moved, "from=3&"));
+  EXPECT_NE(LogText().find("warning reload: settings differs: needs a restart"), std::string::npos);
+
+  call->Send(Answer("1"));
+  Peer* host = PeerThatSaid(*host_, 0, "r1");
+  ASSERT_NE(host, nullptr);
+  host->Send(kOk);
+  ASSERT_TRUE(UntilGot(client, "serve"));
+  EXPECT_TRUE(Until([&] { return call->ended; }));  // its last answer has come
+  client.Take();
+  client.Send(Get("r2", "", "5000m", "team"));
+  EXPECT_NE(PeerThatSaid(counter, 0, "keep_ms="), nullptr);
+  EXPECT_EQ(counter_->peers.size(), 1u);
+}
+
 // ---- Shutdown -----------------------------------------------------------------------------------------
 
 TEST_F(ServiceTest, DrainsBeforeItEnds) {
