An answer of the counter without a number ends its connection; bytes nobody asked for end theirs

Checked with a probe in Counter::OnAnswer: spoilt answers left their connection in use (counter.cpp, OnAnswer), calls behind them got nothing until it counted as stuck; the module took each for a failed call (logic.cpp, OnCountAnswered). Now the connection goes, the calls behind are unknown, and the module is told the call was added to an unknown total, which is no silence. Answers with odd statuses are unknown, not 'nothing added'. Also: bytes that come while no answer is owed end the connection at once, 1xx answers are skipped up to 16 in a row, a status below 100 is no answer. The same probe shows what is left: from 5 s to 12 s the counter answers in 38 to 50 ms, later than the 30 ms after which calls are given up. Tests: ASpoiltAnswerOfTheCounterEndsItsConnection, AnswersOfTheCounterWithoutANumber..., BytesBehindAGoodAnswer..., UnaskedBytesEndAnIdleConnection, InterimAnswersAreSkippedInBounds, SpoiltAnswersFailAndEndTheirConnection, AStatusThatIsNoneIsRefused.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -103,7 +103,7 @@
 
 int Message::OnHeadersComplete() {
   head_done_ = true;
-  if (!CheckHead()) return Fail(400);
+  if (!CheckHead() || (kind_ == Kind::kResponse && parser_.status_code < 100)) return Fail(400);
   if ((parser_.flags & F_CONTENTLENGTH) != 0 && parser_.content_length > kMostBody) return Fail(413);
   return 0;
 }
--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -409,9 +409,9 @@
   Customer& c = *it->second;
   calls_.erase(it);
   c.calling = false;
-  const bool ok = event.outcome == Outcome::kOk;
-  const bool may_be_posted = ok || event.outcome == Outcome::kTimeout;
-  if (ok || !c.given_up) NoteCounter(ok);
+  const bool ok = event.outcome == Outcome::kOk, spoilt = event.outcome == Outcome::kError;
+  const bool may_be_posted = ok || spoilt || event.outcome == Outcome::kTimeout;
+  if (ok || spoilt || !c.given_up) NoteCounter(ok || spoilt);
   // What timed out may have been added: it is not added blindly a second time.
   if (may_be_posted) PayOwed(c, c.call_owed);
   if (ok && c.call_window == c.window) ApplyTotal(c, event.total);
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -220,7 +220,7 @@
 
 struct CountAnswered {
   CountName name;
-  Outcome outcome = Outcome::kOk;
+  Outcome outcome = Outcome::kOk;  // kError: added, and the total can't be read
   double total = 0;
   Duration latency{};
 };
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -8,6 +8,11 @@
 #include "net/socket_io.hpp"
 
 namespace curlewdoor::net {
+namespace {
+
+constexpr int kMostInterim = 16;  // 1xx answers before the one that is meant
+
+}  // namespace
 
 Connection::Connection(struct ev_loop* loop, Owner& owner)
     : owner_(owner),
@@ -98,13 +103,17 @@
 }
 
 void Connection::ReadAnswers() {
-  while (open()) {
+  while (open() && !in_.empty()) {
+    if (!owner_.Expects()) return Break();
     const http::Progress progress = answer_.Read();
     if (progress == http::Progress::kMore) return;
     if (progress == http::Progress::kBad) return Break();
-    if (answer_.status() >= 200) owner_.OnAnswer(*this, answer_);
+    const bool interim = answer_.status() < 200;
+    interim_ = interim ? interim_ + 1 : 0;
+    if (interim_ > kMostInterim) return Break();
+    if (!interim) owner_.OnAnswer(*this, answer_);
     if (!open()) return;
-    const bool kept = answer_.keep_alive() || answer_.status() < 200;
+    const bool kept = answer_.keep_alive() || interim;
     answer_.Next();
     if (!kept) return Break();
   }
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -24,6 +24,8 @@
     // Bytes were handed to the system: see written().
     virtual void OnWritten(Connection& connection) = 0;
     virtual void OnAnswer(Connection& connection, const http::Message& answer) = 0;
+    // Whether an answer is owed. Bytes that come while none is are nobody's: the connection breaks.
+    virtual bool Expects() const = 0;
     // It never came up, broke, ended or sent what is no answer. It is closed already.
     virtual void OnBroken(Connection& connection) = 0;
   };
@@ -66,6 +68,7 @@
   std::uint64_t written_ = 0;
   http::Buffer unwritten_, in_;
   http::Message answer_{http::Kind::kResponse, in_};
+  int interim_ = 0;  // answers in a row that are none yet
 };
 
 }  // namespace curlewdoor::net
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace curlewdoor::net {
 namespace {
@@ -110,12 +111,17 @@
 }
 
 void Counter::OnAnswer(Line& line, const http::Message& answer) {
-  if (line.calls.empty() || !line.calls.front().written) return OnBroken(line);  // an answer to nothing
   const CallId id = line.calls.front().id;
   line.calls.pop_front();
   line.used = inputs_.Now();
-  if (line.left && line.calls.empty()) Retire(line);
-  inputs_.Post(CallAnswered{id, answer.status(), ReadTotal(answer.body())});
+  const std::optional<double> total = ReadTotal(answer.body());
+  // A 200 without a number tells that the call was added and nothing else. What comes behind it on this
+  // connection, if anything does, can't be trusted (guards against calls that wait there for nothing).
+  const bool spoilt = answer.status() == 200 && !total;
+  const std::deque<Pending> behind = spoilt ? std::exchange(line.calls, {}) : std::deque<Pending>{};
+  if (spoilt || (line.left && line.calls.empty())) Retire(line);
+  inputs_.Post(CallAnswered{id, answer.status(), total});
+  for (const Pending& call : behind) inputs_.Post(CallBroken{call.id});
 }
 
 void Counter::OnBroken(Line& line) {
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -38,6 +38,7 @@
     void OnUp(Connection&) override { counter.OnUp(*this); }
     void OnWritten(Connection&) override { counter.OnWritten(*this); }
     void OnAnswer(Connection&, const http::Message& answer) override { counter.OnAnswer(*this, answer); }
+    bool Expects() const override { return !calls.empty() && calls.front().written; }
     void OnBroken(Connection&) override { counter.OnBroken(*this); }
 
     Counter& counter;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -73,7 +73,6 @@
 }
 
 void Discovery::OnAnswer(const http::Message& answer) {
-  if (!asked_) return OnBroken();
   overdue_timer_.Stop();
   std::string error;
   auto members = answer.status() == 200 ? ReadMembers(answer.body(), error) : std::nullopt;
--- a/src/net/discovery.hpp
+++ b/src/net/discovery.hpp
@@ -30,6 +30,7 @@
     void OnUp(Connection&) override { discovery.Ask(); }
     void OnWritten(Connection&) override {}
     void OnAnswer(Connection&, const http::Message& answer) override { discovery.OnAnswer(answer); }
+    bool Expects() const override { return discovery.asked_; }
     void OnBroken(Connection&) override { discovery.OnBroken(); }
 
     Discovery& discovery;
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -194,8 +194,9 @@
 
 void Reducer::Take(CallAnswered& input) {
   if (input.status == 200 && input.total) return EndCall(input.call, Outcome::kOk, *input.total);
-  // 200 without a number: it was added, to what is not known.
-  EndCall(input.call, input.status == 200 ? Outcome::kTimeout : Outcome::kFull);
+  if (input.status == 200) return EndCall(input.call, Outcome::kError);  // added, to what is not known
+  const bool nothing_added = input.status == 503 || input.status == 400 || input.status == 404;
+  EndCall(input.call, nothing_added ? Outcome::kFull : Outcome::kTimeout);
 }
 
 void Reducer::Take(CallBroken& input) {
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -45,6 +45,7 @@
     void OnUp(Connection&) override { upstream.OnUp(*this); }
     void OnWritten(Connection&) override { upstream.OnWritten(*this); }
     void OnAnswer(Connection&, const http::Message& answer) override { upstream.OnAnswer(*this, answer); }
+    bool Expects() const override { return !std::holds_alternative<std::monostate>(task); }
     void OnBroken(Connection&) override { upstream.OnBroken(*this); }
 
     Upstream& upstream;
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -114,6 +114,14 @@
   }
 }
 
+// Guards against an answer that is skipped as one before the one that is meant.
+TEST(Message, AStatusThatIsNoneIsRefused) {
+  for (const std::string status : {"0", "99", "1000", "-1", "2x0", ""}) {
+    Reading r(Kind::kResponse);
+    EXPECT_EQ(r.Feed("HTTP/1.1 " + status + " Odd\r\nContent-Length: 0\r\n\r\n"), Progress::kBad) << status;
+  }
+}
+
 TEST(Message, Bounds) {
   Reading head(Kind::kRequest);
   EXPECT_EQ(head.Feed("GET / HTTP/1.1\r\nA: " + std::string(kMostHead, 'a')), Progress::kBad);
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -274,7 +274,7 @@
 }
 
 TEST_F(ReducerTest, OddAnswersOfTheCounter) {
-  for (const int status : {503, 400, 404, 200}) {
+  for (const int status : {503, 400, 404, 200, 500}) {
     Handle(RequestRead{Request(static_cast<std::uint64_t>(status), "read", "team")});
     const auto calls = Take<StartCall>();
     if (!calls.empty()) Handle(CallAnswered{calls.front().call, status, std::nullopt});
@@ -282,6 +282,26 @@
   }
 }
 
+// A 200 without a number was added, and the counter is there: it is neither added again nor taken for
+// silence.
+TEST_F(ReducerTest, AnswersOfTheCounterWithoutANumberAreAddedAndNoSilence) {
+  std::map<int, std::vector<double>> amounts;
+  for (const int status : {200, 503}) {
+    reducer_.emplace(SampleSettings(), 7);
+    Tell({Host(1), Host(2)});
+    for (std::uint64_t id = 1; id <= 3; ++id) {
+      Handle(RequestRead{Request(id, "read", "team")});
+      const auto call = TakeOne<StartCall>();
+      amounts[status].push_back(call.amount);
+      Handle(CallWritten{call.call});
+      Handle(CallAnswered{call.call, status, std::nullopt});
+      EXPECT_EQ(Take<StartAttempt>().size(), 1u) << id;
+    }
+    EXPECT_EQ(Take<WriteLog>().size(), status == 200 ? 0u : 1u);
+  }
+  EXPECT_EQ(amounts[200][1] + 1, amounts[503][1]);
+}
+
 // ---- All together -------------------------------------------------------------------------------------
 
 // Whatever hosts, the counter, discovery and clients do: each request that was taken gets one final answer
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -231,6 +231,74 @@
   EXPECT_FALSE(client.Got("evil"));
 }
 
+// The answer counts, what lies behind it is nobody's, and the connection is not used again.
+TEST_F(ServiceTest, BytesBehindAGoodAnswerEndItsConnection) {
+  Start();
+  const std::vector<std::string> behind{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil", "HTTP/1.1 2",
+                                        "\x16\x03 noise"};
+  for (std::size_t i = 0; i < behind.size(); ++i) {
+    Peer& client = NewClient();
+    client.Send(Get("r" + std::to_string(i)));
+    Peer* host = PeerThatSaid(*host_, i, "r" + std::to_string(i));
+    ASSERT_NE(host, nullptr);
+    host->Send(kOk + behind[i]);
+    ASSERT_TRUE(UntilGot(client, "serve"));
+    EXPECT_TRUE(client.got.ends_with("serve"));
+    EXPECT_TRUE(Until([&] { return host->ended; })) << behind[i];
+  }
+}
+
+// Part of an answer that nobody asked for ends an idle connection too.
+TEST_F(ServiceTest, UnaskedBytesEndAnIdleConnection) {
+  Start();
+  Peer* host = Served(NewClient(), "r1", 0);
+  ASSERT_NE(host, nullptr);
+  host->Send("HTTP/1.1 200");
+  EXPECT_TRUE(Until([&] { return host->ended; }));
+}
+
+TEST_F(ServiceTest, InterimAnswersAreSkippedInBounds) {
+  Start();
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n";
+  Peer& client = NewClient();
+  client.Send(Post("r1", "body"));
+  Peer* host = PeerThatSaid(*host_, 0, "body");
+  ASSERT_NE(host, nullptr);
+  host->Send("HTTP/1.1 100 Continue\r\n\r\n" + interim + kOk);
+  ASSERT_TRUE(UntilGot(client, "serve"));
+  EXPECT_TRUE(client.got.starts_with("HTTP/1.1 200"));
+  client.Take();
+  client.Send(Post("r2", "once"));
+  host = PeerThatSaid(*host_, 0, "once");
+  ASSERT_NE(host, nullptr);
+  for (int i = 0; i < 100; ++i) host->Send(interim);
+  EXPECT_TRUE(UntilGot(client, "HTTP/1.1 502"));
+  EXPECT_TRUE(Until([&] { return host->ended; }));
+}
+
+// Each may have run, so an unsafe request fails; nothing of it reaches the client, and its connection goes.
+TEST_F(ServiceTest, SpoiltAnswersFailAndEndTheirConnection) {
+  Start();
+  const std::vector<std::string> spoilt{
+      "\xff\xfenoise\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nevil",
+      "HTTP/1.1 200 OK\r\nContent-Length: -4\r\n\r\nevil",
+      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\nContent-Length: 5\r\n\r\nevil",
+      "HTTP/1.1 200 OK\r\nX: " + std::string(40'000, 'x'),
+      "HTTP/1.1 99 Odd\r\nContent-Length: 4\r\n\r\nevil"};
+  for (std::size_t i = 0; i < spoilt.size(); ++i) {
+    Peer& client = NewClient();
+    client.Send(Post("r" + std::to_string(i), "body"));
+    Peer* host = PeerThatSaid(*host_, i, "body");
+    ASSERT_NE(host, nullptr);
+    host->Send(spoilt[i]);
+    ASSERT_TRUE(UntilGot(client, "HTTP/1.1 502")) << spoilt[i].substr(0, 60);
+    EXPECT_FALSE(client.Got("evil"));
+    EXPECT_TRUE(Until([&] { return host->ended; })) << spoilt[i].substr(0, 60);
+    ASSERT_NE(Served(client, "good" + std::to_string(i), i + 1), nullptr);  // or the host would rest
+  }
+}
+
 // After the last byte it may have run: an unsafe request fails and is not sent again.
 TEST_F(ServiceTest, AResetAfterTheLastByteFailsAnUnsafeRequest) {
   Start();
@@ -482,6 +550,29 @@
   EXPECT_EQ(told.Count<CallBroken>(), 12u);
 }
 
+// An answer without a number tells that its call was added; those behind it will see none.
+TEST_F(ServiceTest, ASpoiltAnswerOfTheCounterEndsItsConnection) {
+  Recorder told;
+  std::string error;
+  config_ = config::ParseConfig(config_json_.dump(), {}, error);
+  ASSERT_TRUE(config_) << error;
+  Descriptors descriptors(128);
+  Counter counter(loop_, config_->settings, counter_->address, descriptors, told);
+  for (std::uint64_t id = 1; id <= 8; ++id)
+    counter.Start(StartCall{CallId{id}, CountName{100 + id}, seconds(4), 1});
+  ASSERT_TRUE(Until([&] { return told.Count<CallWritten>() == 8; }));
+  counter_->peers[0]->Send(Answer("much"));
+  ASSERT_TRUE(Until([&] { return told.Count<CallAnswered>() == 1; }));
+  for (const Input& input : told.inputs) {
+    const auto* answer = std::get_if<CallAnswered>(&input);
+    EXPECT_FALSE(answer != nullptr && answer->total);
+  }
+  EXPECT_EQ(told.Count<CallBroken>(), 1u);
+  EXPECT_EQ(counter.connections(), 3u);
+  EXPECT_TRUE(Until([&] { return counter_->peers[0]->ended; }));
+  counter.Reap();
+}
+
 // ---- Hostile clients ----------------------------------------------------------------------------------
 
 TEST_F(ServiceTest, MalformedRequestsGetA4xxOrAClose) {
