A late answer of the counter still counts: a written call is no longer given up

Checked with a probe in Counter::OnAnswer: answers came, in 20 to 63 ms, some 17 ms of service each. Ruled out: lost connections (one broke in 15 s), calls waiting behind others (none). At fault: reducer.cpp, Due(CallId), ended written calls at the time-out of 30 ms, so true totals were thrown away and the units added taken for lost. Now only a call not yet written is given up. Test: ASlowCounterIsNotWaitedForAndItsLateAnswerCounts.

--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -154,11 +154,15 @@
   retired_.splice(retired_.end(), lines_, line.self);
 }
 
-void Counter::CloseIdle() {
+void Counter::CheckTimes() {
   const TimePoint before = inputs_.Now() - kKeptFor;
   for (auto it = lines_.begin(); it != lines_.end();) {
     Line& line = *it++;
-    if (line.used <= before && line.calls.empty()) Retire(line);
+    if (Stuck(line)) {
+      OnBroken(line);
+    } else if (line.used <= before && line.calls.empty()) {
+      Retire(line);
+    }
   }
 }
 
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -19,8 +19,8 @@
   void Drop(CallId call);
   // Calls from now on go to this address. Those that are out are still answered by the old one, if it does.
   void MoveTo(const Address& address);
-  // Closes connections that have stood idle for too long. To be called now and then.
-  void CloseIdle();
+  // Closes connections that have stood idle, or owed an answer, for too long. To be called now and then.
+  void CheckTimes();
   void Reap() { retired_.clear(); }
 
   std::size_t connections() const { return lines_.size(); }
--- a/src/net/reducer.cpp
+++ b/src/net/reducer.cpp
@@ -205,11 +205,17 @@
     EndCall(input.call, it->second.written ? Outcome::kTimeout : Outcome::kConnectFailed);
 }
 
+// Only a call that is not written yet is given up: one that was is added, and its answer tells the true total
+// however late it comes. The module waits for it no longer than it wants; the connection ends it if it must.
 void Reducer::Due(CallId id) {
-  const auto it = calls_.find(id);
-  if (it == calls_.end()) return;
+  if (Ended(id)) return;
   effects_->push_back(DropCall{id});
-  EndCall(id, it->second.written ? Outcome::kTimeout : Outcome::kConnectFailed);
+  EndCall(id, Outcome::kConnectFailed);
+}
+
+bool Reducer::Ended(CallId id) const {
+  const auto it = calls_.find(id);
+  return it == calls_.end() || it->second.written;
 }
 
 // The one place that gives a call back. An answer that comes later finds nothing to end.
--- a/src/net/reducer.hpp
+++ b/src/net/reducer.hpp
@@ -199,7 +199,7 @@
   // Whether what a timer was set for has ended meanwhile; the module's own are always wanted.
   bool Ended(TimerToken) { return false; }
   bool Ended(AttemptId id) { return FindOut(id) == nullptr; }
-  bool Ended(CallId id) { return !calls_.contains(id); }
+  bool Ended(CallId id) const;  // or written: then its answer counts, however late
   bool Ended(ProbeId id) { return !probes_.contains(id); }
   void Due(TimerToken token);
   void Due(AttemptId id);
--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -122,7 +122,7 @@
   house_due_ = clock_.Now() + kHouseEvery;
   listener_.CheckTimes();
   upstream_.CloseIdle();
-  counter_.CloseIdle();
+  counter_.CheckTimes();
 }
 
 void Service::LogFigures() {
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -539,6 +539,9 @@
   told.later = seconds(3);
   start(5);
   ASSERT_NE(PeerThatSaid(*counter_, 4, "POST /tally/105?"), nullptr);
+  counter.CheckTimes();  // what it owes may have been added
+  EXPECT_EQ(told.Count<CallBroken>(), 4u);
+  EXPECT_EQ(counter.connections(), 1u);
   // However long it stays silent, only so many are held; calls on one that makes room are ended.
   for (std::uint64_t id = 6; id <= 20; ++id) {
     told.later += seconds(3);
