Customers not seen again are forgotten once their quota and ceiling have refilled

Ruled out: connections (flat), requests (open ones given back). Now each new customer lets up to two of the oldest go that have not been seen for 20 s, two windows and the refill of their ceiling: all they had spent has come back, so nothing is granted twice and no part of a ceiling starts empty for it. Test: Customers.OnesNotSeenAgainAreForgottenAndNobodysCeilingSuffers.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -31,6 +31,7 @@
 constexpr int kEarly = 4;                // a lease gone in less than a fourth of the window was too small
 constexpr Duration kLongestCount = seconds(60);  // the counter keeps no name for longer
 constexpr std::size_t kMostCustomers = 100'000;  // table size, some 400 bytes each
+constexpr Duration kForgetAfter = seconds(20);   // most of those not seen for so long come no more
 
 // Share fallback.
 constexpr double kShareFloor = 0.02;     // the source document's floor: nobody is starved for good
@@ -109,7 +110,7 @@
     const Plan* plan = nullptr;
     int set_size = 1;
     bool in_set = true;  // whether this gateway belongs to the customer's set
-    std::int64_t window = 0;
+    std::int64_t window = -1;
     double held = 0;   // units added to the count and not spent
     double level = 0;  // units left in the quota at level_at, as far as is known; below 0: added beyond
     TimePoint level_at;
@@ -120,18 +121,16 @@
     double lease = kFirstLease;
     std::int64_t leased_window = -1;  // when the last lease was asked for
     TimePoint leased_at;
-    // The call that is out, at most one.
-    bool calling = false;
+    bool calling = false;   // one call is out, at most
     bool given_up = false;  // nobody waits for it any more
     std::int64_t call_window = 0;
     double call_lease = 0, call_owed = 0;
     std::deque<RequestId> waiting;
-    // Smoothed use, by this gateway and by all: their quotient is the share.
-    double own_use = 0, all_use = 0;
+    double own_use = 0, all_use = 0;  // smoothed, by this gateway and by all: the quotient is the share
     TimePoint use_at;
     int open = 0;  // attempts out
     double ceiling = 0;
-    TimePoint ceiling_at;
+    TimePoint ceiling_at, seen_at;
   };
 
   struct Attempt {
@@ -157,15 +156,15 @@
   };
 
   struct Host {
-    HostEntry entry;
+    HostEntry entry{};
     bool listed = false;
     int out = 0;          // attempts out from here ...
     double load = 0;      // ... and their work, in usual requests
     double slowness = 1;  // service time relative to the other hosts'
-    TimePoint slowness_at;
+    TimePoint slowness_at{};
     int trouble = 0;       // failed or hanging attempts since the last answer
     double fail_rate = 0;  // smoothed
-    TimePoint trouble_at;
+    TimePoint trouble_at{};
     double cold_budget = 0;
     TimePoint cold_at;
   };
@@ -183,7 +182,8 @@
   };
 
   Customer* FindCustomer(const RequestArrived& event);
-  Duration Window(const Plan& plan) const;  // as long as the burst, its quota, takes to refill
+  Duration Window(const Plan& plan) const;    // as long as the burst, its quota, takes to refill
+  Duration Refilled(const Plan& plan) const;  // how long until quota and ceiling are whole again
   void Roll(Customer& c);
   double Refill(const Customer& c) const { return c.plan->rate * Seconds(now_ - c.level_at); }
   double Level(const Customer& c) const { return std::min(c.plan->burst, c.level + Refill(c)); }
@@ -249,6 +249,7 @@
   bool Fits(const Request& r);
   Duration ComeBack(const Request& r);  // spread, so that what is refused does not return together
   void OnRequest(const RequestArrived& event);
+  void OnRequestGone(RequestId id);
   void OnTimer(TimerToken token);
   void Say(TimePoint& last, std::string text);
   template <typename A>
@@ -293,8 +294,14 @@
   return std::max<Duration>(FromSeconds(plan.burst / plan.rate), milliseconds(1));
 }
 
+Duration Gateway::Impl::Refilled(const Plan& plan) const {
+  const double ceiling = plan.ceiling_rate > 0 ? plan.ceiling_burst / plan.ceiling_rate : 0;
+  return std::max({kForgetAfter, FromSeconds(ceiling), plan.rate > 0 ? 2 * Window(plan) : kForgetAfter});
+}
+
 Gateway::Impl::Customer* Gateway::Impl::FindCustomer(const RequestArrived& event) {
   Customer* known = customers_.Find(event.customer);
+  if (known != nullptr) known->seen_at = now_;
   if (known != nullptr && known->plan->name == event.plan) return known;
   const auto plan = std::find_if(settings_.plans.begin(), settings_.plans.end(),
                                  [&](const Plan& p) { return p.name == event.plan; });
@@ -311,14 +318,16 @@
   c.plan = &*plan;
   c.set_size = std::clamp(event.set_size, 1, Gateways());
   c.in_set = ((settings_.me - event.set_first) % Gateways() + Gateways()) % Gateways() < c.set_size;
-  c.window = -1;
   c.all_use = plan->burst * kSharePrior;
   c.own_use = c.all_use / c.set_size;
-  c.use_at = now_;
-  // Rule 5: an earlier life, or an entry that was evicted, may have spent this gateway's part of the
+  c.use_at = c.seen_at = now_;
+  // Rule 5: an earlier life, or an entry evicted for lack of room, may have spent this gateway's part of the
   // ceiling to the last unit. So the part starts empty at that time and has refilled since.
   c.ceiling_at = forgot_at_;
   const auto idle = [](const Customer& e) { return !e.calling && e.waiting.empty() && e.open == 0; };
+  // Guards against a table of customers who come once. Their quotas and ceilings are whole: nothing is lost.
+  const auto stale = [&](const Customer& e) { return idle(e) && now_ >= e.seen_at + Refilled(*e.plan); };
+  for (int i = 0; i < 2 && customers_.EvictOldest(stale); ++i) continue;  // more leave than come
   auto [added, evicted] = customers_.Insert(event.customer, std::move(c), idle);
   if (evicted) forgot_at_ = now_;
   return added;
@@ -368,8 +377,7 @@
   const bool waited = now_ >= r.arrived + wait_;
   if (!settings_.counter.available || silent_ || waited || (c.calling && c.given_up)) return AskByShare(r);
   if (!c.calling && !WorthACall(r)) return AskByShare(r);
-  // A count never falls within its window, so once it is known to leave less than the cost, an add could
-  // grant nothing: it would only swell the count and this gateway's share of it.
+  // A count never falls within its window: known to leave less than the cost, no add can grant it.
   if (c.held + Level(c) < r.units) return RefuseBeyondQuota(r, c.held + Level(c), c.plan->rate);
   c.waiting.push_back(r.id);
   if (!c.calling) Call(c);
@@ -542,8 +550,7 @@
   return calls_left_ >= 1 + (most - 1) * std::max(0.0, 1 - stake / (kWorthMost * mean_stake_));
 }
 
-// Quota times share. A unit admitted here stands for 1 / share units by all, so the level known last goes
-// on counting for the whole set.
+// Quota times share. A unit admitted here stands for 1 / share units by all, off the level known last.
 void Gateway::Impl::AskByShare(Request& r) {
   Customer& c = *r.customer;
   Roll(c);
@@ -606,12 +613,8 @@
   for (const HostEntry& entry : event.entries) {
     Host& h = hosts_[entry.host];
     if (h.entry.started != entry.started) {  // a new process: what was known of the old one is void
-      const auto [out, load] = std::pair(h.out, h.load);
-      h = Host{};
-      h.out = out;
-      h.load = load;
-      h.cold_at = now_;
-      h.cold_budget = Random();  // gateways that learn of it together don't send their first together
+      // The budget is by chance: gateways that learn of it together don't send their first together.
+      h = Host{.out = h.out, .load = h.load, .cold_budget = Random(), .cold_at = now_};
     }
     h.entry = entry;
     h.listed = entry.state == HostState::kReady;  // rule 3: draining or gone gets nothing from now on
@@ -695,9 +698,8 @@
     best = &h;
     best_delay = delay;
   };
-  // With hundreds of gateways each meets a host too seldom to know it. It returns to few that served it well,
-  // and by chance meets others; one that gets slow or fails loses its place. Harms if all keep to the same
-  // few.
+  // With hundreds of gateways each meets a host too seldom to know it. It returns to few that served it
+  // well, others come by chance; one that gets slow or fails loses its place. Harms if all keep to the same.
   for (HostId id : means_[r.class_index].met)
     if (const auto it = hosts_.find(id); it != hosts_.end()) look_at(it->second, kMetWeight);
   for (std::size_t i = 0; i < kCandidates; ++i) look_at(*ready_[(start + i) % ready_.size()], 1);
@@ -705,8 +707,7 @@
 }
 
 // A host that keeps failing, or hangs, rests for longer and longer spells, then gets one attempt at a time.
-// Guards against hosts that fail fast, hang or have gone unannounced. One that fails now and then still
-// serves most: it is given less, by its rate of failure.
+// Guards against hosts that fail fast, hang or are gone. One that fails now and then is given less.
 void Gateway::Impl::NoteTrouble(Host& h) {
   h.fail_rate += kFailStep * (1 - h.fail_rate);
   ++h.trouble;
@@ -976,6 +977,15 @@
   Forget(event.id);
 }
 
+void Gateway::Impl::OnRequestGone(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end() || it->second.closed) return;
+  it->second.closed = true;
+  std::erase(it->second.customer->waiting, id);
+  CancelOut(it->second);
+  Forget(id);
+}
+
 void Gateway::Impl::OnTimer(TimerToken token) {
   if (token.value == 0) return Act(Watch{true});
   OnCallTimer(CountName{token.value});
@@ -1007,15 +1017,7 @@
   if (const auto* e = std::get_if<CountAnswered>(&event)) OnCountAnswered(*e);
   if (const auto* e = std::get_if<TimerFired>(&event)) OnTimer(e->token);
   if (const auto* e = std::get_if<HostList>(&event)) OnHostList(*e);
-  if (const auto* e = std::get_if<RequestGone>(&event)) {
-    const auto it = requests_.find(e->id);
-    if (it != requests_.end() && !it->second.closed) {
-      it->second.closed = true;
-      std::erase(it->second.customer->waiting, e->id);
-      CancelOut(it->second);
-      Forget(e->id);
-    }
-  }
+  if (const auto* e = std::get_if<RequestGone>(&event)) OnRequestGone(e->id);
 }
 
 Gateway::Gateway(Settings settings, std::uint64_t seed)
--- a/src/util/lru_map.hpp
+++ b/src/util/lru_map.hpp
@@ -26,6 +26,14 @@
     return &it->second->second;
   }
 
+  // Evicts the least recently used entry if `may_evict` allows that. Tells whether it did.
+  bool EvictOldest(const std::function<bool(const Value&)>& may_evict) {
+    if (order_.empty() || !may_evict(order_.back().second)) return false;
+    index_.erase(order_.back().first);
+    order_.pop_back();
+    return true;
+  }
+
   // Adds a name that is not there yet. Where the map is full, evicts the least recently used entry that
   // `may_evict` allows; the map outgrows its capacity only where none is allowed. Tells whether one left.
   std::pair<Value*, bool> Insert(std::string_view name, Value value,
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -2,6 +2,7 @@
 #include "logic.hpp"
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <map>
@@ -164,6 +165,9 @@
       door.Count(call, 0, Outcome::kConnectFailed);
 }
 
+// What malloc has given out and not got back; no more than a guess where a sanitizer replaces it.
+long HeapInUse() { return static_cast<long>(::mallinfo2().uordblks); }
+
 // One of three hundred gateways.
 Settings LargeFleet() {
   Settings settings = TestSettings();
@@ -593,6 +597,24 @@
   EXPECT_EQ(SentUnderCeiling(door, 500, 50, {}), 0);
 }
 
+// Guards against a table that grows with all who ever came. What is forgotten had refilled, so it is no
+// eviction that empties the parts of others, and those still seen keep what they spent.
+TEST(Customers, OnesNotSeenAgainAreForgottenAndNobodysCeilingSuffers) {
+  Door door;
+  door.Pass(seconds(60));
+  EXPECT_GT(SentUnderCeiling(door, 1, 50, {}), 8);
+  EXPECT_EQ(SentUnderCeiling(door, 100, 50, {}), 0);
+  const long before = HeapInUse();
+  for (std::uint64_t i = 0; i < 40'000; ++i) {
+    door.Arrive(1000 + i, "free", 1, "safe", Name(i));
+    door.End(1000 + i, Outcome::kOk, true);
+    door.sent.clear();
+    door.Pass(milliseconds(10));
+  }
+  EXPECT_LT(HeapInUse() - before, 12'000'000);  // all of them would take 40 MB
+  EXPECT_GT(SentUnderCeiling(door, 500, 50, {}), 8);
+}
+
 TEST(Discovery, ASubscriptionIsAskedForAndAskedForAgainWhenItBreaks) {
   Settings settings = TestSettings();
   settings.discovery = Discovery::kAsk;
--- a/tests/util_test.cpp
+++ b/tests/util_test.cpp
@@ -31,6 +31,18 @@
   EXPECT_NE(map.Find("c"), nullptr);
 }
 
+TEST(LruMap, TheOldestAloneGoesAndOnlyIfItMay) {
+  LruMap<int> map(9);
+  const auto any = [](int) { return true; };
+  EXPECT_FALSE(map.EvictOldest(any));
+  map.Insert("a", 1, any);
+  map.Insert("b", 2, any);
+  EXPECT_FALSE(map.EvictOldest([](int v) { return v == 2; }));
+  EXPECT_TRUE(map.EvictOldest(any));
+  EXPECT_EQ(map.Find("a"), nullptr);
+  EXPECT_EQ(map.size(), 1u);
+}
+
 TEST(LruMap, OutgrowsItsBoundRatherThanEvictWhatIsInUse) {
   LruMap<int> map(1);
   map.Insert("a", 1, [](int) { return true; });
