--- a/src/net/service.cpp
+++ b/src/net/service.cpp
@@ -128,12 +128,13 @@
 void Service::LogFigures() {
   const Listener::Counts& clients = listener_.counts();
   logger_.Info(
-      "figures: requests {} rejected {} served {} refused {} failed {} attempts {} calls {}; open {} out {}; "
+      "figures: requests {} rejected {} served {} refused {} failed {} attempts {} calls {}; open {} out {} "
+      "on sockets {}; "
       "clients {} accepted {} shed {}; hosts' connections {} opened {}; counter's {}; log lines dropped {}",
       clients.requests, clients.rejected, counts_.served, counts_.refused, counts_.failed, counts_.attempts,
-      counts_.calls, reducer_.open_requests(), reducer_.attempts_out(), listener_.connections(),
-      clients.accepted, clients.shed, upstream_.connections(), upstream_.opened(), counter_.connections(),
-      logger_.dropped());
+      counts_.calls, reducer_.open_requests(), reducer_.attempts_out(), upstream_.attempts(),
+      listener_.connections(), clients.accepted, clients.shed, upstream_.connections(), upstream_.opened(),
+      counter_.connections(), logger_.dropped());
 }
 
 }  // namespace curlewdoor::net
--- a/src/net/service.hpp
+++ b/src/net/service.hpp
@@ -30,6 +30,9 @@
   std::uint16_t port() const { return listener_.port(); }
   void Stop() { shutdown_.Begin(); }
   std::size_t clients() const { return listener_.connections(); }
+  // What is believed to be out, and what the sockets show.
+  std::size_t attempts_out() const { return reducer_.attempts_out(); }
+  std::size_t attempts_on_sockets() const { return upstream_.attempts(); }
 
  private:
   void Post(Input input) override;
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -34,6 +34,7 @@
   void Reap() { retired_.clear(); }
 
   std::size_t connections() const { return links_.size(); }
+  std::size_t attempts() const { return by_attempt_.size(); }  // on a connection, or waiting for one
   std::uint64_t opened() const { return opened_; }
 
  private:
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -375,6 +375,30 @@
   EXPECT_TRUE(host_->peers.empty());
 }
 
+// However attempts end, what the module takes for out is what hosts still hold.
+TEST_F(ServiceTest, AttemptsBelievedOutAreThoseOnSockets) {
+  Start();
+  std::vector<Peer*> hosts;
+  for (std::size_t i = 0; i < 5; ++i) {
+    NewClient().Send(i == 3 ? Get("r3", "", "200m") : Get("r" + std::to_string(i)));
+    hosts.push_back(PeerThatSaid(*host_, i, "r" + std::to_string(i)));
+    ASSERT_NE(hosts.back(), nullptr);
+  }
+  const auto open_at_hosts = [&] {
+    return static_cast<std::size_t>(
+        std::count_if(hosts.begin(), hosts.end(), [](Peer* peer) { return !peer->ended; }));
+  };
+  EXPECT_EQ(service_->attempts_out(), 5u);
+  EXPECT_EQ(service_->attempts_on_sockets(), 5u);
+  hosts[0]->Send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nserve");
+  hosts[1]->Send("HTTP/1.1 200 OK\r\nContent-Length: nine\r\n\r\n");
+  clients_[2]->Close();  // and the fourth runs out of time
+  ASSERT_TRUE(Until([&] { return service_->attempts_out() <= 1 + host_->peers.size() - 5; }));
+  ASSERT_TRUE(Until([&] { return open_at_hosts() == 1; }));
+  EXPECT_EQ(service_->attempts_out(), service_->attempts_on_sockets());
+  EXPECT_FALSE(hosts[4]->ended);
+}
+
 // ---- Hosts that drain ---------------------------------------------------------------------------------
 
 // Guards against the first byte of an attempt that waited for its connection past the grace.
