The time a kept connection may stand idle is learned from those that break at once

Ruled out: connections reset under a request that had begun (147) and while it came (133), which have other causes. At fault: upstream.cpp, FindKept, took any connection younger than half of the limit told (7.5 s); these hosts close theirs far earlier and without a word, so no look at the connection shows it. Now a kept connection that breaks within 20 ms of a request's last byte halves the time that one may have stood idle; those of nearly that age that serve lengthen it again by a fiftieth, up to the half of the limit. Tests: KeepTime.IsLearnedFromConnectionsThatBreakAtOnce, ConnectionsAsOldAsOneThatBrokeAtOnceAreNotUsed.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -13,10 +13,6 @@
 constexpr std::string_view kLoadHeader = "X-Server-Load";
 constexpr std::string_view kNotRunHeader = "X-Not-Processed";
 
-// Hosts close a connection at the latest at the limit: one that has stood idle for half of it is not used
-// again, since what is written to a closed one ends as a reset.
-Duration KeptFor(const Settings& settings) { return settings.limits.connection_idle / 2; }
-
 std::string_view Number(std::array<char, 24>& digits, std::int64_t value) {
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value).ptr;
   return {digits.data(), static_cast<std::size_t>(end - digits.data())};
@@ -31,7 +27,12 @@
 }  // namespace
 
 Upstream::Upstream(struct ev_loop* loop, const Settings& settings, Descriptors& descriptors, Inputs& inputs)
-    : loop_(loop), settings_(settings), descriptors_(descriptors), inputs_(inputs) {}
+    : loop_(loop),
+      settings_(settings),
+      descriptors_(descriptors),
+      inputs_(inputs),
+      // Half of the limit: what is written to a connection just as the host closes it ends as a reset.
+      keep_time_(settings.limits.connection_idle / 2) {}
 
 // ---- Beginning ----------------------------------------------------------------------------------------
 
@@ -78,8 +79,11 @@
   while (!kept->second.empty()) {
     Link* link = kept->second.back();
     Unkeep(*link);
-    const bool fresh = inputs_.Now() < link->kept_since + KeptFor(settings_);
-    if (fresh && link->address == address && link->connection.Quiet()) return link;
+    const Duration idle = inputs_.Now() - link->kept_since;
+    if (idle < keep_time_.value() && link->address == address && link->connection.Quiet()) {
+      link->idle = idle;
+      return link;
+    }
     Retire(*link);
   }
   return nullptr;
@@ -132,11 +136,13 @@
 void Upstream::OnWritten(Link& link) {
   if (link.written || link.connection.written() < link.task_end) return;
   link.written = true;
+  link.written_at = inputs_.Now();
   if (const auto* attempt = std::get_if<AttemptId>(&link.task)) inputs_.Post(AttemptWritten{*attempt});
 }
 
 void Upstream::OnAnswer(Link& link, const http::Message& answer) {
   const Task task = EndTask(link);
+  if (link.idle) keep_time_.Served(*link.idle);
   const bool reusable = link.written && answer.keep_alive() && !std::holds_alternative<std::monostate>(task);
   current_answer_ = &answer;
   LoadReport load;
@@ -155,6 +161,8 @@
 
 void Upstream::OnBroken(Link& link) {
   const Task task = EndTask(link);
+  const bool used = link.idle && link.written && !std::holds_alternative<std::monostate>(task);
+  if (used) keep_time_.Broke(*link.idle, inputs_.Now() - link.written_at);
   Retire(link);
   PostBroken(task);
 }
@@ -238,7 +246,7 @@
 }
 
 void Upstream::CloseIdle() {
-  const TimePoint before = inputs_.Now() - KeptFor(settings_);
+  const TimePoint before = inputs_.Now() - keep_time_.value();
   for (auto it = kept_.begin(); it != kept_.end();) {
     auto& links = it->second;
     while (!links.empty() && links.front()->kept_since <= before) Retire(*links.front());
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -9,6 +9,7 @@
 
 #include "net/connection.hpp"
 #include "net/inputs.hpp"
+#include "net/keep_time.hpp"
 
 namespace curlewdoor::net {
 
@@ -59,7 +60,8 @@
     std::string head, body;      // what waits for the connection to come up
     std::uint64_t task_end = 0;  // of the connection's bytes: where the task's last one stands
     bool written = false;
-    TimePoint kept_since;
+    TimePoint kept_since, written_at;
+    std::optional<Duration> idle;  // how long it had stood kept when the present task took it
   };
   using Links = std::list<Link>;
 
@@ -88,6 +90,7 @@
   std::unordered_map<ProbeId, Link*, IdHash> by_probe_;
   std::unordered_map<HostId, std::vector<Link*>, IdHash> kept_;  // the latest used last
   const http::Message* current_answer_ = nullptr;
+  KeepTime keep_time_;
   std::uint64_t opened_ = 0;
 };
 
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -7,6 +7,7 @@
 #include "log/log.hpp"
 #include "net/address.hpp"
 #include "net/descriptors.hpp"
+#include "net/keep_time.hpp"
 #include "net/load_report.hpp"
 #include "net/members.hpp"
 #include "net/request.hpp"
@@ -74,6 +75,23 @@
   EXPECT_EQ(queue.NextDue(), std::nullopt);
 }
 
+// Guards against hosts that close idle connections early and without a word.
+TEST(KeepTime, IsLearnedFromConnectionsThatBreakAtOnce) {
+  KeepTime time(seconds(8));
+  time.Broke(seconds(1), milliseconds(200));  // long after the writing: for another reason
+  EXPECT_EQ(time.value(), seconds(8));
+  time.Broke(seconds(1), milliseconds(2));
+  EXPECT_EQ(time.value(), milliseconds(500));
+  time.Served(milliseconds(100));  // tells nothing of old ones
+  EXPECT_EQ(time.value(), milliseconds(500));
+  for (int i = 0; i < 36; ++i) time.Served(time.value());
+  EXPECT_GT(time.value(), milliseconds(1000));
+  for (int i = 0; i < 1000; ++i) time.Served(time.value());
+  EXPECT_EQ(time.value(), seconds(8));
+  for (int i = 0; i < 20; ++i) time.Broke(time.value(), milliseconds(0));
+  EXPECT_EQ(time.value(), milliseconds(50));
+}
+
 // ---- Descriptors --------------------------------------------------------------------------------------
 
 TEST(Descriptors, OneBudgetForAllUses) {
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -231,6 +231,24 @@
   EXPECT_FALSE(client.Got("evil"));
 }
 
+// Guards against hosts that close idle connections early: one reset under a request just written teaches not
+// to use those that have stood as long. The old one looks whole until it is written to.
+TEST_F(ServiceTest, ConnectionsAsOldAsOneThatBrokeAtOnceAreNotUsed) {
+  Start();
+  Peer& client = NewClient();
+  Peer* host = Served(client, "r1", 0);
+  ASSERT_NE(host, nullptr);
+  std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  client.Send(Post("r2", "once"));
+  ASSERT_TRUE(UntilGot(*host, "once"));
+  host->Reset();
+  ASSERT_TRUE(UntilGot(client, "HTTP/1.1 502"));
+  client.Take();
+  ASSERT_NE(Served(client, "r3", 1), nullptr);
+  std::this_thread::sleep_for(std::chrono::milliseconds(120));
+  EXPECT_NE(Served(client, "r4", 2), nullptr);  // half as long would do
+}
+
 // The answer counts, what lies behind it is nobody's, and the connection is not used again.
 TEST_F(ServiceTest, BytesBehindAGoodAnswerEndItsConnection) {
   Start();
