A watch on discovery waits for a second at most, so one that hangs is found out

Checked with a probe of the module's view of its hosts: six of eight listed ones had gone and new ones were unknown until then, when the log says 'discovery: no answer', 22 s after the start: the hold of 20 s and 2 s. Ruled out: overload (room 8, 4 out). Test: AWatchThatHangsIsAskedAgainWithinSeconds.

--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -431,7 +431,7 @@
   Start();
   Peer& client = NewClient();
   client.Send(Get("r1", "", "60000m"));
-  Peer* told = PeerThatSaid(*discovery_, 0, "GET /catalog/members?from=41&hold_ms=20000 HTTP/1.1\r\n");
+  Peer* told = PeerThatSaid(*discovery_, 0, "GET /catalog/members?from=41&hold_ms=1000 HTTP/1.1\r\n");
   ASSERT_NE(told, nullptr);
   const std::string body =
       nlohmann::json{{"rev", 42}, {"all", false}, {"targets", {HostJson("h1", full.address, "leaving")}}}
@@ -475,6 +475,16 @@
   ASSERT_TRUE(UntilGot(client, "HTTP/1.1 200"));
 }
 
+// Guards against a watch that hangs unnoticed while hosts come and go: it is asked again on a new connection.
+TEST_F(ServiceTest, AWatchThatHangsIsAskedAgainWithinSeconds) {
+  Start();
+  ASSERT_NE(PeerThatSaid(*discovery_, 0, "from=41&"), nullptr);
+  const auto begun = std::chrono::steady_clock::now();
+  ASSERT_NE(PeerThatSaid(*discovery_, 1, "from=41&"), nullptr);
+  EXPECT_LT(std::chrono::steady_clock::now() - begun, seconds(5));
+  EXPECT_TRUE(Until([&] { return discovery_->peers[0]->ended; }));
+}
+
 TEST_F(ServiceTest, AFailedWatchIsAskedAgain) {
   Start();
   for (const char* bad :
