--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -9,8 +9,8 @@
 
 using std::chrono::milliseconds;
 
-// How long a watch may wait for news. Short, since one that hangs looks like one without news until then (guards
-// against an agent that has gone or was restarted without a word): both cost one more call a second.
+// How long a watch may wait for news. Short, since one that hangs looks like one without news until then
+// (guards against an agent that has gone or was restarted without a word): both cost one more call a second.
 constexpr Duration kHold = std::chrono::seconds(1);
 constexpr Duration kOverdue = std::chrono::seconds(1);  // an answer this much later will not come
 constexpr Duration kAgain = milliseconds(100);          // a watch goes on if asked again within 200 ms
