Clean-up: one strict reading of numbers, one place each that takes back lines and waiters

No change of behaviour. ParseNumber of the wire's codec moves to src/util/number.hpp and serves the counter's totals, load reports, addresses and clients' terms, which each had their own. Counter::Retire returns the calls a connection owed, so OnAnswer and OnBroken end one the same way. Listener::OnClosed calls TakeWaiting instead of a twin of it; the header of a request's id has one name. Client's throwing away of bytes reads through socket_io, whose rule for errors it had copied. Upstream::Keep forgets how long a connection had stood idle, and two checks for an empty task, dead since connections break on unasked bytes, are gone.

--- a/src/net/address.cpp
+++ b/src/net/address.cpp
@@ -2,7 +2,7 @@
 
 #include <arpa/inet.h>
 
-#include <charconv>
+#include "util/number.hpp"
 
 namespace curlewdoor::net {
 
@@ -24,10 +24,8 @@
 std::optional<Address> ParseAddress(std::string_view text) {
   const auto colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
-  const std::string_view port = text.substr(colon + 1);
   Address address;
-  const auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), address.port);
-  if (error != std::errc{} || end != port.data() + port.size()) return std::nullopt;
+  if (!ParseNumber(text.substr(colon + 1), address.port)) return std::nullopt;
   in_addr ip{};
   if (inet_pton(AF_INET, std::string(text.substr(0, colon)).c_str(), &ip) != 1) return std::nullopt;
   address.ip = ntohl(ip.s_addr);
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -2,8 +2,6 @@
 
 #include <sys/socket.h>
 
-#include <array>
-#include <cerrno>
 #include <charconv>
 #include <string>
 
@@ -12,9 +10,8 @@
 namespace curlewdoor::net {
 namespace {
 
-using std::chrono::seconds;
-
 using std::chrono::milliseconds;
+using std::chrono::seconds;
 
 // From the first byte of a request to its last; of the first one, from connecting on (guards against those
 // that connect and say nothing, or a little at a time).
@@ -57,7 +54,7 @@
 }
 
 void Client::ReadSome() {
-  if (state_ == State::kLingering) return Discard();
+  if (state_ == State::kLingering) return DiscardSome();
   const bool next = between_requests() && served_any_;
   const ReadStatus status = ReadInto(descriptor_.fd(), in_);
   if (status == ReadStatus::kEnd) return Close();  // an owed answer has nobody to go to
@@ -69,11 +66,10 @@
 
 // Takes what comes behind the last answer, so that closing does not reset the connection and the answer with
 // it.
-void Client::Discard() {
-  static std::array<char, 64 * 1024> nobodys;
-  const ssize_t count = ::recv(descriptor_.fd(), nobodys.data(), nobodys.size(), MSG_DONTWAIT);
-  if (count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR)) return Close();
-  if (count > 0) last_discarded_ = owner_.Now();
+void Client::DiscardSome() {
+  const ReadStatus status = Discard(descriptor_.fd());
+  if (status == ReadStatus::kEnd) return Close();
+  if (status == ReadStatus::kBytes) last_discarded_ = owner_.Now();
 }
 
 // Takes the requests that have come, one behind another.
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -47,7 +47,7 @@
 
   void OnEvent(int events);
   void ReadSome();
-  void Discard();
+  void DiscardSome();
   void Advance();
   void SayContinue();
   void AnswerBad(int status);
--- a/src/net/counter.cpp
+++ b/src/net/counter.cpp
@@ -3,10 +3,10 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <charconv>
-#include <cmath>
 #include <utility>
 
+#include "util/number.hpp"
+
 namespace curlewdoor::net {
 namespace {
 
@@ -28,9 +28,7 @@
   while (!body.empty() && (body.back() == '\n' || body.back() == '\r' || body.back() == ' '))
     body.remove_suffix(1);
   double total = 0;
-  const auto [end, error] = std::from_chars(body.data(), body.data() + body.size(), total);
-  const bool whole = error == std::errc{} && end == body.data() + body.size() && std::isfinite(total);
-  return whole ? std::optional(total) : std::nullopt;
+  return ParseNumber(body, total) ? std::optional(total) : std::nullopt;
 }
 
 }  // namespace
@@ -118,16 +116,13 @@
   // A 200 without a number tells that the call was added and nothing else. What comes behind it on this
   // connection, if anything does, can't be trusted (guards against calls that wait there for nothing).
   const bool spoilt = answer.status() == 200 && !total;
-  const std::deque<Pending> behind = spoilt ? std::exchange(line.calls, {}) : std::deque<Pending>{};
-  if (spoilt || (line.left && line.calls.empty())) Retire(line);
+  const bool over = spoilt || (line.left && line.calls.empty());
+  const std::deque<Pending> behind = over ? Retire(line) : std::deque<Pending>{};
   inputs_.Post(CallAnswered{id, answer.status(), total});
-  for (const Pending& call : behind) inputs_.Post(CallBroken{call.id});
+  PostBroken(behind);
 }
 
-void Counter::OnBroken(Line& line) {
-  const std::deque<Pending> calls = std::move(line.calls);
-  line.calls.clear();
-  Retire(line);
+void Counter::PostBroken(const std::deque<Pending>& calls) {
   for (const Pending& call : calls) inputs_.Post(CallBroken{call.id});
 }
 
@@ -149,20 +144,18 @@
     std::erase_if(line.calls, [&](const Pending& call) { return call.id == id && call.end == 0; });
 }
 
-void Counter::Retire(Line& line) {
+// The one place that gives a connection back. Returns the calls that it owed an answer.
+std::deque<Counter::Pending> Counter::Retire(Line& line) {
   line.connection.Close();
   retired_.splice(retired_.end(), lines_, line.self);
+  return std::exchange(line.calls, {});
 }
 
 void Counter::CheckTimes() {
   const TimePoint before = inputs_.Now() - kKeptFor;
   for (auto it = lines_.begin(); it != lines_.end();) {
     Line& line = *it++;
-    if (Stuck(line)) {
-      OnBroken(line);
-    } else if (line.used <= before && line.calls.empty()) {
-      Retire(line);
-    }
+    if (Stuck(line) || (line.used <= before && line.calls.empty())) OnBroken(line);
   }
 }
 
--- a/src/net/counter.hpp
+++ b/src/net/counter.hpp
@@ -56,8 +56,9 @@
   void OnUp(Line& line) { WriteAll(line); }
   void OnWritten(Line& line);
   void OnAnswer(Line& line, const http::Message& answer);
-  void OnBroken(Line& line);
-  void Retire(Line& line);
+  void OnBroken(Line& line) { PostBroken(Retire(line)); }
+  void PostBroken(const std::deque<Pending>& calls);
+  std::deque<Pending> Retire(Line& line);
 
   struct ev_loop* loop_;
   const Settings& settings_;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -16,7 +16,6 @@
 
 constexpr int kAcceptAtOnce = 64;                           // then others get their turn
 constexpr Duration kSoon = std::chrono::milliseconds(500);  // whoever connects to ask does so sooner
-constexpr std::string_view kIdHeader = "X-Request-ID";
 
 }  // namespace
 
@@ -112,10 +111,7 @@
 }
 
 void Listener::OnClosed(Client& client, bool waiting) {
-  if (waiting && waiting_.contains(client.id)) {
-    StopWaiting(client.id, client);
-    inputs_.Post(ClientLeft{client.id});
-  }
+  if (waiting && TakeWaiting(client.id) != nullptr) inputs_.Post(ClientLeft{client.id});
   retired_.splice(retired_.end(), clients_, client.self);
   if (fd_ >= 0 && !io_.active()) io_.Want(fd_, EV_READ);
 }
@@ -134,7 +130,7 @@
     return client.Answer(rejection->status, {}, rejection->reason);
   }
   // A host takes a second request under an open id for a repeat of the first.
-  if (!open_ids_.emplace(message.Find(kIdHeader)).second) {
+  if (!open_ids_.emplace(message.Find(kRequestIdHeader)).second) {
     ++counts_.rejected;
     return client.Answer(409, {}, "X-Request-ID is open\n");
   }
@@ -160,15 +156,11 @@
   const auto it = waiting_.find(id);
   if (it == waiting_.end()) return nullptr;
   Client* client = it->second;
-  StopWaiting(id, *client);
+  waiting_.erase(it);
+  open_ids_.erase(std::string(client->request().Find(kRequestIdHeader)));
   return client;
 }
 
-void Listener::StopWaiting(RequestId id, const Client& client) {
-  waiting_.erase(id);
-  open_ids_.erase(std::string(client.request().Find(kIdHeader)));
-}
-
 void Listener::Deliver(RequestId id, const http::Message& answer) {
   Client* client = TakeWaiting(id);
   if (client == nullptr) return;
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -55,7 +55,6 @@
   bool ShedIdle();
   void AnswerHealth(Client& client);
   Client* TakeWaiting(RequestId id);
-  void StopWaiting(RequestId id, const Client& client);
   std::vector<Client*> Present();
 
   struct ev_loop* loop_;
--- a/src/net/load_report.cpp
+++ b/src/net/load_report.cpp
@@ -1,9 +1,10 @@
 #include "net/load_report.hpp"
 
-#include <charconv>
-#include <cmath>
+#include <algorithm>
 #include <string>
 
+#include "util/number.hpp"
+
 namespace curlewdoor::net {
 
 LoadReport ReadLoadReport(std::string_view text) {
@@ -18,10 +19,8 @@
     if (part.empty()) break;
     const auto equals = part.find('=');
     if (equals == std::string_view::npos || equals == 0) continue;
-    const std::string_view number = part.substr(equals + 1);
     double value = 0;
-    const auto [end, error] = std::from_chars(number.data(), number.data() + number.size(), value);
-    if (error == std::errc{} && end == number.data() + number.size() && std::isfinite(value))
+    if (ParseNumber(part.substr(equals + 1), value))
       report.push_back({std::string(part.substr(0, equals)), value});
   }
   return report;
--- a/src/net/request.cpp
+++ b/src/net/request.cpp
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <charconv>
-#include <cmath>
 #include <optional>
 
+#include "util/number.hpp"
+
 namespace curlewdoor::net {
 namespace {
 
@@ -13,9 +14,7 @@
 template <typename Number>
 std::optional<Number> ReadNumber(std::string_view text) {
   Number value{};
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return std::nullopt;
-  return value;
+  return ParseNumber(text, value) ? std::optional(value) : std::nullopt;
 }
 
 std::string_view Trimmed(std::string_view text) {
@@ -41,7 +40,7 @@
   if (text.size() < 2) return std::nullopt;
   const char unit = text.back();
   const auto number = ReadNumber<double>(text.substr(0, text.size() - 1));
-  if (!number || !std::isfinite(*number) || *number < 0 || (unit != 'm' && unit != 'u')) return std::nullopt;
+  if (!number || *number < 0 || (unit != 'm' && unit != 'u')) return std::nullopt;
   constexpr double kMostSeconds = 3600;
   const double seconds = std::min(kMostSeconds, *number * (unit == 'm' ? 1e-3 : 1e-6));
   return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
@@ -99,7 +98,7 @@
   if (message.method() != wanted) return Rejection{405, "not the method of this class"};
 
   bool twice = false;
-  if (message.Find("X-Request-ID", &twice).empty() || twice) return Rejection{400, "X-Request-ID"};
+  if (message.Find(kRequestIdHeader, &twice).empty() || twice) return Rejection{400, "X-Request-ID"};
   request.plan = message.Find("X-Tier", &twice);
   const bool known = std::any_of(settings.plans.begin(), settings.plans.end(),
                                  [&](const Plan& p) { return p.name == request.plan; });
--- a/src/net/request.hpp
+++ b/src/net/request.hpp
@@ -8,6 +8,8 @@
 
 namespace curlewdoor::net {
 
+inline constexpr std::string_view kRequestIdHeader = "X-Request-ID";
+
 struct Rejection {  // the request is not one that this gateway can take
   int status = 400;
   const char* reason = "";
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <climits>
 
@@ -22,6 +23,11 @@
   return {0, !MayContinue(errno)};
 }
 
+ReadStatus StatusOf(ssize_t count) {
+  if (count < 0) return MayContinue(errno) ? ReadStatus::kNothing : ReadStatus::kEnd;
+  return count == 0 ? ReadStatus::kEnd : ReadStatus::kBytes;
+}
+
 }  // namespace
 
 WriteResult WritePieces(int fd, std::span<const iovec> pieces, http::Buffer& rest) {
@@ -47,10 +53,14 @@
   constexpr std::size_t kLeast = 2048;
   char* const at = buffer.Prepare(kLeast);
   const ssize_t count = ::recv(fd, at, buffer.free(), MSG_DONTWAIT);
-  if (count < 0) return MayContinue(errno) ? ReadStatus::kNothing : ReadStatus::kEnd;
-  if (count == 0) return ReadStatus::kEnd;
-  buffer.Commit(static_cast<std::size_t>(count));
-  return ReadStatus::kBytes;
+  const ReadStatus status = StatusOf(count);
+  if (status == ReadStatus::kBytes) buffer.Commit(static_cast<std::size_t>(count));
+  return status;
+}
+
+ReadStatus Discard(int fd) {
+  static std::array<char, 64 * 1024> nobodys;
+  return StatusOf(::recv(fd, nobodys.data(), nobodys.size(), MSG_DONTWAIT));
 }
 
 }  // namespace curlewdoor::net
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -22,5 +22,7 @@
 
 // One read. kEnd: the other side closed or the connection broke.
 ReadStatus ReadInto(int fd, http::Buffer& buffer);
+// The same for bytes that nobody wants.
+ReadStatus Discard(int fd);
 
 }  // namespace curlewdoor::net
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -143,7 +143,7 @@
 void Upstream::OnAnswer(Link& link, const http::Message& answer) {
   const Task task = EndTask(link);
   if (link.idle) keep_time_.Served(*link.idle);
-  const bool reusable = link.written && answer.keep_alive() && !std::holds_alternative<std::monostate>(task);
+  const bool reusable = link.written && answer.keep_alive();
   current_answer_ = &answer;
   LoadReport load;
   if (settings_.reports.how != Reports::kNone) load = ReadLoadReport(answer.Find(kLoadHeader));
@@ -161,8 +161,7 @@
 
 void Upstream::OnBroken(Link& link) {
   const Task task = EndTask(link);
-  const bool used = link.idle && link.written && !std::holds_alternative<std::monostate>(task);
-  if (used) keep_time_.Broke(*link.idle, inputs_.Now() - link.written_at);
+  if (link.idle && link.written) keep_time_.Broke(*link.idle, inputs_.Now() - link.written_at);
   Retire(link);
   PostBroken(task);
 }
@@ -203,6 +202,7 @@
 
 void Upstream::Keep(Link& link) {
   link.kept_since = inputs_.Now();
+  link.idle.reset();
   kept_[link.host].push_back(&link);
 }
 
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -61,7 +61,7 @@
     std::uint64_t task_end = 0;  // of the connection's bytes: where the task's last one stands
     bool written = false;
     TimePoint kept_since, written_at;
-    std::optional<Duration> idle;  // how long it had stood kept when the present task took it
+    std::optional<Duration> idle;  // how long it had stood kept, where the present task took it so
   };
   using Links = std::list<Link>;
 
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -8,6 +8,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include "util/number.hpp"
+
 namespace curlewdoor::wire {
 namespace {
 
@@ -16,14 +18,6 @@
 constexpr std::uint64_t kMaxToken = 1ull << 63;
 constexpr std::size_t kMaxListItems = 10'000;  // classes or plans; a larger index is a malformed one
 
-template <typename T>
-bool ParseNumber(std::string_view text, T& value) {
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-  if (error != std::errc{} || end != text.data() + text.size()) return false;
-  if constexpr (std::is_floating_point_v<T>) return std::isfinite(value);
-  return true;
-}
-
 bool ParseBool(std::string_view text, bool& value) {
   value = text == "1" || text == "true";
   return value || text == "0" || text == "false";
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -61,10 +61,14 @@
     return {{"uid", uid}, {"endpoint", address.ToText()}, {"az", "b"}, {"state", state}, {"boot_ms", 0}};
   }
 
-  void Start() {
+  void ReadConfig() {
     std::string error;
     config_ = config::ParseConfig(config_json_.dump(), {}, error);
     ASSERT_TRUE(config_) << error;
+  }
+  void Start() {
+    ASSERT_NO_FATAL_FAILURE(ReadConfig());
+    std::string error;
     const auto reload = [this](std::string& what) { return config::ParseConfig(reloaded_, {}, what); };
     service_.emplace(loop_, *config_, reload, logger_);
     ASSERT_TRUE(service_->Start(error)) << error;
@@ -523,9 +527,7 @@
 // A call that timed out keeps its place: its answer is not taken for that of the call behind it.
 TEST_F(ServiceTest, ATimedOutCallKeepsItsPlace) {
   Recorder told;
-  std::string error;
-  config_ = config::ParseConfig(config_json_.dump(), {}, error);
-  ASSERT_TRUE(config_) << error;
+  ASSERT_NO_FATAL_FAILURE(ReadConfig());
   Descriptors descriptors(128);
   Counter counter(loop_, config_->settings, counter_->address, descriptors, told);
   const auto start = [&](std::uint64_t id) {
@@ -562,9 +564,7 @@
 // What waits for its connection to come up, and is given up meanwhile, is never written.
 TEST_F(ServiceTest, ADroppedCallIsNotWrittenLater) {
   Recorder told;
-  std::string error;
-  config_ = config::ParseConfig(config_json_.dump(), {}, error);
-  ASSERT_TRUE(config_) << error;
+  ASSERT_NO_FATAL_FAILURE(ReadConfig());
   Descriptors descriptors(128);
   Counter counter(loop_, config_->settings, counter_->address, descriptors, told);
   counter.Start(StartCall{CallId{1}, CountName{101}, seconds(4), 1});
@@ -578,9 +578,7 @@
 // The counter's machine has gone without a word: a connection that hangs gets no further calls.
 TEST_F(ServiceTest, ASilentConnectionToTheCounterIsLeft) {
   Recorder told;
-  std::string error;
-  config_ = config::ParseConfig(config_json_.dump(), {}, error);
-  ASSERT_TRUE(config_) << error;
+  ASSERT_NO_FATAL_FAILURE(ReadConfig());
   Descriptors descriptors(128);
   Counter counter(loop_, config_->settings, counter_->address, descriptors, told);
   const auto start = [&](std::uint64_t id) {
@@ -608,9 +606,7 @@
 // An answer without a number tells that its call was added; those behind it will see none.
 TEST_F(ServiceTest, ASpoiltAnswerOfTheCounterEndsItsConnection) {
   Recorder told;
-  std::string error;
-  config_ = config::ParseConfig(config_json_.dump(), {}, error);
-  ASSERT_TRUE(config_) << error;
+  ASSERT_NO_FATAL_FAILURE(ReadConfig());
   Descriptors descriptors(128);
   Counter counter(loop_, config_->settings, counter_->address, descriptors, told);
   for (std::uint64_t id = 1; id <= 8; ++id)
@@ -804,9 +800,7 @@
 // The part alone: which hosts the module would choose does not matter here.
 TEST_F(ServiceTest, HostConnectionsThatNobodyUsesMakeRoom) {
   Recorder told;
-  std::string error;
-  config_ = config::ParseConfig(config_json_.dump(), {}, error);
-  ASSERT_TRUE(config_) << error;
+  ASSERT_NO_FATAL_FAILURE(ReadConfig());
   Descriptors descriptors(128);
   const auto most = static_cast<std::size_t>(descriptors.most(Use::kHost));
   Upstream upstream(loop_, config_->settings, descriptors, told);
