The reducer is a library of its own without I/O; net no longer includes the configuration

Need: the rehearsal kit plays the reducer of many gateways in virtual time, so it must link without sockets. Nothing behaves differently.

--- a/src/net/service.cpp
+++ b/src/app/service.cpp
@@ -1,9 +1,9 @@
-#include "net/service.hpp"
+#include "app/service.hpp"
 
 #include <csignal>
 #include <utility>
 
-namespace curlewdoor::net {
+namespace curlewdoor::app {
 namespace {
 
 constexpr Duration kHouseEvery = std::chrono::milliseconds(250);  // what it looks after is in seconds
@@ -126,7 +126,7 @@
 }
 
 void Service::LogFigures() {
-  const Listener::Counts& clients = listener_.counts();
+  const net::Listener::Counts& clients = listener_.counts();
   logger_.Info(
       "figures: requests {} rejected {} served {} refused {} failed {} attempts {} calls {}; open {} out {} "
       "on sockets {}; "
@@ -137,4 +137,4 @@
       counter_.connections(), logger_.dropped());
 }
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor::app
--- a/src/net/service.hpp
+++ b/src/app/service.hpp
@@ -15,9 +15,9 @@
 #include "net/shutdown.hpp"
 #include "net/upstream.hpp"
 
-namespace curlewdoor::net {
+namespace curlewdoor::app {
 
-class Service : Inputs {
+class Service : net::Inputs {
  public:
   // Reads the configuration anew, while the program runs; on nullopt the text tells the faulty key.
   using Reload = std::function<std::optional<config::Config>(std::string& error)>;
@@ -66,17 +66,17 @@
   log::Logger& logger_;
   WallClock clock_;
   StallMeter stalls_;
-  Descriptors descriptors_;
+  net::Descriptors descriptors_;
   Reducer reducer_;
-  Listener listener_;
-  Upstream upstream_;
-  Counter counter_;
-  Discovery discovery_;
-  Shutdown shutdown_;
-  SignalWatcher hang_up_;
-  PrepareWatcher before_wait_;
-  CheckWatcher after_wait_;
-  TimerWatcher due_timer_, house_timer_, figures_timer_;
+  net::Listener listener_;
+  net::Upstream upstream_;
+  net::Counter counter_;
+  net::Discovery discovery_;
+  net::Shutdown shutdown_;
+  net::SignalWatcher hang_up_;
+  net::PrepareWatcher before_wait_;
+  net::CheckWatcher after_wait_;
+  net::TimerWatcher due_timer_, house_timer_, figures_timer_;
   TimePoint house_due_;
   std::deque<Input> inputs_;
   std::vector<Effect> effects_;
@@ -86,4 +86,4 @@
   } counts_;
 };
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor::app
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -50,13 +50,13 @@
     return std::nullopt;
   }
 
-  net::Address Address(const char* key, const char* variable) {
+  curlewdoor::Address Address(const char* key, const char* variable) {
     const auto text = Text(key, variable);
     if (!text)
       Fail(key, variable != nullptr ? fmt::format("is missing, and so is {}", variable) : "is missing");
-    const auto address = net::ParseAddress(text.value_or(""));
+    const auto address = ParseAddress(text.value_or(""));
     if (!address) Fail(key, fmt::format("is not an IPv4 address with a port: {}", text.value_or("")));
-    return address.value_or(net::Address{});
+    return address.value_or(curlewdoor::Address{});
   }
 
   template <typename Number>
@@ -179,7 +179,7 @@
   if (config.settings.counter.available) config.counter = reader.Address("counter", nullptr);
   if (const json* known = reader.Find("known")) {
     std::string what;
-    config.known = net::ReadMembers(*known, what);
+    config.known = ReadMembers(*known, what);
     if (!config.known) reader.Fail("known", what);
   }
   if (!error.empty()) return std::nullopt;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -9,19 +9,19 @@
 #include <vector>
 
 #include "logic.hpp"
-#include "net/address.hpp"
-#include "net/members.hpp"
+#include "members/members.hpp"
+#include "util/address.hpp"
 
 namespace curlewdoor::config {
 
 struct Config {
   std::string name;
-  net::Address listen, discovery, counter;
+  Address listen, discovery, counter;
   std::uint64_t seed = 0;
   double cores = 1;
   int memory_mb = 192;
   int sockets = 1024;
-  std::optional<net::MemberList> known;
+  std::optional<MemberList> known;
   Settings settings;
   std::uint64_t settings_digest = 0;  // tells whether two files have the same settings
 };
--- a/src/net/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,9 +1,9 @@
-#include "net/reducer.hpp"
+#include "core/reducer.hpp"
 
 #include <algorithm>
 #include <utility>
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 namespace {
 
 Outcome OutcomeOf(const AttemptAnswered& answer) {
@@ -311,4 +311,4 @@
 
 void Reducer::Do(const Log& action) { effects_->push_back(WriteLog{action.text}); }
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
--- a/src/net/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -10,11 +10,11 @@
 #include <variant>
 #include <vector>
 
+#include "core/timers.hpp"
 #include "logic.hpp"
-#include "net/members.hpp"
-#include "net/timers.hpp"
+#include "members/members.hpp"
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 
 // Attempts of a request are numbered from 0 in the order they are begun.
 struct AttemptId {
@@ -247,4 +247,4 @@
   bool telling_ = false, peers_said_ = false;
 };
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
--- a/src/net/timers.hpp
+++ b/src/core/timers.hpp
@@ -10,7 +10,7 @@
 
 #include "logic.hpp"
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 
 // Unix time that never goes back. Windows of a quota must agree over gateways and hosts tell their start in
 // Unix time, so it follows the system's clock; where that is set back, time runs at half speed until both
@@ -89,4 +89,4 @@
   std::uint64_t next_ = 0;
 };
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,9 +10,9 @@
 #include <string>
 #include <vector>
 
+#include "app/service.hpp"
 #include "config/config.hpp"
 #include "log/log.hpp"
-#include "net/service.hpp"
 
 namespace curlewdoor {
 namespace {
@@ -43,7 +43,7 @@
     const auto reload = [&](std::string& error) {
       return config::ReloadConfig(path, config::ReadEnvironment(), error);
     };
-    net::Service service(loop, *config, reload, logger);
+    app::Service service(loop, *config, reload, logger);
     std::string error;
     if (service.Start(error)) {
       logger.Info("{} listens on {}; {} classes, {} plans, {} hosts known; {} descriptors, {} MB",
--- a/src/net/members.cpp
+++ b/src/members/members.cpp
@@ -1,4 +1,4 @@
-#include "net/members.hpp"
+#include "members/members.hpp"
 
 #include <array>
 #include <nlohmann/json.hpp>
@@ -6,7 +6,7 @@
 
 #include "util/hash.hpp"
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 namespace {
 
 using nlohmann::json;
@@ -111,4 +111,4 @@
   return ReadMembers(object, error);
 }
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
--- a/src/net/members.hpp
+++ b/src/members/members.hpp
@@ -9,9 +9,9 @@
 #include <vector>
 
 #include "logic.hpp"
-#include "net/address.hpp"
+#include "util/address.hpp"
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 
 struct Member {
   HostEntry entry;
@@ -28,4 +28,4 @@
 std::optional<MemberList> ReadMembers(const nlohmann::json& json, std::string& error);
 std::optional<MemberList> ReadMembers(std::string_view text, std::string& error);
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -8,9 +8,9 @@
 #include "http/buffer.hpp"
 #include "http/message.hpp"
 #include "logic.hpp"
-#include "net/address.hpp"
 #include "net/descriptors.hpp"
 #include "net/watcher.hpp"
+#include "util/address.hpp"
 
 namespace curlewdoor::net {
 
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -2,7 +2,7 @@
 
 #include <fmt/format.h>
 
-#include "net/members.hpp"
+#include "members/members.hpp"
 
 namespace curlewdoor::net {
 namespace {
--- a/src/net/inputs.hpp
+++ b/src/net/inputs.hpp
@@ -1,7 +1,7 @@
 // What the parts that do I/O know of the rest: where their inputs go, and what time it is.
 #pragma once
 
-#include "net/reducer.hpp"
+#include "core/reducer.hpp"
 
 namespace curlewdoor::net {
 
--- a/src/net/address.cpp
+++ b/src/util/address.cpp
@@ -1,10 +1,10 @@
-#include "net/address.hpp"
+#include "util/address.hpp"
 
 #include <arpa/inet.h>
 
 #include "util/number.hpp"
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 
 sockaddr_in Address::ToSocket() const {
   sockaddr_in socket{};
@@ -32,4 +32,4 @@
   return address;
 }
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
--- a/src/net/address.hpp
+++ b/src/util/address.hpp
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 
 struct Address {
   std::uint32_t ip = 0;  // both in host order
@@ -21,4 +21,4 @@
 // Reads "10.0.0.4:9000". There is no DNS here.
 std::optional<Address> ParseAddress(std::string_view text);
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -4,14 +4,14 @@
 
 #include <string>
 
+#include "core/timers.hpp"
 #include "log/log.hpp"
-#include "net/address.hpp"
+#include "members/members.hpp"
 #include "net/descriptors.hpp"
 #include "net/keep_time.hpp"
 #include "net/load_report.hpp"
-#include "net/members.hpp"
 #include "net/request.hpp"
-#include "net/timers.hpp"
+#include "util/address.hpp"
 #include "util/hash.hpp"
 
 namespace curlewdoor::net {
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -13,8 +13,8 @@
 #include <string>
 #include <vector>
 
-#include "net/address.hpp"
 #include "net/watcher.hpp"
+#include "util/address.hpp"
 
 namespace curlewdoor::net {
 
--- a/tests/reducer_test.cpp
+++ b/tests/reducer_test.cpp
@@ -1,4 +1,4 @@
-#include "net/reducer.hpp"
+#include "core/reducer.hpp"
 
 #include <gtest/gtest.h>
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -1,5 +1,5 @@
 // The gateway on sockets: everything here is loopback, on ports that the system gives.
-#include "net/service.hpp"
+#include "app/service.hpp"
 
 #include <fcntl.h>
 #include <gtest/gtest.h>
@@ -128,7 +128,7 @@
   std::string reloaded_;  // the file that SIGHUP finds
   std::optional<TestServer> host_, counter_, discovery_;
   std::optional<config::Config> config_;
-  std::optional<Service> service_;
+  std::optional<app::Service> service_;
   std::vector<std::unique_ptr<Peer>> clients_;
 };
 
