--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -11,13 +11,14 @@
 
 }  // namespace
 
-Service::Service(struct ev_loop* loop, const config::Config& config, Reload reload, log::Logger& logger)
+Service::Service(struct ev_loop* loop, const config::Config& config, Reload reload, log::Logger& logger,
+                 const CoreFactory& make_core)
     : loop_(loop),
       config_(config),
       reload_(std::move(reload)),
       logger_(logger),
       descriptors_(config.sockets),
-      reducer_(config.settings, config.seed),
+      reducer_(make_core(config.settings, config.seed)),
       listener_(loop, config.settings, descriptors_, *this),
       upstream_(loop, config.settings, descriptors_, *this),
       counter_(loop, config.settings, config.counter, descriptors_, *this),
@@ -53,7 +54,7 @@
   while (!inputs_.empty()) {
     Input next = std::move(inputs_.front());
     inputs_.pop_front();
-    reducer_.Handle(clock_.Now(), std::move(next), effects_);
+    reducer_->Handle(clock_.Now(), std::move(next), effects_);
     for (const Effect& effect : effects_) std::visit([this](const auto& each) { Apply(each); }, effect);
     effects_.clear();
   }
@@ -104,11 +105,11 @@
   upstream_.Reap();
   counter_.Reap();
   discovery_.Reap();
-  listener_.SetHealthy(reducer_.knows_hosts());
-  auto due = reducer_.NextDue();
+  listener_.SetHealthy(reducer_->knows_hosts());
+  auto due = reducer_->NextDue();
   if (due && *due <= clock_.Now()) {
     Post(TimePassed{});
-    due = reducer_.NextDue();
+    due = reducer_->NextDue();
   }
   due_timer_.Stop();
   const TimePoint now = clock_.Now();
@@ -132,7 +133,7 @@
       "on sockets {}; "
       "clients {} accepted {} shed {}; hosts' connections {} opened {}; counter's {}; log lines dropped {}",
       clients.requests, clients.rejected, counts_.served, counts_.refused, counts_.failed, counts_.attempts,
-      counts_.calls, reducer_.open_requests(), reducer_.attempts_out(), upstream_.attempts(),
+      counts_.calls, reducer_->open_requests(), reducer_->attempts_out(), upstream_.attempts(),
       listener_.connections(), clients.accepted, clients.shed, upstream_.connections(), upstream_.opened(),
       counter_.connections(), logger_.dropped());
 }
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -3,6 +3,7 @@
 
 #include <deque>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,7 +23,8 @@
   // Reads the configuration anew, while the program runs; on nullopt the text tells the faulty key.
   using Reload = std::function<std::optional<config::Config>(std::string& error)>;
 
-  Service(struct ev_loop* loop, const config::Config& config, Reload reload, log::Logger& logger);
+  Service(struct ev_loop* loop, const config::Config& config, Reload reload, log::Logger& logger,
+          const CoreFactory& make_core = MakeReducer);
   ~Service() override;
 
   // Listens and asks discovery. Tells in `error` why it can't.
@@ -31,7 +33,7 @@
   void Stop() { shutdown_.Begin(); }
   std::size_t clients() const { return listener_.connections(); }
   // What is believed to be out, and what the sockets show.
-  std::size_t attempts_out() const { return reducer_.attempts_out(); }
+  std::size_t attempts_out() const { return reducer_->attempts_out(); }
   std::size_t attempts_on_sockets() const { return upstream_.attempts(); }
 
  private:
@@ -67,7 +69,7 @@
   WallClock clock_;
   StallMeter stalls_;
   net::Descriptors descriptors_;
-  Reducer reducer_;
+  const std::unique_ptr<Core> reducer_;
   net::Listener listener_;
   net::Upstream upstream_;
   net::Counter counter_;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -17,6 +17,10 @@
 Reducer::Reducer(const Settings& settings, std::uint64_t seed)
     : settings_(settings), gateway_(settings, seed) {}
 
+std::unique_ptr<Core> MakeReducer(const Settings& settings, std::uint64_t seed) {
+  return std::make_unique<Reducer>(settings, seed);
+}
+
 void Reducer::Handle(TimePoint now, Input input, std::vector<Effect>& effects) {
   now_ = now;
   effects_ = &effects;
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -140,20 +142,35 @@
 
 // ---- The reducer --------------------------------------------------------------------------------------
 
-class Reducer {
+// What whoever plays a gateway sees of its core. The reducer is the one in service; tests of the kit put one that
+// does something wrong on purpose in its place, to see that the judge notices.
+class Core {
  public:
-  Reducer(const Settings& settings, std::uint64_t seed);
+  virtual ~Core() = default;
 
   // Takes one input at time `now` and appends effects. What falls due is handled with TimePassed only, so
   // that an answer that has come is taken before its time-out, however late both are looked at.
-  void Handle(TimePoint now, Input input, std::vector<Effect>& effects);
+  virtual void Handle(TimePoint now, Input input, std::vector<Effect>& effects) = 0;
 
   // When TimePassed is wanted next.
-  std::optional<TimePoint> NextDue();
+  virtual std::optional<TimePoint> NextDue() = 0;
+
+  virtual std::size_t open_requests() const = 0;
+  virtual std::size_t attempts_out() const = 0;
+  virtual bool knows_hosts() const = 0;
+};
+using CoreFactory = std::function<std::unique_ptr<Core>(const Settings& settings, std::uint64_t seed)>;
+std::unique_ptr<Core> MakeReducer(const Settings& settings, std::uint64_t seed);
+
+class Reducer final : public Core {
+ public:
+  Reducer(const Settings& settings, std::uint64_t seed);
 
-  std::size_t open_requests() const { return open_requests_; }
-  std::size_t attempts_out() const { return attempts_out_; }
-  bool knows_hosts() const { return !hosts_.empty(); }
+  void Handle(TimePoint now, Input input, std::vector<Effect>& effects) override;
+  std::optional<TimePoint> NextDue() override;
+  std::size_t open_requests() const override { return open_requests_; }
+  std::size_t attempts_out() const override { return attempts_out_; }
+  bool knows_hosts() const override { return !hosts_.empty(); }
 
  private:
   struct Attempt {
