--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -142,8 +142,8 @@
 
 // ---- The reducer --------------------------------------------------------------------------------------
 
-// What whoever plays a gateway sees of its core. The reducer is the one in service; tests of the kit put one that
-// does something wrong on purpose in its place, to see that the judge notices.
+// What whoever plays a gateway sees of its core. The reducer is the one in service; tests of the kit put one
+// that does something wrong on purpose in its place, to see that the judge notices.
 class Core {
  public:
   virtual ~Core() = default;
--- a/src/rehearsal/figures.cpp
+++ b/src/rehearsal/figures.cpp
@@ -20,7 +20,8 @@
 struct Latencies::Bins {
   using Axis = histogram::axis::regular<double, histogram::axis::transform::log>;
   histogram::histogram<std::tuple<Axis>, histogram::dense_storage<std::uint32_t>> counts =
-      histogram::make_histogram_with(histogram::dense_storage<std::uint32_t>(), Axis(kBins, kLeastMs, kMostMs));
+      histogram::make_histogram_with(histogram::dense_storage<std::uint32_t>(),
+                                     Axis(kBins, kLeastMs, kMostMs));
   std::uint64_t count = 0;
 };
 
--- a/src/rehearsal/figures.hpp
+++ b/src/rehearsal/figures.hpp
@@ -1,4 +1,5 @@
-// Figures of a rehearsal beside its verdicts: service, goodput, refusals, latencies, calls. From sightings only.
+// Figures of a rehearsal beside its verdicts: service, goodput, refusals, latencies, calls. From sightings
+// only.
 #pragma once
 
 #include <array>
@@ -12,8 +13,8 @@
 
 namespace curlewdoor::rehearsal {
 
-// Latencies from 0.05 ms to 100 s in bins of a few percent: a Boost.Histogram with a logarithmic axis behind a
-// thin wall, since its headers are heavy.
+// Latencies from 0.05 ms to 100 s in bins of a few percent: a Boost.Histogram with a logarithmic axis behind
+// a thin wall, since its headers are heavy.
 class Latencies {
  public:
   Latencies();
@@ -32,13 +33,14 @@
 };
 
 struct SecondFigures {
-  std::uint32_t offered = 0, in_quota = 0, served = 0, refused = 0, refused_in_quota = 0, failed = 0, calls = 0;
+  std::uint32_t offered = 0, in_quota = 0, served = 0, refused = 0, refused_in_quota = 0, failed = 0,
+                calls = 0;
   float p50_ms = 0, p99_ms = 0;
 };
 
 struct Totals {
-  std::uint64_t offered = 0;     // first tries
-  std::uint64_t in_quota = 0;    // of these
+  std::uint64_t offered = 0;   // first tries
+  std::uint64_t in_quota = 0;  // of these
   std::uint64_t tries = 0;
   std::uint64_t served = 0, refused = 0, failed = 0, broken = 0;  // tries, by their answer
   std::uint64_t refused_in_quota = 0, refused_beyond = 0;         // tries
@@ -52,7 +54,9 @@
   // Worth answered within its wanted time over worth asked, both inside quotas.
   double Service() const { return worth_asked > 0 ? worth_served / worth_asked : 1; }
   double Goodput() const { return length_s > 0 ? static_cast<double>(served) / length_s : 0; }
-  double CallsPerRequest() const { return tries > 0 ? static_cast<double>(calls) / static_cast<double>(tries) : 0; }
+  double CallsPerRequest() const {
+    return tries > 0 ? static_cast<double>(calls) / static_cast<double>(tries) : 0;
+  }
 };
 
 class Figures : public Witness {
@@ -94,7 +98,7 @@
   Latencies latencies_;
   std::vector<SecondFigures> seconds_;
   std::vector<Latencies> second_latencies_;
-  std::vector<Known> known_;  // by id of a try
+  std::vector<Known> known_;   // by id of a try
   std::vector<Quota> quotas_;  // by customer: what nodes got, against the plan's own figures
 };
 
--- a/src/rehearsal/judge.cpp
+++ b/src/rehearsal/judge.cpp
@@ -81,7 +81,8 @@
   const auto broken = [&](std::string what) {
     Break(Rule::kLost, now, ask.id, -1, request->gateway, request->customer, std::move(what));
   };
-  if (++request->answers > 1) return broken(fmt::format("answer number {}, status {}", request->answers, status));
+  if (++request->answers > 1)
+    return broken(fmt::format("answer number {}, status {}", request->answers, status));
   request->answered = now;
   request->refused = kind == AnswerKind::kRefused;
   if (now > request->bound)
@@ -91,7 +92,8 @@
   const double used = 1 - Seconds(request->bound - now) / patience;
   const double before = verdicts_[static_cast<std::size_t>(Rule::kLost)].nearest;
   if (used > before)
-    Near(Rule::kLost, used, fmt::format("an answer {:.1f} ms before the bound", 1e3 * Seconds(request->bound - now)));
+    Near(Rule::kLost, used,
+         fmt::format("an answer {:.1f} ms before the bound", 1e3 * Seconds(request->bound - now)));
   CheckEffects(now, ask.id, *request, -1);
 }
 
@@ -109,7 +111,8 @@
 
 void Judge::AttemptBegins(TimePoint now, int node, int gateway, std::uint64_t id) {
   Request* request = Find(id);
-  if (request != nullptr && request->answers > 0 && !request->excused && now > request->answered + kSocketSlack)
+  if (request != nullptr && request->answers > 0 && !request->excused &&
+      now > request->answered + kSocketSlack)
     Break(Rule::kLost, now, id, node, gateway, request->customer,
           fmt::format("sent {:.0f} ms after its final answer", 1e3 * Seconds(now - request->answered)));
   const auto told = left_.find({gateway, node});
@@ -141,7 +144,8 @@
     Break(Rule::kDuplicate, now, id, node, request.gateway, request.customer,
           fmt::format("ran {} times", request.ran));
   if (request.ran > 0 && request.refused)
-    Break(Rule::kDuplicate, now, id, node, request.gateway, request.customer, "ran, and was refused as harmless");
+    Break(Rule::kDuplicate, now, id, node, request.gateway, request.customer,
+          "ran, and was refused as harmless");
 }
 
 // The first attempt of each request draws its units from the customer's store.
@@ -165,7 +169,8 @@
   if (used > verdicts_[static_cast<std::size_t>(Rule::kCeiling)].nearest)
     Near(Rule::kCeiling, used,
          fmt::format("{} of {:.1f} units and a slack of {:.1f} drawn down to {:.1f}",
-                     customers_[static_cast<std::size_t>(request.customer)].name, plan.ceiling_burst, slack, store.level));
+                     customers_[static_cast<std::size_t>(request.customer)].name, plan.ceiling_burst, slack,
+                     store.level));
   if (store.level < -slack)
     Break(Rule::kCeiling, now, id, node, request.gateway, request.customer,
           fmt::format("{:.1f} units over a slack of {:.1f}", -store.level - slack, slack));
@@ -196,7 +201,8 @@
   const auto started = node_started_.find(node);
   for (std::size_t g = 0; g < work_by_gateway.size(); ++g) {
     const auto told = start_told_.find({static_cast<int>(g), node});
-    const bool knew = told != start_told_.end() && started != node_started_.end() && told->second >= started->second;
+    const bool knew =
+        told != start_told_.end() && started != node_started_.end() && told->second >= started->second;
     whole += work_by_gateway[g];
     if (knew) informed += work_by_gateway[g];
   }
@@ -207,7 +213,8 @@
 }
 
 void Judge::SetNearestFall(double nearest) {
-  Near(Rule::kFallOver, nearest, fmt::format("a cold node had {:.0f}% of what pushes it over", 100 * nearest));
+  Near(Rule::kFallOver, nearest,
+       fmt::format("a cold node had {:.0f}% of what pushes it over", 100 * nearest));
 }
 
 std::vector<RuleVerdict> Judge::Verdicts() const {
@@ -228,8 +235,8 @@
     if (it == stores_.end()) continue;
     const TariffPlan& plan = scenario_.plans[static_cast<std::size_t>(customers_[c].plan)];
     const Store& store = it->second;
-    uses.push_back({customers_[c].name, plan.crowd.name, plan.ceiling_burst, plan.ceiling_rate, plan.ceiling_slack,
-                    store.lowest, store.admitted, store.by_second});
+    uses.push_back({customers_[c].name, plan.crowd.name, plan.ceiling_burst, plan.ceiling_rate,
+                    plan.ceiling_slack, store.lowest, store.admitted, store.by_second});
   }
   return uses;
 }
--- a/src/rehearsal/judge.hpp
+++ b/src/rehearsal/judge.hpp
@@ -89,7 +89,8 @@
   };
 
   Request* Find(std::uint64_t request);
-  void Break(Rule rule, TimePoint now, std::uint64_t request, int node, int gateway, int customer, std::string what);
+  void Break(Rule rule, TimePoint now, std::uint64_t request, int node, int gateway, int customer,
+             std::string what);
   void Near(Rule rule, double how, std::string what);
   void CheckEffects(TimePoint now, std::uint64_t id, const Request& request, int node);
   void Draw(TimePoint now, std::uint64_t id, Request& request, int node);
@@ -97,7 +98,7 @@
   const Scenario& scenario_;
   const TimePoint start_;
   const std::vector<standin::Customer>& customers_;
-  std::vector<Request> requests_;  // by id
+  std::vector<Request> requests_;                  // by id
   std::map<std::pair<int, int>, TimePoint> left_;  // when a gateway was told that a node drains or is gone
   std::map<std::pair<int, int>, TimePoint> start_told_;  // or that it has started
   std::unordered_map<int, TimePoint> node_started_;
--- a/src/rehearsal/record.cpp
+++ b/src/rehearsal/record.cpp
@@ -11,7 +11,8 @@
 }  // namespace
 
 bool RunResult::AllHeld() const {
-  return std::all_of(verdicts.begin(), verdicts.end(), [](const RuleVerdict& v) { return v.held(); });
+  return crash.empty() &&
+         std::all_of(verdicts.begin(), verdicts.end(), [](const RuleVerdict& v) { return v.held(); });
 }
 
 Record::Record(const Stage& stage, bool by_second)
@@ -25,8 +26,8 @@
 Record::~Record() { XXH3_freeState(hash_); }
 
 void Record::Note(std::uint64_t what, TimePoint now, std::uint64_t a, std::uint64_t b, std::uint64_t c) {
-  const std::array<std::uint64_t, 5> words{
-      what, static_cast<std::uint64_t>((now - stage_.start).count()), a, b, c};
+  const std::array<std::uint64_t, 5> words{what, static_cast<std::uint64_t>((now - stage_.start).count()), a,
+                                           b, c};
   XXH3_64bits_update(hash_, words.data(), sizeof words);
   ++events_;
 }
--- a/src/rehearsal/record.hpp
+++ b/src/rehearsal/record.hpp
@@ -1,5 +1,5 @@
-// The record of one rehearsal: hands each sighting to the judge and the figures and into the hash of the event log.
-// And the result that all reports are made from.
+// The record of one rehearsal: hands each sighting to the judge and the figures and into the hash of the
+// event log. And the result that all reports are made from.
 #pragma once
 
 #include <xxhash.h>
@@ -32,6 +32,7 @@
   // Sockets: how late the kit itself was, in ms; too late, and there is no verdict.
   double lateness_p99_ms = 0, lateness_most_ms = 0;
   std::string not_judged;  // why, or empty
+  std::string crash;       // a gateway ended by itself: which and how, or empty
 
   bool AllHeld() const;
 };
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -21,8 +21,8 @@
 constexpr double kLongest = 3600;  // seconds of one rehearsal
 constexpr int kMostGateways = 1000, kMostNodes = 5000, kMostCustomers = 1'000'000;
 
-// Reads one table. Remembers the first thing that is wrong, with its line, and knows which keys were asked for,
-// so that one that nobody reads is an error too.
+// Reads one table. Remembers the first thing that is wrong, with its line, and knows which keys were asked
+// for, so that one that nobody reads is an error too.
 class Table {
  public:
   Table(const toml::table* table, std::string path, const std::string& file, std::string& error)
@@ -30,8 +30,12 @@
 
   void Fail(const toml::node* at, std::string_view key, std::string_view what) const {
     if (!error_.empty()) return;
-    const auto line = at != nullptr ? at->source().begin.line : table_ != nullptr ? table_->source().begin.line : 1;
-    const std::string name = path_.empty() ? std::string(key) : key.empty() ? path_ : fmt::format("{}.{}", path_, key);
+    const auto line = at != nullptr       ? at->source().begin.line
+                      : table_ != nullptr ? table_->source().begin.line
+                                          : 1;
+    const std::string name = path_.empty() ? std::string(key)
+                             : key.empty() ? path_
+                                           : fmt::format("{}.{}", path_, key);
     error_ = fmt::format("{}:{}: {} {}", file_, line, name, what);
   }
   void Fail(std::string_view key, std::string_view what) const { Fail(Peek(key), key, what); }
@@ -86,7 +90,8 @@
     return *node->value<bool>();
   }
   template <typename Enum, std::size_t N>
-  Enum Word(std::string_view key, Enum absent, const std::array<std::pair<std::string_view, Enum>, N>& words) {
+  Enum Word(std::string_view key, Enum absent,
+            const std::array<std::pair<std::string_view, Enum>, N>& words) {
     if (!Has(key)) return Find(key), absent;
     const std::string text = Text(key, "");
     std::string names;
@@ -132,7 +137,9 @@
   }
 
  private:
-  const toml::node* Peek(std::string_view key) const { return table_ != nullptr ? table_->get(key) : nullptr; }
+  const toml::node* Peek(std::string_view key) const {
+    return table_ != nullptr ? table_->get(key) : nullptr;
+  }
 
   const toml::table* table_;
   const std::string path_;
@@ -179,10 +186,10 @@
                                      {{"safe", Repeat::kSafe}, {"unsafe", Repeat::kUnsafe}}});
   plan.work.mean = table.Time("work_ms", kMs, std::chrono::milliseconds(50), 0.001, 600'000);
   plan.work.cv = table.Number("work_cv", plan.work.cv, 0, 10);
-  plan.work.times =
-      table.Word("work_times", plan.work.times,
-                 std::array<std::pair<std::string_view, standin::WorkTimes>, 2>{
-                     {{"lognormal", standin::WorkTimes::kLognormal}, {"exponential", standin::WorkTimes::kExponential}}});
+  plan.work.times = table.Word("work_times", plan.work.times,
+                               std::array<std::pair<std::string_view, standin::WorkTimes>, 2>{
+                                   {{"lognormal", standin::WorkTimes::kLognormal},
+                                    {"exponential", standin::WorkTimes::kExponential}}});
   table.RefuseOthers();
   return plan;
 }
@@ -193,7 +200,8 @@
   crowd.name = table.Text("name", "");
   if (crowd.name.empty() || crowd.name.find(' ') != std::string::npos)
     table.Fail("name", "must be given, with no space");
-  if (!table.Has("customers")) table.Fail("customers", "is missing: a plan that no customer has plays no part");
+  if (!table.Has("customers"))
+    table.Fail("customers", "is missing: a plan that no customer has plays no part");
   crowd.customers = table.Whole("customers", 1, 1, kMostCustomers);
   crowd.rate = table.Number("rate", 0, 0, 1e9);
   crowd.burst = table.Number("burst", 2 * crowd.rate, 0, 1e9);
@@ -202,8 +210,9 @@
   crowd.asks = table.Number("asks", 0.6 * crowd.rate, 0, 1e9);
   crowd.demand = table.Word(
       "demand", standin::Demand::kCalm,
-      std::array<std::pair<std::string_view, standin::Demand>, 3>{
-          {{"calm", standin::Demand::kCalm}, {"heavy", standin::Demand::kHeavy}, {"spiky", standin::Demand::kSpiky}}});
+      std::array<std::pair<std::string_view, standin::Demand>, 3>{{{"calm", standin::Demand::kCalm},
+                                                                   {"heavy", standin::Demand::kHeavy},
+                                                                   {"spiky", standin::Demand::kSpiky}}});
   if (crowd.demand == standin::Demand::kHeavy && !table.Has("asks")) crowd.asks = 2 * crowd.rate;
   crowd.spikes = table.Number("spikes", crowd.spikes, 1, 5);
   crowd.spread = table.Whole("spread", gateways, 1, kMostGateways);
@@ -241,7 +250,8 @@
   Fault fault;
   const std::string text = table.Text("kind", "");
   const auto& words = FaultWords();
-  const auto word = std::find_if(words.begin(), words.end(), [&](const FaultWord& w) { return w.word == text; });
+  const auto word =
+      std::find_if(words.begin(), words.end(), [&](const FaultWord& w) { return w.word == text; });
   if (word == words.end()) {
     std::string names;
     for (const FaultWord& each : words) names += (names.empty() ? "" : ", ") + std::string(each.word);
@@ -254,7 +264,8 @@
   if (fault.at >= scenario.length_s)
     table.Fail("at", fmt::format("is {}, after the end at {}", fault.at, scenario.length_s));
   if (word->lasts && !table.Has("for")) table.Fail("for", "is missing");
-  if (!word->lasts && table.Has("for")) table.Fail("for", fmt::format("is not for {}: it is over at once", text));
+  if (!word->lasts && table.Has("for"))
+    table.Fail("for", fmt::format("is not for {}: it is over at once", text));
   fault.lasts = table.Number("for", 0, 0.001, kLongest);
   if (word->size.empty() && table.Has("size")) table.Fail("size", fmt::format("is not for {}", text));
   if (!word->size.empty() && !table.Has("size"))
@@ -318,7 +329,8 @@
     plan.crowd.asks *= factor;
     plan.crowd.burst = std::max(plan.crowd.burst * factor, plan.crowd.rate > 0 ? plan.crowd.most_units : 0);
     plan.ceiling_rate *= factor;
-    plan.ceiling_burst = plan.ceiling_rate > 0 ? std::max(plan.ceiling_burst * factor, plan.crowd.most_units) : 0;
+    plan.ceiling_burst =
+        plan.ceiling_rate > 0 ? std::max(plan.ceiling_burst * factor, plan.crowd.most_units) : 0;
     plan.ceiling_slack *= factor;
   }
 }
@@ -393,14 +405,17 @@
       {K::kNodeSilent, "node_silent", T::kNode, true, "", 0, 0, "is cut off: hears and says nothing"},
       {K::kNodeErrors, "node_errors", T::kNode, true, "part of the answers", 0, 1, "answers 500"},
       {K::kNodeSpoilt, "node_spoilt", T::kNode, true, "part of the answers", 0, 1, "answers what is none"},
-      {K::kNodeResets, "node_resets", T::kNode, true, "part of the answers", 0, 1, "does the work, then resets"},
+      {K::kNodeResets, "node_resets", T::kNode, true, "part of the answers", 0, 1,
+       "does the work, then resets"},
       {K::kNodeDie, "node_die", T::kNode, false, "", 0, 0, "dies for good"},
       {K::kNodeRestart, "node_restart", T::kNode, true, "", 0, 0, "dies and returns cold under its id"},
-      {K::kNodeReborn, "node_reborn", T::kNode, true, "", 0, 0, "dies; a new id returns at its address, cold"},
+      {K::kNodeReborn, "node_reborn", T::kNode, true, "", 0, 0,
+       "dies; a new id returns at its address, cold"},
       {K::kNodeDrain, "node_drain", T::kNode, true, "", 0, 0, "drains, then leaves"},
       {K::kNodeReplace, "node_replace", T::kNode, true, "", 0, 0, "drains and leaves; a new cold one comes"},
       {K::kCounterSilent, "counter_silent", T::kCounter, true, "", 0, 0, "answers nothing, adds nothing"},
-      {K::kCounterSlow, "counter_slow", T::kCounter, true, "times slower", 1, 10'000, "serves so much slower"},
+      {K::kCounterSlow, "counter_slow", T::kCounter, true, "times slower", 1, 10'000,
+       "serves so much slower"},
       {K::kCounterLose, "counter_lose", T::kCounter, false, "part of the counts", 0, 1, "forgets counts"},
       {K::kCounterReplace, "counter_replace", T::kCounter, false, "", 0, 0, "an empty one takes its place"},
       {K::kCounterSplit, "counter_split", T::kCounter, true, "part of the gateways in the second half", 0.001,
@@ -408,7 +423,8 @@
       {K::kCounterNoNumber, "counter_no_number", T::kCounter, true, "part of the answers", 0, 1,
        "adds, and answers no number"},
       {K::kDiscoverySilent, "discovery_silent", T::kDiscovery, true, "", 0, 0, "answers nothing"},
-      {K::kDiscoveryLate, "discovery_late", T::kDiscovery, true, "seconds later", 0, 600, "changes come later"},
+      {K::kDiscoveryLate, "discovery_late", T::kDiscovery, true, "seconds later", 0, 600,
+       "changes come later"},
       {K::kDiscoveryStale, "discovery_stale", T::kDiscovery, true, "", 0, 0, "tells what was true before"},
       {K::kDiscoveryMove, "discovery_move", T::kDiscovery, false, "", 0, 0,
        "moves to a new address, told by SIGHUP"},
@@ -419,13 +435,15 @@
        "between a gateway and all nodes"},
       {K::kNetworkLoss, "network_loss", T::kNetwork, true, "part of what is sent", 0, 1,
        "comes 200 ms later, sent again"},
-      {K::kNetworkCut, "network_cut", T::kNetwork, true, "", 0, 0, "nothing passes between a gateway and nodes"},
+      {K::kNetworkCut, "network_cut", T::kNetwork, true, "", 0, 0,
+       "nothing passes between a gateway and nodes"},
   };
   return words;
 }
 
 const FaultWord& WordOf(FaultKind kind) {
-  return *std::find_if(FaultWords().begin(), FaultWords().end(), [&](const FaultWord& w) { return w.kind == kind; });
+  return *std::find_if(FaultWords().begin(), FaultWords().end(),
+                       [&](const FaultWord& w) { return w.kind == kind; });
 }
 
 std::string NodeName(int index) { return fmt::format("node-{}", index); }
@@ -479,44 +497,43 @@
   return ParseScenario(text, path, error);
 }
 
-json GatewayConfig(const Scenario& scenario, int gateway, std::uint64_t seed, const GatewayAddresses& addresses,
-                   const json& known) {
+json GatewayConfig(const Scenario& scenario, int gateway, std::uint64_t seed,
+                   const GatewayAddresses& addresses, const json& known) {
   const standin::NodeKind& kind = scenario.fleet.kind;
   double most_units = 1;
   for (const TariffPlan& plan : scenario.plans) most_units = std::max(most_units, plan.crowd.most_units);
   json zones = json::array();
   for (int z = 0; z < scenario.fleet.zones; ++z) zones.push_back(ZoneName(z));
-  json settings{
-      {"azs", zones},
-      {"zone", ZoneName(gateway % scenario.fleet.zones)},
-      {"me", gateway},
-      {"siblings", scenario.gateways},
-      {"discovery", "pushed"},
-      {"service_type", "gate"},
-      {"domain",
-       {{"has_counter", scenario.has_counter},
-        {"count_wait_ns", Ns(scenario.counter_timeout)},
-        {"largest", most_units}}},
-      {"limits",
-       {{"cancel", true},
-        {"max_attempts", 5},
-        {"retry_after", true},
-        {"max_retry_after_ns", Ns(scenario.habits.longest_retry_after)},
-        {"dial_timeout_ns", 250'000'000},
-        {"conn_idle_ns", 15'000'000'000},
-        {"probes", true},
-        {"second_copies", false}}},
-      {"rules",
-       {{"answer_slack_ns", 8'000'000},
-        {"drain_grace_ns", Ns(scenario.drain_grace)},
-        {"cold_from", kind.cold_from},
-        {"cold_ns", Ns(kind.cold_time)},
-        {"overload_factor", kind.fall_multiple},
-        {"tip_after_ns", Ns(kind.fall_time)}}},
-      {"prices", {{"cross_zone", 0.02}, {"waste", 0.05}, {"probe", 0.01}, {"late_fail", 0.1}}},
-      {"goal", {{"whole", 0.65}, {"worst_window", 0.2}, {"worst_tenant", 0.15}}},
-      {"request_classes", ClassesJson(scenario)},
-      {"tariffs", TariffsJson(scenario)}};
+  json settings{{"azs", zones},
+                {"zone", ZoneName(gateway % scenario.fleet.zones)},
+                {"me", gateway},
+                {"siblings", scenario.gateways},
+                {"discovery", "pushed"},
+                {"service_type", "gate"},
+                {"domain",
+                 {{"has_counter", scenario.has_counter},
+                  {"count_wait_ns", Ns(scenario.counter_timeout)},
+                  {"largest", most_units}}},
+                {"limits",
+                 {{"cancel", true},
+                  {"max_attempts", 5},
+                  {"retry_after", true},
+                  {"max_retry_after_ns", Ns(scenario.habits.longest_retry_after)},
+                  {"dial_timeout_ns", 250'000'000},
+                  {"conn_idle_ns", 15'000'000'000},
+                  {"probes", true},
+                  {"second_copies", false}}},
+                {"rules",
+                 {{"answer_slack_ns", 8'000'000},
+                  {"drain_grace_ns", Ns(scenario.drain_grace)},
+                  {"cold_from", kind.cold_from},
+                  {"cold_ns", Ns(kind.cold_time)},
+                  {"overload_factor", kind.fall_multiple},
+                  {"tip_after_ns", Ns(kind.fall_time)}}},
+                {"prices", {{"cross_zone", 0.02}, {"waste", 0.05}, {"probe", 0.01}, {"late_fail", 0.1}}},
+                {"goal", {{"whole", 0.65}, {"worst_window", 0.2}, {"worst_tenant", 0.15}}},
+                {"request_classes", ClassesJson(scenario)},
+                {"tariffs", TariffsJson(scenario)}};
   json config{{"name", GatewayName(gateway)},
               {"listen", addresses.listen},
               {"discovery", addresses.discovery},
--- a/src/rehearsal/scenario.hpp
+++ b/src/rehearsal/scenario.hpp
@@ -1,5 +1,6 @@
-// A rehearsal as its file tells it (rehearsals/*.toml): fleet, plans, load, length and the faults to come. Read,
-// checked as a whole and given defaults here, and nowhere else. docs/operators/rehearsal.md lists every key.
+// A rehearsal as its file tells it (rehearsals/*.toml): fleet, plans, load, length and the faults to come.
+// Read, checked as a whole and given defaults here, and nowhere else. docs/operators/rehearsal.md lists every
+// key.
 #pragma once
 
 #include <cstdint>
--- a/src/rehearsal/sighting.hpp
+++ b/src/rehearsal/sighting.hpp
@@ -1,5 +1,5 @@
-// What the stand-ins see of a rehearsal. The judge, the figures and the event log take the same sightings, from
-// sockets and from virtual time alike; nothing here comes from what a gateway says of itself.
+// What the stand-ins see of a rehearsal. The judge, the figures and the event log take the same sightings,
+// from sockets and from virtual time alike; nothing here comes from what a gateway says of itself.
 #pragma once
 
 #include <cstdint>
@@ -22,7 +22,8 @@
   virtual void Taken(TimePoint, const standin::Ask&) {}
   // The last byte of an answer has come. `own_body`: it is what a node made for this request.
   virtual void Answered(TimePoint, const standin::Ask&, AnswerKind, int /*status*/, bool /*own_body*/) {}
-  // No answer will come. `excused`: its gateway was killed, or ended a connection on which it had said nothing.
+  // No answer will come. `excused`: its gateway was killed, or ended a connection on which it had said
+  // nothing.
   virtual void Unanswered(TimePoint, const standin::Ask&, bool /*excused*/) {}
   // The first byte of an attempt has come to a node; its last one has.
   virtual void AttemptBegins(TimePoint, int /*node*/, int /*gateway*/, std::uint64_t /*request*/) {}
--- a/src/rehearsal/stage.cpp
+++ b/src/rehearsal/stage.cpp
@@ -41,9 +41,10 @@
       counter(scenario.counter, scenario.gateways, seed),
       discovery(scenario.gateways, FromSeconds(scenario.discovery_late_s.low),
                 FromSeconds(scenario.discovery_late_s.high), seed),
-      crowd(CrowdPlans(scenario), CrowdClasses(scenario), scenario.habits, scenario.gateways, start,
-            FromSeconds(scenario.length_s), [this](double at) { return scenario.ShapeAt(at); },
-            scenario.MostBurst(), seed),
+      crowd(
+          CrowdPlans(scenario), CrowdClasses(scenario), scenario.habits, scenario.gateways, start,
+          FromSeconds(scenario.length_s), [this](double at) { return scenario.ShapeAt(at); },
+          scenario.MostBurst(), seed),
       network_(static_cast<std::size_t>(scenario.gateways)) {
   for (int i = 0; i < scenario.fleet.nodes; ++i) {
     AddNode(NodeName(i), i % scenario.fleet.zones, i, false, start);
@@ -105,7 +106,8 @@
     }
     const double to = std::max(fault.at, at - fault.every) + fault.lasts;
     bands_.push_back({fault.at, std::min(to, scenario.length_s),
-                      fmt::format("{}{}{}", word.word, word.size.empty() ? "" : fmt::format(" {:g}", fault.size), struck)});
+                      fmt::format("{}{}{}", word.word,
+                                  word.size.empty() ? "" : fmt::format(" {:g}", fault.size), struck)});
   }
   std::stable_sort(steps_.begin(), steps_.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
 }
@@ -171,11 +173,14 @@
 // Faults may overlap on one node: what would kill a dead one or start a living one does nothing.
 void Stage::DoNode(const Step& step, const Fault& fault, TimePoint now, Stagehand& hand, Witness& witness) {
   const int target = step.target;
-  const auto machine = [&](int node) -> standin::Node& { return *nodes[static_cast<std::size_t>(node)].machine; };
+  const auto machine = [&](int node) -> standin::Node& {
+    return *nodes[static_cast<std::size_t>(node)].machine;
+  };
   const bool begins = step.stepping == Stepping::kBegin, up = machine(target).up();
   const auto new_node = [&](int place, std::string_view what) {
     const int zone = nodes[static_cast<std::size_t>(target)].zone;
-    const int node = AddNode(fmt::format("{}-{}{}", NodeName(target), what, nodes.size()), zone, place, true, now);
+    const int node =
+        AddNode(fmt::format("{}-{}{}", NodeName(target), what, nodes.size()), zone, place, true, now);
     witness.NodeStarted(now, node);
     hand.NodeStarts(node);
     List(node, HostState::kReady, now, hand);
@@ -231,24 +236,59 @@
     NetworkTrouble open;
     NetworkTrouble& net = kind == Target::kNetwork ? network[static_cast<std::size_t>(target)] : open;
     switch (fault.kind) {
-      case FaultKind::kBurst: burst *= fault.size; break;
-      case FaultKind::kNodeSlow: node.slowness *= fault.size; break;
-      case FaultKind::kNodeStall: node.stalled = true; break;
-      case FaultKind::kNodeSilent: node.silent = true; break;
-      case FaultKind::kNodeErrors: node.errors = std::max(node.errors, fault.size); break;
-      case FaultKind::kNodeSpoilt: node.spoilt = std::max(node.spoilt, fault.size); break;
-      case FaultKind::kNodeResets: node.resets = std::max(node.resets, fault.size); break;
-      case FaultKind::kCounterSilent: count.silent = true; break;
-      case FaultKind::kCounterSlow: count.slowness *= fault.size; break;
-      case FaultKind::kCounterSplit: count.second_half = fault.size; break;
-      case FaultKind::kCounterNoNumber: count.no_number = std::max(count.no_number, fault.size); break;
-      case FaultKind::kDiscoverySilent: list.silent = true; break;
-      case FaultKind::kDiscoveryLate: list.late += FromSeconds(fault.size); break;
-      case FaultKind::kDiscoveryStale: list.stale = true; break;
-      case FaultKind::kNetworkSlow: net.slower += FromSeconds(fault.size / 1000); break;
-      case FaultKind::kNetworkLoss: net.loss = std::max(net.loss, fault.size); break;
-      case FaultKind::kNetworkCut: net.cut = true; break;
-      default: break;
+      case FaultKind::kBurst:
+        burst *= fault.size;
+        break;
+      case FaultKind::kNodeSlow:
+        node.slowness *= fault.size;
+        break;
+      case FaultKind::kNodeStall:
+        node.stalled = true;
+        break;
+      case FaultKind::kNodeSilent:
+        node.silent = true;
+        break;
+      case FaultKind::kNodeErrors:
+        node.errors = std::max(node.errors, fault.size);
+        break;
+      case FaultKind::kNodeSpoilt:
+        node.spoilt = std::max(node.spoilt, fault.size);
+        break;
+      case FaultKind::kNodeResets:
+        node.resets = std::max(node.resets, fault.size);
+        break;
+      case FaultKind::kCounterSilent:
+        count.silent = true;
+        break;
+      case FaultKind::kCounterSlow:
+        count.slowness *= fault.size;
+        break;
+      case FaultKind::kCounterSplit:
+        count.second_half = fault.size;
+        break;
+      case FaultKind::kCounterNoNumber:
+        count.no_number = std::max(count.no_number, fault.size);
+        break;
+      case FaultKind::kDiscoverySilent:
+        list.silent = true;
+        break;
+      case FaultKind::kDiscoveryLate:
+        list.late += FromSeconds(fault.size);
+        break;
+      case FaultKind::kDiscoveryStale:
+        list.stale = true;
+        break;
+      case FaultKind::kNetworkSlow:
+        net.slower += FromSeconds(fault.size / 1000);
+        break;
+      case FaultKind::kNetworkLoss:
+        net.loss = std::max(net.loss, fault.size);
+        break;
+      case FaultKind::kNetworkCut:
+        net.cut = true;
+        break;
+      default:
+        break;
     }
   }
   crowd.SetBurst(burst);
--- a/src/rehearsal/stage.hpp
+++ b/src/rehearsal/stage.hpp
@@ -1,6 +1,6 @@
-// The stage of a rehearsal: all stand-ins, and the faults as a schedule of steps. Whoever plays the rehearsal, on
-// sockets or in virtual time, carries out what the steps ask of it (Stagehand) and hands the stand-ins their
-// inputs. Pure: time is told, nothing is opened.
+// The stage of a rehearsal: all stand-ins, and the faults as a schedule of steps. Whoever plays the
+// rehearsal, on sockets or in virtual time, carries out what the steps ask of it (Stagehand) and hands the
+// stand-ins their inputs. Pure: time is told, nothing is opened.
 #pragma once
 
 #include <cstdint>
@@ -21,7 +21,7 @@
 struct StagedNode {
   std::string name;
   int zone = 0;
-  int place = 0;  // its address: a node under a new id may stand at the address of one that has gone
+  int place = 0;     // its address: a node under a new id may stand at the address of one that has gone
   TimePoint booted;  // zero: long ago
   std::unique_ptr<standin::Node> machine;
   HostId id() const { return HostId{StableHash(name)}; }
--- a/src/rehearsal/virtual_run.cpp
+++ b/src/rehearsal/virtual_run.cpp
@@ -14,7 +14,7 @@
 
 // A fixed instant, so that windows of quotas fall the same way in every run.
 constexpr TimePoint kStart{std::chrono::seconds(1'700'000'000)};
-constexpr Duration kResent = milliseconds(200);       // what is lost comes this much later
+constexpr Duration kResent = milliseconds(200);         // what is lost comes this much later
 constexpr Duration kFrontNotices = milliseconds(2000);  // that a gateway does not answer
 constexpr Duration kFrontTakesIn = milliseconds(500);   // one that is ready again
 constexpr Duration kClientWaits = milliseconds(600);    // beyond its time, to see an answer that is late
@@ -23,7 +23,9 @@
 constexpr Duration kPlaysOn = std::chrono::seconds(4);  // after the end, for what is still open
 
 // A job is one attempt; ids of requests are new with each try.
-JobId JobOf(AttemptId attempt) { return attempt.request.value << 6 | static_cast<std::uint64_t>(attempt.number); }
+JobId JobOf(AttemptId attempt) {
+  return attempt.request.value << 6 | static_cast<std::uint64_t>(attempt.number);
+}
 
 }  // namespace
 
@@ -77,7 +79,8 @@
       stage_.DoSteps(now_, *this, record_);
       if (const auto step = stage_.NextStep()) At(*step, What::kStep);
       return;
-    case What::kCrowd: return TakeCrowd();
+    case What::kCrowd:
+      return TakeCrowd();
     case What::kWake: {
       VirtualGateway& gateway = GatewayAt(next.a);
       if (gateway.life != next.b || gateway.wakes != next.at) return;
@@ -86,20 +89,34 @@
       if (due && *due <= now_) return Post(next.a, TimePassed{});
       return Settle(next.a);
     }
-    case What::kNode: return TakeNode(next.a);
-    case What::kAskArrives: return TakeAsk(next.x);
-    case What::kAnswerArrives: return TakeAnswer(next);
-    case What::kGiveUp: return TakeGiveUp(next.x);
-    case What::kConnected: return TakeConnected(next.x, false);
-    case What::kConnectFails: return TakeConnected(next.x, true);
-    case What::kAttemptArrives: return TakeAttempt(next.x);
-    case What::kDropArrives: return TakeDrop(next.x);
-    case What::kAttemptBack: return TakeAttemptBack(next.x, static_cast<NodeSays>(next.a));
-    case What::kCallArrives: return TakeCall(next.x);
-    case What::kCallBack: return TakeCallBack(next.x, false);
-    case What::kCallStuck: return TakeCallBack(next.x, true);
-    case What::kNews: return TakeNews(next.a);
-    case What::kFrontSees: return stage_.crowd.SetDown(next.a, next.b != 0);
+    case What::kNode:
+      return TakeNode(next.a);
+    case What::kAskArrives:
+      return TakeAsk(next.x);
+    case What::kAnswerArrives:
+      return TakeAnswer(next);
+    case What::kGiveUp:
+      return TakeGiveUp(next.x);
+    case What::kConnected:
+      return TakeConnected(next.x, false);
+    case What::kConnectFails:
+      return TakeConnected(next.x, true);
+    case What::kAttemptArrives:
+      return TakeAttempt(next.x);
+    case What::kDropArrives:
+      return TakeDrop(next.x);
+    case What::kAttemptBack:
+      return TakeAttemptBack(next.x, static_cast<NodeSays>(next.a));
+    case What::kCallArrives:
+      return TakeCall(next.x);
+    case What::kCallBack:
+      return TakeCallBack(next.x, false);
+    case What::kCallStuck:
+      return TakeCallBack(next.x, true);
+    case What::kNews:
+      return TakeNews(next.a);
+    case What::kFrontSees:
+      return stage_.crowd.SetDown(next.a, next.b != 0);
   }
 }
 
@@ -143,7 +160,8 @@
     for (int i = 0; i < gateway.kept[n]; ++i) stage_.nodes[n].machine->Disconnect();
   std::vector<std::uint64_t> asks;
   for (const auto& [id, live] : asks_)
-    if (live.ask.gateway == g && live.life == gateway.life && !live.over) asks.push_back(id);
+    if (live.ask.gateway == g && live.life == gateway.life && !live.over && !live.answering)
+      asks.push_back(id);
   std::sort(asks.begin(), asks.end());
   for (std::uint64_t id : asks) {
     LiveAsk& live = asks_.at(id);
@@ -229,19 +247,20 @@
   Post(live.ask.gateway, RequestRead{std::move(request)});
 }
 
-void VirtualRun::Answer(int, RequestId request, AnswerKind kind, int status, Duration retry_after) {
-  At(now_ + Way(scenario_.network.client), What::kAnswerArrives, static_cast<int>(kind), status, request.value,
-     standin::Seconds(retry_after));
+void VirtualRun::Answer(RequestId request, AnswerKind kind, int status, Duration retry_after) {
+  if (const auto it = asks_.find(request.value); it != asks_.end()) it->second.answering = true;
+  At(now_ + Way(scenario_.network.client), What::kAnswerArrives, static_cast<int>(kind), status,
+     request.value, standin::Seconds(retry_after));
 }
 
-void VirtualRun::Apply(int g, const DeliverAnswer& effect) {
-  Answer(g, effect.attempt.request, AnswerKind::kServed, 200, {});
+void VirtualRun::Apply(int, const DeliverAnswer& effect) {
+  Answer(effect.attempt.request, AnswerKind::kServed, 200, {});
 }
-void VirtualRun::Apply(int g, const AnswerRefused& effect) {
-  Answer(g, effect.request, AnswerKind::kRefused, 429, effect.retry_after);
+void VirtualRun::Apply(int, const AnswerRefused& effect) {
+  Answer(effect.request, AnswerKind::kRefused, 429, effect.retry_after);
 }
-void VirtualRun::Apply(int g, const AnswerFailed& effect) {
-  Answer(g, effect.request, AnswerKind::kFailed, 502, {});
+void VirtualRun::Apply(int, const AnswerFailed& effect) {
+  Answer(effect.request, AnswerKind::kFailed, 502, {});
 }
 
 // a: the kind of answer; b: its status; x: the request; d: seconds to come back.
@@ -305,7 +324,8 @@
   const Duration there_and_back = Way(2 * stage_.Distance(g, node), net.loss);
   const bool heard = machine.reachable() && !net.cut;
   const bool refused = !machine.up() && !net.cut;
-  if (heard || refused) return At(now_ + there_and_back, heard ? What::kConnected : What::kConnectFails, 0, 0, id);
+  if (heard || refused)
+    return At(now_ + there_and_back, heard ? What::kConnected : What::kConnectFails, 0, 0, id);
   At(now_ + GatewayAt(g).config->settings.limits.connect_timeout, What::kConnectFails, 0, 0, id);
 }
 
@@ -464,14 +484,16 @@
 void VirtualRun::NodeDies(int node, const std::vector<standin::NodeOutput>& resets) {
   TakeOutputs(node, resets);
   for (VirtualGateway& gateway : gateways_)
-    if (gateway.kept.size() > static_cast<std::size_t>(node)) gateway.kept[static_cast<std::size_t>(node)] = 0;
+    if (gateway.kept.size() > static_cast<std::size_t>(node))
+      gateway.kept[static_cast<std::size_t>(node)] = 0;
 }
 
 // ---- The counter --------------------------------------------------------------------------------------
 
 void VirtualRun::Apply(int g, const StartCall& effect) {
   const std::uint64_t key = next_call_++;
-  calls_[key] = VirtualCall{effect.call, g, GatewayAt(g).life, effect.name.value, effect.amount, effect.lifetime};
+  calls_[key] = VirtualCall{effect.call,     g, GatewayAt(g).life, effect.name.value, effect.amount,
+                            effect.lifetime, 0, std::nullopt};
   At(now_ + Way(scenario_.network.same), What::kCallArrives, 0, 0, key);
   Post(g, CallWritten{effect.call});
 }
@@ -480,7 +502,8 @@
   VirtualCall& call = calls_.at(key);
   record_.Called(now_, call.gateway);
   const auto answer = stage_.counter.Add(now_, call.gateway, call.name, call.amount, call.keep);
-  if (!answer) return At(now_ + kStuckAfter * scenario_.counter_timeout + kHouseEvery, What::kCallStuck, 0, 0, key);
+  if (!answer)
+    return At(now_ + kStuckAfter * scenario_.counter_timeout + kHouseEvery, What::kCallStuck, 0, 0, key);
   call.status = answer->status;
   call.total = answer->total;
   At(answer->at + Way(scenario_.network.same), What::kCallBack, 0, 0, key);
--- a/src/rehearsal/virtual_run.hpp
+++ b/src/rehearsal/virtual_run.hpp
@@ -1,5 +1,6 @@
-// Plays a rehearsal in virtual time: the reducers of all gateways, the stand-ins and a network between them in one
-// process, driven by one queue of events. The same scenario and seed give the same events, bit for bit.
+// Plays a rehearsal in virtual time: the reducers of all gateways, the stand-ins and a network between them
+// in one process, driven by one queue of events. The same scenario and seed give the same events, bit for
+// bit.
 #pragma once
 
 #include <cstdint>
@@ -21,16 +22,33 @@
 class VirtualRun : Stagehand {
  public:
   // `scenario` must outlive it. `by_second`: also the figures of each second, for reports.
-  VirtualRun(const Scenario& scenario, std::uint64_t seed, bool by_second, CoreFactory make_core = MakeReducer);
+  VirtualRun(const Scenario& scenario, std::uint64_t seed, bool by_second,
+             CoreFactory make_core = MakeReducer);
   ~VirtualRun() override;
 
-  // To be called once. Throws std::runtime_error where the daemon would not take the scenario's configuration.
+  // To be called once. Throws std::runtime_error where the daemon would not take the scenario's
+  // configuration.
   RunResult Play();
 
  private:
   enum class What : std::uint8_t {
-    kStep, kCrowd, kWake, kNode, kAskArrives, kAnswerArrives, kGiveUp, kConnected, kConnectFails, kAttemptArrives,
-    kDropArrives, kAttemptBack, kCallArrives, kCallBack, kCallStuck, kNews, kFrontSees
+    kStep,
+    kCrowd,
+    kWake,
+    kNode,
+    kAskArrives,
+    kAnswerArrives,
+    kGiveUp,
+    kConnected,
+    kConnectFails,
+    kAttemptArrives,
+    kDropArrives,
+    kAttemptBack,
+    kCallArrives,
+    kCallBack,
+    kCallStuck,
+    kNews,
+    kFrontSees
   };
   struct Happening {
     TimePoint at;
@@ -39,11 +57,14 @@
     int a = 0, b = 0;  // what they mean depends on `what`: see the function that takes it
     std::uint64_t x = 0;
     double d = 0;
-    bool operator<(const Happening& other) const { return at != other.at ? at > other.at : order > other.order; }
+    bool operator<(const Happening& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
   };
   struct LiveAsk {
     standin::Ask ask;
-    int life = 0;  // of its gateway, when it was taken; 0: not taken
+    int life = 0;            // of its gateway, when it was taken; 0: not taken
+    bool answering = false;  // an answer is on its way: it comes, whatever becomes of the gateway
     bool over = false;
   };
   struct VirtualJob {
@@ -118,7 +139,7 @@
   void Apply(int g, const FetchMembers& effect);
   void Apply(int, const WriteLog&) {}
 
-  void Answer(int gateway, RequestId request, AnswerKind kind, int status, Duration retry_after);
+  void Answer(RequestId request, AnswerKind kind, int status, Duration retry_after);
   void Send(standin::JobId id, VirtualJob& job);
   void TakeOutputs(int node, const std::vector<standin::NodeOutput>& outputs);
   void WatchNode(int node);
--- a/src/standin/counter.cpp
+++ b/src/standin/counter.cpp
@@ -31,9 +31,11 @@
   Counts& counts = halves_[half];
   if (calls_ % kSweepEvery == 0) Sweep(now, counts);
   Count& count = counts[name];
-  if (count.ends <= now) count = {0, now + std::clamp<Duration>(keep, std::chrono::milliseconds(1), std::chrono::seconds(60))};
+  if (count.ends <= now)
+    count = {0, now + std::clamp<Duration>(keep, std::chrono::milliseconds(1), std::chrono::seconds(60))};
   count.total += amount;
-  CounterAnswer answer{free_[half] + FromSeconds(Seconds(kind_.latency) * trouble_.slowness), 200, count.total};
+  CounterAnswer answer{free_[half] + FromSeconds(Seconds(kind_.latency) * trouble_.slowness), 200,
+                       count.total};
   if (Chance(random_, trouble_.no_number)) answer.total.reset();
   return answer;
 }
--- a/src/standin/counter.hpp
+++ b/src/standin/counter.hpp
@@ -1,5 +1,5 @@
-// A stand-in quota counter: adds by name with lifetimes, a capacity in calls a second, and the ways in which it
-// fails. Pure: a call in at a time, its answer out with the time at which it leaves, or none.
+// A stand-in quota counter: adds by name with lifetimes, a capacity in calls a second, and the ways in which
+// it fails. Pure: a call in at a time, its answer out with the time at which it leaves, or none.
 #pragma once
 
 #include <cstdint>
@@ -37,7 +37,8 @@
   Counter(const CounterKind& kind, int gateways, std::uint64_t seed);
 
   // `amount` may be 0, a read, or below. No answer: it is silent.
-  std::optional<CounterAnswer> Add(TimePoint now, int gateway, std::uint64_t name, double amount, Duration keep);
+  std::optional<CounterAnswer> Add(TimePoint now, int gateway, std::uint64_t name, double amount,
+                                   Duration keep);
 
   void SetTrouble(const CounterTrouble& trouble);
   // Forgets each count with this chance; 1: comes back empty, or another takes its place.
--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -64,6 +64,7 @@
       person.quota_left = plan.burst;
       person.quota_at = start_;
       person.skewed = plan.skew;
+      person.random = Random(StableHash(customer.name, seed), customers_.size());
       customers_.push_back(std::move(customer));
       persons_.push_back(person);
     }
@@ -74,25 +75,28 @@
 // Requests a second as of now.
 double Crowd::PaceOf(int customer, TimePoint now) {
   Person& person = persons_[static_cast<std::size_t>(customer)];
-  const CrowdPlan& plan = plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
+  const CrowdPlan& plan =
+      plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
   double pace = person.per_s * shape_(Seconds(now - start_)) * burst_;
   if (plan.demand != Demand::kSpiky) return pace;
   while (person.spike_changes <= now) {
     person.in_spike = !person.in_spike;
     const double mean = person.in_spike ? kSpikeSeconds : kSpikeSeconds * (1 - kSpikePart) / kSpikePart;
-    person.spike_changes += FromSeconds(Exponential(random_, mean));
+    person.spike_changes += FromSeconds(Exponential(person.random, mean));
   }
   const double between = std::max(0.0, (1 - plan.spikes * kSpikePart) / (1 - kSpikePart));
   return pace * (person.in_spike ? plan.spikes : between);
 }
 
-// By thinning: the next time is drawn at the highest pace and kept, when it comes, with the part that is true.
+// By thinning: the next time is drawn at the highest pace and kept, when it comes, with the part that is
+// true.
 void Crowd::PlanNext(int customer, TimePoint after) {
-  const Person& person = persons_[static_cast<std::size_t>(customer)];
-  const CrowdPlan& plan = plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
+  Person& person = persons_[static_cast<std::size_t>(customer)];
+  const CrowdPlan& plan =
+      plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
   const double most = person.per_s * most_shape_ * (plan.demand == Demand::kSpiky ? plan.spikes : 1);
   if (most <= 0) return;
-  const TimePoint due = after + FromSeconds(Exponential(random_, 1 / most));
+  const TimePoint due = after + FromSeconds(Exponential(person.random, 1 / most));
   if (due < end_) waiting_.push({due, order_++, customer, std::nullopt});
 }
 
@@ -108,38 +112,40 @@
       Ask ask = *next.again;
       ask.id = next_id_++;
       ask.due = next.due;
-      ask.gateway = GatewayFor(next.customer);
+      ask.gateway = GatewayFor(next.customer, random_);
       out.push_back(ask);
       continue;
     }
-    const Person& person = persons_[static_cast<std::size_t>(next.customer)];
+    Person& person = persons_[static_cast<std::size_t>(next.customer)];
     const CrowdPlan& plan =
         plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(next.customer)].plan)];
     const double most = person.per_s * most_shape_ * (plan.demand == Demand::kSpiky ? plan.spikes : 1);
-    if (Chance(random_, PaceOf(next.customer, next.due) / most)) AskNew(next.due, next.customer, out);
+    if (Chance(person.random, PaceOf(next.customer, next.due) / most)) AskNew(next.due, next.customer, out);
     PlanNext(next.customer, next.due);
   }
 }
 
 void Crowd::AskNew(TimePoint due, int customer, std::vector<Ask>& out) {
-  const CrowdPlan& plan = plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
+  const CrowdPlan& plan =
+      plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
+  Random& random = persons_[static_cast<std::size_t>(customer)].random;
   Ask ask;
   ask.id = ask.first = next_id_++;
   ask.customer = customer;
-  ask.request_class = draw_class_(random_);
-  ask.gateway = GatewayFor(customer);
-  ask.units = DrawUnits(random_, plan.most_units);
+  ask.request_class = draw_class_(random);
+  ask.gateway = GatewayFor(customer, random);
+  ask.units = DrawUnits(random, plan.most_units);
   ask.due = ask.asked_at = due;
   ask.patience = classes_[static_cast<std::size_t>(ask.request_class)].deadline;
   ask.in_quota = plan.rate <= 0 || TakeQuota(customer, due, ask.units);
   out.push_back(ask);
 }
 
-int Crowd::GatewayFor(int customer) {
+int Crowd::GatewayFor(int customer, Random& random) {
   const Customer& who = customers_[static_cast<std::size_t>(customer)];
   const Person& person = persons_[static_cast<std::size_t>(customer)];
   const auto size = static_cast<std::size_t>(who.set_size);
-  std::size_t place = Chance(random_, person.skewed) ? 0 : Below(random_, size);
+  std::size_t place = Chance(random, person.skewed) ? 0 : Below(random, size);
   for (std::size_t i = 0; i < size; ++i, ++place) {
     const int gateway = (who.set_first + static_cast<int>(place % size)) % gateways_;
     if (!down_[static_cast<std::size_t>(gateway)]) return gateway;
@@ -150,7 +156,8 @@
 // The plan's promise, by its own figures: what a client asks for within it ought to be served.
 bool Crowd::TakeQuota(int customer, TimePoint now, double units) {
   Person& person = persons_[static_cast<std::size_t>(customer)];
-  const CrowdPlan& plan = plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
+  const CrowdPlan& plan =
+      plans_[static_cast<std::size_t>(customers_[static_cast<std::size_t>(customer)].plan)];
   const double refill = plan.rate * Seconds(now - person.quota_at);
   person.quota_left = std::min(plan.burst, person.quota_left + refill);
   person.quota_at = now;
@@ -167,7 +174,8 @@
   const bool harmless = ending == Ending::kRefused || ending == Ending::kNotReached;
   if (!harmless && kind.repeat != Repeat::kSafe) return;
   if (ending != Ending::kNotReached && (!person.retries || ask.tries >= habits_.most_tries)) return;
-  Duration wait = FromSeconds(Seconds(habits_.backoff) * std::pow(2.0, ask.tries - 1) * Uniform(random_, 0.5, 1.5));
+  Duration wait =
+      FromSeconds(Seconds(habits_.backoff) * std::pow(2.0, ask.tries - 1) * Uniform(random_, 0.5, 1.5));
   if (ending == Ending::kRefused && person.honours)
     wait = std::max(wait, std::min(retry_after, habits_.longest_retry_after));
   Ask again = ask;
--- a/src/standin/crowd.hpp
+++ b/src/standin/crowd.hpp
@@ -1,5 +1,5 @@
-// Stand-in clients: customers on plans who ask, wait, give up and try again. Arrivals are open-loop: a request
-// is due at its time whatever became of the ones before it, and its time counts from then. Pure.
+// Stand-in clients: customers on plans who ask, wait, give up and try again. Arrivals are open-loop: a
+// request is due at its time whatever became of the ones before it, and its time counts from then. Pure.
 #pragma once
 
 #include <cstdint>
@@ -23,10 +23,10 @@
   double rate = 0;  // the quota, units a second; 0: none
   double burst = 0;
   Demand demand = Demand::kCalm;
-  double asks = 1;     // units a second that a customer asks for on average
-  double spikes = 3;   // spiky: times that while a spike lasts
-  int spread = 1;      // gateways of a customer's set
-  double skew = 0;     // 0: evenly over its set; 1: all through the first of it
+  double asks = 1;        // units a second that a customer asks for on average
+  double spikes = 3;      // spiky: times that while a spike lasts
+  int spread = 1;         // gateways of a customer's set
+  double skew = 0;        // 0: evenly over its set; 1: all through the first of it
   double most_units = 1;  // units of a request: whole numbers from 1 to this, the smaller the likelier
 };
 
@@ -61,9 +61,9 @@
   int gateway = 0;
   int tries = 1;  // this one counted
   double units = 1;
-  TimePoint due;       // of this try
-  TimePoint asked_at;  // of the first try: service counts from here
-  Duration patience{}; // of this try, from `due`
+  TimePoint due;         // of this try
+  TimePoint asked_at;    // of the first try: service counts from here
+  Duration patience{};   // of this try, from `due`
   bool in_quota = true;  // of the first try, by the plan's figures
 };
 
@@ -100,6 +100,8 @@
     double quota_left = 0;
     TimePoint quota_at;
     double skewed = 0;
+    // Its own, so that what it asks does not hang on what became of other requests.
+    Random random;
   };
   struct Waiting {
     TimePoint due;
@@ -113,7 +115,7 @@
 
   double PaceOf(int customer, TimePoint now);
   void PlanNext(int customer, TimePoint after);
-  int GatewayFor(int customer);
+  int GatewayFor(int customer, Random& random);
   bool TakeQuota(int customer, TimePoint now, double units);
   void AskNew(TimePoint due, int customer, std::vector<Ask>& out);
 
@@ -124,7 +126,7 @@
   const TimePoint start_, end_;
   const Shape shape_;
   const double most_shape_;
-  Random random_;
+  Random random_;  // of further tries
   std::discrete_distribution<int> draw_class_;
   std::vector<Customer> customers_;
   std::vector<Person> persons_;
--- a/src/standin/node.hpp
+++ b/src/standin/node.hpp
@@ -1,6 +1,7 @@
-// A stand-in article node: cores that share the work in hand, slots and a queue, cold start, thrashing, falling
-// over, drains and faults. A pure state machine: requests in at a time, answers out when Advance() is called at
-// the time that NextDue() names. It draws no clock and opens nothing; sockets and virtual time both play it.
+// A stand-in article node: cores that share the work in hand, slots and a queue, cold start, thrashing,
+// falling over, drains and faults. A pure state machine: requests in at a time, answers out when Advance() is
+// called at the time that NextDue() names. It draws no clock and opens nothing; sockets and virtual time both
+// play it.
 #pragma once
 
 #include <cstdint>
@@ -30,11 +31,11 @@
   double speed = 1;
   int slots_per_core = 8;
   int queue_per_core = 20;
-  double thrash = 0.1;    // share of its work lost ...
-  double thrash_at = 5;   // ... for each request in hand a core beyond this many
-  double cold_from = 0.3; // part of its work it can do when it has just started
+  double thrash = 0.1;     // share of its work lost ...
+  double thrash_at = 5;    // ... for each request in hand a core beyond this many
+  double cold_from = 0.3;  // part of its work it can do when it has just started
   Duration cold_time = std::chrono::seconds(10);
-  double fall_multiple = 4;  // times what it can do while cold ...
+  double fall_multiple = 4;                      // times what it can do while cold ...
   Duration fall_time = std::chrono::seconds(3);  // ... over this long, and it falls over
   int connections = 1000;
   Duration handshake = std::chrono::microseconds(800);  // work that a new connection costs it
