--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,22 @@
 # Such as -DCURLEWDOOR_STRICT=ON.
 CMAKE_FLAGS ?=
 
-.PHONY: build test lint run
+.PHONY: build kit test lint run rehearse
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release $(CMAKE_FLAGS)
 	cmake --build $(BUILD) -j$(JOBS)
 
+kit:
+	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release -DCURLEWDOOR_KIT=ON $(CMAKE_FLAGS)
+	cmake --build $(BUILD) -j$(JOBS) --target curlewdoor curlewdoor-kit
+
+# A match night with three real gateways on loopback: about 37 s, five verdicts and a page with plots.
+rehearse: kit
+	$(BUILD)/curlewdoor-kit rehearse rehearsals/match-night.toml --sockets --report $(BUILD)/match-night.html
+
 test:
-	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release -DCURLEWDOOR_TESTS=ON $(CMAKE_FLAGS)
+	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release -DCURLEWDOOR_TESTS=ON -DCURLEWDOOR_KIT=ON $(CMAKE_FLAGS)
 	cmake --build $(BUILD) -j$(JOBS)
 	ctest --test-dir $(BUILD) --output-on-failure -j$(JOBS)
 
--- a/src/kit_main.cpp
+++ b/src/kit_main.cpp
@@ -167,7 +167,9 @@
 }
 
 int Stand(const Given& given) {
-  if (given.words.size() != 1) throw BadUsage("stand takes one of node, counter, discovery");
+  const bool known = given.words.size() == 1 && (given.words[0] == "node" || given.words[0] == "counter" ||
+                                                 given.words[0] == "discovery");
+  if (!known) throw BadUsage("stand takes one of node, counter, discovery");
   playing::StandOptions how;
   how.what = given.words[0];
   how.listen = ReadAddress(given.listen.empty() ? "127.0.0.1:0" : given.listen, "--listen");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,18 +1,14 @@
 // curlewdoor: the gateway's command line.
-#include <ev.h>
 #include <fmt/format.h>
-#include <unistd.h>
 
 #include <boost/program_options.hpp>
-#include <csignal>
 #include <cstdio>
 #include <optional>
 #include <string>
 #include <vector>
 
-#include "app/service.hpp"
+#include "app/serve.hpp"
 #include "config/config.hpp"
-#include "log/log.hpp"
 
 namespace curlewdoor {
 namespace {
@@ -28,39 +24,6 @@
   return config;
 }
 
-int Serve(const std::string& path) {
-  const auto config = Load(path);
-  if (!config) return kFailed;
-  std::signal(SIGPIPE, SIG_IGN);
-  log::Logger logger(STDERR_FILENO);
-  struct ev_loop* loop = ev_default_loop(unsigned{EVBACKEND_EPOLL} | unsigned{EVFLAG_NOENV});
-  if (loop == nullptr) {
-    logger.Error("no event loop");
-    return kFailed;
-  }
-  int result = kOk;
-  {
-    const auto reload = [&](std::string& error) {
-      return config::ReloadConfig(path, config::ReadEnvironment(), error);
-    };
-    app::Service service(loop, *config, reload, logger);
-    std::string error;
-    if (service.Start(error)) {
-      logger.Info("{} listens on {}; {} classes, {} plans, {} hosts known; {} descriptors, {} MB",
-                  config->name, config->listen.ToText(), config->settings.classes.size(),
-                  config->settings.plans.size(), config->known ? config->known->members.size() : 0,
-                  config->sockets, config->memory_mb);
-      ev_run(loop, 0);
-      logger.Info("ends: nothing is owed any more");
-    } else {
-      logger.Error("{}", error);
-      result = kFailed;
-    }
-  }
-  ev_loop_destroy(loop);
-  return result;
-}
-
 int CheckConfig(const std::string& path) {
   const auto config = Load(path);
   if (!config) return kFailed;
@@ -108,7 +71,7 @@
     return kBadUsage;
   }
   if (given.count("help") > 0) return PrintHelp(stdout, shown), kOk;
-  if (command == "serve") return Serve(path);
+  if (command == "serve") return app::Serve(path);
   if (command == "check-config") return CheckConfig(path);
   if (command == "version") return Version();
   fmt::print(stderr, "curlewdoor: {}\n",
