--- a/src/kit_main.cpp
+++ b/src/kit_main.cpp
@@ -61,12 +61,20 @@
   return *address;
 }
 
-// Names that are wrong only for another number of gateways, and faults that sockets can't show.
+// What a file may say and this way of playing it can't do: gateways that --gateways leaves out, and faults of
+// a network that sockets on loopback do not have.
 void CheckPlayable(const rehearsal::Scenario& scenario, bool on_sockets) {
   for (const rehearsal::Fault& fault : scenario.faults) {
     const rehearsal::FaultWord& word = rehearsal::WordOf(fault.kind);
-    if (on_sockets && word.target == rehearsal::Target::kNetwork)
+    const bool of_network = word.target == rehearsal::Target::kNetwork;
+    if (on_sockets && of_network)
       throw BadUsage(fmt::format("fault {} needs a network of its own: play it with --virtual", word.word));
+    if (!of_network && word.target != rehearsal::Target::kGateway) continue;
+    for (const std::string& name : fault.names) {
+      bool found = false;
+      for (int g = 0; g < scenario.gateways && !found; ++g) found = name == rehearsal::GatewayName(g);
+      if (!found) throw BadUsage(fmt::format("fault {} names {}: --gateways leaves it out", word.word, name));
+    }
   }
 }
 
@@ -126,6 +134,7 @@
 
 int Search(const Given& given) {
   const rehearsal::Scenario scenario = Load(given);
+  CheckPlayable(scenario, false);
   const auto dots = given.seeds.find("..");
   std::uint64_t first = 0, last = 0;
   try {
--- a/src/rehearsal/record.cpp
+++ b/src/rehearsal/record.cpp
@@ -19,6 +19,7 @@
     : stage_(stage),
       judge_(stage.scenario, stage.start, stage.crowd.customers()),
       figures_(stage.scenario, stage.start, stage.crowd.customers(), by_second),
+      quotas_(stage.scenario, stage.start, stage.crowd.customers()),
       hash_(XXH3_createState()) {
   XXH3_64bits_reset(hash_);
 }
@@ -35,6 +36,7 @@
 void Record::Asked(const standin::Ask& ask) {
   Note(1, ask.due, ask.id, Word(ask.gateway), Word(ask.customer));
   figures_.Asked(ask);
+  quotas_.Asked(ask);
 }
 
 void Record::Taken(TimePoint now, const standin::Ask& ask) {
@@ -63,6 +65,7 @@
   Note(6, now, Word(node), Word(gateway), request);
   judge_.AttemptWhole(now, node, gateway, request);
   figures_.AttemptWhole(now, node, gateway, request);
+  quotas_.AttemptWhole(now, node, gateway, request);
 }
 
 void Record::Ran(TimePoint now, int node, std::uint64_t request) {
@@ -108,6 +111,7 @@
   result.length_s = stage_.scenario.length_s;
   result.verdicts = judge_.Verdicts();
   result.totals = figures_.Sum();
+  result.quota_errors = quotas_.Errors();
   result.seconds = figures_.BySecond();
   result.ceilings = judge_.Ceilings();
   result.faults = stage_.bands();
--- a/src/rehearsal/record.hpp
+++ b/src/rehearsal/record.hpp
@@ -11,6 +11,7 @@
 
 #include "rehearsal/figures.hpp"
 #include "rehearsal/judge.hpp"
+#include "rehearsal/quota_error.hpp"
 #include "rehearsal/stage.hpp"
 
 namespace curlewdoor::rehearsal {
@@ -25,6 +26,7 @@
   double length_s = 0;
   std::vector<RuleVerdict> verdicts;
   Totals totals;
+  QuotaErrors quota_errors;
   std::vector<SecondFigures> seconds;
   std::vector<CeilingUse> ceilings;
   std::vector<FaultBand> faults;
@@ -64,6 +66,7 @@
   const Stage& stage_;
   Judge judge_;
   Figures figures_;
+  QuotaMeter quotas_;
   XXH3_state_t* hash_;
   std::uint64_t events_ = 0;
 };
--- a/src/rehearsal/report.cpp
+++ b/src/rehearsal/report.cpp
@@ -168,6 +168,11 @@
   return table + "</table>";
 }
 
+std::string Percent(double part) { return fmt::format("{:.1f}%", 100 * part); }
+std::string ByPhase(const std::array<double, kPhases>& parts) {
+  return fmt::format("{}, {}, {}", Percent(parts[0]), Percent(parts[1]), Percent(parts[2]));
+}
+
 std::vector<std::pair<std::string, std::string>> FigureRows(const RunResult& result) {
   const Totals& t = result.totals;
   return {
@@ -180,6 +185,11 @@
        fmt::format("{:.0f}, {:.0f}", t.units_admitted, t.units_beyond)},
       {"latency of the served, ms (50, 90, 99, 99.9%)",
        fmt::format("{:.1f}, {:.1f}, {:.1f}, {:.1f}", t.p50_ms, t.p90_ms, t.p99_ms, t.p999_ms)},
+      {"ceiling error: admitted over what a ceiling allows in any span, less 1",
+       Percent(result.quota_errors.ceiling)},
+      {"quota error: beyond quotas over quotas, before the first fault, 10 s from it, after",
+       ByPhase(result.quota_errors.quota)},
+      {"starved: asked within quota and not let in, in the same three", ByPhase(result.quota_errors.starved)},
       {"attempts, calls to the counter, calls a try",
        fmt::format("{}, {}, {:.2f}", t.attempts, t.calls, t.CallsPerRequest())},
   };
@@ -273,6 +283,9 @@
           {"broken", t.broken},
           {"units_admitted", t.units_admitted},
           {"units_beyond", t.units_beyond},
+          {"ceiling_error", result.quota_errors.ceiling},
+          {"quota_error", result.quota_errors.quota},
+          {"starved", result.quota_errors.starved},
           {"calls", t.calls},
           {"attempts", t.attempts},
           {"latency_ms", {{"p50", t.p50_ms}, {"p90", t.p90_ms}, {"p99", t.p99_ms}, {"p99.9", t.p999_ms}}},
--- a/tests/kit/command_line_test.sh
+++ b/tests/kit/command_line_test.sh
@@ -35,6 +35,7 @@
   >"$folder/loss.toml"
 expect 2 'play it with --virtual' "$kit" rehearse "$folder/loss.toml" --sockets
 expect 0 'all rules held' "$kit" rehearse "$folder/loss.toml"
+expect 2 'leaves it out' "$kit" rehearse "$rehearsals/gateways-restart.toml" --gateways 2
 
 expect 0 'all rules held' "$kit" rehearse "$rehearsals/calm.toml" --seed 3 --json "$folder/a.json" --report "$folder/a.html"
 expect 0 'all rules held' "$kit" rehearse "$rehearsals/calm.toml" --seed 3 --json "$folder/b.json"
