--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1048,6 +1048,7 @@
   if (const auto* e = std::get_if<CounterShared>(&event)) {
     part_ = std::clamp(e->part, kLeastPart, 1.0);
     unseen_for_ = e->unseen_for;
+    Act(Log{"counter seen by " + std::to_string(static_cast<int>(100 * part_ + 0.5)) + "% of the gateways"});
   }
 }
 
