Kit clean-up: a look-up that nobody calls and unused arguments of the load generator out

Cause: read again as its next maintainer: Stage::NodeOf stood beside the one that the virtual run uses, and two functions of the load generator took a time that they did not look at. Change: both out; nothing behaves differently.

--- a/src/playing/load.cpp
+++ b/src/playing/load.cpp
@@ -46,7 +46,7 @@
         Note(late_, now - due, due, late_most_);
         due += FromSeconds(standin::Exponential(random_, 1 / RateAt(Seconds(due - start))));
       }
-      SendWaiting(now);
+      SendWaiting();
       DropLate(now);
       ev_run(loop_, EVRUN_NOWAIT);
       clients_.Reap();
@@ -76,7 +76,7 @@
     most = std::max(most, latency);
   }
 
-  void SendWaiting(TimePoint now) {
+  void SendWaiting() {
     while (!waiting_.empty() && out_ < options_.connections) {
       const TimePoint due = waiting_.front();
       waiting_.pop_front();
@@ -85,11 +85,11 @@
       asked_.push_back({id, due});
       by_id_[id] = due;
       if (due >= counted_from_) ++result_.due;
-      clients_.Ask(id, Text(id, now));
+      clients_.Ask(id, Text(id));
     }
   }
 
-  std::string Text(std::uint64_t id, TimePoint) {
+  std::string Text(std::uint64_t id) {
     const std::string& customer = customers_[id % customers_.size()];
     return fmt::format(
         "{} /{}?account={} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {:016x}\r\nX-Tier: {}\r\n"
--- a/src/rehearsal/stage.cpp
+++ b/src/rehearsal/stage.cpp
@@ -311,12 +311,6 @@
   return list;
 }
 
-std::optional<int> Stage::NodeOf(HostId host) const {
-  for (std::size_t i = 0; i < nodes.size(); ++i)
-    if (nodes[i].id() == host) return static_cast<int>(i);
-  return std::nullopt;
-}
-
 Duration Stage::Distance(int gateway, int node) const {
   const bool same = nodes[static_cast<std::size_t>(node)].zone == gateway % scenario.fleet.zones;
   return (same ? scenario.network.same : scenario.network.cross) + network(gateway).slower;
--- a/src/rehearsal/stage.hpp
+++ b/src/rehearsal/stage.hpp
@@ -67,7 +67,6 @@
 
   // The list as everybody knows it at the start.
   standin::ListAnswer FirstList() const;
-  std::optional<int> NodeOf(HostId host) const;
   const NetworkTrouble& network(int gateway) const { return network_[static_cast<std::size_t>(gateway)]; }
   // One way between a gateway and a node, without jitter.
   Duration Distance(int gateway, int node) const;
