Units leased under half of a ceiling need no gateway's part of it

A set has 15 gateways, so a part is 2 units and 0.73 a second, it starts empty, and a customer's requests gather on few gateways. Lines: RefillCeiling and UnderCaps.

Change: what a lease grants while the window's total stays under half of the ceiling is in a count that every gateway adds to, and needs no part; the parts hold what is let in by share or after a loss that was seen.

A test of 15 gateways on one counter keeps the ceiling through bursts, silences and losses, and breaks it by 6 to 33 units where the half is left out.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -1,7 +1,7 @@
 // The decision module. Its interface (settings, events, actions, the class Gateway) is logic.hpp.
 //
-// A request passes, in this order: shedding (can the fleet serve it in time?), the ceiling and the open cap
-// of its customer, the lease on the customer's quota, the choice of a host, and Issue(), the one place that
+// A request passes, in this order: shedding (can the fleet serve it in time?), the open cap of its customer,
+// the lease on the customer's quota, the ceiling, the choice of a host, and Issue(), the one place that
 // sends. Refusals and failures leave through Conclude(), the one place that gives final answers.
 #include "logic.hpp"
 
@@ -132,6 +132,7 @@
     TimePoint use_at;
     int open = 0;  // attempts out
     double ceiling = 0;
+    double covered = 0;  // of what is held: so little was in the count that the ceiling allows it (Covers)
     TimePoint ceiling_at, seen_at;
   };
 
@@ -153,7 +154,8 @@
     double units = 1;
     TimePoint arrived, deadline;
     bool closed = false;
-    bool counted = false;  // its units were taken from the quota
+    bool counted = false;  // its units were taken from the quota ...
+    bool covered = false;  // ... and were counted where every gateway sees them, under the ceiling
     std::vector<Attempt> attempts;
   };
 
@@ -218,7 +220,9 @@
     return std::max(kSilentTest, FromSeconds((0.5 + Random()) * Gateways() / kCallsLeast));
   }
   double RefillCeiling(Customer& c);
-  bool UnderCaps(Request& r);
+  bool Covers(const Customer& c, double total) const;
+  bool UnderCeiling(Request& r);
+  bool UnderOpenCap(Request& r);
   // Hosts.
   void OnHostList(const HostList& event);
   bool IsCold(const Host& h) const;
@@ -382,12 +386,14 @@
   }
   Take(c, -c.held, 0);
   c.window = window;
-  c.held = c.total = c.own_added = 0;
+  c.held = c.covered = c.total = c.own_added = 0;
   c.owed = c.guessed = 0;  // belong to the old count; the siblings booked it by their shares already
 }
 
 bool Gateway::Impl::Spend(Customer& c, Request& r) {
   if (Tokens(c) < r.units) return false;
+  r.covered = c.covered >= r.units;
+  if (r.covered) c.covered -= r.units;
   c.held -= r.units;
   r.counted = true;
   NoteAdmitted(r.units, r.units);
@@ -470,9 +476,11 @@
   // scarce. What was guessed of them makes way for what is known.
   const double others = std::max(0.0, grown - added) / std::clamp(counted_ / admitted_, kLeastCounted, 1.0);
   Take(c, c.call_lease, others - std::exchange(c.guessed, 0));
+  if (!lost && Covers(c, total)) c.covered += c.call_lease;
   c.held += c.call_lease;
   const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);  // admitted by share during the call
   c.held -= paid;
+  c.covered = std::min(c.covered, std::max(0.0, c.held));
   PayOwed(c, paid);
   // The counter lost numbers: the quota is not granted again. The larger knowledge holds, and what this
   // gateway had added before goes in once more with the next call.
@@ -514,6 +522,7 @@
   if (!r.counted || !r.attempts.empty()) return;
   r.counted = false;
   r.customer->held += r.units;
+  if (std::exchange(r.covered, false)) r.customer->covered += r.units;
 }
 
 void Gateway::Impl::Settle(Request& r, double true_units) {
@@ -524,6 +533,7 @@
   r.units = true_units;
   const double from_held = std::min(more, std::max(0.0, c.held));
   c.held -= from_held;
+  c.covered = std::min(c.covered, std::max(0.0, c.held));
   c.owed += more - from_held;
   Take(c, more - from_held, 0);
 }
@@ -581,6 +591,7 @@
   Customer& c = *r.customer;
   Roll(c);
   if (Spend(c, r)) return Dispatch(r);
+  if (!UnderCeiling(r)) return;
   const double share = Share(c);
   const double left = share * Level(c);
   const bool untouched = Level(c) >= Burst(c);  // a small share of a small quota still admits one
@@ -612,18 +623,32 @@
   return c.ceiling;
 }
 
-bool Gateway::Impl::UnderCaps(Request& r) {
+// Exception to the parts: units of a lease with which a window's count stays under half of the ceiling need
+// none, though they take from it what is there. Any two windows hold no more than the burst, and more windows
+// no more than the rate gives meanwhile. Guards against a customer refused inside its quota whose requests
+// gather on few gateways of a large set, and on gateways that have just started. Harms where the counter
+// forgets what was added: where that is seen, and for all that is let in by share, the parts hold.
+bool Gateway::Impl::Covers(const Customer& c, double total) const {
+  const Plan& plan = *c.plan;
+  if (plan.ceiling_rate <= 0) return false;
+  const double refilled = plan.ceiling_rate * Seconds(Window(plan));
+  return total <= c.part * std::min(plan.ceiling_burst, refilled) / 2;
+}
+
+bool Gateway::Impl::UnderCeiling(Request& r) {
   Customer& c = *r.customer;
   const Plan& plan = *c.plan;
-  if (plan.ceiling_rate > 0 && RefillCeiling(c) < r.units) {
-    Conclude(r, true, FromSeconds((r.units - c.ceiling) * c.set_size / plan.ceiling_rate));
-    return false;
-  }
-  if (plan.open_cap > 0 && c.open >= std::max(1.0, std::floor(plan.open_cap * Share(c) + 0.5))) {
-    Conclude(r, true, ComeBack(r));
-    return false;
-  }
-  return true;
+  if (plan.ceiling_rate <= 0 || r.covered || RefillCeiling(c) >= r.units) return true;
+  Conclude(r, true, FromSeconds((r.units - c.ceiling) * c.set_size / plan.ceiling_rate));
+  return false;
+}
+
+bool Gateway::Impl::UnderOpenCap(Request& r) {
+  const Plan& plan = *r.customer->plan;
+  if (plan.open_cap <= 0) return true;
+  if (r.customer->open < std::max(1.0, std::floor(plan.open_cap * Share(*r.customer) + 0.5))) return true;
+  Conclude(r, true, ComeBack(r));
+  return false;
 }
 
 // ---- Host health and choice ---------------------------------------------------------------------------
@@ -845,8 +870,9 @@
   if (IsCold(h) && RefillCold(h) < 1) return false;  // rule 4
   Customer& c = *r.customer;
   const bool first = r.attempts.empty();
-  if (first && c.plan->ceiling_rate > 0 && RefillCeiling(c) < r.units) return false;  // rule 5
-  if (first && c.plan->ceiling_rate > 0) c.ceiling -= r.units;
+  const bool limited = first && c.plan->ceiling_rate > 0;
+  if (limited && RefillCeiling(c) < r.units && !r.covered) return false;  // rule 5
+  if (limited) c.ceiling = std::max(0.0, c.ceiling - r.units);
   if (IsCold(h)) h.cold_budget -= 1;
   const double weight = mean_units_ > 0 ? r.units / mean_units_ : 1;
   r.attempts.push_back({h.entry.host, now_, weight});
@@ -866,6 +892,7 @@
 }
 
 void Gateway::Impl::Dispatch(Request& r) {
+  if (!UnderCeiling(r)) return ReturnUnits(r);
   Host* h = Choose(r);
   if (h != nullptr && Issue(r, *h)) return;
   ReturnUnits(r);
@@ -998,7 +1025,7 @@
   retry_budget_ = std::min(kRetryMost, retry_budget_ + kRetryEarned);
   if (!Fits(r)) {
     Conclude(r, true, ComeBack(r));
-  } else if (UnderCaps(r)) {
+  } else if (UnderOpenCap(r)) {
     Ask(r);
   }
   Forget(event.id);
