A cold host whose turn has come goes before warm ones

Ruled out: the list (they were named from 8.3 s on), rule 4's budget (a hundred gateways together saved up 36 hosts' part). Lines: Delay() divided by the part a cold host can do, so any idle warm host won, and Choose() met a cold one in 8 of 60 looks.

Change: the budget alone paces a cold host; when due it is looked at and counts 0.4 times its delay.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -64,6 +64,7 @@
 constexpr double kFailWeight = 4;    // slowness put on a host per its rate of failure
 constexpr double kLateSlowness = 4;  // slowness booked for a late attempt; also the most that one books
 constexpr double kMetWeight = 0.8;   // times the delay of one that answered in time: a doubt about strangers
+constexpr double kTurnWeight = 0.4;  // times the delay of a cold host whose turn has come
 constexpr double kTriedWeight = 4;   // times the delay of a host that this request was sent to before
 constexpr double kLeastSize = 0.05;  // a size hint of zero would make a host look endlessly slow
 constexpr double kWarmStep = 0.3;    // weight of one second in what a warm host answers
@@ -708,9 +709,8 @@
 double Gateway::Impl::Delay(const Host& h) const {
   const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
   const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
-  const double size = Size(h) * (IsCold(h) ? ColdPart(h) : 1);
   const double zone = h.entry.zone != settings_.zone ? kZoneWeight * settings_.prices.cross_zone : 0;
-  return (slowness + zone) * (1 + h.trouble + kFailWeight * h.fail_rate) * (1 + h.load) / size;
+  return (slowness + zone) * (1 + h.trouble + kFailWeight * h.fail_rate) * (1 + h.load) / Size(h);
 }
 
 bool Gateway::Impl::MayRepeatAt(const Request& r, const Host& h) const {
@@ -744,7 +744,7 @@
     if (!h.listed || !MayRepeatAt(r, h) || (IsCold(h) && RefillCold(h) < 1)) return;
     const bool tried = std::any_of(r.attempts.begin(), r.attempts.end(),
                                    [&](const Attempt& a) { return a.host == h.entry.host; });
-    const double delay = Delay(h) * (tried ? kTriedWeight : 1) * weight;
+    const double delay = Delay(h) * (tried ? kTriedWeight : 1) * (IsCold(h) ? kTurnWeight : weight);
     if (best != nullptr && delay >= best_delay) return;
     best = &h;
     best_delay = delay;
@@ -753,6 +753,10 @@
   // well, others come by chance; one that gets slow or fails loses its place. Harms if all keep to the same.
   for (HostId id : means_[r.class_index].met)
     if (const auto it = hosts_.find(id); it != hosts_.end()) look_at(it->second, kMetWeight);
+  // A cold host is paced by its own budget (rule 4), not by how it compares: where each gateway hardly loads
+  // a host, a warm one would always look better, and replacements would idle while the warm ones drown.
+  for (Host* h : ready_)
+    if (IsCold(*h)) look_at(*h, 1);
   for (std::size_t i = 0; i < kCandidates; ++i) look_at(*ready_[(start + i) % ready_.size()], 1);
   return best;
 }
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -744,6 +744,36 @@
   EXPECT_LE(sent, 150u);
 }
 
+// Guards against replacements that idle while the warm hosts drown: a hundred gateways of six requests a
+// second, 60 hosts of which 36 have just come. Each gateway by itself hardly loads a host, so a warm one
+// always looks better than one that can do a fifth of its work, and nobody sends the cold ones what all of
+// them could.
+TEST(RuleColdHost, ReplacementsInALargeFleetGetTheirPartAndNoMore) {
+  std::size_t warm = 0, cold = 0;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Settings settings = TestSettings();
+    settings.gateways = 100;
+    Door door(settings, 60, seed);
+    std::uint64_t id = 0;
+    const auto serve = [&](int tries, bool counted) {
+      for (int i = 0; i < tries; ++i) {
+        door.Arrive(++id, "free");
+        for (HostId host : door.sent[RequestId{id}])
+          if (counted) ++(host.value < 136 ? cold : warm);
+        door.Pass(milliseconds(160));
+        door.EndIfSent(id);
+      }
+    };
+    serve(200, false);
+    for (std::size_t i = 0; i < 36; ++i) door.list_[i].started = door.now;
+    door.Tell(HostList{ListKind::kFull, 2, door.list_});
+    serve(50, true);  // eight seconds, in which their part rises from a fifth to 0.84
+  }
+  const double part = (static_cast<double>(cold) / 36) / (static_cast<double>(warm) / 24);
+  EXPECT_GE(part, 0.25);
+  EXPECT_LE(part, 0.84);
+}
+
 TEST(Streams, AnAttemptThatHasBegunIsNotCalledOffNorLate) {
   Settings settings = TestSettings();
   settings.classes[0].stream = true;
