Hosts not heard from lately count as failing as often as such hosts do

Lines: Delay(), which knows a host only by itself; TryAgain().

Change: a smoothed rate at which hosts without a good answer for 5 s fail stands in for what is not known of such a host; a further attempt after one that never ran takes nothing from the budget.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -65,6 +65,8 @@
 constexpr int kRestAfter = 3;        // failed or hanging attempts with no answer between them
 constexpr double kFailStep = 0.05;   // weight of one attempt in a host's rate of failure
 constexpr double kFailWeight = 4;    // slowness put on a host per its rate of failure
+constexpr Duration kHeardLately = seconds(5);  // a good answer is so long a sign that a host is well
+constexpr double kUnheardStep = 0.1;           // weight of one attempt in how often hosts not heard from fail
 constexpr double kLateSlowness = 4;  // slowness booked for a late attempt; also the most that one books
 constexpr double kMetWeight = 0.8;   // times the delay of one that answered in time: a doubt about strangers
 constexpr double kTurnWeight = 0.4;  // times the delay of a cold host whose turn has come
@@ -172,7 +174,7 @@
     TimePoint slowness_at{};
     int trouble = 0;       // failed or hanging attempts since the last answer
     double fail_rate = 0;  // smoothed
-    TimePoint trouble_at{};
+    TimePoint trouble_at{}, heard_at{};
     double cold_budget = 0;
     TimePoint cold_at;
   };
@@ -301,7 +303,8 @@
   TimePoint calls_at_;
   double mean_stake_ = 0, admitted_ = 1, counted_ = 1;  // smoothed: worth at stake, units let in, and counted
   double retry_budget_ = kRetryMost;
-  double warm_rate_ = 0;  // good answers a second from one warm host to this gateway
+  double unheard_fails_ = 0;  // smoothed: how often hosts not heard from lately fail
+  double warm_rate_ = 0;      // good answers a second from one warm host to this gateway
   int warm_answers_ = 0;
   TimePoint warm_since_;
 };
@@ -725,13 +728,17 @@
   return settings_.size_hint == SizeHint::kNone ? 1 : std::max(kLeastSize, h.entry.size_hint);
 }
 
+// A host not heard from lately counts as failing as often as such hosts do, whatever it did before. Guards
+// against each of many hosts that went together being tried in turn; it eases as strangers answer.
+//
 // Expected delay at a host, in service times of a usual one, by this gateway's own attempts only: reported
 // loads are old, and all gateways then turn to the same host at once (measured: worse even if smoothed).
 double Gateway::Impl::Delay(const Host& h) const {
   const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
   const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
+  const double risk = now_ < h.heard_at + kHeardLately ? h.fail_rate : std::max(h.fail_rate, unheard_fails_);
   const double zone = h.entry.zone != settings_.zone ? kZoneWeight * settings_.prices.cross_zone : 0;
-  return (slowness + zone) * (1 + h.trouble + kFailWeight * h.fail_rate) * (1 + h.load) / Size(h);
+  return (slowness + zone) * (1 + h.trouble + kFailWeight * risk) * (1 + h.load) / Size(h);
 }
 
 bool Gateway::Impl::MayRepeatAt(const Request& r, const Host& h) const {
@@ -828,6 +835,8 @@
   h.out = std::max(0, h.out - 1);
   h.load = h.out == 0 ? 0 : std::max(0.0, h.load - attempt.weight);
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
+  const bool failed = event.outcome != Outcome::kOk;
+  if (attempt.sent >= h.heard_at + kHeardLately) unheard_fails_ += kUnheardStep * (failed - unheard_fails_);
   if (attempt.started && event.outcome == Outcome::kOk) return;  // how long a stream ran tells nothing
   const bool late = event.latency >= LateAfter(r);
   if (late && !attempt.late) NoteLate(h);
@@ -835,6 +844,7 @@
   if (event.outcome == Outcome::kTimeout) return;
   if (event.outcome != Outcome::kOk) return NoteTrouble(h);
   NoteWarmRate(h);
+  h.heard_at = now_;
   ClassState& mean = means_[r.class_index];
   const double latency = Seconds(event.latency), expected = Expected(r);
   Smooth(mean.latency, latency, kMeanStep);
@@ -992,12 +1002,15 @@
   CancelOut(found->second);
 }
 
+// What never ran, such as an attempt whose connection was refused, cost no host any work, and the next one
+// takes nothing from the budget. Guards against requests given up while a zone or a release's old hosts go.
 bool Gateway::Impl::TryAgain(Request& r) {
   const double expected = means_[r.class_index].latency;
-  if (retry_budget_ < 1 || now_ + FromSeconds(expected / 2) >= GiveUpAt(r)) return false;
+  const bool free = !r.attempts.back().may_have_run;
+  if ((retry_budget_ < 1 && !free) || now_ + FromSeconds(expected / 2) >= GiveUpAt(r)) return false;
   Host* h = Choose(r);
   if (h == nullptr || !Issue(r, *h)) return false;
-  retry_budget_ -= 1;
+  if (!free) retry_budget_ -= 1;
   return true;
 }
 
--- a/tests/logic_test.cpp
+++ b/tests/logic_test.cpp
@@ -831,6 +831,46 @@
   EXPECT_GE(static_cast<double>(kept), 0.8 * static_cast<double>(all));
 }
 
+// Guards against each of many hosts that are gone, or fail, being tried in turn because those that serve have
+// work. A gateway that has just started with an old list: one host of four still runs, the others refuse
+// connections.
+int RefusedByHostsThatAreGone(std::uint64_t seed) {
+  Settings settings = TestSettings();
+  settings.gateways = 100;
+  Door door(settings, 60, seed);
+  int refused = 0;
+  for (std::uint64_t id = 1; id <= 60; ++id) {
+    door.Arrive(id, "free");
+    const auto& hosts = door.sent[RequestId{id}];
+    for (std::size_t tries = 0; tries < hosts.size() && hosts.back().value % 4 != 0; ++tries) {
+      ++refused;
+      door.End(id, Outcome::kConnectFailed);
+    }
+    door.Pass(milliseconds(200));
+    if (id > 3 && !door.sent[RequestId{id - 3}].empty()) door.End(id - 3, Outcome::kOk, true);  // three out
+  }
+  return refused;
+}
+
+TEST(LargeFleet, HostsGoneTogetherAreNotTriedOneByOne) {
+  int refused = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) refused += RefusedByHostsThatAreGone(seed);
+  EXPECT_LE(refused, 40 * 25);  // 42 each where nothing is concluded from one host about the next
+}
+
+// Guards against a budget that is used up by attempts which cost no host anything.
+TEST(Retries, AfterAttemptsThatNeverRanTheNextIsFree) {
+  Door door(TestSettings(), 8);
+  for (std::uint64_t id = 1; id <= 100; ++id) {
+    door.Arrive(id, "free");
+    ASSERT_EQ(door.sent[RequestId{id}].size(), 1u) << id;
+    door.End(id, Outcome::kConnectFailed);
+    ASSERT_EQ(door.sent[RequestId{id}].size(), 2u) << id;
+    door.End(id, Outcome::kOk, true);
+    door.Pass(milliseconds(50));
+  }
+}
+
 TEST(LargeFleet, AThousandHostsWithoutAZoneNeitherStallNorCrash) {
   Settings settings = TestSettings();
   settings.gateways = 100;
