Clean-up: one place takes held units, with what of them is covered

Need: a read of the whole change found the same two lines after each taking of held units, an outcome compared three times in one function, and a comment in front of the one it belongs behind. Change: TakeHeld(); no behaviour changes.

--- a/src/logic.cpp
+++ b/src/logic.cpp
@@ -204,6 +204,10 @@
   void KeepToPart(Customer& c);
   double Tokens(const Customer& c) const { return c.held + std::min(0.0, Level(c)); }
   void Take(Customer& c, double units, double by_others);
+  void TakeHeld(Customer& c, double units) {  // uncovered ones first
+    c.held -= units;
+    c.covered = std::min(c.covered, std::max(0.0, c.held));
+  }
   bool Spend(Customer& c, Request& r);
   void Ask(Request& r);
   void Call(Customer& c);
@@ -488,8 +492,7 @@
   if (!lost && Covers(c, total)) c.covered += c.call_lease;
   c.held += c.call_lease;
   const double paid = std::min(std::max(0.0, Tokens(c)), c.owed);  // admitted by share during the call
-  c.held -= paid;
-  c.covered = std::min(c.covered, std::max(0.0, c.held));
+  TakeHeld(c, paid);
   PayOwed(c, paid);
   // The counter lost numbers: the quota is not granted again. The larger knowledge holds, and what this
   // gateway had added before goes in once more with the next call.
@@ -541,8 +544,7 @@
   const double more = true_units - r.units;
   r.units = true_units;
   const double from_held = std::min(more, std::max(0.0, c.held));
-  c.held -= from_held;
-  c.covered = std::min(c.covered, std::max(0.0, c.held));
+  TakeHeld(c, from_held);
   c.owed += more - from_held;
   Take(c, more - from_held, 0);
 }
@@ -728,11 +730,11 @@
   return settings_.size_hint == SizeHint::kNone ? 1 : std::max(kLeastSize, h.entry.size_hint);
 }
 
-// A host not heard from lately counts as failing as often as such hosts do, whatever it did before. Guards
-// against each of many hosts that went together being tried in turn; it eases as strangers answer.
-//
 // Expected delay at a host, in service times of a usual one, by this gateway's own attempts only: reported
 // loads are old, and all gateways then turn to the same host at once (measured: worse even if smoothed).
+//
+// A host not heard from lately counts as failing as often as such hosts do, whatever it did before. Guards
+// against each of many hosts that went together being tried in turn; it eases as strangers answer.
 double Gateway::Impl::Delay(const Host& h) const {
   const double slow_age = Seconds(now_ - h.slowness_at) / kSlownessMemory;
   const double slowness = 1 + (h.slowness - 1) * std::exp(-slow_age);
@@ -837,12 +839,12 @@
   if (event.outcome == Outcome::kCancelled || event.outcome == Outcome::kMoot) return;
   const bool failed = event.outcome != Outcome::kOk;
   if (attempt.sent >= h.heard_at + kHeardLately) unheard_fails_ += kUnheardStep * (failed - unheard_fails_);
-  if (attempt.started && event.outcome == Outcome::kOk) return;  // how long a stream ran tells nothing
+  if (attempt.started && !failed) return;  // how long a stream ran tells nothing
   const bool late = event.latency >= LateAfter(r);
   if (late && !attempt.late) NoteLate(h);
   if (event.latency >= r.kind->aim) MoveRoom(-kRoomLost, 0);
   if (event.outcome == Outcome::kTimeout) return;
-  if (event.outcome != Outcome::kOk) return NoteTrouble(h);
+  if (failed) return NoteTrouble(h);
   NoteWarmRate(h);
   h.heard_at = now_;
   ClassState& mean = means_[r.class_index];
