Gateways see each other join, leave and die: SWIM with Lifeguard, off by default

Need: duties and budgets over several gateways stand on a view of the fleet; today a gateway knows its siblings only as a number on the counter.

Change: src/fleet, a pure state machine with its messages; src/net/fleet_link moves the bytes; the configuration's fleet switches it on; the call FLEET and figures show it; an upgrade hands the member over. The strict byte reader moves from src/handover to src/util.

Off there is no socket, timer or call.

--- a/src/admin/admin.cpp
+++ b/src/admin/admin.cpp
@@ -24,7 +24,7 @@
 
 }  // namespace
 
-Call ParseCall(std::string_view line) {
+Call ParseCall(std::string_view line, bool with_fleet) {
   if (line.size() > kMostLine) return Bad{"line too long"};
   const auto control = [](char c) { return (c >= 0 && c < ' ' && c != '\t') || c == 0x7f; };
   if (std::any_of(line.begin(), line.end(), control)) return Bad{"a control character in the line"};
@@ -39,9 +39,11 @@
     if (suspends) return Suspend{std::string(id)};
     return Restore{std::string(id)};
   }
-  if (word != "STATUS" && word != "METRICS") return Bad{"unknown call: " + Printable(word)};
+  const bool fleet = with_fleet && word == "FLEET";
+  if (word != "STATUS" && word != "METRICS" && !fleet) return Bad{"unknown call: " + Printable(word)};
   if (!id.empty()) return Bad{std::string(word) + " takes nothing behind it"};
   if (word == "STATUS") return Status{};
+  if (fleet) return Fleet{};
   return Metrics{};
 }
 
@@ -70,6 +72,7 @@
   line("ejected", {}, figures.ejected);
   line("sighup_applied", {}, figures.sighup_applied);
   line("sighup_rejected", {}, figures.sighup_rejected);
+  for (const auto& [name, value] : figures.more) line(name, {}, value);
   return text + "END\n";
 }
 
--- a/src/admin/admin.hpp
+++ b/src/admin/admin.hpp
@@ -6,7 +6,9 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace curlewdoor::admin {
 
@@ -20,13 +22,15 @@
 struct Restore {
   std::string host;
 };
+struct Fleet {};
 struct Bad {
   std::string reason;
 };
-using Call = std::variant<Status, Metrics, Suspend, Restore, Bad>;
+using Call = std::variant<Status, Metrics, Suspend, Restore, Fleet, Bad>;
 
-// Reads one line without its end. Words are separated by blanks or tabs.
-Call ParseCall(std::string_view line);
+// Reads one line without its end. Words are separated by blanks or tabs. `with_fleet`: the calls of gateways
+// that see one another are known too.
+Call ParseCall(std::string_view line, bool with_fleet = false);
 
 // What ended, by class; a class that was dropped keeps its line.
 struct ClassFigures {
@@ -37,6 +41,7 @@
   std::uint64_t forwards = 0;
   std::size_t outstanding = 0, discovered = 0, ejected = 0;
   std::uint64_t sighup_applied = 0, sighup_rejected = 0;
+  std::vector<std::pair<std::string, std::uint64_t>> more;  // of parts that are switched on, by whole name
 };
 
 // Whole answers, each line with its end.
--- a/src/app/handing.cpp
+++ b/src/app/handing.cpp
@@ -65,6 +65,7 @@
   ListenForNext();
   look_timer_.Stop();
   parts_.listener.StartAccepting();
+  if (parts_.peers != nullptr) parts_.peers->Start();
 }
 
 void Handing::ListenForNext() {
@@ -105,6 +106,7 @@
     parts_.logger.Warning("upgrade: the new process is gone; this one serves again, as after a start");
     parts_.core.ServeAgain(parts_.inputs.Now());
     parts_.listener.Resume();
+    if (parts_.peers != nullptr) parts_.peers->Resume();
     ListenForNext();  // the other had taken the place where the next one looks
   }
   if (what != Predecessor::Do::kNothing && what != Predecessor::Do::kHold) look_timer_.Stop();
@@ -135,6 +137,8 @@
                               static_cast<std::uint32_t>(open_requests), parts_.listener.open_ids()};
   const std::size_t customers = snapshot.memory.customers.size(), open = snapshot.open_ids.size();
   Pass(Kind::kSnapshot, handover::Encode(std::move(snapshot), now), {});
+  // One member throughout: this process has said its last word to the others before the next one speaks.
+  if (parts_.peers != nullptr) Pass(Kind::kFleet, parts_.peers->HandOn(), {});
   Pass(Kind::kSwitch, {}, {});
   parts_.listener.HandOn([this](net::Client::Passed passed) {
     Pass(Kind::kClient, handover::Encode(passed.client), std::move(passed.descriptor));
@@ -176,11 +180,14 @@
   if (frame.kind == Kind::kSuspend || frame.kind == Kind::kRestore)
     if (const auto host = handover::DecodeHost(frame.payload)) return parts_.call_by_hand(frame.kind, *host);
   if (from_old && frame.kind == Kind::kSnapshot && !served_) TakeOver(frame.payload);
+  if (from_old && frame.kind == Kind::kFleet && !served_ && parts_.peers != nullptr)
+    parts_.peers->TakeOver(frame.payload);
   if (from_old && frame.kind == Kind::kSwitch) Do(successor_->Switched());
   if (!from_old && frame.kind == Kind::kHello) Do(predecessor_.Hello(parts_.inputs.Now()));
   if (!from_old && frame.kind == Kind::kTaken && predecessor_.Taken() == Predecessor::Do::kHandOn) {
     parts_.logger.Warning("upgrade: the new process serves already; this one only ends what it has");
     parts_.core.HandOn();
+    if (parts_.peers != nullptr) parts_.peers->HandOn();
     parts_.listener.LetGo();
   }
 }
--- a/src/app/handing.hpp
+++ b/src/app/handing.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 
+#include "app/peers.hpp"
 #include "handover/protocol.hpp"
 #include "handover/snapshot.hpp"
 #include "log/log.hpp"
@@ -29,6 +30,7 @@
     log::Logger& logger;
     std::function<void(handover::Kind kind, HostId host)> call_by_hand;  // made at the other process
     std::function<bool()> terminating;
+    Peers* peers;  // nullptr: not in a fleet
   };
   explicit Handing(Parts parts);
   ~Handing() override;
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -29,7 +29,8 @@
       config_(config),
       reload_(std::move(reload)),
       logger_(logger),
-      descriptors_(config.sockets, config.admin.has_value(), config.listen_fd && !config.scratch.empty()),
+      descriptors_(config.sockets, config.admin.has_value(), config.listen_fd && !config.scratch.empty(),
+                   config.fleet.has_value()),
       reducer_(make_core(config_.settings, config_.seed)),
       listener_(loop, config_.settings, descriptors_, *this, Ahead(config, descriptors_)),
       upstream_(loop, config_.settings, descriptors_, *this),
@@ -39,10 +40,15 @@
                  config_.known ? std::optional(config_.known->version) : std::nullopt, descriptors_, *this,
                  logger_),
       admin_(loop, descriptors_, *this, [this](std::string_view line) { return AnswerCall(line); }),
+      peers_(config_.fleet ? std::make_unique<Peers>(loop, config_, descriptors_, logger) : nullptr),
       handing_({loop, *this, descriptors_, listener_, upstream_, *reducer_, by_hand_, logger,
                 [this](handover::Kind kind, HostId host) { CallByHand(kind, host); },
-                [this] { return shutdown_.begun(); }}),
-      shutdown_(loop, listener_, *this, [this] { return handing_.handed_on() && handing_.flushed(); }),
+                [this] { return shutdown_.begun(); }, peers_.get()}),
+      shutdown_(
+          loop, listener_, *this, [this] { return handing_.handed_on() && handing_.flushed(); },
+          [this] {
+            if (peers_) peers_->Leave();
+          }),
       hang_up_(loop, SIGHUP, [this](int) { OnHangUp(); }),
       before_wait_(loop, [this](int) { BeforeWait(); }),
       after_wait_(loop, [this](int) { stalls_.Wakes(clock_.Now()); }),
@@ -175,7 +181,8 @@
 // ---- Operators' calls ---------------------------------------------------------------------------------
 
 std::string Service::AnswerCall(std::string_view line) {
-  return std::visit([this](const auto& call) { return Answer(call); }, admin::ParseCall(line));
+  return std::visit([this](const auto& call) { return Answer(call); },
+                    admin::ParseCall(line, peers_ != nullptr));
 }
 
 std::string Service::Answer(const admin::Status&) {
@@ -194,9 +201,12 @@
   figures.ejected = by_hand_.listed_out() + reducer_->resting(clock_.Now());
   figures.sighup_applied = counts_.reloads;
   figures.sighup_rejected = counts_.bad_reloads;
+  if (peers_) figures.more = peers_->Figures();
   return admin::Tell(figures);
 }
 
+std::string Service::Answer(const admin::Fleet&) { return peers_->Describe(); }
+
 std::string Service::Answer(const admin::Suspend& call) {
   return AnswerByHand(handover::Kind::kSuspend, call.host, "suspended");
 }
@@ -256,6 +266,7 @@
   counter_.Reap();
   discovery_.Reap();
   admin_.Reap();
+  if (peers_) peers_->Reap();
   listener_.SetHealthy(reducer_->knows_hosts());
   auto due = reducer_->NextDue();
   if (due && *due <= clock_.Now()) {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "app/handing.hpp"
+#include "app/peers.hpp"
 #include "config/config.hpp"
 #include "log/log.hpp"
 #include "net/admin_door.hpp"
@@ -81,6 +82,7 @@
   std::string Answer(const admin::Metrics&);
   std::string Answer(const admin::Suspend& call);
   std::string Answer(const admin::Restore& call);
+  std::string Answer(const admin::Fleet&);
   std::string Answer(const admin::Bad& call);
   std::string AnswerByHand(handover::Kind kind, const std::string& name, std::string_view what);
   roster::ByHand::Answer CallByHand(handover::Kind kind, HostId host);
@@ -105,6 +107,7 @@
   net::Discovery discovery_;
   net::AdminDoor admin_;
   roster::ByHand by_hand_;
+  const std::unique_ptr<Peers> peers_;  // where the configuration has `fleet`
   Handing handing_;
   net::Shutdown shutdown_;
   net::SignalWatcher hang_up_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "fleet/message.hpp"
 #include "util/hash.hpp"
 #include "util/number.hpp"
 #include "wire/codec.hpp"
@@ -194,6 +195,71 @@
     reader.Fail("settings.domain.count_wait_ns", "is not above 0");
 }
 
+constexpr std::size_t kMostSeeds = 16;
+
+bool IsFleetName(const std::string& text) {
+  return !text.empty() && text.size() <= fleet::kMostName &&
+         std::all_of(text.begin(), text.end(), [](char c) { return c > ' ' && c <= '~' && c != ','; });
+}
+
+// Every key of `fleet`, and what they mean together.
+std::optional<Fleet> ReadFleet(Reader& reader, const std::string& own_name) {
+  const json* found = reader.Find("fleet");
+  if (found == nullptr) return std::nullopt;
+  if (!found->is_object()) return reader.Fail("fleet", "is not an object"), std::nullopt;
+  Fleet fleet;
+  for (const auto& [key, value] : found->items()) {
+    constexpr std::string_view kKnown[] = {"name", "listen", "advertise", "seeds", "size", "probe_ms"};
+    if (std::find(std::begin(kKnown), std::end(kKnown), key) == std::end(kKnown))
+      reader.Fail("fleet." + key, "is not known");
+  }
+  const auto text = [&](const char* key) -> std::optional<std::string> {
+    const auto it = found->find(key);
+    if (it == found->end()) return std::nullopt;
+    if (it->is_string()) return it->get<std::string>();
+    return reader.Fail(fmt::format("fleet.{}", key), "is not a text"), std::nullopt;
+  };
+  const auto address = [&](const std::string& key, const std::string& from, bool any_port) {
+    const auto read = ParseAddress(from);
+    if (!read) reader.Fail(key, fmt::format("is not an IPv4 address with a port: {}", from));
+    if (read && read->ip == INADDR_ANY) reader.Fail(key, "is no address that others could send to");
+    if (read && read->port == 0 && !any_port) reader.Fail(key, "has port 0");
+    return read.value_or(Address{});
+  };
+  fleet.name = text("name").value_or("");
+  if (!IsFleetName(fleet.name))
+    reader.Fail("fleet.name", "is missing or no name of 1 to 64 plain characters");
+  if (!IsFleetName(own_name)) reader.Fail("name", "must have 1 to 64 plain characters where fleet is given");
+  const auto listen = text("listen");
+  if (!listen) reader.Fail("fleet.listen", "is missing");
+  fleet.listen = address("fleet.listen", listen.value_or(""), false);
+  const auto advertise = text("advertise");
+  fleet.advertise = advertise ? address("fleet.advertise", *advertise, false) : fleet.listen;
+  if (const auto seeds = found->find("seeds"); seeds == found->end()) {
+    reader.Fail("fleet.seeds", "is missing");
+  } else if (!seeds->is_array() || seeds->size() > kMostSeeds) {
+    reader.Fail("fleet.seeds", fmt::format("is not a list of at most {} addresses", kMostSeeds));
+  } else {
+    for (std::size_t i = 0; i < seeds->size(); ++i) {
+      const std::string key = fmt::format("fleet.seeds[{}]", i);
+      const json& each = (*seeds)[i];
+      if (!each.is_string()) return reader.Fail(key, "is not a text"), std::nullopt;
+      const Address seed = address(key, each.get<std::string>(), false);
+      if (std::find(fleet.seeds.begin(), fleet.seeds.end(), seed) != fleet.seeds.end())
+        reader.Fail(key, "stands twice");
+      fleet.seeds.push_back(seed);
+    }
+  }
+  if (!found->contains("size")) reader.Fail("fleet.size", "is missing");
+  fleet.size = reader.Number<std::size_t>("fleet", "size", 1, fleet::kMostMembers, 1);
+  const json& size = found->contains("size") ? (*found)["size"] : json(1);
+  if (!size.is_number_integer()) reader.Fail("fleet.size", "is not a whole number");
+  if (fleet.size < fleet.seeds.size())
+    reader.Fail("fleet.size", fmt::format("is {}, and there are {} seeds", fleet.size, fleet.seeds.size()));
+  fleet.probe = std::chrono::milliseconds(reader.Number("fleet", "probe_ms", 50, 60'000, 500));
+  return fleet;
+}
+
 int SocketsAllowed(int configured) {
   rlimit limit{};
   if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return configured;
@@ -245,6 +311,7 @@
       std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(slot_ms));
   if (slot_ms > 0 && !config.settings.counter.available)
     reader.Fail("counting.presence_slot_ms", "is given, and settings.domain.has_counter is not true");
+  config.fleet = ReadFleet(reader, config.name);
   config.keys = KeysOf(file, "");
   if (config.settings.counter.available) config.counter = reader.Address("counter", nullptr);
   if (const json* known = reader.Find("known")) {
@@ -321,6 +388,7 @@
   if (next.sockets != running.sockets) keys.emplace_back("limits.sockets");
   if (next.settings.counting.presence_slot != running.settings.counting.presence_slot)
     keys.emplace_back("counting");
+  if (next.fleet != running.fleet) keys.emplace_back("fleet");
   if (next.settings.me != running.settings.me) keys.emplace_back("settings.me");
   if (next.settings.gateways != running.settings.gateways) keys.emplace_back("settings.siblings");
   if (next.settings.discovery != running.settings.discovery) keys.emplace_back("settings.discovery");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -1,6 +1,7 @@
 // The one place where configuration is read, checked and given defaults.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -15,6 +16,17 @@
 
 namespace curlewdoor::config {
 
+// Gateways that see one another: docs/operators/fleet.md. Absent: off, and nothing is opened for it.
+struct Fleet {
+  std::string name;            // two fleets on one network never mix
+  Address listen;              // datagrams, and full exchanges by TCP
+  Address advertise;           // where others reach this gateway; `listen` where nothing else is said
+  std::vector<Address> seeds;  // who is asked at the start
+  std::size_t size = 1;        // gateways of the whole fleet, for quorums
+  std::chrono::milliseconds probe{500};
+  bool operator==(const Fleet&) const = default;
+};
+
 struct Config {
   std::string name;
   Address listen, discovery, counter;
@@ -26,6 +38,7 @@
   int memory_mb = 192;
   int sockets = 1024;
   std::optional<MemberList> known;
+  std::optional<Fleet> fleet;
   Settings settings;
   // The paths of all keys in the file; in a list of objects, of those that each of them has.
   std::set<std::string> keys;
--- a/src/handover/frames.cpp
+++ b/src/handover/frames.cpp
@@ -2,7 +2,7 @@
 
 #include <cstring>
 
-#include "handover/bytes.hpp"
+#include "util/bytes.hpp"
 
 namespace curlewdoor::handover {
 namespace {
--- a/src/handover/frames.hpp
+++ b/src/handover/frames.hpp
@@ -25,9 +25,10 @@
   kStreamClient,  // with a descriptor: a client that is in the middle of a long answer; its host follows:
   kStreamHost,    // with a descriptor: the connection that the rest of the answer comes on
   kSuspend,       // a host was taken out by hand, at either process
-  kRestore
+  kRestore,
+  kFleet  // what this gateway is and knows in its fleet, where it is in one; before the switch
 };
-inline constexpr std::uint8_t kLastKind = static_cast<std::uint8_t>(Kind::kRestore);
+inline constexpr std::uint8_t kLastKind = static_cast<std::uint8_t>(Kind::kFleet);
 inline bool HasDescriptor(Kind kind) {
   return kind == Kind::kClient || kind == Kind::kHostLink || kind == Kind::kStreamClient ||
          kind == Kind::kStreamHost;
--- a/src/handover/snapshot.cpp
+++ b/src/handover/snapshot.cpp
@@ -3,8 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-#include "handover/bytes.hpp"
 #include "handover/frames.hpp"
+#include "util/bytes.hpp"
 #include "util/hash.hpp"
 
 namespace curlewdoor::handover {
--- a/src/net/descriptors.hpp
+++ b/src/net/descriptors.hpp
@@ -11,11 +11,12 @@
 
 namespace curlewdoor::net {
 
-enum class Use { kClient, kHost, kCounter, kDiscovery, kAdmin };
-inline constexpr int kUses = 5;
+enum class Use { kClient, kHost, kCounter, kDiscovery, kAdmin, kFleet };
+inline constexpr int kUses = 6;
 inline constexpr int kMostCounterConnections = 8;  // four carry calls, the others owe answers; it allows 32
 inline constexpr int kMostCallers = 24;            // operators' connections at once ...
 inline constexpr int kCallersPart = 16;            // ... and at most this part of all descriptors
+inline constexpr int kMostExchanges = 12;          // with other gateways at once
 
 class Descriptors;
 
@@ -51,12 +52,19 @@
   // `total` is all that the process may hold, standard streams and the loop's own included. Clients get at
   // most half of what is left, so that what they ask for can always be sent on.
   // Where upgrades are possible, what a next process needs before it takes over is left free too.
-  explicit Descriptors(int total, bool with_admin = false, bool with_upgrades = false) {
+  explicit Descriptors(int total, bool with_admin = false, bool with_upgrades = false,
+                       bool with_fleet = false) {
     constexpr int kOwn = 16;  // standard streams, epoll, wake-up and signal descriptors, listeners, list file
     const int callers = with_admin ? std::min(kMostCallers, total / kCallersPart) : 0;
     const int own = with_upgrades ? 2 * kOwn : kOwn;
-    const int rest = total - own - kMostCounterConnections - kDiscoveryConnections - callers;
-    most_ = {rest / 2, rest - rest / 2, kMostCounterConnections, kDiscoveryConnections, callers};
+    const int fleet = with_fleet ? kFleetSockets + kMostExchanges : 0;
+    const int rest = total - own - kMostCounterConnections - kDiscoveryConnections - callers - fleet;
+    most_ = {rest / 2,
+             rest - rest / 2,
+             kMostCounterConnections,
+             kDiscoveryConnections,
+             callers,
+             with_fleet ? kMostExchanges : 0};
   }
 
   std::optional<Descriptor> Take(Use use) {
@@ -80,7 +88,8 @@
  private:
   friend class Descriptor;
   static constexpr int kDiscoveryConnections = 2;
-  static constexpr int kLeastOfEach = 8;  // however much is set aside
+  static constexpr int kFleetSockets = 2;  // for datagrams, and the one that listens
+  static constexpr int kLeastOfEach = 8;   // however much is set aside
 
   std::array<int, kUses> held_{};
   std::array<int, kUses> most_{};
--- a/src/net/shutdown.cpp
+++ b/src/net/shutdown.cpp
@@ -13,11 +13,13 @@
 
 }  // namespace
 
-Shutdown::Shutdown(struct ev_loop* loop, Listener& listener, Inputs& inputs, std::function<bool()> handed_on)
+Shutdown::Shutdown(struct ev_loop* loop, Listener& listener, Inputs& inputs, std::function<bool()> handed_on,
+                   std::function<void()> on_begin)
     : loop_(loop),
       listener_(listener),
       inputs_(inputs),
       handed_on_(std::move(handed_on)),
+      on_begin_(std::move(on_begin)),
       terminate_(loop, SIGTERM, [this](int) { Begin(); }),
       interrupt_(loop, SIGINT, [this](int) { Begin(); }),
       check_timer_(loop, [this](int) { Check(); }) {}
@@ -27,6 +29,7 @@
   begun_ = true;
   begun_at_ = inputs_.Now();
   listener_.Drain();
+  on_begin_();
   check_timer_.StartIn(kCheck, kCheck);
 }
 
--- a/src/net/shutdown.hpp
+++ b/src/net/shutdown.hpp
@@ -9,8 +9,9 @@
 
 class Shutdown {
  public:
-  // `handed_on`: another process takes what comes.
-  Shutdown(struct ev_loop* loop, Listener& listener, Inputs& inputs, std::function<bool()> handed_on);
+  // `handed_on`: another process takes what comes. `on_begin`: called as the drain begins.
+  Shutdown(struct ev_loop* loop, Listener& listener, Inputs& inputs, std::function<bool()> handed_on,
+           std::function<void()> on_begin);
 
   // Begins to drain; a second call changes nothing.
   void Begin();
@@ -23,6 +24,7 @@
   Listener& listener_;
   Inputs& inputs_;
   const std::function<bool()> handed_on_;
+  const std::function<void()> on_begin_;
   SignalWatcher terminate_, interrupt_;
   TimerWatcher check_timer_;
   bool begun_ = false;
--- a/src/handover/bytes.hpp
+++ b/src/util/bytes.hpp
@@ -1,18 +1,26 @@
 // Plain values to bytes and back, by one list of fields for both ways. Reading checks every bound and takes
-// no number that is not finite.
+// no number that is not finite. Numbers stand in little-endian order, as all machines that this runs on have
+// them: what is written by one process can be read by one on another machine.
 #pragma once
 
+#include <bit>
+#include <chrono>
 #include <cmath>
 #include <cstdint>
 #include <cstring>
 #include <string>
 #include <string_view>
 #include <type_traits>
-#include <vector>
 
-#include "logic.hpp"
+namespace curlewdoor {
 
-namespace curlewdoor::handover {
+static_assert(std::endian::native == std::endian::little);
+
+// A strong id, or what else is one number under a name.
+template <typename T>
+concept Named = requires(T t) {
+  t.value;
+};
 
 class Writer {
  public:
@@ -33,10 +41,13 @@
     Put(static_cast<std::uint32_t>(text.size()));
     bytes += text;
   }
-  void Put(const Duration& value) { Put(static_cast<std::int64_t>(value.count())); }
-  void Put(const TimePoint& value) { Put(value.time_since_epoch()); }
-  template <typename Tag>
-  void Put(const Id<Tag>& id) {
+  void Put(const std::chrono::nanoseconds& value) { Put(static_cast<std::int64_t>(value.count())); }
+  template <typename Clock>
+  void Put(const std::chrono::time_point<Clock, std::chrono::nanoseconds>& value) {
+    Put(value.time_since_epoch());
+  }
+  template <Named Id>
+  void Put(const Id& id) {
     Put(id.value);
   }
 };
@@ -77,18 +88,19 @@
     text = rest_.substr(0, size);
     rest_.remove_prefix(size);
   }
-  void Take(Duration& value) {
+  void Take(std::chrono::nanoseconds& value) {
     std::int64_t count = 0;
     Take(count);
-    value = Duration(count);
+    value = std::chrono::nanoseconds(count);
   }
-  void Take(TimePoint& value) {
-    Duration since{};
+  template <typename Clock>
+  void Take(std::chrono::time_point<Clock, std::chrono::nanoseconds>& value) {
+    std::chrono::nanoseconds since{};
     Take(since);
-    value = TimePoint(since);
+    value = std::chrono::time_point<Clock, std::chrono::nanoseconds>(since);
   }
-  template <typename Tag>
-  void Take(Id<Tag>& id) {
+  template <Named Id>
+  void Take(Id& id) {
     Take(id.value);
   }
 
@@ -96,4 +108,4 @@
   bool ok_ = true;
 };
 
-}  // namespace curlewdoor::handover
+}  // namespace curlewdoor
