--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -17,6 +17,7 @@
 constexpr std::size_t kWitnesses = 3;      // beside the first, that bring a suspicion to its shortest
 constexpr double kSuspicionPeriods = 1.5;  // the shortest, a power of ten of members each
 constexpr double kSuspicionSpan = 4;       // the longest over the shortest
+constexpr int kHearsay = 2;                // times the shortest, for who is said to be dead
 constexpr std::size_t kFanOut = 3;         // receivers of rumours at once ...
 constexpr int kGossipsAPeriod = 4;         // ... so often, while there are any
 constexpr int kRetransmit = 4;             // times a power of ten of members: how often a rumour is sent
@@ -24,7 +25,7 @@
 constexpr std::size_t kMostProxied = 256, kMostUrgent = 8;
 constexpr int kExchangeEvery = 60;     // periods: a full exchange with anybody
 constexpr int kSeedsEvery = 10;        // periods: a seed that is not in the view
-constexpr int kLongestBackoff = 16;    // periods between two tries to join
+constexpr int kLongestBackoff = 8;     // periods between two tries to join
 constexpr int kSettledAfter = 2;       // periods without a change
 constexpr int kRivalWait = 4;          // periods for an answer of who holds this name
 constexpr int kDoubt = 6;              // periods at most in which one that stood still accuses nobody
@@ -37,6 +38,8 @@
   return Duration(static_cast<Duration::rep>(static_cast<double>(of.count()) * factor));
 }
 
+std::uint64_t PrintOf(const Record& record) { return StableHash(record.name, record.boot); }
+
 }  // namespace
 
 Machine::Machine(Options options, std::uint64_t seed) : options_(std::move(options)), random_(seed) {
@@ -60,14 +63,22 @@
 
 void Machine::TakeOver(Time now, const std::vector<Record>& records) {
   if (records.empty() || records.front().name != self_.name) return;
-  self_.boot = records.front().boot;
-  self_.incarnation = records.front().incarnation;
+  // A process that had said that it leaves has ended that life: this one is the next.
+  if (records.front().state == State::kLeft) {
+    self_.boot = std::max(self_.boot, records.front().boot + 1);
+  } else {
+    self_.boot = records.front().boot;
+    self_.incarnation = records.front().incarnation;
+  }
   joined_ = true;
   for (std::size_t i = 1; i < records.size() && members_.size() + 1 < kMostMembers; ++i) {
     const Record& record = records[i];
-    if (record.name == self_.name) continue;
+    if (record.name == self_.name || members_.contains(record.name)) continue;
     members_[record.name] = Member{record, now};
-    if (record.present()) ++present_;
+    if (record.present()) {
+      ++present_;
+      print_ += PrintOf(record);
+    }
     if (record.state == State::kSuspect) SetSuspicion(now, record);
   }
 }
@@ -126,9 +137,11 @@
   if (!started_ || silent()) return std::nullopt;
   Time due = std::min({period_due_, join_due_, exchange_due_});
   if (!rumours_.empty()) due = std::min(due, gossip_due_);
-  if (probe_ && !probe_->acked && !probe_->asked_others) due = std::min(due, probe_->asks_others);
-  for (const auto& [name, suspicion] : suspicions_)
-    due = std::min(due, doubting_ ? std::max(suspicion.ends, doubts_until_) : suspicion.ends);
+  const bool active = joined_ && !left();  // as in Tick(): what that leaves alone must not be due
+  if (active && probe_ && !probe_->acked && !probe_->asked_others) due = std::min(due, probe_->asks_others);
+  if (active)
+    for (const auto& [name, suspicion] : suspicions_)
+      due = std::min(due, doubting_ ? std::max(suspicion.ends, doubts_until_) : suspicion.ends);
   for (const auto& [sequence, proxied] : proxied_)
     due = std::min(due, proxied.nacked ? proxied.ends : proxied.nack_at);
   if (!settled_ && joined_ && suspicions_.empty())
@@ -233,15 +246,19 @@
       const std::string& name = round_[in_round_++];
       if (Present(name)) return name;
     }
-    round_.clear();
-    in_round_ = 0;
-    for (const auto& [name, member] : members_)
-      if (member.record.present()) round_.push_back(name);
-    for (std::size_t i = round_.size(); i > 1; --i) std::swap(round_[i - 1], round_[Below(i)]);
+    NewRound();
   }
   return std::nullopt;
 }
 
+void Machine::NewRound() {
+  round_.clear();
+  in_round_ = 0;
+  for (const auto& [name, member] : members_)
+    if (member.record.present()) round_.push_back(name);
+  for (std::size_t i = round_.size(); i > 1; --i) std::swap(round_[i - 1], round_[Below(i)]);
+}
+
 void Machine::StartProbe(Time now, const std::string& name, Out& out) {
   probe_ = Probe{name, next_sequence_++};
   probe_->asks_others = now + Times(PeriodNow(), kOthersAfter);
@@ -300,13 +317,20 @@
 }
 
 void Machine::Spread(const Record& record) {
-  if (const auto it = rumours_.find(record.name); it != rumours_.end())
-    by_sent_.erase({{it->second.sent, it->second.order}, record.name});
+  Hush(record.name);
   const Rumour rumour{record, 0, next_order_++};
   by_sent_.insert({{0, rumour.order}, record.name});
   rumours_[record.name] = rumour;
 }
 
+// Who is forgotten is talked of no more: the rumours are bounded by the members.
+void Machine::Hush(const std::string& name) {
+  const auto it = rumours_.find(name);
+  if (it == rumours_.end()) return;
+  by_sent_.erase({{it->second.sent, it->second.order}, name});
+  rumours_.erase(it);
+}
+
 void Machine::Speak() { Spread(self_); }
 
 // What is believed of the receiver goes first: a suspect hears of it at once and can refute.
@@ -341,6 +365,7 @@
 
 void Machine::Send(const Address& to, std::string_view receiver, Message message, Out& out) {
   message.sender = self_;
+  if (message.kind == Kind::kPing || message.kind == Kind::kAck) message.view = Fingerprint();
   Fill(message, receiver);
   out.datagrams.push_back({to, std::move(message)});
 }
@@ -356,9 +381,7 @@
 
 std::vector<std::string> Machine::SomePresent(std::size_t count, std::string_view but) {
   std::vector<std::string> chosen;
-  if (round_.empty())
-    for (const auto& [name, member] : members_)
-      if (member.record.present()) round_.push_back(name);
+  if (round_.empty()) NewRound();
   if (round_.empty()) return chosen;
   for (std::size_t tries = 0; tries < 6 * count && chosen.size() < count; ++tries) {
     const std::string& name = round_[Below(round_.size())];
@@ -446,12 +469,22 @@
   const bool contested = message.kind == Kind::kExchange && known != members_.end() &&
                          known->second.record.present() && known->second.record.address != sender.address;
   if (!contested) HearSender(now, sender, out);
-  for (const Record& word : message.rumours) Hear(now, word, out);
+  bool accused = false;
+  for (const Record& word : message.rumours) {
+    accused = accused || (word.name == self_.name && word.boot == self_.boot && word.state != State::kAlive);
+    Hear(now, word, out);
+  }
   if (silent()) return;
+  // Who tells of an accusation hears the refutation first, and not only by chance (fleet-mix-splits, seed
+  // 966: all eight rumours of it went to members that were cut off).
+  if (accused && joined_ && !left() && message.kind != Kind::kPing && message.kind < Kind::kExchange)
+    Send(sender.address, sender.name, Message{Kind::kGossip}, out);
+  Compare(now, message, out);
   switch (message.kind) {
     case Kind::kPing:
-      if (message.target == self_.name && joined_)
-        Send(sender.address, sender.name, Message{Kind::kAck, message.sequence}, out);
+      if (message.target != self_.name) break;
+      if (!joined_ && !rival_) Joined(now, out);  // it is known already, by a question whose answer was lost
+      if (joined_) Send(sender.address, sender.name, Message{Kind::kAck, message.sequence}, out);
       break;
     case Kind::kAck:
       if (probe_ && message.sequence == probe_->sequence &&
@@ -490,6 +523,17 @@
   due_before_ = NextDue().value_or(now);  // what was answered is due no more
 }
 
+// Rumours are sent a bounded number of times and may miss somebody. Two gateways whose views differ though
+// neither has heard anything new for a while fetch what the other knows.
+void Machine::Compare(Time now, const Message& message, Out& out) {
+  if (message.view == 0 || message.view == Fingerprint() || !joined_ || left() ||
+      !Present(message.sender.name))
+    return;
+  if (now < exchange_free_ || now < changed_at_ + options_.probe * kSettledAfter) return;
+  exchange_free_ = now + options_.probe * kSettledAfter;
+  Exchange(message.sender.address, out);
+}
+
 // Who is held for dead and speaks all the same does not know it: it is told, and can refute.
 void Machine::HearSender(Time now, const Record& sender, Out& out) {
   Hear(now, sender, out);
@@ -517,8 +561,12 @@
   // to get the time to refute. Who hears of a death suspects for the shortest time.
   if (word.state == State::kDead && known.present() && word.boot == known.boot) {
     word.state = State::kSuspect;
-    if (GoesBefore(word, known)) Apply(now, word, out);
-    return Hurry(now, word.name);
+    const bool first = GoesBefore(word, known);
+    if (first) Apply(now, word, out);
+    Hurry(now, word.name);
+    // It has little time: some of those that hear of it tell it at once, however large the fleet.
+    if (first && Chance(FewOf())) Send(known.address, known.name, Message{Kind::kGossip}, out);
+    return;
   }
   Apply(now, word, out);
 }
@@ -593,7 +641,10 @@
   member.record = word;
   if (member.record.about.empty() && !is_new) member.record.about = before.about;
   present_ = present_ + (word.present() ? 1 : 0) - (was_present ? 1 : 0);
+  print_ += (word.present() ? PrintOf(word) : 0) - (was_present ? PrintOf(before) : 0);
   suspicions_.erase(word.name);
+  // The round keeps those that have gone until its end: a flood of names begins a new one.
+  if (word.present() && !was_present && round_.size() >= 2 * kMostMembers) NewRound();
   if (word.present() && !was_present) {
     const std::size_t from = std::min(in_round_, round_.size());
     round_.insert(round_.begin() + static_cast<std::ptrdiff_t>(from + Below(round_.size() - from + 1)),
@@ -605,7 +656,9 @@
   }
   if (word.state == State::kSuspect) SetSuspicion(now, word);
   Spread(word);
-  // Found again: what the other side knows is fetched whole.
+  // Found again: the network was at fault and not this gateway's hearing; and what the other side knows is
+  // fetched whole.
+  if (word.present() && !was_present && !is_new) health_ = 0;
   if (word.present() && !was_present && !is_new && now >= exchange_free_ && joined_) {
     exchange_free_ = now + options_.probe;
     Exchange(word.address, out);
@@ -644,8 +697,7 @@
   suspicion.by = {word.by};
   suspicion.ends = now + SuspicionTime(0);
   // A few look for themselves, however large the fleet: the first witnesses come within two periods.
-  const double part = 2.0 * kWitnesses / static_cast<double>(std::max<std::size_t>(1, present_));
-  if (options_.lifeguard && word.by != self_.name && urgent_.size() < kMostUrgent && Chance(part))
+  if (options_.lifeguard && word.by != self_.name && urgent_.size() < kMostUrgent && Chance(FewOf()))
     urgent_.push_back(word.name);
 }
 
@@ -658,9 +710,14 @@
   Spread(word);  // each witness is told on, once
 }
 
+// The chance for each of the present by which a few of them act, whatever their number.
+double Machine::FewOf() const {
+  return 2.0 * kWitnesses / static_cast<double>(std::max<std::size_t>(1, present_));
+}
+
 void Machine::Hurry(Time now, const std::string& name) {
   if (const auto it = suspicions_.find(name); it != suspicions_.end())
-    it->second.ends = std::min(it->second.ends, now + SuspicionTime(kWitnesses));
+    it->second.ends = std::min(it->second.ends, now + SuspicionTime(kWitnesses) * kHearsay);
 }
 
 void Machine::ExpireSuspicions(Time now, Out& out) {
@@ -679,24 +736,32 @@
 
 void Machine::Forget(Time now) {
   if (members_.size() == present_) return;
-  std::erase_if(members_, [&](const auto& item) {
-    const Member& member = item.second;
-    if (member.record.present()) return false;
-    return now >=
-           member.since + (member.record.state == State::kLeft ? Duration(kLeftKept) : Duration(kDeadKept));
-  });
+  for (auto it = members_.begin(); it != members_.end();) {
+    const Member& member = it->second;
+    const Duration kept = member.record.state == State::kLeft ? Duration(kLeftKept) : Duration(kDeadKept);
+    if (member.record.present() || now < member.since + kept) {
+      ++it;
+      continue;
+    }
+    Hush(it->first);
+    it = members_.erase(it);
+  }
 }
 
-// The view never grows with names ever seen: of those that are gone the one gone for longest makes room.
+// The view never grows with names ever seen: of those that are gone the ones gone for longest make room,
+// several at once, so that a flood of names costs little each.
 bool Machine::MakeRoom() {
   if (members_.size() + 1 < kMostMembers) return true;
-  auto oldest = members_.end();
-  for (auto it = members_.begin(); it != members_.end(); ++it)
-    if (!it->second.record.present() && (oldest == members_.end() || it->second.since < oldest->second.since))
-      oldest = it;
-  if (oldest == members_.end()) return false;
-  members_.erase(oldest);
-  return true;
+  std::vector<std::pair<Time, std::string>> gone;
+  for (const auto& [name, member] : members_)
+    if (!member.record.present()) gone.emplace_back(member.since, name);
+  const std::size_t some = (gone.size() + 7) / 8;
+  std::nth_element(gone.begin(), gone.begin() + static_cast<std::ptrdiff_t>(some), gone.end());
+  for (std::size_t i = 0; i < some; ++i) {
+    members_.erase(gone[i].second);
+    Hush(gone[i].second);
+  }
+  return some > 0;
 }
 
 // ---- The view -----------------------------------------------------------------------------------------
@@ -704,12 +769,7 @@
 std::size_t Machine::alive() const { return present_ + (left() || !refused_.empty() ? 0 : 1); }
 
 std::uint64_t Machine::Fingerprint() const {
-  std::uint64_t print = 0;
-  const auto add = [&](const Record& record) { print += StableHash(record.name, record.boot); };
-  if (!left() && refused_.empty()) add(self_);
-  for (const auto& [name, member] : members_)
-    if (member.record.present()) add(member.record);
-  return print;
+  return print_ + (left() || !refused_.empty() ? 0 : PrintOf(self_));
 }
 
 }  // namespace curlewdoor::fleet
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -89,6 +89,7 @@
   std::uint64_t version() const { return version_; }  // rises with each change
   std::size_t alive() const;                          // members that are not dead or gone, itself included
   std::size_t suspects() const { return suspicions_.size(); }
+  std::size_t rumours() const { return rumours_.size(); }  // still to be told
   bool settled() const { return settled_; }
   bool joined() const { return joined_; }
   bool left() const { return self_.state == State::kLeft; }
@@ -146,6 +147,7 @@
   void Notice(Time now, Out& out);  // whether this process stood still
   void Begin(Time now, Out& out);   // of each period
   std::optional<std::string> NextToProbe();
+  void NewRound();
   void StartProbe(Time now, const std::string& name, Out& out);
   void EndProbe(Time now, Out& out);
   void AskOthers(Time now, Out& out);
@@ -159,10 +161,12 @@
   void Hear(Time now, Record word, Out& out);
   void HearOfMyself(Time now, const Record& word, Out& out);
   void HearSender(Time now, const Record& sender, Out& out);
+  void Compare(Time now, const Message& message, Out& out);
   void Apply(Time now, const Record& word, Out& out);
   void Suspect(Time now, const std::string& name, const std::string& by, Out& out);
   void SetSuspicion(Time now, const Record& word);
   void Witness(Time now, const Record& word);
+  double FewOf() const;
   void Hurry(Time now, const std::string& name);
   Duration SuspicionTime(std::size_t witnesses) const;
   void ExpireSuspicions(Time now, Out& out);
@@ -173,6 +177,7 @@
   void Note(Time now, const Record& record, bool is_new, Out& out);
 
   void Spread(const Record& record);
+  void Hush(const std::string& name);
   void Fill(Message& message, std::string_view receiver);
   void Send(const Address& to, std::string_view receiver, Message message, Out& out);
   int RumourLimit() const;
@@ -183,6 +188,7 @@
   Record self_;
   std::map<std::string, Member> members_;
   std::size_t present_ = 0;  // of members_, alive or suspect
+  std::uint64_t print_ = 0;  // and their part of the fingerprint
   std::uint64_t version_ = 1;
   std::map<std::string, Suspicion> suspicions_;
   std::map<std::string, Rumour> rumours_;
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -12,7 +12,7 @@
 
 // Parts behind the head, each with its length: a reader passes over those it does not know, and over what
 // stands in a known one behind the fields it knows.
-enum class Part : std::uint8_t { kSender = 1, kSequence, kTarget, kTargetAddress, kRumour, kPayload };
+enum class Part : std::uint8_t { kSender = 1, kSequence, kTarget, kTargetAddress, kRumour, kPayload, kView };
 
 template <typename Codec, typename R>
 void Fields(Codec& codec, R& record) {
@@ -67,7 +67,7 @@
 }
 
 std::size_t SizeOfHead(const Message& message, std::string_view fleet) {
-  constexpr std::size_t kFixed = 8 + 8 + (3 + 4) + 3 + (3 + 6) + (3 + 1);  // head, sum, parts
+  constexpr std::size_t kFixed = 8 + 8 + (3 + 4) + 3 + (3 + 6) + (3 + 1) + (3 + 8);  // head, sum, parts
   return kFixed + fleet.size() + SizeOf(message.sender) + message.target.size() + message.payload.size();
 }
 
@@ -84,6 +84,11 @@
     address(message.target_address.ip, message.target_address.port);
     Add(body, Part::kTargetAddress, address.bytes);
   }
+  if (message.view != 0) {
+    Writer view;
+    view(message.view);
+    Add(body, Part::kView, view.bytes);
+  }
   for (const Record& rumour : message.rumours) Add(body, Part::kRumour, RecordBytes(rumour));
   if (!message.payload.empty())
     Add(body, Part::kPayload, std::string(1, static_cast<char>(message.channel)) + message.payload);
@@ -146,6 +151,8 @@
       message.target = inner;
     } else if (part == Part::kTargetAddress) {
       reader(message.target_address.ip, message.target_address.port);
+    } else if (part == Part::kView) {
+      reader(message.view);
     } else if (part == Part::kPayload) {
       reader(message.channel);
       if (inner.size() > kMostPayload + 1) return refuse(Drop::kMalformed);
--- a/src/fleet/message.hpp
+++ b/src/fleet/message.hpp
@@ -38,6 +38,7 @@
   std::string target{};  // a member's name
   Address target_address{};
   std::vector<Record> rumours{};
+  std::uint64_t view = 0;    // the sender's Fingerprint(), with pings and acks; 0: not told
   std::uint8_t channel = 0;  // of a kPayload: which subsystem
   std::string payload{};
 };
--- /dev/null
+++ b/src/fleetkit/scenario.cpp
@@ -0,0 +1,162 @@
+#include "fleetkit/scenario.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iterator>
+
+#include "rehearsal/toml_table.hpp"
+
+namespace curlewdoor::fleetkit {
+namespace {
+
+using rehearsal::Table;
+
+constexpr double kLongestWait = 3600;
+
+Span Between(Table& table, std::string_view key, Span absent, double most) {
+  const auto range = table.Between(key, {absent.low, absent.high}, 0, most);
+  return {range.low, range.high};
+}
+
+// "gateway-3" as 3.
+std::vector<int> Gateways(Table& table, std::string_view key, const Scenario& scenario) {
+  std::vector<int> found;
+  for (const std::string& name : table.Texts(key)) {
+    int which = -1;
+    for (int g = 0; g < scenario.gateways && which < 0; ++g)
+      if (NameOf(g) == name) which = g;
+    if (which < 0) table.Fail(key, fmt::format("names {}, and there is no such gateway", name));
+    if (std::find(found.begin(), found.end(), which) != found.end()) table.Fail(key, name + " stands twice");
+    found.push_back(which);
+  }
+  return found;
+}
+
+Fault ReadFault(Table table, const Scenario& scenario) {
+  Fault fault;
+  const std::string word = table.Text("kind", "");
+  const auto& words = FaultWords();
+  const auto known =
+      std::find_if(words.begin(), words.end(), [&](const FaultWord& w) { return w.word == word; });
+  if (known == words.end()) {
+    std::string all;
+    for (const FaultWord& each : words) all += (all.empty() ? "" : ", ") + std::string(each.word);
+    table.Fail("kind", fmt::format("is \"{}\", and must be one of {}", word, all));
+    return fault;
+  }
+  fault.kind = known->kind;
+  fault.after_s = Between(table, "after_s", {}, kLongestWait);
+  const bool targets = fault.kind != FaultKind::kWait && fault.kind != FaultKind::kLinkHeal;
+  if (targets) {
+    fault.who = Gateways(table, known->of_links ? "from" : "names", scenario);
+    fault.part = table.Number("part", 0, 0.001, 1);
+    if (fault.who.empty() == (fault.part == 0))
+      table.Fail("kind", fmt::format("{} needs either {} or part", word, known->of_links ? "from" : "names"));
+  }
+  if (known->of_links && targets) {
+    fault.to = Gateways(table, "to", scenario);
+    fault.both = table.Flag("both", true);
+  }
+  if (!known->size.empty()) {
+    if (!table.Has("size")) table.Fail("size", fmt::format("is missing: {}", known->size));
+    fault.size = table.Number("size", 0, known->least, known->most);
+  }
+  if ((known->of_links && targets) || fault.kind == FaultKind::kGatewayStop)
+    fault.for_s = table.Number("for_s", 0, 0.01, kLongestWait);
+  if (!known->of_links && targets) fault.wave_s = table.Number("wave_s", 0, 0, 60);
+  constexpr std::array<std::pair<std::string_view, Expect>, 2> kExpected{
+      {{"nothing", Expect::kNothing}, {"agreed", Expect::kAgreed}}};
+  fault.expect = table.Word("expect", Expect::kAgreed, kExpected);
+  fault.within_s = table.Number("within_s", 10, 0.1, kLongestWait);
+  table.RefuseOthers();
+  return fault;
+}
+
+std::optional<Scenario> Read(const toml::table& file, const std::string& path, std::string& error) {
+  Table table(&file, "", path, error);
+  Scenario scenario;
+  scenario.name = table.Text("name", "");
+  if (scenario.name.empty()) table.Fail("name", "is missing");
+  scenario.shows = table.Text("shows", "");
+  scenario.seed = static_cast<std::uint64_t>(table.Whole("seed", 1, 0, 2'000'000'000));
+  scenario.gateways = table.Whole("gateways", 5, 1, kMostGateways);
+  scenario.started = table.Whole("started", scenario.gateways, 1, scenario.gateways);
+  scenario.seeds = table.Whole("seeds", std::min(2, scenario.gateways), 1, std::min(16, scenario.gateways));
+  scenario.size = table.Whole("size", scenario.gateways, 1, kMostGateways);
+  if (scenario.size < scenario.seeds) table.Fail("size", "is below the number of seeds");
+  scenario.probe_ms = table.Number("probe_ms", scenario.probe_ms, 50, 60'000);
+  scenario.lifeguard = table.Flag("lifeguard", true);
+  scenario.first_within_s = table.Number("within_s", 10, 0.1, kLongestWait);
+  Table clocks = table.Inner("clocks");
+  scenario.clock_rate = clocks.Number("rate", 0, 0, 0.1);
+  scenario.clock_offset_s = clocks.Number("offset_s", 0, 0, 3600);
+  clocks.RefuseOthers();
+  for (Table& each : table.Inners("fault")) {
+    scenario.faults.push_back(ReadFault(each, scenario));
+    if (scenario.faults.back().kind == FaultKind::kGatewayTwin)
+      scenario.twins += static_cast<int>(scenario.faults.back().who.size());
+    if (scenario.faults.size() > kMostFaults)
+      table.Fail("fault", fmt::format("are more than {}", kMostFaults));
+  }
+  table.RefuseOthers();
+  if (!error.empty()) return std::nullopt;
+  return scenario;
+}
+
+}  // namespace
+
+const std::vector<FaultWord>& FaultWords() {
+  static const std::vector<FaultWord> words{
+      {FaultKind::kGatewayKill, "gateway_kill", false, "", 0, 0, "SIGKILL"},
+      {FaultKind::kGatewayStop, "gateway_stop", false, "", 0, 0, "SIGSTOP, until for_s or gateway_continue"},
+      {FaultKind::kGatewayContinue, "gateway_continue", false, "", 0, 0, "SIGCONT"},
+      {FaultKind::kGatewayTerm, "gateway_term", false, "", 0, 0, "SIGTERM"},
+      {FaultKind::kGatewayStart, "gateway_start", false, "", 0, 0, "starts, the first time or again"},
+      {FaultKind::kGatewayRestart, "gateway_restart", false, "", 0, 0, "SIGKILL, and a new life at once"},
+      {FaultKind::kGatewayUpgrade, "gateway_upgrade", false, "", 0, 0, "a second process takes over"},
+      {FaultKind::kGatewayTwin, "gateway_twin", false, "", 0, 0, "another process under the same name"},
+      {FaultKind::kLinkCut, "link_cut", true, "", 0, 0, "nothing passes"},
+      {FaultKind::kLinkLoss, "link_loss", true, "part of the datagrams", 0.001, 1, "datagrams are lost"},
+      {FaultKind::kLinkRepeat, "link_repeat", true, "part of the datagrams", 0.001, 1, "come twice"},
+      {FaultKind::kLinkReorder, "link_reorder", true, "part of the datagrams", 0.001, 1,
+       "come up to 0.3 s later"},
+      {FaultKind::kLinkCorrupt, "link_corrupt", true, "part of the datagrams", 0.001, 1,
+       "come with changed bytes"},
+      {FaultKind::kLinkDelay, "link_delay", true, "seconds", 0.001, 10, "come later"},
+      {FaultKind::kLinkHeal, "link_heal", true, "", 0, 0, "ends all troubles of links"},
+      {FaultKind::kWait, "wait", false, "", 0, 0, "nothing breaks"}};
+  return words;
+}
+
+const FaultWord& WordOf(FaultKind kind) {
+  const auto& words = FaultWords();
+  return *std::find_if(words.begin(), words.end(), [&](const FaultWord& word) { return word.kind == kind; });
+}
+
+std::string NameOf(int gateway) { return fmt::format("gateway-{}", gateway); }
+
+std::optional<Scenario> ParseScenario(std::string_view text, const std::string& path, std::string& error) {
+  error.clear();
+  try {
+    const toml::table file = toml::parse(text, path);
+    return Read(file, path, error);
+  } catch (const toml::parse_error& fault) {
+    error = fmt::format("{}:{}: {}", path, fault.source().begin.line, fault.description());
+    return std::nullopt;
+  }
+}
+
+std::optional<Scenario> LoadScenario(const std::string& path, std::string& error) {
+  std::ifstream in(path, std::ios::binary);
+  if (!in) {
+    error = "can't read " + path;
+    return std::nullopt;
+  }
+  const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  return ParseScenario(text, path, error);
+}
+
+}  // namespace curlewdoor::fleetkit
--- /dev/null
+++ b/src/fleetkit/virtual_fleet.cpp
@@ -0,0 +1,335 @@
+#include "fleetkit/virtual_fleet.hpp"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "util/hash.hpp"
+
+namespace curlewdoor::fleetkit {
+namespace {
+
+using fleet::Machine;
+using fleet::Message;
+using fleet::Out;
+
+constexpr double kWayLeast_s = 0.0002, kWayMost_s = 0.001;  // one way of a datagram
+constexpr double kReorder_s = 0.3;
+constexpr double kExchangeTimeout_s = 2;
+constexpr double kLookEvery_s = 0.01;
+constexpr std::size_t kSocketHolds = 200;  // datagrams that wait for a stopped process
+constexpr std::uint32_t kFirstIp = 0x7f010001;
+constexpr std::uint16_t kPort = 7000;
+constexpr std::uint64_t kFirstBoot = 1'700'000'000'000;  // milliseconds
+const fleet::Time kStart{std::chrono::seconds(100'000)};
+
+}  // namespace
+
+VirtualFleet::VirtualFleet(const Scenario& scenario, std::uint64_t seed, Mutant mutant)
+    : scenario_(scenario),
+      mutant_(mutant),
+      seed_(seed),
+      random_(standin::MakeRandom(seed, "fleet network")),
+      stage_(scenario, seed),
+      gateways_(static_cast<std::size_t>(scenario.processes())),
+      seen_(static_cast<std::size_t>(scenario.processes())) {
+  for (Gateway& gateway : gateways_) {
+    gateway.rate = 1 + standin::Uniform(random_, -scenario.clock_rate, scenario.clock_rate);
+    gateway.offset = standin::Uniform(random_, 0, scenario.clock_offset_s);
+  }
+}
+
+VirtualFleet::~VirtualFleet() = default;
+
+Address VirtualFleet::AddressOf(int process) {
+  return Address{kFirstIp + static_cast<std::uint32_t>(process), kPort};
+}
+int VirtualFleet::ProcessAt(const Address& address) { return static_cast<int>(address.ip - kFirstIp); }
+
+// ---- Time ---------------------------------------------------------------------------------------------
+
+fleet::Time VirtualFleet::Local(const Gateway& gateway) const {
+  return kStart + standin::FromSeconds(now_ * gateway.rate + gateway.offset);
+}
+
+void VirtualFleet::At(double at, std::function<void()> what) {
+  events_.push({at, next_order_++, std::move(what)});
+}
+
+Result VirtualFleet::Play(double seconds) {
+  const auto look = [this](auto& self) -> void {
+    Look();
+    if (!stage_.done()) At(now_ + kLookEvery_s, [&self] { self(self); });
+  };
+  At(0, [&look] { look(look); });
+  double ends = -1;
+  // A machine that is due again at once without end would hold the queue for good: the play ends, and says
+  // so.
+  constexpr std::uint64_t kMostAtOnce = 200'000;
+  std::uint64_t at_once = 0;
+  double since = 0;
+  while (!events_.empty() && at_once < kMostAtOnce) {
+    at_once = now_ < since + kLookEvery_s ? at_once + 1 : 0;
+    if (at_once == 0) since = now_;
+    if (stage_.done()) {
+      if (ends < 0) ends = now_ + seconds;
+      if (events_.top().at > ends) break;
+    }
+    const Event event = events_.top();
+    events_.pop();
+    now_ = event.at;
+    event.what();
+  }
+  for (const Gateway& gateway : gateways_)
+    if (gateway.up) most_known_ = std::max(most_known_, gateway.machine->others().size());
+  return stage_.Finish(now_, false);
+}
+
+void VirtualFleet::Look() {
+  for (std::size_t g = 0; g < gateways_.size(); ++g) {
+    const Gateway& gateway = gateways_[g];
+    Seen& seen = seen_[g];
+    seen = {};
+    if (!gateway.up || gateway.stopped) continue;
+    const Machine& machine = *gateway.machine;
+    seen = {true,
+            machine.settled(),
+            !machine.refused().empty(),
+            machine.self().boot,
+            machine.Fingerprint(),
+            machine.version()};
+  }
+  stage_.Look(now_, seen_, *this);
+}
+
+std::string VirtualFleet::Views() const {
+  constexpr std::size_t kShown = 20;
+  std::string text;
+  for (const Gateway& gateway : gateways_) {
+    if (!gateway.up || gateways_.size() > kShown) continue;
+    const Machine& machine = *gateway.machine;
+    text += fmt::format("    {} (boot {}, incarnation {}{}{}, health {}):", gateway.name,
+                        machine.self().boot % 1'000'000, machine.self().incarnation,
+                        gateway.stopped ? ", stopped" : "", machine.joined() ? "" : ", not joined",
+                        machine.health());
+    for (const auto& [name, member] : machine.others())
+      text += fmt::format(" {}={}/{}/{}", name.substr(name.rfind('-') + 1), fleet::Word(member.record.state),
+                          member.record.boot % 1'000'000, member.record.incarnation);
+    text += '\n';
+  }
+  return text;
+}
+
+// ---- Processes ----------------------------------------------------------------------------------------
+
+fleet::Options VirtualFleet::OptionsOf(int process) const {
+  const Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  fleet::Options options;
+  options.fleet = "virtual";
+  options.name = gateway.name;
+  options.boot = kFirstBoot + static_cast<std::uint64_t>(1000 * (now_ + gateway.offset));
+  options.address = AddressOf(process);
+  options.about = "zone:a,version:0";
+  for (int seed = 0; seed < scenario_.seeds; ++seed) options.seeds.push_back(AddressOf(seed));
+  options.probe = std::chrono::duration_cast<fleet::Duration>(
+      std::chrono::duration<double, std::milli>(scenario_.probe_ms));
+  options.lifeguard = scenario_.lifeguard;
+  if (mutant_ == Mutant::kOneBoot) options.boot = 1;
+  return options;
+}
+
+void VirtualFleet::Start(int process, const std::string& name) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.name = name;
+  ++gateway.life;
+  gateway.up = true;
+  gateway.stopped = false;
+  gateway.wake = -1;
+  gateway.held.clear();
+  const std::uint64_t seed = StableHash(name, seed_ + static_cast<std::uint64_t>(gateway.life) * 1'000'003 +
+                                                  static_cast<std::uint64_t>(process));
+  gateway.machine = std::make_unique<Machine>(OptionsOf(process), seed);
+  WithMachine(process, [](Machine& machine, fleet::Time now, Out& out) { machine.Start(now, out); });
+}
+
+void VirtualFleet::Kill(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.up = false;
+  gateway.held.clear();
+}
+
+// What is owed is soon answered here: the process ends a second later.
+void VirtualFleet::Term(int process) {
+  WithMachine(process, [](Machine& machine, fleet::Time now, Out& out) { machine.Leave(now, out); });
+  At(now_ + 1, [this, process, life = gateways_[static_cast<std::size_t>(process)].life] {
+    if (gateways_[static_cast<std::size_t>(process)].life == life) Kill(process);
+  });
+}
+
+void VirtualFleet::Stop(int process) { gateways_[static_cast<std::size_t>(process)].stopped = true; }
+
+void VirtualFleet::Continue(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  if (!gateway.up || !std::exchange(gateway.stopped, false)) return;
+  auto held = std::move(gateway.held);
+  gateway.held.clear();
+  for (auto& what : held) what();
+  Arm(process);
+}
+
+void VirtualFleet::Upgrade(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  const auto records = gateway.machine->HandOn();
+  gateway.machine =
+      std::make_unique<Machine>(OptionsOf(process), StableHash(gateway.name, seed_ + 77 + next_order_));
+  WithMachine(process, [&](Machine& machine, fleet::Time now, Out& out) {
+    machine.TakeOver(now, records);
+    machine.Start(now, out);
+  });
+}
+
+// ---- Machines -----------------------------------------------------------------------------------------
+
+void VirtualFleet::Run(int process, std::function<void()> what) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  if (!gateway.up) return;
+  if (!gateway.stopped) return what();
+  if (gateway.held.size() < kSocketHolds) gateway.held.push_back(std::move(what));
+}
+
+void VirtualFleet::WithMachine(int process, const std::function<void(Machine&, fleet::Time, Out&)>& call) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  Out out;
+  call(*gateway.machine, Local(gateway), out);
+  Carry(process, std::move(out));
+  Arm(process);
+}
+
+void VirtualFleet::Arm(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  const auto due = gateway.machine->NextDue();
+  if (!due) return;
+  const double local = standin::Seconds(*due - kStart);
+  const double at = std::max(now_, (local - gateway.offset) / gateway.rate + 1e-9);
+  if (gateway.wake >= now_ && gateway.wake <= at) return;  // called before that anyway
+  gateway.wake = at;
+  At(at, [this, process, life = gateway.life, at] {
+    Gateway& it = gateways_[static_cast<std::size_t>(process)];
+    if (it.wake == at) it.wake = -1;
+    if (!it.up || it.stopped || it.life != life) return;
+    const auto next = it.machine->NextDue();
+    if (next && *next <= Local(it)) {
+      WithMachine(process, [](Machine& machine, fleet::Time now, Out& out) { machine.Tick(now, out); });
+    } else {
+      Arm(process);
+    }
+  });
+}
+
+void VirtualFleet::Carry(int process, Out out) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  for (const fleet::Change& change : out.changes) {
+    Mix(static_cast<std::uint64_t>(change.kind) + static_cast<std::uint64_t>(1e6 * now_));
+    if (change.kind != fleet::Change::Kind::kMember) continue;
+    Mix(StableHash(change.member.name, static_cast<std::uint64_t>(change.member.state)));
+    const int of = ProcessAt(change.member.address);
+    if (change.member.state == fleet::State::kDead && stage_.running(of) && !stage_.stopped(of)) ++told_dead_;
+    stage_.Told(now_, process, change.member.name, change.member.boot, fleet::Word(change.member.state));
+  }
+  if (!gateway.up) return;
+  for (const fleet::Sending& sending : out.datagrams) SendDatagram(process, sending);
+  for (const fleet::Sending& sending : out.exchanges) SendExchange(process, sending);
+}
+
+void VirtualFleet::Mutate(int process, Message& message) const {
+  if (mutant_ == Mutant::kNeverRefutes) message.sender.incarnation = 0;
+  if (mutant_ == Mutant::kOneBoot) message.sender.boot = 1;
+  for (fleet::Record& rumour : message.rumours)
+    if (mutant_ == Mutant::kOneBoot) rumour.boot = 1;
+  for (fleet::Record& rumour : message.rumours)
+    if (mutant_ == Mutant::kNeverRefutes && rumour.name == gateways_[static_cast<std::size_t>(process)].name)
+      rumour.incarnation = 0;
+}
+
+// ---- The network --------------------------------------------------------------------------------------
+
+void VirtualFleet::SendDatagram(int from, const fleet::Sending& sending) {
+  const int to = ProcessAt(sending.to);
+  if (to < 0 || to >= static_cast<int>(gateways_.size())) return;
+  const LinkTrouble& link = stage_.link(from, to);
+  if (mutant_ == Mutant::kDeadNotAsked && sending.message.kind == fleet::Kind::kPing) {
+    const auto& others = gateways_[static_cast<std::size_t>(from)].machine->others();
+    const auto it = others.find(sending.message.target);
+    if (it != others.end() && !it->second.record.present()) return;
+  }
+  Message message = sending.message;
+  if (mutant_ != Mutant::kNone) Mutate(from, message);
+  std::string bytes = fleet::Encode(message, "virtual");
+  ++traffic_.datagrams;
+  traffic_.bytes += bytes.size();
+  Mix(StableHash(bytes));
+  if (link.cut || standin::Chance(random_, link.loss)) return;
+  if (standin::Chance(random_, link.corrupt))
+    bytes[standin::Below(random_, bytes.size())] ^= static_cast<char>(1 + standin::Below(random_, 255));
+  const int copies = standin::Chance(random_, link.repeat) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    double way = standin::Uniform(random_, kWayLeast_s, kWayMost_s) + link.delay_s;
+    if (standin::Chance(random_, link.reorder)) way += standin::Uniform(random_, 0, kReorder_s);
+    At(now_ + way, [this, to, bytes] { Run(to, [this, to, bytes] { Deliver(to, bytes); }); });
+  }
+}
+
+void VirtualFleet::Deliver(int to, std::string bytes) {
+  fleet::Drop why;
+  const auto message = fleet::Decode(bytes, "virtual", why);
+  if (!message) return;
+  WithMachine(to,
+              [&](Machine& machine, fleet::Time now, Out& out) { machine.OnMessage(now, *message, out); });
+}
+
+// By TCP: whole or not at all, and an end is noticed in two seconds at the latest.
+void VirtualFleet::SendExchange(int from, const fleet::Sending& sending) {
+  const int to = ProcessAt(sending.to);
+  ++traffic_.exchanges;
+  const Address with = sending.to;
+  const int life = gateways_[static_cast<std::size_t>(from)].life;
+  const auto fail = [this, from, with, life](double after) {
+    At(now_ + after, [this, from, with, life] {
+      Run(from, [this, from, with, life] {
+        if (gateways_[static_cast<std::size_t>(from)].life != life) return;
+        WithMachine(from, [&](Machine& machine, fleet::Time now, Out& out) {
+          machine.OnExchangeFailed(now, with, out);
+        });
+      });
+    });
+  };
+  if (to < 0 || to >= static_cast<int>(gateways_.size()) || !gateways_[static_cast<std::size_t>(to)].up)
+    return fail(kWayMost_s);
+  const LinkTrouble &forth = stage_.link(from, to), &back = stage_.link(to, from);
+  if (forth.cut || back.cut || gateways_[static_cast<std::size_t>(to)].stopped)
+    return fail(kExchangeTimeout_s);
+  const double way = 2 * standin::Uniform(random_, kWayLeast_s, kWayMost_s) + forth.delay_s;
+  Message question = sending.message;
+  if (mutant_ != Mutant::kNone) Mutate(from, question);
+  At(now_ + way, [this, from, to, life, question, back] {
+    Run(to, [this, from, to, life, question, back] {
+      Message answer = gateways_[static_cast<std::size_t>(to)].machine->Full(fleet::Kind::kExchangeReply);
+      if (mutant_ != Mutant::kNone) Mutate(to, answer);
+      WithMachine(
+          to, [&](Machine& machine, fleet::Time now, Out& out) { machine.OnMessage(now, question, out); });
+      if (stage_.link(to, from).cut) return;
+      At(now_ + standin::Uniform(random_, kWayLeast_s, kWayMost_s) + back.delay_s,
+         [this, from, life, answer] {
+           Run(from, [this, from, life, answer] {
+             if (gateways_[static_cast<std::size_t>(from)].life != life) return;
+             WithMachine(from, [&](Machine& machine, fleet::Time now, Out& out) {
+               machine.OnMessage(now, answer, out);
+             });
+           });
+         });
+    });
+  });
+}
+
+}  // namespace curlewdoor::fleetkit
--- a/src/kit_main.cpp
+++ b/src/kit_main.cpp
@@ -14,6 +14,8 @@
 #include <thread>
 #include <vector>
 
+#include "fleetkit/virtual_fleet.hpp"
+#include "playing/fleet_rig.hpp"
 #include "playing/load.hpp"
 #include "playing/socket_run.hpp"
 #include "playing/stand.hpp"
@@ -132,20 +134,102 @@
   return result.AllHeld() ? kHeld : kBroken;
 }
 
-int Search(const Given& given) {
-  const rehearsal::Scenario scenario = Load(given);
-  CheckPlayable(scenario, false);
-  const auto dots = given.seeds.find("..");
+std::pair<std::uint64_t, std::uint64_t> ReadSeeds(const std::string& text) {
+  constexpr std::uint64_t kMostSeeds = 1'000'000;
+  const auto dots = text.find("..");
   std::uint64_t first = 0, last = 0;
   try {
     if (dots == std::string::npos) throw std::invalid_argument("no dots");
-    first = std::stoull(given.seeds.substr(0, dots));
-    last = std::stoull(given.seeds.substr(dots + 2));
+    first = std::stoull(text.substr(0, dots));
+    last = std::stoull(text.substr(dots + 2));
   } catch (const std::exception&) {
-    throw BadUsage(fmt::format("--seeds \"{}\" is not of the form 1..1000", given.seeds));
+    throw BadUsage(fmt::format("--seeds \"{}\" is not of the form 1..1000", text));
   }
-  constexpr std::uint64_t kMostSeeds = 1'000'000;
   if (last < first || last - first >= kMostSeeds) throw BadUsage("--seeds must rise, over a million at most");
+  return {first, last};
+}
+
+nlohmann::json Json(const fleetkit::Result& result) {
+  nlohmann::json json{{"scenario", result.scenario},
+                      {"seed", result.seed},
+                      {"real", result.real},
+                      {"held", result.AllHeld()}};
+  for (const auto& verdict : result.verdicts) json["verdicts"][verdict.property] = verdict.broken;
+  for (const auto& [name, value] : result.figures) json["figures"][name] = value;
+  for (const auto& wait : result.waits)
+    json["waits"].push_back({{"what", wait.what},
+                             {"at", wait.at},
+                             {"took", wait.took},
+                             {"within", wait.within},
+                             {"first", wait.first},
+                             {"last", wait.last},
+                             {"missing", wait.missing}});
+  return json;
+}
+
+// Several gateways that see one another: with real processes, or in virtual time, there with many seeds too.
+int Fleet(const Given& given, const char* own_path) {
+  if (given.words.size() != 1) throw BadUsage("fleet takes one file");
+  std::string error;
+  auto scenario = fleetkit::LoadScenario(given.words[0], error);
+  if (!scenario) throw BadUsage(error);
+  const int most =
+      given.in_virtual || !given.seeds.empty() ? fleetkit::kMostGateways : fleetkit::kMostProcesses;
+  if (given.gateways > most) throw BadUsage(fmt::format("--gateways {} is over {}", given.gateways, most));
+  if (given.gateways > 0) {
+    for (const fleetkit::Fault& fault : scenario->faults)
+      for (int g : fault.who)
+        if (g >= given.gateways)
+          throw BadUsage(fmt::format("a fault names {}: --gateways leaves it out", fleetkit::NameOf(g)));
+    scenario->gateways = scenario->started = scenario->size = given.gateways;
+    scenario->seeds = std::min(scenario->seeds, given.gateways);
+  }
+  const std::string again = fmt::format("curlewdoor-kit fleet {}", given.words[0]);
+  if (!given.seeds.empty()) {
+    const auto [first, last] = ReadSeeds(given.seeds);
+    std::uint64_t broken = 0;
+    double worst = 0;
+    std::uint64_t worst_seed = first;
+    for (std::uint64_t seed = first; seed <= last; ++seed) {
+      fleetkit::VirtualFleet fleet(*scenario, seed);
+      const auto result = fleet.Play();
+      if (!result.AllHeld() && ++broken <= 3)
+        fmt::print("{}{}  again: {} --virtual --seed {}\n", fleetkit::TextReport(result), fleet.Views(),
+                   again, seed);
+      if (result.waits.back().took > worst) {
+        worst = result.waits.back().took;
+        worst_seed = seed;
+      }
+    }
+    fmt::print(
+        "{}: {} seeds, {} broken; agreed again {:.2f} s after the last fault at the latest (seed {})\n",
+        scenario->name, last - first + 1, broken, worst, worst_seed);
+    return broken == 0 ? kHeld : kBroken;
+  }
+  const std::uint64_t seed = given.seed.value_or(scenario->seed);
+  fleetkit::Result result;
+  std::string views;
+  if (given.in_virtual) {
+    fleetkit::VirtualFleet fleet(*scenario, seed);
+    result = fleet.Play();
+    views = fleet.Views();
+  } else {
+    const std::string program =
+        given.program.empty() ? playing::GatewayProgramBeside(own_path) : given.program;
+    result = playing::FleetRig(*scenario, seed, {program, given.logs}).Play();
+  }
+  fmt::print("{}", fleetkit::TextReport(result));
+  if (!result.AllHeld())
+    fmt::print("{}  again: {} {}--seed {}\n  logs: {}\n", views, again, given.in_virtual ? "--virtual " : "",
+               seed, given.logs.empty() ? "not kept; --logs FOLDER keeps them" : given.logs);
+  if (!given.json.empty()) WriteFile(given.json, Json(result).dump(1) + "\n");
+  return result.AllHeld() ? kHeld : kBroken;
+}
+
+int Search(const Given& given) {
+  const rehearsal::Scenario scenario = Load(given);
+  CheckPlayable(scenario, false);
+  const auto [first, last] = ReadSeeds(given.seeds);
   const unsigned threads =
       given.threads > 0 ? given.threads : std::max(1u, std::thread::hardware_concurrency());
   rehearsal::SearchResult result;
@@ -252,18 +336,20 @@
 }
 
 void PrintHelp(std::FILE* out, const options::options_description& all) {
-  fmt::print(out,
-             "Usage: curlewdoor-kit COMMAND [ARGUMENT] [OPTIONS]\n\n"
-             "Commands:\n"
-             "  rehearse FILE   play a rehearsal and judge the five rules\n"
-             "  search FILE     play it with many seeds in virtual time; show the worst\n"
-             "  check FILE      read a rehearsal and tell what is wrong with it\n"
-             "  config FILE     print the configuration of one of its gateways\n"
-             "  load ADDRESS    open-loop load against a running gateway\n"
-             "  stand WHAT      one stand-in alone: node, counter or discovery\n"
-             "  faults          list the kinds of fault\n"
-             "  version         print the version\n\n"
-             "Exit: 0 all rules held, 1 one broken, 2 bad usage or file, 3 could not be judged.\n\n");
+  fmt::print(
+      out,
+      "Usage: curlewdoor-kit COMMAND [ARGUMENT] [OPTIONS]\n\n"
+      "Commands:\n"
+      "  rehearse FILE   play a rehearsal and judge the five rules\n"
+      "  fleet FILE      play a rehearsal of gateways that see one another, with real ones or --virtual\n"
+      "  search FILE     play it with many seeds in virtual time; show the worst\n"
+      "  check FILE      read a rehearsal and tell what is wrong with it\n"
+      "  config FILE     print the configuration of one of its gateways\n"
+      "  load ADDRESS    open-loop load against a running gateway\n"
+      "  stand WHAT      one stand-in alone: node, counter or discovery\n"
+      "  faults          list the kinds of fault\n"
+      "  version         print the version\n\n"
+      "Exit: 0 all rules held, 1 one broken, 2 bad usage or file, 3 could not be judged.\n\n");
   for (const auto& option : all.options())
     fmt::print(out, "  {:24}{}\n", option->format_name() + " " + option->format_parameter(),
                option->description());
@@ -278,6 +364,7 @@
 
 int Run(const Given& given, const char* own_path) {
   if (given.command == "rehearse") return Rehearse(given, own_path);
+  if (given.command == "fleet") return Fleet(given, own_path);
   if (given.command == "search") return Search(given);
   if (given.command == "check") return Check(given);
   if (given.command == "config") return PrintConfig(given);
--- /dev/null
+++ b/src/playing/fleet_rig.cpp
@@ -0,0 +1,341 @@
+#include "playing/fleet_rig.hpp"
+
+#include <fmt/format.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <csignal>
+#include <cstring>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+#include "net/socket_io.hpp"
+#include "rehearsal/scenario.hpp"
+#include "util/hash.hpp"
+
+namespace curlewdoor::playing {
+namespace {
+
+constexpr std::chrono::milliseconds kLookEvery{25};
+constexpr int kFewProcesses = 24;       // with more, each is asked less often
+constexpr std::uint32_t kRelays = 128;  // of each address's last part: relays from here on
+constexpr std::string_view kFleetName = "rig";
+
+double Steady() {
+  return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
+}
+
+// The value behind `key=` in a line of key=value pairs.
+std::string_view Value(std::string_view line, std::string_view key) {
+  const std::string sought = " " + std::string(key) + "=";
+  const auto at = line.find(sought);
+  if (at == std::string_view::npos) return {};
+  const auto from = at + sought.size();
+  return line.substr(from, line.find_first_of(" \n", from) - from);
+}
+
+std::uint64_t Number(std::string_view text, int base = 10) {
+  std::uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value, base);
+  return value;
+}
+
+}  // namespace
+
+FleetRig::FleetRig(const fleetkit::Scenario& scenario, std::uint64_t seed, RigOptions options)
+    : scenario_(scenario),
+      seed_(seed),
+      options_(std::move(options)),
+      logs_(options_.log_folder.empty() ? folder_.path() : options_.log_folder),
+      loop_(ev_loop_new(unsigned{EVBACKEND_EPOLL} | unsigned{EVFLAG_NOENV})),
+      stage_(scenario, seed),
+      gateways_(static_cast<std::size_t>(scenario.processes())),
+      seen_(gateways_.size()),
+      timer_(loop_, [this](int) { Look(); }) {
+  std::signal(SIGPIPE, SIG_IGN);
+  std::error_code error;
+  std::filesystem::create_directories(logs_, error);
+  if (error) throw std::runtime_error(fmt::format("can't make the folder {}: {}", logs_, error.message()));
+}
+
+FleetRig::~FleetRig() {
+  for (Gateway& gateway : gateways_) {
+    gateway.process.Kill();
+    gateway.older.Kill();
+    gateway.asking.io.reset();
+    for (int fd : {gateway.asking.fd, gateway.listen_fd})
+      if (fd >= 0) ::close(fd);
+  }
+  gateways_.clear();
+  timer_.Stop();
+  ev_loop_destroy(loop_);
+}
+
+double FleetRig::Now() const { return Steady() - began_; }
+
+// Addresses of this run alone: other runs beside it, of other processes, have others.
+std::uint32_t FleetRig::Ip(int process, bool relay) const {
+  const auto pid = static_cast<std::uint32_t>(::getpid());
+  const std::uint32_t second = 16 + pid % 200, third = pid / 200 % 250;
+  return 0x7f000000 | second << 16 | third << 8 |
+         (static_cast<std::uint32_t>(process) + 1 + (relay ? kRelays : 0));
+}
+
+// ---- Processes ----------------------------------------------------------------------------------------
+
+void FleetRig::Prepare(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  std::string error;
+  const std::uint32_t ip = Ip(process, false);
+  const auto take = [&](Address& address) {
+    const int fd = net::ListenOn(Address{ip, 0}, address, error);
+    if (fd < 0) throw std::runtime_error(error);
+    return fd;
+  };
+  gateway.listen_fd = take(gateway.listen);
+  // Ports that were just free on an address that nobody else uses.
+  const int admin = take(gateway.admin), fleet = take(gateway.fleet);
+  ::close(admin);
+  ::close(fleet);
+  const auto who = [this](std::uint32_t from) {
+    const auto g = static_cast<int>((from & 255) - 1);
+    return g >= 0 && g < static_cast<int>(gateways_.size()) && Ip(g, false) == from ? g : -1;
+  };
+  const auto link = [this](int from, int to) -> const fleetkit::LinkTrouble& {
+    return stage_.link(from, to);
+  };
+  gateway.relay = std::make_unique<Relay>(loop_, process, who, link, seed_);
+  if (!gateway.relay->Open(Ip(process, true), error)) throw std::runtime_error(error);
+  gateway.relay->LeadTo(gateway.fleet);
+}
+
+void FleetRig::Launch(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  const std::string place = fmt::format("{}{}", gateway.name, process >= scenario_.gateways ? "-twin" : "");
+  nlohmann::json seeds = nlohmann::json::array();
+  for (int seed = 0; seed < scenario_.seeds; ++seed)
+    seeds.push_back(gateways_[static_cast<std::size_t>(seed)].relay->address().ToText());
+  // A deployment of one class without hosts: what is rehearsed here is how gateways get along.
+  rehearsal::Scenario plain;
+  plain.gateways = 1;
+  plain.has_counter = false;
+  plain.classes.resize(1);
+  plain.classes[0].asked.name = "read";
+  plain.classes[0].asked.aim = std::chrono::milliseconds(400);
+  plain.classes[0].asked.deadline = std::chrono::milliseconds(1500);
+  plain.plans.resize(1);
+  plain.plans[0].crowd.name = "open";
+  auto config = rehearsal::GatewayConfig(
+      plain, 0, StableHash(gateway.name, seed_ + static_cast<std::uint64_t>(gateway.lives)),
+      {gateway.listen.ToText(), "127.0.0.1:1", ""},
+      {{"rev", 0}, {"all", true}, {"targets", nlohmann::json::array()}});
+  config["name"] = gateway.name;
+  config["admin"] = gateway.admin.ToText();
+  config["fleet"] = {{"name", kFleetName},     {"listen", gateway.fleet.ToText()},
+                     {"seeds", seeds},         {"advertise", gateway.relay->address().ToText()},
+                     {"size", scenario_.size}, {"probe_ms", scenario_.probe_ms}};
+  const std::string file = logs_ + "/" + place + ".json";
+  std::ofstream(file) << config.dump(1) << '\n';
+  gateway.log = logs_ + "/" + place + ".log";
+  ++gateway.lives;
+  std::string error;
+  auto started = Process::Start(options_.program, file, gateway.log, error, gateway.listen_fd,
+                                {{"TMPDIR", folder_.path()}});
+  if (!started) throw std::runtime_error(error);
+  gateway.process = std::move(*started);
+  gateway.ending = false;
+}
+
+void FleetRig::Start(int process, const std::string& name) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.name = name;
+  // One that got SIGTERM may still answer what it owes: the next life calls elsewhere, as after an upgrade.
+  if (gateway.ending) gateway.older = std::move(gateway.process);
+  if (gateway.lives > 0) MoveAdmin(process);
+  Launch(process);
+}
+
+// What an earlier process has answered says nothing of the one to come.
+void FleetRig::MoveAdmin(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  std::string error;
+  const int fd = net::ListenOn(Address{gateway.admin.ip, 0}, gateway.admin, error);
+  if (fd >= 0) ::close(fd);
+  Forget(process);
+}
+
+void FleetRig::Forget(int process) {
+  Asking& asking = gateways_[static_cast<std::size_t>(process)].asking;
+  seen_[static_cast<std::size_t>(process)] = {};
+  asking.io.reset();
+  if (asking.fd >= 0) ::close(std::exchange(asking.fd, -1));
+}
+
+void FleetRig::Kill(int process) { gateways_[static_cast<std::size_t>(process)].process.Kill(); }
+
+void FleetRig::Term(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.ending = true;
+  gateway.process.Signal(SIGTERM);
+}
+void FleetRig::Stop(int process) { gateways_[static_cast<std::size_t>(process)].process.Signal(SIGSTOP); }
+void FleetRig::Continue(int process) {
+  Forget(process);
+  gateways_[static_cast<std::size_t>(process)].process.Signal(SIGCONT);
+}
+
+// The new process finds the old one by the clients' address and takes over; the old one ends once it owes
+// nothing. Operators' calls reach the new one at an address of its own.
+void FleetRig::Upgrade(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.older = std::move(gateway.process);
+  MoveAdmin(process);
+  Launch(process);
+  gateway.upgrading = true;
+}
+
+// ---- Looking ------------------------------------------------------------------------------------------
+
+fleetkit::Result FleetRig::Play() {
+  if (scenario_.processes() > fleetkit::kMostProcesses)
+    throw std::runtime_error(
+        fmt::format("{} processes are more than the {} that can be played with real ones",
+                    scenario_.processes(), fleetkit::kMostProcesses));
+  for (int g = 0; g < scenario_.processes(); ++g) Prepare(g);
+  began_ = Steady();
+  timer_.StartIn(std::chrono::milliseconds(0), kLookEvery);
+  while (!stage_.done()) ev_run(loop_, EVRUN_ONCE);
+  ReadLogs();
+  std::uint64_t datagrams = 0, bytes = 0;
+  double cpu = 0;
+  int counted = 0;
+  const double seconds = Now();
+  for (Gateway& gateway : gateways_) {
+    if (!gateway.counted || gateway.lives != 1 || !gateway.process.running()) continue;
+    cpu += UseOf(gateway.process.pid()).cpu_s;
+    datagrams += gateway.datagrams;
+    bytes += gateway.bytes;
+    ++counted;
+  }
+  if (counted > 0) {
+    stage_.AddFigure("datagrams out a second a gateway", static_cast<double>(datagrams) / counted / seconds);
+    stage_.AddFigure("bytes out a second a gateway", static_cast<double>(bytes) / counted / seconds);
+    stage_.AddFigure("% of a core a gateway", 100 * cpu / counted / seconds);
+  }
+  return stage_.Finish(Now(), true);
+}
+
+void FleetRig::Look() {
+  Watch();
+  ReadLogs();
+  for (std::size_t g = 0; g < gateways_.size(); ++g) {
+    gateways_[g].relay->Reap();
+    const int process = static_cast<int>(g);
+    if (!stage_.running(process) || stage_.stopped(process)) seen_[g] = {};
+  }
+  stage_.Look(Now(), seen_, *this);
+  for (Gateway& gateway : gateways_) gateway.relay->LinksChanged();
+  // So that an answer is seen soon after it changes, and the asking itself costs the machine little.
+  static std::uint64_t turn = 0;
+  ++turn;
+  const std::size_t every = gateways_.size() > kFewProcesses ? gateways_.size() / kFewProcesses + 1 : 1;
+  for (std::size_t g = 0; g < gateways_.size(); ++g)
+    if ((turn + g) % every == 0) Ask(static_cast<int>(g));
+}
+
+void FleetRig::Watch() {
+  for (std::size_t g = 0; g < gateways_.size(); ++g) {
+    Gateway& gateway = gateways_[g];
+    gateway.older.running();
+    if (gateway.lives == 0 || gateway.process.running() || gateway.ending ||
+        !stage_.running(static_cast<int>(g)))
+      continue;
+    gateway.ending = true;
+    stage_.Crashed(Now(), static_cast<int>(g),
+                   fmt::format("exit code {}; see {}", gateway.process.exit_code(), gateway.log));
+  }
+}
+
+void FleetRig::Ask(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  if (!stage_.running(process) || stage_.stopped(process) || gateway.asking.fd >= 0) return;
+  Asking& asking = gateway.asking;
+  asking.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in to = gateway.admin.ToSocket();
+  if (asking.fd < 0) return;
+  ::connect(asking.fd, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+  asking.got.clear();
+  asking.io = std::make_unique<net::IoWatcher>(loop_, [this, process](int) { OnAnswer(process); });
+  asking.io->Want(asking.fd, EV_WRITE);
+}
+
+// METRICS now and then, for what was sent; FLEET otherwise.
+void FleetRig::OnAnswer(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  Asking& asking = gateway.asking;
+  const auto end = [&] {
+    asking.io->Stop();
+    ::close(std::exchange(asking.fd, -1));
+  };
+  if (asking.got.empty()) {
+    const std::string_view call =
+        Steady() * 4 - static_cast<double>(static_cast<long>(Steady() * 4)) < 0.1 ? "METRICS\n" : "FLEET\n";
+    if (::send(asking.fd, call.data(), call.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(call.size())) {
+      asking.got = " ";
+      return asking.io->Want(asking.fd, EV_READ);
+    }
+    seen_[static_cast<std::size_t>(process)] = {};
+    return end();
+  }
+  char bytes[16 * 1024];
+  const ssize_t count = ::recv(asking.fd, bytes, sizeof bytes, MSG_DONTWAIT);
+  if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (count > 0) asking.got.append(bytes, static_cast<std::size_t>(count));
+  if (count > 0 && !asking.got.ends_with("END\n")) return;
+  // The platform's order of an upgrade: the old process gets SIGTERM once the new one answers.
+  if (std::exchange(gateway.upgrading, false)) gateway.older.Signal(SIGTERM);
+  fleetkit::Seen& seen = seen_[static_cast<std::size_t>(process)];
+  const std::string_view text = asking.got;
+  if (text.ends_with("END\n") && text.starts_with(" fleet ")) {
+    const std::string_view line = text.substr(0, text.find('\n'));
+    seen = {true, Value(line, "settled") == "yes", text.find("\nrefused ") != std::string_view::npos,
+            0,    Number(Value(line, "view"), 16), Number(Value(line, "version"))};
+    const std::string own = fmt::format("member name={} ", gateway.name);
+    if (const auto at = text.find(own); at != std::string_view::npos)
+      seen.boot = Number(Value(text.substr(at, text.find('\n', at) - at), "boot"));
+  } else if (text.ends_with("END\n")) {
+    std::string spaced(text);
+    std::replace(spaced.begin(), spaced.end(), '\n', ' ');
+    gateway.datagrams = Number(Value(spaced, "relay.fleet.datagrams_out"));
+    gateway.bytes = Number(Value(spaced, "relay.fleet.bytes_out"));
+    gateway.counted = true;
+  } else {
+    seen = {};
+  }
+  end();
+}
+
+// What gateways have said of one another since the last look.
+void FleetRig::ReadLogs() {
+  for (std::size_t g = 0; g < gateways_.size(); ++g) {
+    Gateway& gateway = gateways_[g];
+    if (gateway.lives == 0) continue;
+    std::ifstream in(gateway.log, std::ios::binary);
+    in.seekg(static_cast<std::streamoff>(gateway.log_read));
+    std::string line;
+    while (std::getline(in, line)) {
+      if (in.eof()) break;  // its end is still to come
+      gateway.log_read += line.size() + 1;
+      if (line.find("fleet: event=member") == std::string::npos) continue;
+      stage_.Told(Now(), static_cast<int>(g), std::string(Value(line, "member")), Number(Value(line, "boot")),
+                  Value(line, "state"));
+    }
+  }
+}
+
+}  // namespace curlewdoor::playing
--- /dev/null
+++ b/src/playing/fleet_rig.hpp
@@ -0,0 +1,84 @@
+// Plays a rehearsal of several gateways with real processes of the daemon on loopback, relays between them,
+// signals to them. What it judges by it reads from outside: the daemons' answers to FLEET and METRICS, and
+// their logs.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fleetkit/stage.hpp"
+#include "playing/process.hpp"
+#include "playing/relay.hpp"
+
+namespace curlewdoor::playing {
+
+struct RigOptions {
+  std::string program;     // `curlewdoor`
+  std::string log_folder;  // where logs and configurations stay; made where it does not exist; empty: they go
+};
+
+class FleetRig : fleetkit::Hand {
+ public:
+  FleetRig(const fleetkit::Scenario& scenario, std::uint64_t seed, RigOptions options);
+  ~FleetRig() override;
+
+  // To be called once. Throws std::runtime_error where it can't be played at all.
+  fleetkit::Result Play();
+
+ private:
+  struct Asking {  // one operators' call that is under way
+    int fd = -1;
+    std::unique_ptr<net::IoWatcher> io;
+    std::string got;
+  };
+  struct Gateway {
+    std::string name;
+    int listen_fd = -1;
+    Address listen, admin, fleet;
+    std::unique_ptr<Relay> relay;
+    Process process, older;  // `older`: ends after an upgrade
+    int lives = 0;
+    std::string log;
+    std::size_t log_read = 0;
+    bool ending = false, upgrading = false;
+    Asking asking;
+    std::uint64_t datagrams = 0, bytes = 0;  // as it says
+    bool counted = false;
+    double cpu_s = 0;
+  };
+
+  void Start(int process, const std::string& name) override;
+  void Kill(int process) override;
+  void Term(int process) override;
+  void Stop(int process) override;
+  void Continue(int process) override;
+  void Upgrade(int process) override;
+
+  double Now() const;
+  std::uint32_t Ip(int process, bool relay) const;
+  void Prepare(int process);
+  void Launch(int process);
+  void MoveAdmin(int process);
+  void Forget(int process);
+  void Look();
+  void Ask(int process);
+  void OnAnswer(int process);
+  void ReadLogs();
+  void Watch();
+
+  const fleetkit::Scenario scenario_;
+  const std::uint64_t seed_;
+  const RigOptions options_;
+  TemporaryFolder folder_;
+  std::string logs_;
+  struct ev_loop* loop_;
+  fleetkit::Stage stage_;
+  std::vector<Gateway> gateways_;
+  std::vector<fleetkit::Seen> seen_;
+  net::TimerWatcher timer_;
+  double began_ = 0;
+};
+
+}  // namespace curlewdoor::playing
--- a/src/playing/process.cpp
+++ b/src/playing/process.cpp
@@ -2,7 +2,7 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -47,20 +47,50 @@
 }
 
 std::optional<Process> Process::Start(const std::string& program, const std::string& config,
-                                      const std::string& log, std::string& error) {
-  posix_spawn_file_actions_t files;
-  posix_spawn_file_actions_init(&files);
-  posix_spawn_file_actions_addopen(&files, 0, "/dev/null", O_RDONLY, 0);
-  posix_spawn_file_actions_addopen(&files, 1, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&files, 1, 2);
+                                      const std::string& log, std::string& error, int listen_fd,
+                                      const std::vector<std::pair<std::string, std::string>>& environment) {
+  constexpr int kInherited = 7;
+  // All that allocates comes before the fork: the child only calls what may be called there.
+  std::vector<std::string> variables;
+  for (const auto& [name, value] : environment) variables.push_back(name + "=" + value);
+  if (listen_fd >= 0) variables.push_back(fmt::format("RELAY_LISTEN_FD={}", kInherited));
+  std::vector<char*> all;
+  for (char** each = environ; *each != nullptr; ++each) all.push_back(*each);
+  // Of a name that stands twice the first holds.
+  for (std::string& variable : variables) all.insert(all.begin(), variable.data());
+  all.push_back(nullptr);
   std::string serve = "serve", option = "--config", name = program, file = config;
   char* arguments[] = {name.data(), serve.data(), option.data(), file.data(), nullptr};
+  const int output = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+  const int input = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
+  const pid_t parent = ::getpid();
+  int fault[2] = {-1, -1};
   Process process;
-  const int failed = ::posix_spawn(&process.pid_, program.c_str(), &files, nullptr, arguments, environ);
-  posix_spawn_file_actions_destroy(&files);
-  if (failed == 0) return process;
+  if (output < 0) {
+    error = fmt::format("can't write the log {}: {}", log, std::strerror(errno));
+  } else if (input < 0 || ::pipe2(fault, O_CLOEXEC) != 0) {
+    error = fmt::format("can't start {}: {}", program, std::strerror(errno));
+  } else if ((process.pid_ = ::fork()) == 0) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() == parent && ::dup2(input, 0) == 0 && ::dup2(output, 1) == 1 && ::dup2(output, 2) == 2 &&
+        (listen_fd < 0 || ::dup2(listen_fd, kInherited) == kInherited) &&
+        (listen_fd != kInherited || ::fcntl(kInherited, F_SETFD, 0) == 0))
+      ::execve(name.c_str(), arguments, all.data());
+    const int why = errno;
+    [[maybe_unused]] const auto told = ::write(fault[1], &why, sizeof why);
+    ::_exit(127);
+  }
+  if (fault[1] >= 0) ::close(fault[1]);
+  // Empty once the program runs.
+  if (int why = 0; process.pid_ > 0 && ::read(fault[0], &why, sizeof why) == sizeof why) {
+    error = fmt::format("can't start {}: {}", program, std::strerror(why));
+    ::waitpid(std::exchange(process.pid_, -1), nullptr, 0);
+  }
+  for (int fd : {output, input, fault[0]})
+    if (fd >= 0) ::close(fd);
+  if (process.pid_ > 0) return process;
+  if (error.empty()) error = fmt::format("can't start {}: {}", program, std::strerror(errno));
   process.pid_ = -1;
-  error = fmt::format("can't start {}: {}", program, std::strerror(failed));
   return std::nullopt;
 }
 
--- a/src/playing/process.hpp
+++ b/src/playing/process.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace curlewdoor::playing {
 
@@ -32,9 +33,12 @@
   Process& operator=(Process&& other) noexcept;
   ~Process() { Kill(); }
 
-  // Starts `program serve --config FILE`, its output to `log`. On nullopt, `error` says why.
-  static std::optional<Process> Start(const std::string& program, const std::string& config,
-                                      const std::string& log, std::string& error);
+  // Starts `program serve --config FILE`, its output to `log`. On nullopt, `error` says why. The child ends
+  // with this process, however that ends. `listen_fd`, where it is one: inherited, for clients;
+  // `environment`: on top of this process's own.
+  static std::optional<Process> Start(
+      const std::string& program, const std::string& config, const std::string& log, std::string& error,
+      int listen_fd = -1, const std::vector<std::pair<std::string, std::string>>& environment = {});
   bool running();  // and takes its end down, once it has ended
   void Signal(int signal) const;
   void Kill();
--- /dev/null
+++ b/tests/fleet/rig_test.cpp
@@ -0,0 +1,46 @@
+// Several processes of the shipped daemon, relays between them, signals to them: each rehearsal with the seed
+// that its file names, judged by what the daemons show and log. A failure prints how to play it again.
+#include <gtest/gtest.h>
+
+#include "fleetkit/virtual_fleet.hpp"
+#include "playing/fleet_rig.hpp"
+
+namespace curlewdoor::fleetkit {
+namespace {
+
+Scenario Load(const std::string& name) {
+  std::string error;
+  const auto scenario = LoadScenario(std::string(CURLEWDOOR_REHEARSALS) + "/" + name + ".toml", error);
+  EXPECT_TRUE(scenario) << error;
+  return scenario.value_or(Scenario{});
+}
+
+class FleetRig : public ::testing::TestWithParam<const char*> {};
+INSTANTIATE_TEST_SUITE_P(Rehearsals, FleetRig,
+                         ::testing::Values("fleet-crash", "fleet-join", "fleet-leave", "fleet-split",
+                                           "fleet-three-parts", "fleet-one-way", "fleet-stall", "fleet-roll",
+                                           "fleet-upgrade", "fleet-loss", "fleet-twin"),
+                         [](const auto& info) {
+                           std::string name = info.param;
+                           std::erase(name, '-');
+                           return name;
+                         });
+
+TEST_P(FleetRig, AllHeldWithRealProcesses) {
+  const Scenario scenario = Load(GetParam());
+  const Result result = playing::FleetRig(scenario, scenario.seed, {CURLEWDOOR_PROGRAM, ""}).Play();
+  EXPECT_TRUE(result.AllHeld()) << TextReport(result) << "again: curlewdoor-kit fleet rehearsals/"
+                                << GetParam() << ".toml --logs FOLDER";
+}
+
+TEST_P(FleetRig, AllHeldInVirtualTime) {
+  const Scenario scenario = Load(GetParam());
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    VirtualFleet fleet(scenario, seed);
+    const Result result = fleet.Play();
+    EXPECT_TRUE(result.AllHeld()) << TextReport(result) << fleet.Views();
+  }
+}
+
+}  // namespace
+}  // namespace curlewdoor::fleetkit
