--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -178,7 +178,7 @@
   if (rival_ && now >= rival_->until) Joined(now, out);
   if (now >= join_due_) Join(now, out);
   if (joined_ && !left()) {
-    if (probe_ && !probe_->acked && !probe_->asked_others && now >= probe_->asks_others) AskOthers(now, out);
+    if (probe_ && !probe_->acked && !probe_->asked_others && now >= probe_->asks_others) AskOthers(out);
     if (now >= period_due_) {
       EndProbe(now, out);
       Begin(now, out);
@@ -272,11 +272,10 @@
   Send(members_.at(name).record.address, name, std::move(ping), out);
 }
 
-void Machine::AskOthers(Time now, Out& out) {
+void Machine::AskOthers(Out& out) {
   probe_->asked_others = true;
   const auto it = members_.find(probe_->name);
   if (it == members_.end()) return;
-  (void)now;
   for (const std::string& helper : SomePresent(kHelpers, probe_->name)) {
     Message request{Kind::kPingRequest, probe_->sequence};
     request.target = probe_->name;
@@ -724,8 +723,9 @@
     it->second.ends = std::min(it->second.ends, now + SuspicionTime(kWitnesses) * kHearsay);
 }
 
-// Guards against a refutation whose rumours all missed this gateway (fleet-long-loss, seeds 1 to 8: one in a hundred
-// of those that had heard of a suspicion did not hear of its end): the suspect is asked before the time is over.
+// Guards against a refutation whose rumours all missed this gateway (fleet-long-loss, seeds 1 to 8: one in a
+// hundred of those that had heard of a suspicion did not hear of its end): the suspect is asked before the
+// time is over.
 std::optional<Time> Machine::NextAsk(const Suspicion& suspicion) const {
   constexpr double kAsks[] = {0.4, 0.7, 0.9};  // of the time that it lasts
   if (!options_.lifeguard || suspicion.asked >= static_cast<int>(std::size(kAsks))) return std::nullopt;
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -151,7 +151,7 @@
   void NewRound();
   void StartProbe(Time now, const std::string& name, Out& out);
   void EndProbe(Time now, Out& out);
-  void AskOthers(Time now, Out& out);
+  void AskOthers(Out& out);
   void AskDead(Time now, Out& out);
   void Gossip(Out& out);
   void Join(Time now, Out& out);
