--- a/tests/kit/virtual_test.cpp
+++ b/tests/kit/virtual_test.cpp
@@ -42,8 +42,10 @@
 
 std::vector<std::string> ShippedNames() {
   std::set<std::string> names;
+  // Those of gateways that see one another have a kit command and tests of their own (tests/fleet).
   for (const auto& entry : std::filesystem::directory_iterator(CURLEWDOOR_REHEARSALS))
-    if (entry.path().extension() == ".toml") names.insert(entry.path().stem().string());
+    if (entry.path().extension() == ".toml" && !entry.path().stem().string().starts_with("fleet-"))
+      names.insert(entry.path().stem().string());
   return {names.begin(), names.end()};
 }
 
