The kit ends a storm of messages sooner, and leaks no loop where logs can't be written

Change: the most events at one time follow the number of gateways; the folder is made when the play begins.

--- a/src/fleetkit/virtual_fleet.cpp
+++ b/src/fleetkit/virtual_fleet.cpp
@@ -66,10 +66,10 @@
   double ends = -1;
   // A machine that is due again at once without end would hold the queue for good: the play ends, and says
   // so.
-  constexpr std::uint64_t kMostAtOnce = 200'000;
+  const std::uint64_t most_at_once = 5'000 + 200 * gateways_.size();  // events of one look
   std::uint64_t at_once = 0;
   double since = 0;
-  while (!events_.empty() && at_once < kMostAtOnce) {
+  while (!events_.empty() && at_once < most_at_once) {
     at_once = now_ < since + kLookEvery_s ? at_once + 1 : 0;
     if (at_once == 0) since = now_;
     if (stage_.done()) {
--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -58,9 +58,6 @@
       seen_(gateways_.size()),
       timer_(loop_, [this](int) { Look(); }) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::error_code error;
-  std::filesystem::create_directories(logs_, error);
-  if (error) throw std::runtime_error(fmt::format("can't make the folder {}: {}", logs_, error.message()));
 }
 
 FleetRig::~FleetRig() {
@@ -202,6 +199,9 @@
 // ---- Looking ------------------------------------------------------------------------------------------
 
 fleetkit::Result FleetRig::Play() {
+  std::error_code error;
+  std::filesystem::create_directories(logs_, error);
+  if (error) throw std::runtime_error(fmt::format("can't make the folder {}: {}", logs_, error.message()));
   if (scenario_.processes() > fleetkit::kMostProcesses)
     throw std::runtime_error(
         fmt::format("{} processes are more than the {} that can be played with real ones",
--- a/src/playing/socket_run.cpp
+++ b/src/playing/socket_run.cpp
@@ -73,11 +73,6 @@
                    }),
       gates_(static_cast<std::size_t>(scenario.gateways)) {
   std::signal(SIGPIPE, SIG_IGN);
-  std::error_code error;
-  if (!options_.log_folder.empty()) std::filesystem::create_directories(options_.log_folder, error);
-  if (error)
-    throw std::runtime_error(
-        fmt::format("can't make the folder {}: {}", options_.log_folder, error.message()));
 }
 
 SocketRun::~SocketRun() {
@@ -110,6 +105,11 @@
 // ---- The run ------------------------------------------------------------------------------------------
 
 rehearsal::RunResult SocketRun::Play() {
+  std::error_code error;
+  if (!options_.log_folder.empty()) std::filesystem::create_directories(options_.log_folder, error);
+  if (error)
+    throw std::runtime_error(
+        fmt::format("can't make the folder {}: {}", options_.log_folder, error.message()));
   for (std::size_t n = 0; n < stage_.nodes.size(); ++n) NodeStarts(static_cast<int>(n));
   for (int g = 0; g < scenario_.gateways; ++g) {
     Gate& gate = gates_[static_cast<std::size_t>(g)];
