The rig asks from addresses of its own: ports of 127.0.0.1 stay free for others

Cause: one of 391 tests, eight at a time, failed with a gateway not ready in time; the likeliest cause, not proved, is a free port of 127.0.0.1 taken by the rig's calls before the gateway listened there. Change: the rig binds its calls to its own addresses. Result: the test passes alone and with 29 others four at a time; two rig rehearsals pass after it.

--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -268,6 +268,10 @@
   asking.fd = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   const sockaddr_in to = gateway.admin.ToSocket();
   if (asking.fd < 0) return;
+  // From an address of this run: ports of 127.0.0.1 are left to rehearsals beside it, which look for free
+  // ones there.
+  const sockaddr_in from = Address{Ip(process, true), 0}.ToSocket();
+  ::bind(asking.fd, reinterpret_cast<const sockaddr*>(&from), sizeof from);
   ::connect(asking.fd, reinterpret_cast<const sockaddr*>(&to), sizeof to);
   asking.got.clear();
   asking.io = std::make_unique<net::IoWatcher>(loop_, [this, process](int) { OnAnswer(process); });
