Clean-up: one place each for a question, a part's head, a scenario's text, a test's loader

Cause: read again, five places built the same question, two decoders read a part's head, two scenario readers opened and parsed files alike, two tests loaded alike; a probe's end, a rival's record and a witness's time were never read. Change: Ping(), TakePart(), ParseWith() and ReadText(), tests/fleet/load.hpp; what nobody read is gone. An unreadable fleet scenario is told in the same words as any other. No other behaviour changes.

--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -175,7 +175,7 @@
   if (!started_ || silent()) return;
   Notice(now, out);
   if (doubting_ && now >= doubts_until_) doubting_ = false;
-  if (rival_ && now >= rival_->until) Joined(now, out);
+  if (rival_until_ && now >= *rival_until_) Joined(now, out);
   if (now >= join_due_) Join(now, out);
   if (joined_ && !left()) {
     if (probe_ && !probe_->acked && !probe_->asked_others && now >= probe_->asks_others) AskOthers(out);
@@ -264,12 +264,8 @@
 }
 
 void Machine::StartProbe(Time now, const std::string& name, Out& out) {
-  probe_ = Probe{name, next_sequence_++};
+  probe_ = Probe{name, Ping(members_.at(name).record.address, name, out)};
   probe_->asks_others = now + Times(PeriodNow(), kOthersAfter);
-  probe_->ends = now + PeriodNow();
-  Message ping{Kind::kPing, probe_->sequence};
-  ping.target = name;
-  Send(members_.at(name).record.address, name, std::move(ping), out);
 }
 
 void Machine::AskOthers(Out& out) {
@@ -308,9 +304,7 @@
   const double part = kDeadAsked * static_cast<double>(dead.size()) / static_cast<double>(alive());
   if (!Chance(std::min(1.0, part) * (fresh ? 1.0 : 0.1))) return;
   const Record& one = *dead[Below(dead.size())];
-  Message ping{Kind::kPing, next_sequence_++};
-  ping.target = one.name;
-  Send(one.address, one.name, std::move(ping), out);
+  Ping(one.address, one.name, out);
 }
 
 // ---- Rumours ------------------------------------------------------------------------------------------
@@ -373,6 +367,14 @@
   out.datagrams.push_back({to, std::move(message)});
 }
 
+std::uint32_t Machine::Ping(const Address& to, const std::string& target, Out& out) {
+  Message ping{Kind::kPing, next_sequence_++};
+  ping.target = target;
+  const std::uint32_t sequence = ping.sequence;
+  Send(to, target, std::move(ping), out);
+  return sequence;
+}
+
 void Machine::SendPayload(const std::string& name, std::uint8_t channel, std::string payload, Out& out) {
   const auto it = members_.find(name);
   if (silent() || it == members_.end() || payload.size() > kMostPayload) return;
@@ -426,7 +428,7 @@
   const Duration wait =
       joined_ ? longest : std::min(longest, options_.probe * (1 << std::min(join_backoff_++, 8)));
   join_due_ = now + Jittered(wait);
-  if (rival_) return;
+  if (rival_until_) return;
   std::set<Address> held{self_.address};
   if (joined_)
     for (const auto& [name, member] : members_)
@@ -444,7 +446,7 @@
 }
 
 void Machine::Joined(Time now, Out& out) {
-  rival_.reset();
+  rival_until_.reset();
   if (std::exchange(joined_, true)) return;
   join_due_ = now + Jittered(options_.probe * kSeedsEvery);
   period_due_ = now;
@@ -462,7 +464,7 @@
   if (sender.name == self_.name) {
     if (sender.address == self_.address) return;  // its own words, or those of an earlier life
     const bool older = std::pair(sender.boot, sender.address) < std::pair(self_.boot, self_.address);
-    if (rival_ || (message.kind == Kind::kTaken && older)) return Refuse(now, sender, out);
+    if (rival_until_ || (message.kind == Kind::kTaken && older)) return Refuse(now, sender, out);
     if (message.kind != Kind::kTaken || !older) Send(sender.address, "", Message{Kind::kTaken}, out);
     return;
   }
@@ -486,7 +488,8 @@
   switch (message.kind) {
     case Kind::kPing:
       if (message.target != self_.name) break;
-      if (!joined_ && !rival_) Joined(now, out);  // it is known already, by a question whose answer was lost
+      if (!joined_ && !rival_until_)
+        Joined(now, out);  // it is known already, by a question whose answer was lost
       if (joined_) Send(sender.address, sender.name, Message{Kind::kAck, message.sequence}, out);
       break;
     case Kind::kAck:
@@ -509,16 +512,15 @@
       if (message.target == self_.name || message.target_address.port == 0) break;
       if (proxied_.size() < kMostProxied && !left()) {
         const Duration wait = Times(options_.probe, 1 - kOthersAfter);
-        Message ping{Kind::kPing, next_sequence_++};
-        ping.target = message.target;
-        proxied_[ping.sequence] = Proxied{sender.address, message.sequence, message.target,
-                                          now + Times(wait, kNackAfter), now + options_.probe * 2};
-        Send(message.target_address, message.target, std::move(ping), out);
+        proxied_[Ping(message.target_address, message.target, out)] =
+            Proxied{sender.address, message.sequence, message.target, now + Times(wait, kNackAfter),
+                    now + options_.probe * 2};
       }
       break;
     case Kind::kExchange:
     case Kind::kExchangeReply:
-      if (!joined_ && !rival_) Joined(now, out);  // gateways that all start together find one another so
+      if (!joined_ && !rival_until_)
+        Joined(now, out);  // gateways that all start together find one another so
       break;
     default:
       break;
@@ -557,7 +559,7 @@
   const Record& known = it->second.record;
   if (!GoesBefore(word, known)) {
     const bool same = word.boot == known.boot && word.incarnation == known.incarnation;
-    if (same && word.state == State::kSuspect && known.state == State::kSuspect) Witness(now, word);
+    if (same && word.state == State::kSuspect && known.state == State::kSuspect) Witness(word);
     return;
   }
   // Nobody dies by hearsay: after a heal both sides hold the other's members for dead, and each of these has
@@ -577,13 +579,12 @@
 void Machine::HearOfMyself(Time now, const Record& word, Out& out) {
   if (!joined_ && word.present() && word.address != self_.address) {
     if (word.boot >= self_.boot) self_.boot = word.boot + 1;
-    if (!rival_) {
-      rival_ = Rival{word, now + options_.probe * kRivalWait};
-      join_due_ = std::max(join_due_, rival_->until);
+    if (!rival_until_) {
+      rival_until_ = now + options_.probe * kRivalWait;
+      join_due_ = std::max(join_due_, *rival_until_);
     }
-    Message ping{Kind::kPing, next_sequence_++};
-    ping.target = self_.name;
-    return Send(word.address, "", std::move(ping), out);
+    Ping(word.address, self_.name, out);
+    return;
   }
   if (word.boot > self_.boot) {
     // An earlier life whose clock went ahead of this one's, or a rival that has gone: this life goes on
@@ -676,7 +677,7 @@
   Record word = it->second.record;
   word.by = by;
   word.about.clear();
-  if (word.state == State::kSuspect) return Witness(now, word);
+  if (word.state == State::kSuspect) return Witness(word);
   word.state = State::kSuspect;
   Apply(now, word, out);
   Send(word.address, name, Message{Kind::kGossip}, out);  // it is told itself, at once
@@ -704,7 +705,7 @@
     urgent_.push_back(word.name);
 }
 
-void Machine::Witness(Time, const Record& word) {
+void Machine::Witness(const Record& word) {
   const auto it = suspicions_.find(word.name);
   if (!options_.lifeguard || it == suspicions_.end()) return;
   Suspicion& suspicion = it->second;
@@ -737,9 +738,7 @@
     const auto due = NextAsk(suspicion);
     if (!due || now < *due) continue;
     ++suspicion.asked;
-    Message ping{Kind::kPing, next_sequence_++};
-    ping.target = name;
-    Send(members_.at(name).record.address, name, std::move(ping), out);
+    Ping(members_.at(name).record.address, name, out);
   }
 }
 
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -109,7 +109,7 @@
   struct Probe {
     std::string name;
     std::uint32_t sequence = 0;
-    Time asks_others{}, ends{};
+    Time asks_others{};
     bool acked = false, asked_others = false;
     int helpers = 0, nacks = 0;
   };
@@ -130,11 +130,6 @@
     Time nack_at, ends;
     bool nacked = false;
   };
-  struct Rival {  // the gateway that holds this one's name, as told at the join
-    Record record;
-    Time until;
-  };
-
   bool silent() const { return !refused_.empty() || handed_on_; }
   bool Present(std::string_view name) const;
   Duration Scaled(Duration of) const { return of * (1 + health_); }
@@ -166,7 +161,7 @@
   void Apply(Time now, const Record& word, Out& out);
   void Suspect(Time now, const std::string& name, const std::string& by, Out& out);
   void SetSuspicion(Time now, const Record& word);
-  void Witness(Time now, const Record& word);
+  void Witness(const Record& word);
   double FewOf() const;
   void Hurry(Time now, const std::string& name);
   Duration SuspicionTime(std::size_t witnesses) const;
@@ -184,6 +179,8 @@
   void Fill(Message& message, std::string_view receiver);
   void Send(const Address& to, std::string_view receiver, Message message, Out& out);
   int RumourLimit() const;
+  // Gives the sequence that the answer will carry.
+  std::uint32_t Ping(const Address& to, const std::string& target, Out& out);
   std::vector<std::string> SomePresent(std::size_t count, std::string_view but);
 
   const Options options_;
@@ -207,7 +204,7 @@
   bool started_ = false, joined_ = false, settled_ = false, handed_on_ = false;
   bool doubting_ = false;  // stood still lately: accuses nobody before it has been answered
   Time doubts_until_;
-  std::optional<Rival> rival_;
+  std::optional<Time> rival_until_;  // another gateway holds this name: how long its answer is waited for
   std::string refused_;
   Time period_due_, gossip_due_, join_due_, exchange_due_, exchange_free_, changed_at_, due_before_;
   Time taken_due_;  // when another process under this name may be told again
--- a/src/fleet/message.cpp
+++ b/src/fleet/message.cpp
@@ -33,6 +33,18 @@
   bytes.append(head.bytes).append(inner);
 }
 
+// Takes the first part off the front of `rest`. False: it is cut.
+bool TakePart(std::string_view& rest, Part& part, std::string_view& inner) {
+  constexpr std::size_t kPartHead = 3;
+  Reader lengths(rest);
+  std::uint16_t length = 0;
+  lengths(part, length);
+  if (!lengths.ok() || rest.size() < kPartHead + length) return false;
+  inner = rest.substr(kPartHead, length);
+  rest.remove_prefix(kPartHead + length);
+  return true;
+}
+
 std::string RecordBytes(const Record& record) {
   Writer writer;
   Fields(writer, record);
@@ -114,7 +126,7 @@
     if (version != nullptr) *version = major;
     return refuse(Drop::kVersion);
   }
-  constexpr std::size_t kHead = 8, kSum = 8, kPartHead = 3;
+  constexpr std::size_t kHead = 8, kSum = 8;
   if (bytes.size() < kHead + size + kSum) return refuse(Drop::kMalformed);
   if (bytes.substr(kHead, size) != fleet) return refuse(Drop::kForeign);
   Reader sums(bytes.substr(kHead + size, kSum));
@@ -127,13 +139,9 @@
   message.kind = static_cast<Kind>(kind);
   bool has_sender = false;
   while (!rest.empty()) {
-    Reader lengths(rest);
     auto part = Part::kSender;
-    std::uint16_t length = 0;
-    lengths(part, length);
-    if (!lengths.ok() || rest.size() < kPartHead + length) return refuse(Drop::kMalformed);
-    const std::string_view inner = rest.substr(kPartHead, length);
-    rest.remove_prefix(kPartHead + length);
+    std::string_view inner;
+    if (!TakePart(rest, part, inner)) return refuse(Drop::kMalformed);
     Reader reader(inner);
     if (part == Part::kSender || part == Part::kRumour) {
       auto record = ReadRecord(inner);
@@ -173,15 +181,12 @@
 std::optional<std::vector<Record>> DecodeRecords(std::string_view bytes) {
   std::vector<Record> records;
   while (!bytes.empty()) {
-    Reader lengths(bytes);
     auto part = Part::kSender;
-    std::uint16_t length = 0;
-    lengths(part, length);
-    if (!lengths.ok() || part != Part::kRumour || bytes.size() < 3u + length) return std::nullopt;
-    auto record = ReadRecord(bytes.substr(3, length));
+    std::string_view inner;
+    if (!TakePart(bytes, part, inner) || part != Part::kRumour) return std::nullopt;
+    auto record = ReadRecord(inner);
     if (!record || records.size() >= kMostMembers) return std::nullopt;
     records.push_back(std::move(*record));
-    bytes.remove_prefix(3u + length);
   }
   return records;
 }
--- a/src/fleetkit/scenario.cpp
+++ b/src/fleetkit/scenario.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <fstream>
-#include <iterator>
 
 #include "rehearsal/toml_table.hpp"
 
@@ -139,24 +137,12 @@
 std::string NameOf(int gateway) { return fmt::format("gateway-{}", gateway); }
 
 std::optional<Scenario> ParseScenario(std::string_view text, const std::string& path, std::string& error) {
-  error.clear();
-  try {
-    const toml::table file = toml::parse(text, path);
-    return Read(file, path, error);
-  } catch (const toml::parse_error& fault) {
-    error = fmt::format("{}:{}: {}", path, fault.source().begin.line, fault.description());
-    return std::nullopt;
-  }
+  return rehearsal::ParseWith(&Read, text, path, error);
 }
 
 std::optional<Scenario> LoadScenario(const std::string& path, std::string& error) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) {
-    error = "can't read " + path;
-    return std::nullopt;
-  }
-  const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-  return ParseScenario(text, path, error);
+  const auto text = rehearsal::ReadText(path, error);
+  return text ? ParseScenario(*text, path, error) : std::nullopt;
 }
 
 }  // namespace curlewdoor::fleetkit
--- a/src/rehearsal/scenario.cpp
+++ b/src/rehearsal/scenario.cpp
@@ -5,8 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <fstream>
-#include <iterator>
 #include <nlohmann/json.hpp>
 #include <set>
 
@@ -347,24 +345,12 @@
 }
 
 std::optional<Scenario> ParseScenario(std::string_view text, const std::string& path, std::string& error) {
-  error.clear();
-  try {
-    const toml::table file = toml::parse(text, path);
-    return Read(file, path, error);
-  } catch (const toml::parse_error& fault) {
-    error = fmt::format("{}:{}: {}", path, fault.source().begin.line, fault.description());
-    return std::nullopt;
-  }
+  return ParseWith(&Read, text, path, error);
 }
 
 std::optional<Scenario> LoadScenario(const std::string& path, std::string& error) {
-  std::ifstream in(path, std::ios::binary);
-  if (!in) {
-    error = fmt::format("{}: can't be read", path);
-    return std::nullopt;
-  }
-  const std::string text{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
-  return ParseScenario(text, path, error);
+  const auto text = ReadText(path, error);
+  return text ? ParseScenario(*text, path, error) : std::nullopt;
 }
 
 json GatewayConfig(const Scenario& scenario, int gateway, std::uint64_t seed,
--- a/src/rehearsal/toml_table.hpp
+++ b/src/rehearsal/toml_table.hpp
@@ -6,6 +6,9 @@
 
 #include <array>
 #include <cmath>
+#include <fstream>
+#include <iterator>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -144,4 +147,28 @@
   std::set<std::string> known_;
 };
 
+// A scenario from its text, by `read`, which is given the file's table. On nullopt `error` names file and
+// line.
+template <typename Scenario>
+std::optional<Scenario> ParseWith(std::optional<Scenario> (*read)(const toml::table&, const std::string&,
+                                                                  std::string&),
+                                  std::string_view text, const std::string& path, std::string& error) {
+  error.clear();
+  try {
+    const toml::table file = toml::parse(text, path);
+    return read(file, path, error);
+  } catch (const toml::parse_error& fault) {
+    error = fmt::format("{}:{}: {}", path, fault.source().begin.line, fault.description());
+    return std::nullopt;
+  }
+}
+
+// The whole text of a file.
+inline std::optional<std::string> ReadText(const std::string& path, std::string& error) {
+  std::ifstream in(path, std::ios::binary);
+  if (in) return std::string{std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
+  error = fmt::format("{}: can't be read", path);
+  return std::nullopt;
+}
+
 }  // namespace curlewdoor::rehearsal
--- a/tests/fleet/rig_test.cpp
+++ b/tests/fleet/rig_test.cpp
@@ -3,18 +3,12 @@
 #include <gtest/gtest.h>
 
 #include "fleetkit/virtual_fleet.hpp"
+#include "load.hpp"
 #include "playing/fleet_rig.hpp"
 
 namespace curlewdoor::fleetkit {
 namespace {
 
-Scenario Load(const std::string& name) {
-  std::string error;
-  const auto scenario = LoadScenario(std::string(CURLEWDOOR_REHEARSALS) + "/" + name + ".toml", error);
-  EXPECT_TRUE(scenario) << error;
-  return scenario.value_or(Scenario{});
-}
-
 class FleetRig : public ::testing::TestWithParam<const char*> {};
 INSTANTIATE_TEST_SUITE_P(Rehearsals, FleetRig,
                          ::testing::Values("fleet-crash", "fleet-join", "fleet-leave", "fleet-split",
--- a/tests/fleet/view_test.cpp
+++ b/tests/fleet/view_test.cpp
@@ -6,17 +6,11 @@
 
 #include "fleet/machine.hpp"
 #include "fleetkit/virtual_fleet.hpp"
+#include "load.hpp"
 
 namespace curlewdoor::fleetkit {
 namespace {
 
-Scenario Load(const std::string& name) {
-  std::string error;
-  const auto scenario = LoadScenario(std::string(CURLEWDOOR_REHEARSALS) + "/" + name + ".toml", error);
-  EXPECT_TRUE(scenario) << error;
-  return scenario.value_or(Scenario{});
-}
-
 int Broken(const Scenario& scenario, std::uint64_t first, std::uint64_t last, Mutant mutant = Mutant::kNone) {
   int broken = 0;
   for (std::uint64_t seed = first; seed <= last; ++seed) {
