Clean-up: the upgrade tests start processes as the rig does; what nobody read is gone

Cause: read again. The upgrade test forked its children by hand, which Process::Start now does too; the rig chose its call by the clock and kept a static; getters, counters, a kind of change and parameters had no reader. Change: Child stands on Process; every tenth call of a gateway is METRICS; the unread parts are removed.

--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -632,7 +632,7 @@
 void Machine::Note(Time now, const Record& record, bool is_new, Out& out) {
   ++version_;
   changed_at_ = now;
-  if (std::exchange(settled_, false)) out.changes.push_back({Change::Kind::kUnsettled, self_, false, ""});
+  settled_ = false;
   out.changes.push_back({Change::Kind::kMember, record, is_new, ""});
 }
 
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -39,7 +39,7 @@
 
 // What others may act on, in the order in which it came about.
 struct Change {
-  enum class Kind : std::uint8_t { kMember, kSettled, kUnsettled, kRefused, kStalled } kind = Kind::kMember;
+  enum class Kind : std::uint8_t { kMember, kSettled, kRefused, kStalled } kind = Kind::kMember;
   Record member;        // kMember: as it is now
   bool is_new = false;  // ... seen for the first time, or in a new life
   std::string text;     // kRefused, kStalled
--- a/src/fleetkit/stage.cpp
+++ b/src/fleetkit/stage.cpp
@@ -316,9 +316,7 @@
     if (verdict.property == property && verdict.broken.empty()) verdict.broken = how;
 }
 
-void Stage::Told(double now, int observer, const std::string& name, std::uint64_t boot,
-                 std::string_view state) {
-  (void)boot;
+void Stage::Told(double now, int observer, const std::string& name, std::string_view state) {
   int of = -1;
   for (std::size_t g = 0; g < gateways_.size(); ++g)
     if (!gateways_[g].twin && gateways_[g].name == name) of = static_cast<int>(g);
--- a/src/fleetkit/stage.hpp
+++ b/src/fleetkit/stage.hpp
@@ -31,7 +31,7 @@
 struct Seen {
   bool answered = false;
   bool settled = false, refused = false;
-  std::uint64_t boot = 0, view = 0, version = 0;
+  std::uint64_t boot = 0, view = 0;
 };
 
 // How long it took until what a fault expects was seen.
@@ -68,19 +68,16 @@
   bool done() const { return done_; }
   std::optional<double> NextDue() const;
   const LinkTrouble& link(int from, int to) const;
-  bool expecting() const { return phase_ == Phase::kExpecting; }
 
   // ---- The judge ----
-  // `observer` has told that `name`, in its life `boot`, is in this state now.
-  void Told(double now, int observer, const std::string& name, std::uint64_t boot, std::string_view state);
+  // `observer` has told that `name` is in this state now.
+  void Told(double now, int observer, const std::string& name, std::string_view state);
   void Crashed(double now, int process, const std::string& how);
   Result Finish(double now, bool real);
   void AddFigure(const std::string& name, double value) { result_.figures.emplace_back(name, value); }
 
-  const Scenario& scenario() const { return scenario_; }
   bool running(int process) const { return gateways_[static_cast<std::size_t>(process)].running; }
   bool stopped(int process) const { return gateways_[static_cast<std::size_t>(process)].stopped; }
-  const std::string& name(int process) const { return gateways_[static_cast<std::size_t>(process)].name; }
 
  private:
   enum class Phase { kBefore, kDoing, kExpecting };
--- a/src/fleetkit/virtual_fleet.cpp
+++ b/src/fleetkit/virtual_fleet.cpp
@@ -81,8 +81,6 @@
     now_ = event.at;
     event.what();
   }
-  for (const Gateway& gateway : gateways_)
-    if (gateway.up) most_known_ = std::max(most_known_, gateway.machine->others().size());
   return stage_.Finish(now_, false);
 }
 
@@ -93,12 +91,7 @@
     seen = {};
     if (!gateway.up || gateway.stopped) continue;
     const Machine& machine = *gateway.machine;
-    seen = {true,
-            machine.settled(),
-            !machine.refused().empty(),
-            machine.self().boot,
-            machine.Fingerprint(),
-            machine.version()};
+    seen = {true, machine.settled(), !machine.refused().empty(), machine.self().boot, machine.Fingerprint()};
   }
   stage_.Look(now_, seen_, *this);
 }
@@ -235,7 +228,7 @@
     Mix(StableHash(change.member.name, static_cast<std::uint64_t>(change.member.state)));
     const int of = ProcessAt(change.member.address);
     if (change.member.state == fleet::State::kDead && stage_.running(of) && !stage_.stopped(of)) ++told_dead_;
-    stage_.Told(now_, process, change.member.name, change.member.boot, fleet::Word(change.member.state));
+    stage_.Told(now_, process, change.member.name, fleet::Word(change.member.state));
   }
   if (!gateway.up) return;
   for (const fleet::Sending& sending : out.datagrams) SendDatagram(process, sending);
@@ -291,7 +284,6 @@
 // By TCP: whole or not at all, and an end is noticed in two seconds at the latest.
 void VirtualFleet::SendExchange(int from, const fleet::Sending& sending) {
   const int to = ProcessAt(sending.to);
-  ++traffic_.exchanges;
   const Address with = sending.to;
   const int life = gateways_[static_cast<std::size_t>(from)].life;
   const auto fail = [this, from, with, life](double after) {
--- a/src/fleetkit/virtual_fleet.hpp
+++ b/src/fleetkit/virtual_fleet.hpp
@@ -20,7 +20,7 @@
 enum class Mutant { kNone, kNeverRefutes, kOneBoot, kDeadNotAsked };
 
 struct Traffic {
-  std::uint64_t datagrams = 0, bytes = 0, exchanges = 0;
+  std::uint64_t datagrams = 0, bytes = 0;
 };
 
 class VirtualFleet : Hand {
@@ -35,7 +35,6 @@
   const Traffic& traffic() const { return traffic_; }
   std::uint64_t hash() const { return hash_; }            // of all that was sent and told, in its order
   std::uint64_t told_dead() const { return told_dead_; }  // of members that were there, over all gateways
-  std::size_t most_known() const { return most_known_; }
   std::string Views() const;  // what each gateway sees, a line each: for the report of a failure
 
  private:
@@ -91,7 +90,6 @@
   bool look_due_ = true;
   Traffic traffic_;
   std::uint64_t hash_ = 0, told_dead_ = 0;
-  std::size_t most_known_ = 0;
 };
 
 }  // namespace curlewdoor::fleetkit
--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -22,8 +22,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds kLookEvery{25};
-constexpr int kFewProcesses = 24;       // with more, each is asked less often
-constexpr std::uint32_t kRelays = 128;  // of each address's last part: relays from here on
+constexpr int kFewProcesses = 24;            // with more, each is asked less often
+constexpr std::uint32_t kRelays = 128;       // of each address's last part: relays from here on
+constexpr std::uint64_t kMetricsEvery = 10;  // calls of a gateway: one METRICS, the others FLEET
 constexpr std::string_view kFleetName = "rig";
 
 double Steady() {
@@ -241,11 +242,10 @@
   stage_.Look(Now(), seen_, *this);
   for (Gateway& gateway : gateways_) gateway.relay->LinksChanged();
   // So that an answer is seen soon after it changes, and the asking itself costs the machine little.
-  static std::uint64_t turn = 0;
-  ++turn;
+  ++turn_;
   const std::size_t every = gateways_.size() > kFewProcesses ? gateways_.size() / kFewProcesses + 1 : 1;
   for (std::size_t g = 0; g < gateways_.size(); ++g)
-    if ((turn + g) % every == 0) Ask(static_cast<int>(g));
+    if ((turn_ + g) % every == 0) Ask(static_cast<int>(g));
 }
 
 void FleetRig::Watch() {
@@ -287,8 +287,7 @@
     ::close(std::exchange(asking.fd, -1));
   };
   if (asking.got.empty()) {
-    const std::string_view call =
-        Steady() * 4 - static_cast<double>(static_cast<long>(Steady() * 4)) < 0.1 ? "METRICS\n" : "FLEET\n";
+    const std::string_view call = gateway.asked++ % kMetricsEvery == 0 ? "METRICS\n" : "FLEET\n";
     if (::send(asking.fd, call.data(), call.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(call.size())) {
       asking.got = " ";
       return asking.io->Want(asking.fd, EV_READ);
@@ -307,8 +306,8 @@
   const std::string_view text = asking.got;
   if (text.ends_with("END\n") && text.starts_with(" fleet ")) {
     const std::string_view line = text.substr(0, text.find('\n'));
-    seen = {true, Value(line, "settled") == "yes", text.find("\nrefused ") != std::string_view::npos,
-            0,    Number(Value(line, "view"), 16), Number(Value(line, "version"))};
+    seen = {true, Value(line, "settled") == "yes", text.find("\nrefused ") != std::string_view::npos, 0,
+            Number(Value(line, "view"), 16)};
     const std::string own = fmt::format("member name={} ", gateway.name);
     if (const auto at = text.find(own); at != std::string_view::npos)
       seen.boot = Number(Value(text.substr(at, text.find('\n', at) - at), "boot"));
@@ -336,8 +335,7 @@
       if (in.eof()) break;  // its end is still to come
       gateway.log_read += line.size() + 1;
       if (line.find("fleet: event=member") == std::string::npos) continue;
-      stage_.Told(Now(), static_cast<int>(g), std::string(Value(line, "member")), Number(Value(line, "boot")),
-                  Value(line, "state"));
+      stage_.Told(Now(), static_cast<int>(g), std::string(Value(line, "member")), Value(line, "state"));
     }
   }
 }
--- a/src/playing/fleet_rig.hpp
+++ b/src/playing/fleet_rig.hpp
@@ -46,7 +46,7 @@
     Asking asking;
     std::uint64_t datagrams = 0, bytes = 0;  // as it says
     bool counted = false;
-    double cpu_s = 0;
+    std::uint64_t asked = 0;
   };
 
   void Start(int process, const std::string& name) override;
@@ -79,6 +79,7 @@
   std::vector<fleetkit::Seen> seen_;
   net::TimerWatcher timer_;
   double began_ = 0;
+  std::uint64_t turn_ = 0;  // of asking
 };
 
 }  // namespace curlewdoor::playing
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -1,8 +1,6 @@
 // Upgrades of real processes under load, on loopback: each request gets one answer, no connection is lost,
 // and each failure of either process leaves somebody who accepts.
-#include <fcntl.h>
 #include <signal.h>
-#include <sys/wait.h>
 
 #include <map>
 #include <random>
@@ -16,30 +14,20 @@
 
 using std::chrono::milliseconds;
 
-// A gateway in a process of its own, with the clients' socket inherited as descriptor 7.
+// A gateway in a process of its own, with the clients' socket inherited.
 class Child {
  public:
   Child(int listen_fd, const std::string& config, const std::string& folder, const std::string& log)
       : log_(log) {
-    pid_ = ::fork();
-    if (pid_ != 0) return;
-    ::dup2(listen_fd, 7);
-    ::dup2(::open(log.c_str(), O_CREAT | O_WRONLY | O_APPEND, 0600), 2);
-    ::setenv("RELAY_LISTEN_FD", "7", 1);
-    ::setenv("RELAY_ADMIN", "127.0.0.1:0", 1);
-    ::setenv("TMPDIR", folder.c_str(), 1);
-    ::execl(CURLEWDOOR_PROGRAM, "curlewdoor", "serve", "--config", config.c_str(), nullptr);
-    ::_exit(127);
-  }
-  ~Child() {
-    if (!Ended()) Signal(SIGKILL);
-    while (!Ended()) ::usleep(1000);
+    std::string error;
+    auto started = playing::Process::Start(CURLEWDOOR_PROGRAM, config, log, error, listen_fd,
+                                           {{"RELAY_ADMIN", "127.0.0.1:0"}, {"TMPDIR", folder}});
+    EXPECT_TRUE(started) << error;
+    if (started) process_ = std::move(*started);
   }
-  Child(const Child&) = delete;
-  Child& operator=(const Child&) = delete;
-  void Signal(int signal) const { ::kill(pid_, signal); }
-  bool Ended() { return ended_ = ended_ || ::waitpid(pid_, &status_, WNOHANG) == pid_; }
-  int exit_code() const { return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1; }
+  void Signal(int signal) const { process_.Signal(signal); }
+  bool Ended() { return !process_.running(); }
+  int exit_code() const { return process_.exit_code(); }
   std::string Log() const {
     std::ifstream in(log_);
     return {std::istreambuf_iterator<char>(in), std::istreambuf_iterator<char>()};
@@ -54,9 +42,7 @@
 
  private:
   const std::string log_;
-  pid_t pid_;
-  int status_ = 0;
-  bool ended_ = false;
+  playing::Process process_;
 };
 
 class UpgradeTest : public ServiceTest {
