Fleet rehearsals with clients beside them; what a stall has held is not sent on

Need: the rig showed how gateways see one another, and nothing of what clients get meanwhile.

Change: `load` names a rehearsal whose clients, hosts and counter are played beside the fleet; its five rules are judged too. A client's second try tells what is left of its time, and a folder of old logs says nothing of a new run.

Found by it, and mended: a gateway that was stopped for 5 s sent requests on up to 2.6 s after their time. Traced by the turns of its loop: one turn accepts, the next reads, and only the first knew of the stall (StallMeter::Wakes). For as long as the stall was, the system is asked how old the bytes are (TCP_INFO).

--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -17,6 +17,7 @@
 #include "net/discovery.hpp"
 #include "net/listener.hpp"
 #include "net/shutdown.hpp"
+#include "net/socket_io.hpp"
 #include "net/upstream.hpp"
 #include "roster/by_hand.hpp"
 
@@ -46,7 +47,10 @@
   void Post(Input input) override;
   void Handle(Input input);  // what Post() does once the layers before the core have had their say
   TimePoint Now() override { return clock_.Now(); }
-  Duration Unseen() override { return stalls_.unseen(); }
+  Duration Unseen(int socket) override {
+    const TimePoint now = clock_.Now();
+    return stalls_.Unseen(now, stalls_.behind(now) ? net::SinceReceived(socket) : std::nullopt);
+  }
 
   // Bodies in pieces: docs/streaming.md.
   void OnUpload(RequestId request) override;
--- a/src/core/timers.hpp
+++ b/src/core/timers.hpp
@@ -48,11 +48,27 @@
   void Wakes(TimePoint now) {
     woke_ = now;
     unseen_ = busy_ + std::max(Duration::zero(), now - until_);
+    if (unseen_ < kStep || now < behind_until_) return;
+    behind_since_ = now - unseen_;
+    behind_until_ = now + unseen_;
   }
+  // Of what this turn finds.
   Duration unseen() const { return unseen_; }
+  // What a stall has piled up is read over several turns: one accepts, the next reads, and what is more than
+  // a turn takes waits for a third. So for as long as the stall was, what is read may be as old as the stall,
+  // and only the system can tell: `age` is what it says of the data, absent where it says nothing. Guards
+  // against what a stopped gateway held being sent on after its time (fleet-load-stall, 8 of 8 seeds, up
+  // to 2.6 s).
+  bool behind(TimePoint now) const { return now < behind_until_; }
+  Duration Unseen(TimePoint now, std::optional<Duration> age) const {
+    if (!behind(now) || !age) return unseen_;
+    return std::max(unseen_, std::min(*age, now - behind_since_));
+  }
 
  private:
-  TimePoint woke_, until_;
+  static constexpr Duration kStep = std::chrono::milliseconds(10);  // of the system's clock of arrivals
+
+  TimePoint woke_, until_, behind_since_, behind_until_;
   Duration busy_{}, unseen_{};
 };
 
--- a/src/fleetkit/scenario.cpp
+++ b/src/fleetkit/scenario.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <filesystem>
 
 #include "rehearsal/toml_table.hpp"
 
@@ -13,6 +14,7 @@
 using rehearsal::Table;
 
 constexpr double kLongestWait = 3600;
+constexpr double kLongestLoad = 600;  // clients ask no longer
 
 Span Between(Table& table, std::string_view key, Span absent, double most) {
   const auto range = table.Between(key, {absent.low, absent.high}, 0, most);
@@ -73,6 +75,22 @@
   return fault;
 }
 
+// The rehearsal that is played beside it, from the same folder. What befalls gateways stands in one file
+// only.
+std::optional<rehearsal::Scenario> ReadLoad(Table& table, const std::string& path) {
+  const std::string name = table.Text("load", "");
+  if (name.empty()) return std::nullopt;
+  std::string error;
+  auto load = rehearsal::LoadScenario((std::filesystem::path(path).parent_path() / name).string(), error);
+  if (!load) return table.Fail("load", error), std::nullopt;
+  for (const rehearsal::Fault& fault : load->faults)
+    if (rehearsal::WordOf(fault.kind).target == rehearsal::Target::kGateway)
+      table.Fail("load", fmt::format("{} has a fault {}: gateways' faults stand here", name,
+                                     rehearsal::WordOf(fault.kind).word));
+  load->length_s = kLongestLoad;
+  return load;
+}
+
 std::optional<Scenario> Read(const toml::table& file, const std::string& path, std::string& error) {
   Table table(&file, "", path, error);
   Scenario scenario;
@@ -99,6 +117,8 @@
     if (scenario.faults.size() > kMostFaults)
       table.Fail("fault", fmt::format("are more than {}", kMostFaults));
   }
+  scenario.load = ReadLoad(table, path);
+  if (scenario.load && scenario.twins > 0) table.Fail("load", "can't be played beside gateway_twin");
   table.RefuseOthers();
   if (!error.empty()) return std::nullopt;
   return scenario;
--- a/src/fleetkit/scenario.hpp
+++ b/src/fleetkit/scenario.hpp
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "rehearsal/scenario.hpp"
+
 namespace curlewdoor::fleetkit {
 
 inline constexpr int kMostGateways = 1000;  // in virtual time
@@ -89,6 +91,9 @@
   double first_within_s = 10;  // until all have found one another
   std::vector<Fault> faults;
   int twins = 0;
+  // Clients, hosts and a counter that are played beside it, on sockets: another rehearsal, with these
+  // gateways in place of its own. Its five rules are judged too.
+  std::optional<rehearsal::Scenario> load;
 
   int processes() const { return gateways + twins; }
 };
--- a/src/fleetkit/stage.hpp
+++ b/src/fleetkit/stage.hpp
@@ -66,6 +66,8 @@
   // To be called often: does what is due. Ends when the last fault's expectation was seen or was not in time.
   void Look(double now, const std::vector<Seen>& seen, Hand& hand);
   bool done() const { return done_; }
+  // All have found one another for the first time.
+  bool under_way() const { return !result_.waits.empty() && result_.waits.front().took >= 0; }
   std::optional<double> NextDue() const;
   const LinkTrouble& link(int from, int to) const;
 
@@ -74,6 +76,7 @@
   void Told(double now, int observer, const std::string& name, std::string_view state);
   void Crashed(double now, int process, const std::string& how);
   Result Finish(double now, bool real);
+  void Judged(Verdict verdict) { result_.verdicts.push_back(std::move(verdict)); }
   void AddFigure(const std::string& name, double value) { result_.figures.emplace_back(name, value); }
 
   bool running(int process) const { return gateways_[static_cast<std::size_t>(process)].running; }
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -41,6 +41,7 @@
   Client(struct ev_loop* loop, Descriptor descriptor, Owner& owner);
 
   const http::Message& request() const { return request_; }
+  int socket() const { return descriptor_.fd(); }
   // Writes the final answer. The pieces of `head` are whole header lines.
   void Answer(int status, std::span<const iovec> head, std::string_view body);
 
--- a/src/net/inputs.hpp
+++ b/src/net/inputs.hpp
@@ -13,8 +13,9 @@
   // Handles the input and all effects, or, while another is being handled, queues it behind that.
   virtual void Post(Input input) = 0;
   virtual TimePoint Now() = 0;
-  // How long what is read just now may have waited unseen, because this process stood still or was busy.
-  virtual Duration Unseen() = 0;
+  // How long what is read just now from this socket may have waited unseen, because this process stood still
+  // or was busy.
+  virtual Duration Unseen(int socket) = 0;
 
   // Bodies in pieces: docs/streaming.md. Of a request: more of its body has come or it has ended, or its
   // attempt's connection has written all that it was given.
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -162,7 +162,7 @@
   waiting_[client.id] = &client;
   RequestArrived& request = std::get<RequestArrived>(read);
   client.figures = &by_class_[request.request_class];
-  request.time_left = std::max(Duration::zero(), request.time_left - inputs_.Unseen());
+  request.time_left = std::max(Duration::zero(), request.time_left - inputs_.Unseen(client.socket()));
   inputs_.Post(RequestRead{std::move(request), !client.uploading()});
 }
 
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -2,6 +2,8 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -110,4 +112,11 @@
   return StatusOf(::recv(fd, nobodys.data(), nobodys.size(), MSG_DONTWAIT));
 }
 
+std::optional<Duration> SinceReceived(int socket) {
+  tcp_info info{};
+  socklen_t size = sizeof info;
+  if (::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return std::nullopt;
+  return std::chrono::milliseconds(info.tcpi_last_data_recv);
+}
+
 }  // namespace curlewdoor::net
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <span>
 #include <string>
 
 #include "http/buffer.hpp"
 #include "http/message.hpp"
+#include "logic.hpp"
 #include "util/address.hpp"
 
 namespace curlewdoor::net {
@@ -35,4 +37,8 @@
 // The same for bytes that nobody wants.
 ReadStatus Discard(int fd);
 
+// How long ago the last bytes came to a TCP socket, as the system has it, in steps of its clock (up to 10
+// ms); nullopt: it does not say.
+std::optional<Duration> SinceReceived(int socket);
+
 }  // namespace curlewdoor::net
--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -26,6 +26,7 @@
 constexpr std::uint32_t kRelays = 128;       // of each address's last part: relays from here on
 constexpr std::uint64_t kMetricsEvery = 10;  // calls of a gateway: one METRICS, the others FLEET
 constexpr std::string_view kFleetName = "rig";
+constexpr double kPlaysOn_s = 3.5;  // for answers that are still due
 
 double Steady() {
   return std::chrono::duration<double>(std::chrono::steady_clock::now().time_since_epoch()).count();
@@ -46,6 +47,27 @@
   return value;
 }
 
+// A deployment of one class without hosts: what is rehearsed is how gateways get along.
+nlohmann::json PlainConfig(const Address& listen, std::uint64_t seed) {
+  rehearsal::Scenario plain;
+  plain.gateways = 1;
+  plain.has_counter = false;
+  plain.classes.resize(1);
+  plain.classes[0].asked.name = "read";
+  plain.classes[0].asked.aim = std::chrono::milliseconds(400);
+  plain.classes[0].asked.deadline = std::chrono::milliseconds(1500);
+  plain.plans.resize(1);
+  plain.plans[0].crowd.name = "open";
+  return rehearsal::GatewayConfig(plain, 0, seed, {listen.ToText(), "127.0.0.1:1", ""},
+                                  {{"rev", 0}, {"all", true}, {"targets", nlohmann::json::array()}});
+}
+
+rehearsal::Scenario LoadOf(const fleetkit::Scenario& scenario) {
+  rehearsal::Scenario load = scenario.load.value_or(rehearsal::Scenario{});
+  load.gateways = scenario.gateways;
+  return load;
+}
+
 }  // namespace
 
 FleetRig::FleetRig(const fleetkit::Scenario& scenario, std::uint64_t seed, RigOptions options)
@@ -56,6 +78,7 @@
       loop_(ev_loop_new(unsigned{EVBACKEND_EPOLL} | unsigned{EVFLAG_NOENV})),
       stage_(scenario, seed),
       gateways_(static_cast<std::size_t>(scenario.processes())),
+      load_(LoadOf(scenario)),
       seen_(gateways_.size()),
       timer_(loop_, [this](int) { Look(); }) {
   std::signal(SIGPIPE, SIG_IGN);
@@ -70,6 +93,7 @@
       if (fd >= 0) ::close(fd);
   }
   gateways_.clear();
+  world_.reset();
   timer_.Stop();
   ev_loop_destroy(loop_);
 }
@@ -112,34 +136,64 @@
   gateway.relay->LeadTo(gateway.fleet);
 }
 
-void FleetRig::Launch(int process) {
-  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
-  const std::string place = fmt::format("{}{}", gateway.name, process >= scenario_.gateways ? "-twin" : "");
+// Its place is free again for nobody else: the address is this run's alone.
+void FleetRig::LetGo(Gateway& gateway) {
+  if (world_ && gateway.listen_fd >= 0) ::close(std::exchange(gateway.listen_fd, -1));
+}
+
+bool FleetRig::ListenAgain(Gateway& gateway) {
+  std::string error;
+  if (gateway.listen_fd < 0) gateway.listen_fd = net::ListenOn(gateway.listen, gateway.listen, error);
+  return gateway.listen_fd >= 0;
+}
+
+nlohmann::json FleetRig::ConfigOf(int process) const {
+  const Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
   nlohmann::json seeds = nlohmann::json::array();
   for (int seed = 0; seed < scenario_.seeds; ++seed)
     seeds.push_back(gateways_[static_cast<std::size_t>(seed)].relay->address().ToText());
-  // A deployment of one class without hosts: what is rehearsed here is how gateways get along.
-  rehearsal::Scenario plain;
-  plain.gateways = 1;
-  plain.has_counter = false;
-  plain.classes.resize(1);
-  plain.classes[0].asked.name = "read";
-  plain.classes[0].asked.aim = std::chrono::milliseconds(400);
-  plain.classes[0].asked.deadline = std::chrono::milliseconds(1500);
-  plain.plans.resize(1);
-  plain.plans[0].crowd.name = "open";
-  auto config = rehearsal::GatewayConfig(
-      plain, 0, StableHash(gateway.name, seed_ + static_cast<std::uint64_t>(gateway.lives)),
-      {gateway.listen.ToText(), "127.0.0.1:1", ""},
-      {{"rev", 0}, {"all", true}, {"targets", nlohmann::json::array()}});
+  auto config =
+      world_ ? world_->ConfigOf(process)
+             : PlainConfig(gateway.listen,
+                           StableHash(gateway.name, seed_ + static_cast<std::uint64_t>(gateway.lives)));
   config["name"] = gateway.name;
   config["admin"] = gateway.admin.ToText();
   config["fleet"] = {{"name", kFleetName},     {"listen", gateway.fleet.ToText()},
                      {"seeds", seeds},         {"advertise", gateway.relay->address().ToText()},
                      {"size", scenario_.size}, {"probe_ms", scenario_.probe_ms}};
-  const std::string file = logs_ + "/" + place + ".json";
-  std::ofstream(file) << config.dump(1) << '\n';
-  gateway.log = logs_ + "/" + place + ".log";
+  return config;
+}
+
+std::string FleetRig::WriteConfig(int process) const {
+  const std::string file = PlaceOf(process) + ".json";
+  std::ofstream(file + ".next") << ConfigOf(process).dump(1) << '\n';
+  std::filesystem::rename(file + ".next", file);
+  return file;
+}
+
+std::string FleetRig::PlaceOf(int process) const {
+  const std::string& name = gateways_[static_cast<std::size_t>(process)].name;
+  return fmt::format("{}/{}{}", logs_, name, process >= scenario_.gateways ? "-twin" : "");
+}
+
+void FleetRig::Reconfigure(int process) {
+  WriteConfig(process);
+  world_->At(std::max(world_->Now(), world_->MayHangUp(process)),
+             [this, process, life = world_->life(process)] {
+               if (world_->life(process) == life && stage_.running(process))
+                 gateways_[static_cast<std::size_t>(process)].process.Signal(SIGHUP);
+             });
+}
+
+void FleetRig::Launch(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  const std::string file = WriteConfig(process);
+  gateway.log = PlaceOf(process) + ".log";
+  // What an earlier run has left in the folder says nothing of this one.
+  std::error_code none;
+  if (gateway.lives == 0)
+    gateway.log_read =
+        std::filesystem::exists(gateway.log, none) ? std::filesystem::file_size(gateway.log, none) : 0;
   ++gateway.lives;
   std::string error;
   auto started = Process::Start(options_.program, file, gateway.log, error, gateway.listen_fd,
@@ -155,6 +209,16 @@
   // One that got SIGTERM may still answer what it owes: the next life calls elsewhere, as after an upgrade.
   if (gateway.ending) gateway.older = std::move(gateway.process);
   if (gateway.lives > 0) MoveAdmin(process);
+  gateway.to_start = true;
+  StartWhereFree(process);
+}
+
+// Where clients ask, the place of the one before must be free: one that drains still takes what comes.
+void FleetRig::StartWhereFree(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  if (!gateway.to_start || !ListenAgain(gateway)) return;
+  gateway.to_start = false;
+  if (world_) world_->Started(process);
   Launch(process);
 }
 
@@ -174,16 +238,27 @@
   if (asking.fd >= 0) ::close(std::exchange(asking.fd, -1));
 }
 
-void FleetRig::Kill(int process) { gateways_[static_cast<std::size_t>(process)].process.Kill(); }
+void FleetRig::Kill(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.process.Kill();
+  LetGo(gateway);
+  if (world_) world_->Killed(process);
+}
 
 void FleetRig::Term(int process) {
   Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
   gateway.ending = true;
+  LetGo(gateway);
+  if (world_) world_->Ending(process);
   gateway.process.Signal(SIGTERM);
 }
-void FleetRig::Stop(int process) { gateways_[static_cast<std::size_t>(process)].process.Signal(SIGSTOP); }
+void FleetRig::Stop(int process) {
+  gateways_[static_cast<std::size_t>(process)].process.Signal(SIGSTOP);
+  if (world_) world_->Stopped(process);
+}
 void FleetRig::Continue(int process) {
   Forget(process);
+  if (world_) world_->Continued(process);
   gateways_[static_cast<std::size_t>(process)].process.Signal(SIGCONT);
 }
 
@@ -208,9 +283,11 @@
         fmt::format("{} processes are more than the {} that can be played with real ones",
                     scenario_.processes(), fleetkit::kMostProcesses));
   for (int g = 0; g < scenario_.processes(); ++g) Prepare(g);
+  PrepareLoad();
   began_ = Steady();
   timer_.StartIn(std::chrono::milliseconds(0), kLookEvery);
   while (!stage_.done()) ev_run(loop_, EVRUN_ONCE);
+  JudgeLoad();
   ReadLogs();
   std::uint64_t datagrams = 0, bytes = 0;
   double cpu = 0;
@@ -231,6 +308,35 @@
   return stage_.Finish(Now(), true);
 }
 
+void FleetRig::PrepareLoad() {
+  if (!scenario_.load) return;
+  world_ = std::make_unique<SocketWorld>(load_, seed_, loop_, static_cast<SocketWorld::Keeper&>(*this));
+  std::vector<Address> listen;
+  for (int g = 0; g < scenario_.gateways; ++g)
+    listen.push_back(gateways_[static_cast<std::size_t>(g)].listen);
+  world_->Open(listen);
+  for (int g = scenario_.started; g < scenario_.gateways; ++g) world_->Absent(g);
+}
+
+// The five rules beside those of the fleet.
+void FleetRig::JudgeLoad() {
+  if (!world_) return;
+  world_->StopAsking();
+  const double ends = Now() + kPlaysOn_s;
+  while (world_->owes_answers() && Now() < ends) ev_run(loop_, EVRUN_ONCE);
+  const rehearsal::RunResult load = world_->Finish();
+  for (const rehearsal::RuleVerdict& rule : load.verdicts)
+    stage_.Judged({std::string(rehearsal::RuleName(rule.rule)),
+                   rule.first ? fmt::format("{} at {:.2f} s of the load, {} in all", rule.first->what,
+                                            rule.first->at, rule.breaches)
+                              : ""});
+  if (!load.not_judged.empty()) stage_.Judged({"load", load.not_judged});
+  stage_.AddFigure("requests", static_cast<double>(load.totals.offered));
+  stage_.AddFigure("service", load.totals.Service());
+  stage_.AddFigure("due while a gateway stood still", static_cast<double>(load.held_up));
+  stage_.AddFigure("p99, ms", load.totals.p99_ms);
+}
+
 void FleetRig::Look() {
   Watch();
   ReadLogs();
@@ -240,6 +346,7 @@
     if (!stage_.running(process) || stage_.stopped(process)) seen_[g] = {};
   }
   stage_.Look(Now(), seen_, *this);
+  if (world_ && stage_.under_way() && !std::exchange(asking_, true)) world_->Begin();
   for (Gateway& gateway : gateways_) gateway.relay->LinksChanged();
   // So that an answer is seen soon after it changes, and the asking itself costs the machine little.
   ++turn_;
@@ -252,10 +359,14 @@
   for (std::size_t g = 0; g < gateways_.size(); ++g) {
     Gateway& gateway = gateways_[g];
     gateway.older.running();
-    if (gateway.lives == 0 || gateway.process.running() || gateway.ending ||
+    StartWhereFree(static_cast<int>(g));
+    if (world_ && gateway.ending && !gateway.to_start && gateway.lives > 0 && !gateway.process.running())
+      world_->Ended(static_cast<int>(g), gateway.process.exit_code());
+    if (gateway.lives == 0 || gateway.to_start || gateway.process.running() || gateway.ending ||
         !stage_.running(static_cast<int>(g)))
       continue;
     gateway.ending = true;
+    if (world_) world_->Ended(static_cast<int>(g), gateway.process.exit_code());
     stage_.Crashed(Now(), static_cast<int>(g),
                    fmt::format("exit code {}; see {}", gateway.process.exit_code(), gateway.log));
   }
--- a/src/playing/fleet_rig.hpp
+++ b/src/playing/fleet_rig.hpp
@@ -5,12 +5,14 @@
 
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
 #include "fleetkit/stage.hpp"
 #include "playing/process.hpp"
 #include "playing/relay.hpp"
+#include "playing/socket_world.hpp"
 
 namespace curlewdoor::playing {
 
@@ -19,7 +21,7 @@
   std::string log_folder;  // where logs and configurations stay; made where it does not exist; empty: they go
 };
 
-class FleetRig : fleetkit::Hand {
+class FleetRig : fleetkit::Hand, SocketWorld::Keeper {
  public:
   FleetRig(const fleetkit::Scenario& scenario, std::uint64_t seed, RigOptions options);
   ~FleetRig() override;
@@ -42,7 +44,7 @@
     int lives = 0;
     std::string log;
     std::size_t log_read = 0;
-    bool ending = false, upgrading = false;
+    bool ending = false, upgrading = false, to_start = false;
     Asking asking;
     std::uint64_t datagrams = 0, bytes = 0;  // as it says
     bool counted = false;
@@ -56,9 +58,25 @@
   void Continue(int process) override;
   void Upgrade(int process) override;
 
+  // The load's own faults leave gateways alone, but for a new configuration.
+  void StartGateway(int) override {}
+  void KillGateway(int) override {}
+  void EndGateway(int) override {}
+  void HangUpGateway(int) override {}
+  void Reconfigure(int process) override;
+
   double Now() const;
   std::uint32_t Ip(int process, bool relay) const;
   void Prepare(int process);
+  void PrepareLoad();
+  void JudgeLoad();
+  nlohmann::json ConfigOf(int process) const;
+  // False: the place is still held, by the life that ends.
+  void StartWhereFree(int process);
+  std::string PlaceOf(int process) const;
+  std::string WriteConfig(int process) const;
+  bool ListenAgain(Gateway& gateway);
+  void LetGo(Gateway& gateway);
   void Launch(int process);
   void MoveAdmin(int process);
   void Forget(int process);
@@ -76,7 +94,10 @@
   struct ev_loop* loop_;
   fleetkit::Stage stage_;
   std::vector<Gateway> gateways_;
+  const rehearsal::Scenario load_;
   std::vector<fleetkit::Seen> seen_;
+  std::unique_ptr<SocketWorld> world_;  // where the scenario has a load
+  bool asking_ = false;
   net::TimerWatcher timer_;
   double began_ = 0;
   std::uint64_t turn_ = 0;  // of asking
--- a/src/playing/load.cpp
+++ b/src/playing/load.cpp
@@ -85,7 +85,7 @@
       asked_.push_back({id, due});
       by_id_[id] = due;
       if (due >= counted_from_) ++result_.due;
-      clients_.Ask(id, Text(id));
+      clients_.Ask(id, [this, id] { return Text(id); });
     }
   }
 
--- a/src/playing/socket_clients.cpp
+++ b/src/playing/socket_clients.cpp
@@ -25,7 +25,7 @@
   return line;
 }
 
-void SocketClients::Ask(Tag tag, std::string text) {
+void SocketClients::Ask(Tag tag, Text text) {
   Line* line = nullptr;
   while (!idle_.empty() && line == nullptr) {
     line = idle_.back();
@@ -39,10 +39,10 @@
   Begin(*line, tag, std::move(text));
 }
 
-void SocketClients::Begin(Line& line, Tag tag, std::string text) {
+void SocketClients::Begin(Line& line, Tag tag, Text ask) {
   line.tag = tag;
   line.written = false;
-  line.text = std::move(text);
+  line.ask = std::move(ask);
   by_tag_[tag] = &line;
   if (line.connection.up()) OnUp(line);
 }
@@ -50,6 +50,7 @@
 void SocketClients::OnUp(Line& line) {
   line.was_up = true;
   if (!line.tag) return;
+  line.text = line.ask();
   const iovec piece = http::Piece(line.text);
   line.connection.Write({&piece, 1});
 }
@@ -76,7 +77,7 @@
 void SocketClients::OnBroken(Line& line) {
   const std::optional<Tag> tag = std::exchange(line.tag, std::nullopt);
   const bool reached = line.was_up, crossed = line.used && !line.again;
-  std::string text = std::move(line.text);
+  Text text = std::move(line.ask);
   Retire(line);
   if (!tag) return;
   by_tag_.erase(*tag);
--- a/src/playing/socket_clients.hpp
+++ b/src/playing/socket_clients.hpp
@@ -36,8 +36,10 @@
   SocketClients(struct ev_loop* loop, const Address& gateway, net::Descriptors& descriptors, Handler handler);
   ~SocketClients();
 
-  // `text` is the whole request.
-  void Ask(Tag tag, std::string text);
+  // `text` gives the whole request; asked for anew where it is sent once more, since less of its time is
+  // left.
+  using Text = std::function<std::string()>;
+  void Ask(Tag tag, Text text);
   // The client leaves.
   void Drop(Tag tag);
   void CloseAll();
@@ -58,11 +60,12 @@
     net::Connection connection;
     std::list<std::unique_ptr<Line>>::iterator self;
     std::optional<Tag> tag;  // of the request that it carries
+    Text ask;
     std::string text;
     bool was_up = false, written = false, used = false, again = false;
   };
 
-  void Begin(Line& line, Tag tag, std::string text);
+  void Begin(Line& line, Tag tag, Text ask);
   Line* Open();
   void OnUp(Line& line);
   void OnWritten(Line& line);
--- a/src/rehearsal/record.cpp
+++ b/src/rehearsal/record.cpp
@@ -110,6 +110,7 @@
   result.gateways = stage_.scenario.gateways;
   result.length_s = stage_.scenario.length_s;
   result.verdicts = judge_.Verdicts();
+  result.held_up = judge_.held_up();
   result.totals = figures_.Sum();
   result.quota_errors = quotas_.Errors();
   result.seconds = figures_.BySecond();
--- a/src/rehearsal/record.hpp
+++ b/src/rehearsal/record.hpp
@@ -32,6 +32,7 @@
   std::vector<FaultBand> faults;
   std::uint64_t event_hash = 0, events = 0;
   // Sockets: how late the kit itself was, in ms; too late, and there is no verdict.
+  std::uint64_t held_up = 0;  // requests whose time was over while their gateway stood still
   double lateness_p99_ms = 0, lateness_most_ms = 0;
   std::string not_judged;  // why, or empty
   std::string crash;       // a gateway ended by itself: which and how, or empty
@@ -56,6 +57,8 @@
   void NodeFell(TimePoint now, int node, const std::vector<double>& work_by_gateway) override;
   void GatewayStarted(TimePoint now, int gateway) override;
   void GatewayDied(TimePoint now, int gateway) override;
+  void GatewayStopped(TimePoint now, int gateway) override { judge_.GatewayStopped(now, gateway); }
+  void GatewayContinued(TimePoint now, int gateway) override { judge_.GatewayContinued(now, gateway); }
   void Called(TimePoint now, int gateway) override;
 
   RunResult Finish(Playing playing);
--- a/src/rehearsal/sighting.hpp
+++ b/src/rehearsal/sighting.hpp
@@ -36,6 +36,9 @@
   virtual void NodeFell(TimePoint, int /*node*/, const std::vector<double>& /*work_by_gateway*/) {}
   virtual void GatewayStarted(TimePoint, int /*gateway*/) {}
   virtual void GatewayDied(TimePoint, int /*gateway*/) {}
+  // Its process stands still (SIGSTOP), and goes on.
+  virtual void GatewayStopped(TimePoint, int /*gateway*/) {}
+  virtual void GatewayContinued(TimePoint, int /*gateway*/) {}
   virtual void Called(TimePoint, int /*gateway*/) {}  // the counter
 };
 
--- a/tests/fleet/scenario_test.cpp
+++ b/tests/fleet/scenario_test.cpp
@@ -32,6 +32,7 @@
       {head + "[[fault]]\nkind = \"link_loss\"\npart = 1.5\nsize = 0.1\n", "f.toml:5: fault[0].part is 1.5"},
       {head + "[[fault]]\nkind = \"wait\"\nexpect = \"rain\"\n", "f.toml:5: fault[0].expect is \"rain\""},
       {head + "[[fault]]\nkind = \"wait\"\nfor_s = 1\n", "f.toml:5: fault[0].for_s is not known"},
+      {head + "load = \"nowhere.toml\"\n", "f.toml:3: load nowhere.toml: can't be read"},
       {"name = ", "f.toml:1: "}};
   for (const auto& [text, expected] : cases)
     EXPECT_EQ(ErrorOf(text).substr(0, expected.size()), expected) << text;
--- a/tests/kit/judge_test.cpp
+++ b/tests/kit/judge_test.cpp
@@ -64,6 +64,23 @@
   EXPECT_EQ(Broken(), "lost");
 }
 
+// What was due while a gateway stood still gets its answer soon after it goes on, and is sent nowhere then.
+TEST_F(JudgeTest, AGatewayThatStoodStillOwesAnswersAtOnceAndSendsNothingLate) {
+  const auto in_time = Ask(1), late = Ask(2), left = Ask(3), sent = Ask(4);
+  judge_.GatewayStopped(kStart + milliseconds(500), 0);
+  judge_.Unanswered(kStart + milliseconds(1600), left, false);
+  judge_.GatewayContinued(kStart + milliseconds(5000), 0);
+  judge_.Answered(kStart + milliseconds(5150), in_time, AnswerKind::kFailed, 504, true);
+  EXPECT_EQ(Broken(), "");
+  EXPECT_EQ(judge_.held_up(), 2u);
+  judge_.Answered(kStart + milliseconds(5151), late, AnswerKind::kFailed, 504, true);
+  EXPECT_EQ(judge_.Verdicts()[0].breaches, 1u);
+  Attempt(milliseconds(5010), 0, left.id);
+  EXPECT_EQ(judge_.Verdicts()[0].breaches, 2u);
+  Attempt(milliseconds(5010), 0, sent.id);
+  EXPECT_EQ(judge_.Verdicts()[0].breaches, 3u);
+}
+
 TEST_F(JudgeTest, NothingIsSentAfterTheAnswer) {
   judge_.Answered(kStart, Ask(1), AnswerKind::kRefused, 429, true);
   Attempt(milliseconds(50), 0, 1);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -61,6 +61,40 @@
   EXPECT_EQ(meter.unseen(), Duration::zero());
 }
 
+// fleet-load-stall: what a stall has piled up is read over several turns, and is as old as the system says.
+TEST(StallMeter, WhatAStallPiledUpIsAsOldAsTheSystemSays) {
+  const TimePoint start{seconds(100)};
+  StallMeter meter;
+  const auto turn = [&](TimePoint now) {
+    meter.Waits(now, now + milliseconds(100));
+    meter.Wakes(now);
+  };
+  meter.Waits(start, start + milliseconds(100));
+  meter.Wakes(start + milliseconds(5100));
+  EXPECT_EQ(meter.Unseen(start + milliseconds(5100), std::nullopt), seconds(5));
+  TimePoint now = start + milliseconds(5101);
+  turn(now);
+  EXPECT_TRUE(meter.behind(now));
+  EXPECT_EQ(meter.Unseen(now, milliseconds(2900)), milliseconds(2900));
+  EXPECT_EQ(meter.Unseen(now, std::nullopt), milliseconds(1));    // the turn's own
+  EXPECT_EQ(meter.Unseen(now, seconds(60)), milliseconds(5001));  // idle before: no older than the stall
+  meter.Waits(now, start + milliseconds(10200));
+  now = start + milliseconds(10100);
+  meter.Wakes(now);
+  EXPECT_FALSE(meter.behind(now));
+}
+
+TEST(StallMeter, OrdinaryTurnsAskTheSystemNothing) {
+  TimePoint now{seconds(100)};
+  StallMeter meter;
+  for (int turn = 0; turn < 1000; ++turn) {
+    meter.Waits(now, now + seconds(1));
+    meter.Wakes(now);
+    EXPECT_FALSE(meter.behind(now));
+    now += milliseconds(1 + turn % 9);
+  }
+}
+
 TEST(TimerQueue, EarliestFirstThenInOrder) {
   TimerQueue<int> queue;
   const TimePoint start{};
