--- a/src/admin/admin.cpp
+++ b/src/admin/admin.cpp
@@ -24,14 +24,15 @@
 
 }  // namespace
 
-Call ParseCall(std::string_view line, bool with_fleet) {
+Call ParseCall(std::string_view line, bool with_fleet, bool with_duties) {
   if (line.size() > kMostLine) return Bad{"line too long"};
   const auto control = [](char c) { return (c >= 0 && c < ' ' && c != '\t') || c == 0x7f; };
   if (std::any_of(line.begin(), line.end(), control)) return Bad{"a control character in the line"};
   const std::string_view word = NextWord(line);
   if (word.empty()) return Bad{"no call; STATUS, METRICS, SUSPEND ID and RESTORE ID are known"};
   const std::string_view id = NextWord(line);
-  const bool more = !NextWord(line).empty();
+  const std::string_view second = NextWord(line);
+  const bool more = !second.empty();
   const bool suspends = word == "SUSPEND", restores = word == "RESTORE";
   if (suspends || restores) {
     if (id.empty()) return Bad{std::string(word) + " needs the id of a host"};
@@ -39,11 +40,19 @@
     if (suspends) return Suspend{std::string(id)};
     return Restore{std::string(id)};
   }
+  if (with_duties && word == "HANDOVER") {
+    if (id.empty()) return Bad{"HANDOVER needs a duty, and takes the name of a gateway behind it"};
+    if (!NextWord(line).empty()) return Bad{"HANDOVER takes a duty and a gateway, and nothing behind them"};
+    return HandOver{std::string(id), std::string(second)};
+  }
+  const bool duties = with_duties && word == "DUTIES";
   const bool fleet = with_fleet && word == "FLEET";
-  if (word != "STATUS" && word != "METRICS" && !fleet) return Bad{"unknown call: " + Printable(word)};
+  if (word != "STATUS" && word != "METRICS" && !fleet && !duties)
+    return Bad{"unknown call: " + Printable(word)};
   if (!id.empty()) return Bad{std::string(word) + " takes nothing behind it"};
   if (word == "STATUS") return Status{};
   if (fleet) return Fleet{};
+  if (duties) return Duties{};
   return Metrics{};
 }
 
--- a/src/admin/admin.hpp
+++ b/src/admin/admin.hpp
@@ -23,14 +23,18 @@
   std::string host;
 };
 struct Fleet {};
+struct Duties {};
+struct HandOver {
+  std::string duty, to;  // `to` empty: to whoever holds least
+};
 struct Bad {
   std::string reason;
 };
-using Call = std::variant<Status, Metrics, Suspend, Restore, Fleet, Bad>;
+using Call = std::variant<Status, Metrics, Suspend, Restore, Fleet, Duties, HandOver, Bad>;
 
 // Reads one line without its end. Words are separated by blanks or tabs. `with_fleet`: the calls of gateways
-// that see one another are known too.
-Call ParseCall(std::string_view line, bool with_fleet = false);
+// that see one another are known too; `with_duties`: those of duties.
+Call ParseCall(std::string_view line, bool with_fleet = false, bool with_duties = false);
 
 // What ended, by class; a class that was dropped keeps its line.
 struct ClassFigures {
--- a/src/app/handing.cpp
+++ b/src/app/handing.cpp
@@ -203,6 +203,8 @@
   }
   port_.Pause(false);
   Do(predecessor_.Ended(parts_.terminating()));
+  // It was to go on in the next process, and that has died.
+  if (parts_.terminating() && !predecessor_.handed_on() && parts_.peers != nullptr) parts_.peers->Leave();
 }
 
 }  // namespace curlewdoor::app
--- a/src/app/handing.hpp
+++ b/src/app/handing.hpp
@@ -41,6 +41,7 @@
 
   bool served() const { return served_; }  // now, or before it handed on
   bool handed_on() const { return predecessor_.handed_on(); }
+  bool next_is_near() const { return down_ != nullptr; }
   bool flushed() const { return down_ == nullptr || down_->flushed(); }
   void NoteListTold() { list_told_ = true; }
   // A call was made here: the other process is told, while there is one.
--- a/src/app/peers.cpp
+++ b/src/app/peers.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "duty/view.hpp"
+#include "util/bytes.hpp"
 #include "util/hash.hpp"
 
 #ifndef CURLEWDOOR_VERSION
@@ -31,7 +33,9 @@
   options.name = config.name;
   options.boot = BootNow();
   options.address = config.fleet->advertise;
-  options.about = fmt::format("zone:{},version:{}", config.settings.zone, CURLEWDOOR_VERSION);
+  // What others act upon comes first: the rest is for people, and may be cut.
+  options.about = fmt::format("version:{}{},zone:{}", CURLEWDOOR_VERSION, config.duty ? duty::kAble : "",
+                              config.settings.zone);
   options.about.resize(std::min(options.about.size(), fleet::kMostAbout));
   std::replace(options.about.begin(), options.about.end(), ' ', '_');
   options.seeds = config.fleet->seeds;
@@ -52,7 +56,7 @@
 }  // namespace
 
 Peers::Peers(struct ev_loop* loop, const config::Config& config, net::Descriptors& descriptors,
-             log::Logger& logger)
+             log::Logger& logger, std::function<duty::Use()> own_use)
     : loop_(loop),
       config_(*config.fleet),
       logger_(logger),
@@ -64,7 +68,12 @@
                machine_.Tick(Now(), out);
                Carry(std::move(out));
              }),
-      open_timer_(loop, [this](int) { Open(); }) {}
+      open_timer_(loop, [this](int) { Open(); }),
+      own_use_(std::move(own_use)) {
+  if (config.duty)
+    duties_.emplace(loop, config, machine_.self().boot, descriptors, logger,
+                    static_cast<Duties::Ground&>(*this));
+}
 
 Peers::~Peers() = default;
 
@@ -81,12 +90,21 @@
   logger_.Info("fleet: event=open fleet={} name={} listen={} advertise={} boot={} size={}", config_.name,
                machine_.self().name, config_.listen.ToText(), config_.advertise.ToText(),
                machine_.self().boot, config_.size);
+  if (duties_) duties_->Start();
   fleet::Out out;
   machine_.Start(Now(), out);
   Carry(std::move(out));
 }
 
+void Peers::SendPayload(const std::string& to, std::uint8_t channel, std::string bytes) {
+  fleet::Out out;
+  machine_.SendPayload(to, channel, std::move(bytes), out);
+  Carry(std::move(out));
+}
+
+// Duties are handed on first: who has left is not listened to any more.
 void Peers::Leave() {
+  if (duties_) duties_->Leave();
   fleet::Out out;
   machine_.Leave(Now(), out);
   if (!out.datagrams.empty()) logger_.Info("fleet: event=leave told={}", out.datagrams.size());
@@ -94,25 +112,33 @@
 }
 
 std::string Peers::HandOn() {
+  Writer writer;
+  const std::string duties = duties_ ? duties_->HandOn() : std::string();
   const std::string records = fleet::EncodeRecords(machine_.HandOn());
+  writer(records, duties);
   timer_.Stop();
   open_timer_.Stop();
   link_.Close();
   logger_.Info("fleet: event=handed_on");
-  return records;
+  return std::move(writer.bytes);
 }
 
 void Peers::TakeOver(std::string_view bytes) {
-  const auto records = fleet::DecodeRecords(bytes);
+  Reader reader(bytes);
+  std::string known, duties;
+  reader(known, duties);
+  const auto records = reader.ok() ? fleet::DecodeRecords(known) : std::nullopt;
   if (!records)
     return logger_.Warning("fleet: event=not_taken_over reason=\"the records are cut or changed\"");
   machine_.TakeOver(Now(), *records);
   logger_.Info("fleet: event=taken_over members={}", records->size());
+  if (duties_) duties_->TakeOver(duties);
 }
 
 void Peers::Resume() {
   machine_.Resume(Now());
   std::string error;
+  if (duties_) duties_->Resume();
   if (link_.Open(config_.listen, error)) return Arm();
   logger_.Warning("fleet: event=not_open error=\"{}\"", error);
 }
@@ -169,6 +195,10 @@
   for (const auto& [with, message] : out.exchanges)
     link_.Exchange(with, fleet::Encode(message, config_.name));
   Arm();
+  if (!duties_) return;
+  if (std::exchange(told_version_of_view_, machine_.version()) != machine_.version())
+    duties_->OnView(machine_);
+  for (const fleet::Payload& payload : out.payloads) duties_->OnPayload(payload);
 }
 
 void Peers::Arm() {
@@ -202,6 +232,13 @@
   }
 }
 
+std::vector<std::pair<std::string, std::uint64_t>> Peers::Figures() const {
+  auto figures = FleetFigures();
+  if (!duties_) return figures;
+  for (auto& figure : duties_->Figures()) figures.push_back(std::move(figure));
+  return figures;
+}
+
 std::string Peers::Describe() const {
   const Record& self = machine_.self();
   std::string text = fmt::format(
@@ -217,7 +254,7 @@
   return text + "END\n";
 }
 
-std::vector<std::pair<std::string, std::uint64_t>> Peers::Figures() const {
+std::vector<std::pair<std::string, std::uint64_t>> Peers::FleetFigures() const {
   const net::FleetLink::Counts& link = link_.counts();
   const auto dropped = [&](fleet::Drop why) { return dropped_[static_cast<std::size_t>(why)]; };
   return {{"fleet.alive", machine_.alive()},
--- a/src/app/peers.hpp
+++ b/src/app/peers.hpp
@@ -4,12 +4,14 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
 
+#include "app/duties.hpp"
 #include "config/config.hpp"
 #include "fleet/machine.hpp"
 #include "log/log.hpp"
@@ -18,10 +20,10 @@
 
 namespace curlewdoor::app {
 
-class Peers : net::FleetLink::Owner {
+class Peers : net::FleetLink::Owner, Duties::Ground {
  public:
   Peers(struct ev_loop* loop, const config::Config& config, net::Descriptors& descriptors,
-        log::Logger& logger);
+        log::Logger& logger, std::function<duty::Use()> own_use);
   ~Peers() override;
 
   // Opens the link and joins. While the address is held, by the process that this one takes over from or by
@@ -38,12 +40,17 @@
   std::string Describe() const;
   std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
   const fleet::Machine& view() const { return machine_; }
+  Duties* duties() { return duties_ ? &*duties_ : nullptr; }  // where the configuration has `duty`
 
  private:
   void OnDatagram(std::string_view bytes) override;
   std::string OnExchange(std::string_view bytes) override;
   void OnExchangeEnd(const Address& with, std::string_view bytes) override;
 
+  void SendPayload(const std::string& to, std::uint8_t channel, std::string bytes) override;
+  duty::Use OwnUse() const override { return own_use_(); }
+
+  std::vector<std::pair<std::string, std::uint64_t>> FleetFigures() const;
   std::optional<fleet::Message> Decode(std::string_view bytes, std::size_t most);
   void Open();
   void Carry(fleet::Out out);
@@ -56,6 +63,9 @@
   fleet::Machine machine_;
   net::FleetLink link_;
   net::TimerWatcher timer_, open_timer_;
+  const std::function<duty::Use()> own_use_;
+  std::optional<Duties> duties_;
+  std::uint64_t told_version_of_view_ = 0;  // that duties know
   std::array<std::uint64_t, 5> dropped_{};  // by fleet::Drop
   std::uint64_t changes_ = 0, stalls_ = 0;
   bool told_version_ = false, told_open_ = false, told_seeds_ = false, carrying_ = false;
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -40,14 +40,20 @@
                  config_.known ? std::optional(config_.known->version) : std::nullopt, descriptors_, *this,
                  logger_),
       admin_(loop, descriptors_, *this, [this](std::string_view line) { return AnswerCall(line); }),
-      peers_(config_.fleet ? std::make_unique<Peers>(loop, config_, descriptors_, logger) : nullptr),
+      peers_(config_.fleet ? std::make_unique<Peers>(
+                                 loop, config_, descriptors_, logger,
+                                 [this] {
+                                   return duty::Use{counts_.served, counts_.refused, counts_.failed};
+                                 })
+                           : nullptr),
       handing_({loop, *this, descriptors_, listener_, upstream_, *reducer_, by_hand_, logger,
                 [this](handover::Kind kind, HostId host) { CallByHand(kind, host); },
                 [this] { return shutdown_.begun(); }, peers_.get()}),
       shutdown_(
           loop, listener_, *this, [this] { return handing_.handed_on() && handing_.flushed(); },
           [this] {
-            if (peers_) peers_->Leave();
+            // Where a next process is about to take over, this one's part in the fleet goes on in that.
+            if (peers_ && !handing_.next_is_near()) peers_->Leave();
           }),
       hang_up_(loop, SIGHUP, [this](int) { OnHangUp(); }),
       before_wait_(loop, [this](int) { BeforeWait(); }),
@@ -182,7 +188,7 @@
 
 std::string Service::AnswerCall(std::string_view line) {
   return std::visit([this](const auto& call) { return Answer(call); },
-                    admin::ParseCall(line, peers_ != nullptr));
+                    admin::ParseCall(line, peers_ != nullptr, duties() != nullptr));
 }
 
 std::string Service::Answer(const admin::Status&) {
@@ -215,6 +221,13 @@
   return AnswerByHand(handover::Kind::kRestore, call.host, "restored");
 }
 
+std::string Service::Answer(const admin::Duties&) { return duties()->Describe(); }
+
+std::string Service::Answer(const admin::HandOver& call) {
+  const std::string why = duties()->HandOver(call.duty, call.to);
+  return why.empty() ? admin::Yes("handing on") : admin::No(why);
+}
+
 std::string Service::Answer(const admin::Bad& call) { return admin::No(call.reason); }
 
 std::string Service::AnswerByHand(handover::Kind kind, const std::string& name, std::string_view what) {
@@ -239,6 +252,10 @@
 void Service::OnHangUp() {
   std::string error;
   auto next = reload_(config_, error);
+  if (next && next->duty && duties() != nullptr) {
+    error = duties()->WhyNot(*next);
+    if (!error.empty()) next.reset();
+  }
   if (!next) {
     ++counts_.bad_reloads;
     return logger_.Error("reload: {}; the old configuration stays", error);
@@ -252,6 +269,7 @@
   // Parts that do I/O read the settings in force; open requests hold their own.
   config_.settings = config::Retuned(config_, *next);
   config_.keys = std::move(next->keys);
+  if (next->duty && duties() != nullptr) duties()->Retune(*next);
   listener_.NameClasses();
   Handle(SettingsTold{std::make_shared<Settings>(config_.settings)});
   logger_.Info("reload: {} classes, {} plans, {} attempts at the most", config_.settings.classes.size(),
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -87,6 +87,8 @@
   std::string Answer(const admin::Suspend& call);
   std::string Answer(const admin::Restore& call);
   std::string Answer(const admin::Fleet&);
+  std::string Answer(const admin::Duties&);
+  std::string Answer(const admin::HandOver& call);
   std::string Answer(const admin::Bad& call);
   std::string AnswerByHand(handover::Kind kind, const std::string& name, std::string_view what);
   roster::ByHand::Answer CallByHand(handover::Kind kind, HostId host);
@@ -96,6 +98,7 @@
   void BeforeWait();
   void KeepHouse();
   void LogFigures();
+  Duties* duties() { return peers_ ? peers_->duties() : nullptr; }
 
   struct ev_loop* loop_;
   config::Config config_;  // in force
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -11,6 +11,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "duty/machine.hpp"
 #include "fleet/message.hpp"
 #include "util/hash.hpp"
 #include "util/number.hpp"
@@ -260,6 +261,70 @@
   return fleet;
 }
 
+// A list of names, each once.
+std::vector<std::string> ReadNames(Reader& reader, const json& object, const char* key, std::size_t most,
+                                   std::size_t longest) {
+  std::vector<std::string> names;
+  const std::string path = fmt::format("duty.{}", key);
+  const auto list = object.find(key);
+  if (list == object.end()) return names;
+  if (!list->is_array() || list->size() > most)
+    return reader.Fail(path, fmt::format("is not a list of at most {} names", most)), names;
+  for (const json& each : *list) {
+    const std::string name = each.is_string() ? each.get<std::string>() : "";
+    if (!IsFleetName(name) || name.size() > longest)
+      return reader.Fail(path,
+                         fmt::format("holds no name of 1 to {} plain characters: {}", longest, each.dump())),
+             names;
+    if (std::find(names.begin(), names.end(), name) != names.end())
+      reader.Fail(path, fmt::format("holds {} twice", name));
+    names.push_back(name);
+  }
+  return names;
+}
+
+// Every key of `duty`, and what they mean together.
+std::optional<Duty> ReadDuty(Reader& reader, const std::optional<Fleet>& fleet) {
+  const json* found = reader.Find("duty");
+  if (found == nullptr) return std::nullopt;
+  if (!found->is_object()) return reader.Fail("duty", "is not an object"), std::nullopt;
+  if (!fleet) return reader.Fail("duty", "is given, and fleet is not"), std::nullopt;
+  Duty duty;
+  for (const auto& [key, value] : found->items()) {
+    constexpr std::string_view kKnown[] = {"voters",      "voters_before", "names",    "lease_ms",
+                                           "clock_bound", "ledger",        "record_ms"};
+    if (std::find(std::begin(kKnown), std::end(kKnown), key) == std::end(kKnown))
+      reader.Fail("duty." + key, "is not known");
+  }
+  duty.voters = ReadNames(reader, *found, "voters", duty::kMostVoters, fleet::kMostName);
+  duty.voters_before = ReadNames(reader, *found, "voters_before", duty::kMostVoters, fleet::kMostName);
+  duty.names = ReadNames(reader, *found, "names", duty::kMostDuties, duty::kMostName);
+  if (duty.voters.empty()) reader.Fail("duty.voters", "is missing or empty");
+  if (duty.names.empty()) reader.Fail("duty.names", "is missing or empty");
+  for (const auto& [key, list] :
+       {std::pair("duty.voters", &duty.voters), {"duty.voters_before", &duty.voters_before}}) {
+    if (!list->empty() && list->size() % 2 == 0)
+      reader.Fail(key, fmt::format("are {}: an odd number is needed", list->size()));
+    if (list->size() > fleet->size)
+      reader.Fail(key, fmt::format("are {}, and fleet.size is {}", list->size(), fleet->size));
+  }
+  for (const std::string& name : duty.names)
+    if (name != "record") reader.Fail("duty.names", fmt::format("holds {}, and there is record alone", name));
+  duty.lease = std::chrono::milliseconds(reader.Number("duty", "lease_ms", 100, 600'000, 3000));
+  if (duty.lease < 2 * fleet->probe)
+    reader.Fail("duty.lease_ms", fmt::format("is {}, below twice fleet.probe_ms", duty.lease.count()));
+  duty.clock_bound = reader.Number("duty", "clock_bound", 0.0001, 0.1, 0.01);
+  duty.record_every = std::chrono::milliseconds(reader.Number("duty", "record_ms", 20, 3'600'000, 10'000));
+  if (const auto ledger = found->find("ledger"); ledger != found->end()) {
+    const auto address = ledger->is_string() ? ParseAddress(ledger->get<std::string>()) : std::nullopt;
+    if (!address || address->port == 0)
+      reader.Fail("duty.ledger", fmt::format("is not an IPv4 address with a port: {}", ledger->dump()));
+    duty.ledger = address;
+  }
+  if (!duty.ledger) reader.Fail("duty.ledger", "is missing, and duty.names holds record");
+  return duty;
+}
+
 int SocketsAllowed(int configured) {
   rlimit limit{};
   if (::getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return configured;
@@ -312,6 +377,7 @@
   if (slot_ms > 0 && !config.settings.counter.available)
     reader.Fail("counting.presence_slot_ms", "is given, and settings.domain.has_counter is not true");
   config.fleet = ReadFleet(reader, config.name);
+  config.duty = ReadDuty(reader, config.fleet);
   config.keys = KeysOf(file, "");
   if (config.settings.counter.available) config.counter = reader.Address("counter", nullptr);
   if (const json* known = reader.Find("known")) {
@@ -389,6 +455,10 @@
   if (next.settings.counting.presence_slot != running.settings.counting.presence_slot)
     keys.emplace_back("counting");
   if (next.fleet != running.fleet) keys.emplace_back("fleet");
+  if (next.duty.has_value() != running.duty.has_value() ||
+      (next.duty &&
+       (next.duty->ledger != running.duty->ledger || next.duty->record_every != running.duty->record_every)))
+    keys.emplace_back("duty");
   if (next.settings.me != running.settings.me) keys.emplace_back("settings.me");
   if (next.settings.gateways != running.settings.gateways) keys.emplace_back("settings.siblings");
   if (next.settings.discovery != running.settings.discovery) keys.emplace_back("settings.discovery");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -27,6 +27,18 @@
   bool operator==(const Fleet&) const = default;
 };
 
+// Duties that one gateway holds at a time: docs/operators/duties.md. Absent: off. Needs `fleet`.
+struct Duty {
+  std::vector<std::string> voters;         // names of gateways; 1, 3, 5 or 7
+  std::vector<std::string> voters_before;  // while voters change: the list that was in force
+  std::vector<std::string> names;          // of the duties
+  std::chrono::milliseconds lease{3000};
+  double clock_bound = 0.01;  // how far rates of clocks differ from true time, as a part
+  std::optional<Address> ledger;
+  std::chrono::milliseconds record_every{10'000};
+  bool operator==(const Duty&) const = default;
+};
+
 struct Config {
   std::string name;
   Address listen, discovery, counter;
@@ -39,6 +51,7 @@
   int sockets = 1024;
   std::optional<MemberList> known;
   std::optional<Fleet> fleet;
+  std::optional<Duty> duty;
   Settings settings;
   // The paths of all keys in the file; in a list of objects, of those that each of them has.
   std::set<std::string> keys;
--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -522,6 +522,9 @@
       if (!joined_ && !rival_until_)
         Joined(now, out);  // gateways that all start together find one another so
       break;
+    case Kind::kPayload:
+      if (joined_) out.payloads.push_back({sender.name, sender.boot, message.channel, message.payload});
+      break;
     default:
       break;
   }
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -45,10 +45,19 @@
   std::string text;     // kRefused, kStalled
 };
 
+// Of a subsystem that stands on the view, from a member of it.
+struct Payload {
+  std::string from;
+  std::uint64_t boot = 0;
+  std::uint8_t channel = 0;
+  std::string bytes;
+};
+
 struct Out {
   std::vector<Sending> datagrams;  // kMostDatagram bytes each at the most
   std::vector<Sending> exchanges;  // to be sent by TCP; the answer comes back through OnMessage()
   std::vector<Change> changes;
+  std::vector<Payload> payloads;
 };
 
 struct Member {
--- a/src/fleetkit/scenario.cpp
+++ b/src/fleetkit/scenario.cpp
@@ -25,10 +25,10 @@
 std::vector<int> Gateways(Table& table, std::string_view key, const Scenario& scenario) {
   std::vector<int> found;
   for (const std::string& name : table.Texts(key)) {
-    int which = -1;
-    for (int g = 0; g < scenario.gateways && which < 0; ++g)
+    int which = name == "holder" && scenario.duties ? kHolder : name == "last" ? kLast : -1;
+    for (int g = 0; g < scenario.gateways && which == -1; ++g)
       if (NameOf(g) == name) which = g;
-    if (which < 0) table.Fail(key, fmt::format("names {}, and there is no such gateway", name));
+    if (which == -1) table.Fail(key, fmt::format("names {}, and there is no such gateway", name));
     if (std::find(found.begin(), found.end(), which) != found.end()) table.Fail(key, name + " stands twice");
     found.push_back(which);
   }
@@ -49,7 +49,11 @@
   }
   fault.kind = known->kind;
   fault.after_s = Between(table, "after_s", {}, kLongestWait);
-  const bool targets = fault.kind != FaultKind::kWait && fault.kind != FaultKind::kLinkHeal;
+  const bool targets = fault.kind != FaultKind::kWait && fault.kind != FaultKind::kLinkHeal &&
+                       fault.kind != FaultKind::kLedgerHeal;
+  const bool of_duties = fault.kind == FaultKind::kDutyHandOver || fault.kind == FaultKind::kLedgerHold ||
+                         fault.kind == FaultKind::kLedgerHeal;
+  if (of_duties && !scenario.duties) table.Fail("kind", fmt::format("{} needs [duties]", word));
   if (targets) {
     fault.who = Gateways(table, known->of_links ? "from" : "names", scenario);
     fault.part = table.Number("part", 0, 0.001, 1);
@@ -67,9 +71,14 @@
   if ((known->of_links && targets) || fault.kind == FaultKind::kGatewayStop)
     fault.for_s = table.Number("for_s", 0, 0.01, kLongestWait);
   if (!known->of_links && targets) fault.wave_s = table.Number("wave_s", 0, 0, 60);
-  constexpr std::array<std::pair<std::string_view, Expect>, 2> kExpected{
-      {{"nothing", Expect::kNothing}, {"agreed", Expect::kAgreed}}};
-  fault.expect = table.Word("expect", Expect::kAgreed, kExpected);
+  constexpr std::array<std::pair<std::string_view, Expect>, 6> kExpected{{{"nothing", Expect::kNothing},
+                                                                          {"agreed", Expect::kAgreed},
+                                                                          {"held", Expect::kHeld},
+                                                                          {"moved", Expect::kMoved},
+                                                                          {"kept", Expect::kKept},
+                                                                          {"unheld", Expect::kUnheld}}};
+  fault.expect = table.Word("expect", scenario.duties ? Expect::kHeld : Expect::kAgreed, kExpected);
+  if (fault.expect >= Expect::kHeld && !scenario.duties) table.Fail("expect", "needs [duties]");
   fault.within_s = table.Number("within_s", 10, 0.1, kLongestWait);
   table.RefuseOthers();
   return fault;
@@ -91,6 +100,19 @@
   return load;
 }
 
+std::optional<Duties> ReadDuties(Table& table, const Scenario& scenario) {
+  if (!table.Has("duties")) return std::nullopt;
+  Table inner = table.Inner("duties");
+  Duties duties;
+  duties.voters = inner.Whole("voters", std::min(3, scenario.gateways), 1, std::min(7, scenario.gateways));
+  if (duties.voters % 2 == 0) inner.Fail("voters", "is an even number");
+  duties.lease_ms = inner.Number("lease_ms", duties.lease_ms, 2 * scenario.probe_ms, 600'000);
+  duties.clock_bound = inner.Number("clock_bound", duties.clock_bound, 0.0001, 0.1);
+  duties.record_ms = inner.Number("record_ms", duties.record_ms, 20, 60'000);
+  inner.RefuseOthers();
+  return duties;
+}
+
 std::optional<Scenario> Read(const toml::table& file, const std::string& path, std::string& error) {
   Table table(&file, "", path, error);
   Scenario scenario;
@@ -110,6 +132,8 @@
   scenario.clock_rate = clocks.Number("rate", 0, 0, 0.1);
   scenario.clock_offset_s = clocks.Number("offset_s", 0, 0, 3600);
   clocks.RefuseOthers();
+  scenario.duties = ReadDuties(table, scenario);
+  if (!table.Has("duties")) table.Find("duties");
   for (Table& each : table.Inners("fault")) {
     scenario.faults.push_back(ReadFault(each, scenario));
     if (scenario.faults.back().kind == FaultKind::kGatewayTwin)
@@ -145,6 +169,11 @@
        "come with changed bytes"},
       {FaultKind::kLinkDelay, "link_delay", true, "seconds", 0.001, 10, "come later"},
       {FaultKind::kLinkHeal, "link_heal", true, "", 0, 0, "ends all troubles of links"},
+      {FaultKind::kDutyHandOver, "duty_handover", false, "", 0, 0,
+       "the holder hands its duty to this gateway"},
+      {FaultKind::kLedgerHold, "ledger_hold", false, "", 0, 0,
+       "what it sends to the ledger stays on its way"},
+      {FaultKind::kLedgerHeal, "ledger_heal", false, "", 0, 0, "what was held arrives at the ledger"},
       {FaultKind::kWait, "wait", false, "", 0, 0, "nothing breaks"}};
   return words;
 }
--- a/src/fleetkit/scenario.hpp
+++ b/src/fleetkit/scenario.hpp
@@ -45,8 +45,11 @@
   kLinkReorder,
   kLinkCorrupt,
   kLinkDelay,
-  kLinkHeal,  // ends all troubles of links
-  kWait       // nothing breaks
+  kLinkHeal,      // ends all troubles of links
+  kDutyHandOver,  // the holder is asked to hand its duty to this gateway
+  kLedgerHold,    // what this gateway sends to the ledger stays on its way
+  kLedgerHeal,    // and arrives now
+  kWait           // nothing breaks
 };
 
 struct FaultWord {
@@ -60,7 +63,13 @@
 const std::vector<FaultWord>& FaultWords();
 const FaultWord& WordOf(FaultKind kind);
 
-enum class Expect { kNothing, kAgreed };
+// kHeld: one gateway holds the duty; kMoved: one that the fault did not strike; kKept: one
+// that it struck; kUnheld: none.
+enum class Expect { kNothing, kAgreed, kHeld, kMoved, kKept, kUnheld };
+
+// In place of a gateway's number.
+inline constexpr int kHolder = -2;  // who holds the duty as the fault begins
+inline constexpr int kLast = -3;    // whom the fault before struck
 
 struct Fault {
   FaultKind kind = FaultKind::kWait;
@@ -77,6 +86,14 @@
   int line = 0;
 };
 
+// Duties that one gateway holds at a time: `record`, which appends to a ledger of the kit.
+struct Duties {
+  int voters = 3;  // the first of the gateways
+  double lease_ms = 1500;
+  double clock_bound = 0.01;
+  double record_ms = 100;  // from one act to the next
+};
+
 struct Scenario {
   std::string name, shows;
   std::uint64_t seed = 1;
@@ -94,6 +111,7 @@
   // Clients, hosts and a counter that are played beside it, on sockets: another rehearsal, with these
   // gateways in place of its own. Its five rules are judged too.
   std::optional<rehearsal::Scenario> load;
+  std::optional<Duties> duties;
 
   int processes() const { return gateways + twins; }
 };
--- a/src/fleetkit/stage.cpp
+++ b/src/fleetkit/stage.cpp
@@ -48,7 +48,12 @@
   next_twin_ = scenario.gateways;
   result_.scenario = scenario.name;
   result_.seed = seed;
+  // Voters count by their own clocks: a stopped holder's lease ends at the latest so long after its stop.
+  constexpr double kSlack_s = 0.0005;  // of the times that gateways tell
+  if (scenario.duties)
+    duties_.emplace(scenario.duties->lease_ms / 1000 * (1 + scenario.clock_rate), kSlack_s);
   result_.verdicts = {{"agreed", ""}, {"alive", ""}, {"left", ""}, {"running", ""}};
+  if (scenario.duties) result_.verdicts.push_back({"held", ""});
 }
 
 const LinkTrouble& Stage::link(int from, int to) const {
@@ -71,6 +76,8 @@
 
 void Stage::Look(double now, const std::vector<Seen>& seen, Hand& hand) {
   if (done_) return;
+  for (std::size_t g = 0; g < seen.size(); ++g)
+    if (seen[g].answered && seen[g].holds > 0) holder_ = static_cast<int>(g);
   if (std::exchange(first_, false)) {
     result_.waits.push_back({"the start", now, -1, scenario_.first_within_s});
     for (int g = 0; g < scenario_.started; ++g) Do(now, g, FaultKind::kGatewayStart, hand);
@@ -96,15 +103,20 @@
   if (phase_ == Phase::kDoing && due_.empty() && now >= expects_from_) phase_ = Phase::kExpecting;
   if (phase_ != Phase::kExpecting || !due_.empty()) return;
   Wait& wait = result_.waits.back();
-  const bool awaited = fault_ == 0 || scenario_.faults[fault_ - 1].expect == Expect::kAgreed;
-  std::string missing = awaited ? Disagreement(seen) : "";
+  const Expect expect = fault_ > 0         ? scenario_.faults[fault_ - 1].expect
+                        : scenario_.duties ? Expect::kHeld
+                                           : Expect::kAgreed;
+  std::string missing = expect == Expect::kAgreed    ? Disagreement(seen)
+                        : expect != Expect::kNothing ? Holding(seen, expect)
+                                                     : "";
   if (missing.empty()) {
     wait.took = now - expects_from_;
     return Next(now);
   }
   if (now <= expects_from_ + wait.within) return;
   wait.missing = missing;
-  Break("agreed", fmt::format("{} s after {} at {:.2f} s: {}", wait.within, wait.what, wait.at, missing));
+  Break(expect == Expect::kAgreed ? "agreed" : "held",
+        fmt::format("{} s after {} at {:.2f} s: {}", wait.within, wait.what, wait.at, missing));
   done_ = true;
 }
 
@@ -118,8 +130,39 @@
   phase_ = Phase::kBefore;
 }
 
+std::vector<int> Stage::Resolve(const std::vector<int>& who) const {
+  std::vector<int> found;
+  for (int g : who) {
+    if (g == kLast) {
+      found.insert(found.end(), last_.begin(), last_.end());
+    } else if (g != kHolder) {
+      found.push_back(g);
+    } else if (holder_) {
+      found.push_back(*holder_);
+    }
+  }
+  return found;
+}
+
+// Empty: it is as expected. Who was cut off or stopped may believe in its lease until that has run out: two
+// that say so at once here are no breach, which the judge of duties looks for.
+std::string Stage::Holding(const std::vector<Seen>& seen, Expect expect) const {
+  std::size_t holders = 0;
+  bool struck = false;
+  for (std::size_t g = 0; g < seen.size(); ++g)
+    if (seen[g].answered && gateways_[g].running && !gateways_[g].stopped && seen[g].holds > 0) {
+      ++holders;
+      struck = struck || std::find(last_.begin(), last_.end(), static_cast<int>(g)) != last_.end();
+    }
+  if (expect == Expect::kKept && holders == 1 && !struck) return "the duty has moved";
+  if (expect == Expect::kMoved && holders == 1 && struck) return "the duty has not moved";
+  if (expect != Expect::kUnheld && holders != 1) return fmt::format("the duty is held by {}", holders);
+  if (expect == Expect::kUnheld && holders != 0) return "the duty is held still";
+  return "";
+}
+
 std::vector<int> Stage::Choose(const Fault& fault) {
-  if (fault.part == 0) return fault.who;
+  if (fault.part == 0) return Resolve(fault.who);
   // A start strikes those that are not there, everything else those that are.
   std::vector<int> able;
   for (int g = 0; g < scenario_.gateways; ++g) {
@@ -138,7 +181,8 @@
 void Stage::Begin(double now, Hand& hand) {
   const Fault& fault = scenario_.faults[fault_++];
   const FaultWord& word = WordOf(fault.kind);
-  const std::vector<int> who = Choose(fault);
+  const std::vector<int> who = Choose(fault), to = Resolve(fault.to);
+  if (!who.empty()) last_ = to.empty() ? who : to;
   std::string text(word.word);
   for (std::size_t i = 0; i < who.size() && i < 4; ++i)
     text += " " + gateways_[static_cast<std::size_t>(who[i])].name;
@@ -154,17 +198,19 @@
     Trouble trouble{fault.kind,
                     fault.size,
                     std::vector<char>(gateways_.size()),
-                    std::vector<char>(gateways_.size(), fault.to.empty()),
+                    std::vector<char>(gateways_.size(), to.empty()),
                     fault.both,
                     fault.for_s > 0 ? now + fault.for_s : -1};
     for (int g : who) trouble.from[static_cast<std::size_t>(g)] = 1;
-    for (int g : fault.to) trouble.to[static_cast<std::size_t>(g)] = 1;
+    for (int g : to) trouble.to[static_cast<std::size_t>(g)] = 1;
     // A group cut off from all others: within the group everything passes.
-    if (fault.to.empty() && fault.kind == FaultKind::kLinkCut)
+    if (to.empty() && fault.kind == FaultKind::kLinkCut)
       for (int g : who) trouble.to[static_cast<std::size_t>(g)] = 0;
     troubles_.push_back(std::move(trouble));
     SetLinks(now);
     expects_from_ += fault.for_s;
+  } else if (fault.kind == FaultKind::kLedgerHeal) {
+    for (int g = 0; g < scenario_.gateways; ++g) hand.HoldLedger(g, false);
   } else if (fault.kind != FaultKind::kWait) {
     double at = now;
     for (int g : who) {
@@ -188,10 +234,13 @@
 
 void Stage::Do(double now, int process, FaultKind what, Hand& hand) {
   Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
-  if (what != FaultKind::kGatewayStart && what != FaultKind::kGatewayTwin) gateway.troubled_at = now;
+  const bool of_duties = what == FaultKind::kDutyHandOver || what == FaultKind::kLedgerHold;
+  if (what != FaultKind::kGatewayStart && what != FaultKind::kGatewayTwin && !of_duties)
+    gateway.troubled_at = now;
   const auto ends = [&] { ends_[gateway.name] = result_.waits.size() - 1; };
   switch (what) {
     case FaultKind::kGatewayRestart:
+      if (duties_) duties_->Gone(now, process);
       hand.Kill(process);
       gateway.stopped = false;
       gateway.running = true;
@@ -204,6 +253,7 @@
       if (!gateway.running) return;
       gateway.running = gateway.stopped = false;
       ends();
+      if (duties_) duties_->Gone(now, process);
       return hand.Kill(process);
     case FaultKind::kGatewayTerm:
       if (!gateway.running) return;
@@ -214,10 +264,12 @@
       if (!gateway.running) return;
       gateway.stopped = true;
       ends();
+      if (duties_) duties_->Stopped(now, process);
       return hand.Stop(process);
     case FaultKind::kGatewayContinue:
       if (!gateway.running) return;
       gateway.stopped = false;
+      if (duties_) duties_->Continued(now, process);
       return hand.Continue(process);
     case FaultKind::kGatewayUpgrade:
       if (gateway.running && !gateway.stopped) hand.Upgrade(process);
@@ -229,6 +281,11 @@
       other.running = true;
       return hand.Start(twin, gateway.name);
     }
+    case FaultKind::kDutyHandOver:
+      if (holder_) hand.HandOver(*holder_, process);
+      return;
+    case FaultKind::kLedgerHold:
+      return hand.HoldLedger(process, true);
     default:
       return;
   }
@@ -349,6 +406,7 @@
 
 Result Stage::Finish(double now, bool real) {
   result_.real = real;
+  if (duties_) duties_->Finish(now, result_.verdicts, result_.figures);
   if (!done_) Break("agreed", fmt::format("the play was ended at {:.2f} s", now));
   return result_;
 }
--- a/src/fleetkit/stage.hpp
+++ b/src/fleetkit/stage.hpp
@@ -11,6 +11,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fleetkit/duty_judge.hpp"
 #include "fleetkit/scenario.hpp"
 #include "standin/random.hpp"
 
@@ -25,6 +26,8 @@
   virtual void Stop(int process) = 0;
   virtual void Continue(int process) = 0;
   virtual void Upgrade(int process) = 0;
+  virtual void HandOver(int /*holder*/, int /*to*/) {}
+  virtual void HoldLedger(int /*process*/, bool /*on*/) {}
 };
 
 // What one gateway shows of its view.
@@ -32,6 +35,7 @@
   bool answered = false;
   bool settled = false, refused = false;
   std::uint64_t boot = 0, view = 0;
+  std::size_t holds = 0;  // duties that it says it holds
 };
 
 // How long it took until what a fault expects was seen.
@@ -43,11 +47,6 @@
   double first = -1, last = -1;
 };
 
-struct Verdict {
-  std::string property;
-  std::string broken;  // empty: it held
-};
-
 struct Result {
   std::string scenario;
   std::uint64_t seed = 0;
@@ -76,6 +75,8 @@
   void Told(double now, int observer, const std::string& name, std::string_view state);
   void Crashed(double now, int process, const std::string& how);
   Result Finish(double now, bool real);
+  // Where the scenario has duties.
+  DutyJudge& duties() { return *duties_; }
   void Judged(Verdict verdict) { result_.verdicts.push_back(std::move(verdict)); }
   void AddFigure(const std::string& name, double value) { result_.figures.emplace_back(name, value); }
 
@@ -107,7 +108,9 @@
   void SetLinks(double now);
   std::vector<int> Components() const;
   std::string Disagreement(const std::vector<Seen>& seen) const;
+  std::string Holding(const std::vector<Seen>& seen, Expect expect) const;
   std::vector<int> Choose(const Fault& fault);
+  std::vector<int> Resolve(const std::vector<int>& who) const;
   void Break(const std::string& property, const std::string& how);
   void Next(double now);
 
@@ -118,6 +121,9 @@
   std::vector<LinkTrouble> links_;  // by from and to
   std::vector<double> parted_at_;   // by pair: when they last could not reach each other
   std::vector<Due> due_;
+  std::vector<int> last_;      // whom the last fault struck
+  std::optional<int> holder_;  // as last seen
+  std::optional<DutyJudge> duties_;
   std::size_t fault_ = 0;  // the next one to begin
   Phase phase_ = Phase::kBefore;
   double begins_ = 0, expects_from_ = 0;
--- a/src/fleetkit/virtual_fleet.cpp
+++ b/src/fleetkit/virtual_fleet.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "duty/view.hpp"
 #include "util/hash.hpp"
 
 namespace curlewdoor::fleetkit {
@@ -53,6 +54,10 @@
   return kStart + standin::FromSeconds(now_ * gateway.rate + gateway.offset);
 }
 
+double VirtualFleet::TrueTime(const Gateway& gateway, fleet::Time local) const {
+  return (standin::Seconds(local - kStart) - gateway.offset) / gateway.rate;
+}
+
 void VirtualFleet::At(double at, std::function<void()> what) {
   events_.push({at, next_order_++, std::move(what)});
 }
@@ -92,6 +97,10 @@
     if (!gateway.up || gateway.stopped) continue;
     const Machine& machine = *gateway.machine;
     seen = {true, machine.settled(), !machine.refused().empty(), machine.self().boot, machine.Fingerprint()};
+    if (gateway.lowest_token != 0) seen.holds = 1;
+    if (!gateway.duties || mutant_ == Mutant::kLowestName) continue;
+    for (const duty::Standing& standing : gateway.duties->Standings(Local(gateway)))
+      seen.holds += standing.left > duty::Duration::zero() ? 1 : 0;
   }
   stage_.Look(now_, seen_, *this);
 }
@@ -123,7 +132,7 @@
   options.name = gateway.name;
   options.boot = kFirstBoot + static_cast<std::uint64_t>(1000 * (now_ + gateway.offset));
   options.address = AddressOf(process);
-  options.about = "zone:a,version:0";
+  options.about = scenario_.duties ? "version:0,duties" : "zone:a,version:0";
   for (int seed = 0; seed < scenario_.seeds; ++seed) options.seeds.push_back(AddressOf(seed));
   options.probe = std::chrono::duration_cast<fleet::Duration>(
       std::chrono::duration<double, std::milli>(scenario_.probe_ms));
@@ -143,17 +152,135 @@
   const std::uint64_t seed = StableHash(name, seed_ + static_cast<std::uint64_t>(gateway.life) * 1'000'003 +
                                                   static_cast<std::uint64_t>(process));
   gateway.machine = std::make_unique<Machine>(OptionsOf(process), seed);
+  StartDuties(process);
   WithMachine(process, [](Machine& machine, fleet::Time now, Out& out) { machine.Start(now, out); });
 }
 
+// ---- Duties -------------------------------------------------------------------------------------------
+
+duty::Options VirtualFleet::DutyOptionsOf(int process) const {
+  duty::Options options;
+  options.name = gateways_[static_cast<std::size_t>(process)].name;
+  for (int voter = 0; voter < scenario_.duties->voters; ++voter) options.voters.push_back(NameOf(voter));
+  options.duties = {"record"};
+  options.lease = standin::FromSeconds(scenario_.duties->lease_ms / 1000);
+  options.clock_bound = scenario_.duties->clock_bound;
+  return options;
+}
+
+void VirtualFleet::StartDuties(int process) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.told_view = gateway.lowest_token = 0;
+  if (!scenario_.duties) return;
+  const std::uint64_t boot = gateway.machine->self().boot;
+  gateway.duties = std::make_unique<duty::Machine>(DutyOptionsOf(process), boot << 20,
+                                                   StableHash(gateway.name, seed_ + boot));
+  const bool silent = mutant_ != Mutant::kVoterNotSilent || gateway.life == 1;
+  gateway.duties->Start(Local(gateway) - (silent ? fleet::Duration{} : std::chrono::hours(1)));
+  At(now_, [this, process, life = gateway.life] { Act(process, life); });
+}
+
+// What the daemon does every `record_ms` while it holds the duty.
+void VirtualFleet::Act(int process, int life) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  if (!gateway.up || gateway.life != life) return;
+  At(now_ + scenario_.duties->record_ms / 1000, [this, process, life] { Act(process, life); });
+  if (gateway.stopped) return;
+  auto token = gateway.duties->May(Local(gateway), "record");
+  if (mutant_ == Mutant::kLowestName) {
+    const auto& others = gateway.machine->others();
+    const bool lowest = std::none_of(others.begin(), others.end(), [&](const auto& other) {
+      return other.second.record.present() && other.first < gateway.name;
+    });
+    if (lowest && gateway.lowest_token == 0) {
+      gateway.lowest_token = static_cast<std::uint64_t>(1e6 * now_) + 1;
+      stage_.duties().Gained(now_, process, "record", gateway.lowest_token);
+    } else if (!lowest && gateway.lowest_token != 0) {
+      stage_.duties().Ended(now_, process, "record", std::exchange(gateway.lowest_token, 0));
+    }
+    token = lowest ? std::optional(gateway.lowest_token) : std::nullopt;
+  }
+  if (!token) return;
+  const standin::Ledger::Call call{"record", gateway.name, *token};
+  if (gateway.ledger_held) return gateway.on_the_way.push_back(call);
+  At(now_ + standin::Uniform(random_, kWayLeast_s, kWayMost_s), [this, call] { Append(call); });
+}
+
+void VirtualFleet::Append(const standin::Ledger::Call& call) {
+  const auto answer = ledger_.Append(call);
+  stage_.duties().Appended(now_, call.duty, call.token, call.entry, answer.taken);
+  if (answer.taken) return;
+  for (std::size_t g = 0; g < gateways_.size(); ++g) {
+    Gateway& gateway = gateways_[g];
+    if (gateway.name != call.entry || !gateway.up || gateway.stopped) continue;
+    duty::Out out;
+    gateway.duties->Refused(Local(gateway), call.duty, answer.number, out);
+    CarryDuties(static_cast<int>(g), std::move(out));
+  }
+}
+
+void VirtualFleet::HoldLedger(int process, bool on) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  gateway.ledger_held = on;
+  if (on) return;
+  for (const auto& call : std::exchange(gateway.on_the_way, {})) Append(call);
+}
+
+void VirtualFleet::HandOver(int holder, int to) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(holder)];
+  if (!gateway.up || gateway.stopped) return;
+  duty::Out out;
+  gateway.duties->HandOver(Local(gateway), "record", NameOf(to), out);
+  CarryDuties(holder, std::move(out));
+}
+
+// What the view and other gateways tell, after each call of the view's machine.
+void VirtualFleet::TellDuties(int process, const Out& told) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  if (!gateway.duties) return;
+  duty::Out out;
+  if (std::exchange(gateway.told_view, gateway.machine->version()) != gateway.machine->version())
+    gateway.duties->OnView(Local(gateway), duty::ViewOf(*gateway.machine), out);
+  for (const fleet::Payload& payload : told.payloads)
+    if (const auto message = duty::Decode(payload.bytes); message && payload.channel == duty::kChannel)
+      gateway.duties->OnMessage(Local(gateway), payload.from, duty::LifeOf(payload.from, payload.boot),
+                                *message, out);
+  CarryDuties(process, std::move(out));
+}
+
+void VirtualFleet::CarryDuties(int process, duty::Out out) {
+  Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  for (const duty::Change& change : out.changes) {
+    Mix(StableHash(change.duty, change.token + static_cast<std::uint64_t>(change.kind)));
+    if (mutant_ == Mutant::kLowestName) continue;
+    if (change.kind == duty::Change::Kind::kGained) {
+      stage_.duties().Gained(now_, process, change.duty, change.token);
+    } else {
+      stage_.duties().Ended(std::min(now_, TrueTime(gateway, change.until)), process, change.duty,
+                            change.token, change.kind == duty::Change::Kind::kHandedOn);
+    }
+  }
+  Out sent;
+  for (duty::Sending& sending : out.messages)
+    gateway.machine->SendPayload(sending.to, duty::kChannel, std::move(sending.bytes), sent);
+  for (const fleet::Sending& sending : sent.datagrams) SendDatagram(process, sending);
+  Arm(process);
+}
+
 void VirtualFleet::Kill(int process) {
   Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  if (gateway.up && scenario_.duties) stage_.duties().Gone(now_, process);
   gateway.up = false;
   gateway.held.clear();
 }
 
 // What is owed is soon answered here: the process ends a second later.
 void VirtualFleet::Term(int process) {
+  if (Gateway& gateway = gateways_[static_cast<std::size_t>(process)]; gateway.duties) {
+    duty::Out out;
+    gateway.duties->Leave(Local(gateway), out);
+    CarryDuties(process, std::move(out));
+  }
   WithMachine(process, [](Machine& machine, fleet::Time now, Out& out) { machine.Leave(now, out); });
   At(now_ + 1, [this, process, life = gateways_[static_cast<std::size_t>(process)].life] {
     if (gateways_[static_cast<std::size_t>(process)].life == life) Kill(process);
@@ -173,9 +300,17 @@
 
 void VirtualFleet::Upgrade(int process) {
   Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
+  const std::string duties = gateway.duties ? gateway.duties->HandOn() : "";
   const auto records = gateway.machine->HandOn();
   gateway.machine =
       std::make_unique<Machine>(OptionsOf(process), StableHash(gateway.name, seed_ + 77 + next_order_));
+  if (gateway.duties) {
+    gateway.duties = std::make_unique<duty::Machine>(DutyOptionsOf(process), records.front().boot << 20,
+                                                     StableHash(gateway.name, seed_ + 78 + next_order_));
+    gateway.duties->TakeOver(Local(gateway), duties);
+    gateway.duties->Start(Local(gateway));
+    gateway.told_view = 0;
+  }
   WithMachine(process, [&](Machine& machine, fleet::Time now, Out& out) {
     machine.TakeOver(now, records);
     machine.Start(now, out);
@@ -201,7 +336,9 @@
 
 void VirtualFleet::Arm(int process) {
   Gateway& gateway = gateways_[static_cast<std::size_t>(process)];
-  const auto due = gateway.machine->NextDue();
+  auto due = gateway.machine->NextDue();
+  if (const auto duty = gateway.duties ? gateway.duties->NextDue() : std::nullopt)
+    due = due ? std::min(*due, *duty) : duty;
   if (!due) return;
   const double local = standin::Seconds(*due - kStart);
   const double at = std::max(now_, (local - gateway.offset) / gateway.rate + 1e-9);
@@ -211,6 +348,11 @@
     Gateway& it = gateways_[static_cast<std::size_t>(process)];
     if (it.wake == at) it.wake = -1;
     if (!it.up || it.stopped || it.life != life) return;
+    if (const auto duty = it.duties ? it.duties->NextDue() : std::nullopt; duty && *duty <= Local(it)) {
+      duty::Out out;
+      it.duties->Tick(Local(it), out);
+      CarryDuties(process, std::move(out));
+    }
     const auto next = it.machine->NextDue();
     if (next && *next <= Local(it)) {
       WithMachine(process, [](Machine& machine, fleet::Time now, Out& out) { machine.Tick(now, out); });
@@ -233,6 +375,7 @@
   if (!gateway.up) return;
   for (const fleet::Sending& sending : out.datagrams) SendDatagram(process, sending);
   for (const fleet::Sending& sending : out.exchanges) SendExchange(process, sending);
+  TellDuties(process, out);
 }
 
 void VirtualFleet::Mutate(int process, Message& message) const {
--- a/src/fleetkit/virtual_fleet.hpp
+++ b/src/fleetkit/virtual_fleet.hpp
@@ -11,13 +11,22 @@
 #include <string>
 #include <vector>
 
+#include "duty/machine.hpp"
 #include "fleet/machine.hpp"
 #include "fleetkit/stage.hpp"
+#include "standin/ledger.hpp"
 
 namespace curlewdoor::fleetkit {
 
 // What a mutant does wrong on purpose: each must be caught by a judge. For proofs only.
-enum class Mutant { kNone, kNeverRefutes, kOneBoot, kDeadNotAsked };
+enum class Mutant {
+  kNone,
+  kNeverRefutes,
+  kOneBoot,
+  kDeadNotAsked,
+  kLowestName,      // holds what nobody in its view with a lower name could hold
+  kVoterNotSilent,  // after a restart
+};
 
 struct Traffic {
   std::uint64_t datagrams = 0, bytes = 0;
@@ -40,6 +49,11 @@
  private:
   struct Gateway {
     std::unique_ptr<fleet::Machine> machine;
+    std::unique_ptr<duty::Machine> duties;  // where the scenario has them
+    std::uint64_t told_view = 0;            // version of the view that they know
+    std::uint64_t lowest_token = 0;         // of kLowestName, while it holds
+    bool ledger_held = false;
+    std::deque<standin::Ledger::Call> on_the_way;
     int life = 0;
     bool up = false, stopped = false;
     double rate = 1, offset = 0;
@@ -61,6 +75,17 @@
   void Continue(int process) override;
   void Upgrade(int process) override;
 
+  void HandOver(int holder, int to) override;
+  void HoldLedger(int process, bool on) override;
+
+  void StartDuties(int process);
+  void CarryDuties(int process, duty::Out out);
+  void TellDuties(int process, const fleet::Out& out);
+  void Act(int process, int life);
+  void Append(const standin::Ledger::Call& call);
+  duty::Options DutyOptionsOf(int process) const;
+  double TrueTime(const Gateway& gateway, fleet::Time local) const;
+
   fleet::Time Local(const Gateway& gateway) const;
   void At(double at, std::function<void()> what);
   void WithMachine(int process, const std::function<void(fleet::Machine&, fleet::Time, fleet::Out&)>& call);
@@ -88,6 +113,7 @@
   std::uint64_t next_order_ = 0;
   double now_ = 0;
   bool look_due_ = true;
+  standin::Ledger ledger_;
   Traffic traffic_;
   std::uint64_t hash_ = 0, told_dead_ = 0;
 };
--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -134,6 +134,10 @@
   gateway.relay = std::make_unique<Relay>(loop_, process, who, link, seed_);
   if (!gateway.relay->Open(Ip(process, true), error)) throw std::runtime_error(error);
   gateway.relay->LeadTo(gateway.fleet);
+  if (!scenario_.duties) return;
+  gateway.ledger =
+      std::make_unique<LedgerDoor>(loop_, [this](std::string_view line) { return OnLedgerLine(line); });
+  if (!gateway.ledger->Open(Address{Ip(process, true), 0}, error)) throw std::runtime_error(error);
 }
 
 // Its place is free again for nobody else: the address is this run's alone.
@@ -161,6 +165,16 @@
   config["fleet"] = {{"name", kFleetName},     {"listen", gateway.fleet.ToText()},
                      {"seeds", seeds},         {"advertise", gateway.relay->address().ToText()},
                      {"size", scenario_.size}, {"probe_ms", scenario_.probe_ms}};
+  if (scenario_.duties) {
+    nlohmann::json voters = nlohmann::json::array();
+    for (int voter = 0; voter < scenario_.duties->voters; ++voter) voters.push_back(fleetkit::NameOf(voter));
+    config["duty"] = {{"voters", voters},
+                      {"names", {"record"}},
+                      {"lease_ms", scenario_.duties->lease_ms},
+                      {"clock_bound", scenario_.duties->clock_bound},
+                      {"ledger", gateway.ledger->address().ToText()},
+                      {"record_ms", scenario_.duties->record_ms}};
+  }
   return config;
 }
 
@@ -272,6 +286,24 @@
   gateway.upgrading = true;
 }
 
+void FleetRig::HandOver(int holder, int to) {
+  gateways_[static_cast<std::size_t>(holder)].to_call =
+      fmt::format("HANDOVER record {}\n", fleetkit::NameOf(to));
+}
+
+void FleetRig::HoldLedger(int process, bool on) {
+  gateways_[static_cast<std::size_t>(process)].ledger->Hold(on);
+}
+
+std::string FleetRig::OnLedgerLine(std::string_view line) {
+  const auto call = standin::Ledger::Read(line);
+  if (!call) return "ERR no append";
+  const auto answer = ledger_.Append(*call);
+  stage_.duties().Appended(Now(), call->duty, call->token, std::string(Value(call->entry, "by")),
+                           answer.taken);
+  return standin::Ledger::Text(answer);
+}
+
 // ---- Looking ------------------------------------------------------------------------------------------
 
 fleetkit::Result FleetRig::Play() {
@@ -342,6 +374,7 @@
   ReadLogs();
   for (std::size_t g = 0; g < gateways_.size(); ++g) {
     gateways_[g].relay->Reap();
+    if (gateways_[g].ledger) gateways_[g].ledger->Reap();
     const int process = static_cast<int>(g);
     if (!stage_.running(process) || stage_.stopped(process)) seen_[g] = {};
   }
@@ -398,7 +431,11 @@
     ::close(std::exchange(asking.fd, -1));
   };
   if (asking.got.empty()) {
-    const std::string_view call = gateway.asked++ % kMetricsEvery == 0 ? "METRICS\n" : "FLEET\n";
+    const std::uint64_t turn = gateway.asked++;
+    const std::string usual = turn % kMetricsEvery == 0           ? "METRICS\n"
+                              : scenario_.duties && turn % 2 == 1 ? "DUTIES\n"
+                                                                  : "FLEET\n";
+    const std::string call = gateway.to_call.empty() ? usual : std::exchange(gateway.to_call, "");
     if (::send(asking.fd, call.data(), call.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(call.size())) {
       asking.got = " ";
       return asking.io->Want(asking.fd, EV_READ);
@@ -410,18 +447,24 @@
   const ssize_t count = ::recv(asking.fd, bytes, sizeof bytes, MSG_DONTWAIT);
   if (count < 0 && (errno == EAGAIN || errno == EINTR)) return;
   if (count > 0) asking.got.append(bytes, static_cast<std::size_t>(count));
-  if (count > 0 && !asking.got.ends_with("END\n")) return;
+  const bool word = asking.got.starts_with(" OK") || asking.got.starts_with(" ERR");
+  if (count > 0 && !asking.got.ends_with(word ? "\n" : "END\n")) return;
   // The platform's order of an upgrade: the old process gets SIGTERM once the new one answers.
   if (std::exchange(gateway.upgrading, false)) gateway.older.Signal(SIGTERM);
   fleetkit::Seen& seen = seen_[static_cast<std::size_t>(process)];
   const std::string_view text = asking.got;
   if (text.ends_with("END\n") && text.starts_with(" fleet ")) {
     const std::string_view line = text.substr(0, text.find('\n'));
-    seen = {true, Value(line, "settled") == "yes", text.find("\nrefused ") != std::string_view::npos, 0,
-            Number(Value(line, "view"), 16)};
+    const std::size_t holds = seen.holds;
+    seen = {true, Value(line, "settled") == "yes", text.find("\nrefused ") != std::string_view::npos,
+            0,    Number(Value(line, "view"), 16), holds};
     const std::string own = fmt::format("member name={} ", gateway.name);
     if (const auto at = text.find(own); at != std::string_view::npos)
       seen.boot = Number(Value(text.substr(at, text.find('\n', at) - at), "boot"));
+  } else if (text.starts_with(" duties ") && text.ends_with("END\n")) {
+    seen.holds = text.find(" state=holding ") != std::string_view::npos ? 1 : 0;
+  } else if (word) {
+    if (text.starts_with(" ERR")) gateway.to_call.clear();
   } else if (text.ends_with("END\n")) {
     std::string spaced(text);
     std::replace(spaced.begin(), spaced.end(), '\n', ' ');
@@ -434,6 +477,21 @@
   end();
 }
 
+// When it gained or gave up a duty, by the clock that all processes of a machine share.
+void FleetRig::ReadDutyLine(int process, std::string_view line) {
+  const std::string_view event = Value(line, "event");
+  const std::string duty(Value(line, "duty"));
+  const std::uint64_t token = Number(Value(line, "token"));
+  const auto at = [&](std::string_view key) {
+    return 1e-9 * static_cast<double>(Number(Value(line, key))) - began_;
+  };
+  if (event == "gained") {
+    stage_.duties().Gained(at("at_ns"), process, duty, token);
+  } else if (event == "lost" || event == "handed_on" || event == "refused") {
+    stage_.duties().Ended(at("until_ns"), process, duty, token, event == "handed_on");
+  }
+}
+
 // What gateways have said of one another since the last look.
 void FleetRig::ReadLogs() {
   for (std::size_t g = 0; g < gateways_.size(); ++g) {
@@ -445,6 +503,8 @@
     while (std::getline(in, line)) {
       if (in.eof()) break;  // its end is still to come
       gateway.log_read += line.size() + 1;
+      if (scenario_.duties && line.find(" duty: event=") != std::string::npos)
+        ReadDutyLine(static_cast<int>(g), line);
       if (line.find("fleet: event=member") == std::string::npos) continue;
       stage_.Told(Now(), static_cast<int>(g), std::string(Value(line, "member")), Value(line, "state"));
     }
--- a/src/playing/fleet_rig.hpp
+++ b/src/playing/fleet_rig.hpp
@@ -10,9 +10,11 @@
 #include <vector>
 
 #include "fleetkit/stage.hpp"
+#include "playing/ledger_door.hpp"
 #include "playing/process.hpp"
 #include "playing/relay.hpp"
 #include "playing/socket_world.hpp"
+#include "standin/ledger.hpp"
 
 namespace curlewdoor::playing {
 
@@ -49,6 +51,8 @@
     std::uint64_t datagrams = 0, bytes = 0;  // as it says
     bool counted = false;
     std::uint64_t asked = 0;
+    std::unique_ptr<LedgerDoor> ledger;
+    std::string to_call;  // an operator's call that goes before the usual ones
   };
 
   void Start(int process, const std::string& name) override;
@@ -57,6 +61,8 @@
   void Stop(int process) override;
   void Continue(int process) override;
   void Upgrade(int process) override;
+  void HandOver(int holder, int to) override;
+  void HoldLedger(int process, bool on) override;
 
   // The load's own faults leave gateways alone, but for a new configuration.
   void StartGateway(int) override {}
@@ -83,6 +89,8 @@
   void Look();
   void Ask(int process);
   void OnAnswer(int process);
+  std::string OnLedgerLine(std::string_view line);
+  void ReadDutyLine(int process, std::string_view line);
   void ReadLogs();
   void Watch();
 
@@ -97,6 +105,7 @@
   const rehearsal::Scenario load_;
   std::vector<fleetkit::Seen> seen_;
   std::unique_ptr<SocketWorld> world_;  // where the scenario has a load
+  standin::Ledger ledger_;
   bool asking_ = false;
   net::TimerWatcher timer_;
   double began_ = 0;
--- a/tests/admin_test.cpp
+++ b/tests/admin_test.cpp
@@ -55,6 +55,19 @@
             "relay.discovered=5\nrelay.ejected=2\nrelay.sighup_applied=1\nrelay.sighup_rejected=0\nEND\n");
 }
 
+TEST(Admin, DutiesAreKnownOnlyWhereThereAreSome) {
+  EXPECT_TRUE(std::holds_alternative<Bad>(ParseCall("DUTIES", true)));
+  EXPECT_TRUE(std::holds_alternative<Bad>(ParseCall("HANDOVER record", true)));
+  EXPECT_TRUE(std::holds_alternative<Duties>(ParseCall("DUTIES", true, true)));
+  const Call call = ParseCall("HANDOVER record gw-2", true, true);
+  ASSERT_TRUE(std::holds_alternative<HandOver>(call));
+  EXPECT_EQ(std::get<HandOver>(call).duty, "record");
+  EXPECT_EQ(std::get<HandOver>(call).to, "gw-2");
+  EXPECT_TRUE(std::holds_alternative<HandOver>(ParseCall("HANDOVER record", true, true)));
+  for (const char* bad : {"HANDOVER", "HANDOVER a b c", "DUTIES now", "SUSPEND a b"})
+    EXPECT_TRUE(std::holds_alternative<Bad>(ParseCall(bad, true, true))) << bad;
+}
+
 // Outside of configured fleets the call is unknown as any other.
 TEST(Admin, FleetIsKnownOnlyWhereThereIsOne) {
   EXPECT_TRUE(std::holds_alternative<Bad>(ParseCall("FLEET")));
--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -225,5 +225,47 @@
   EXPECT_EQ(ErrorOf(wrong.dump()).substr(0, 5), "name:");
 }
 
+// The same for `duty`, and what it needs of `fleet`.
+TEST(Config, DutiesAreCheckedByKey) {
+  using nlohmann::json;
+  std::string error;
+  json file = json::parse(SampleConfig());
+  file["duty"] = {{"voters", {"a", "b", "c"}}, {"names", {"record"}}, {"ledger", "127.0.0.1:9"}};
+  EXPECT_EQ(ErrorOf(file.dump()), "duty: is given, and fleet is not");
+  file["fleet"] = {{"name", "jkt"}, {"listen", "127.0.0.1:7000"}, {"seeds", {"127.0.0.2:7000"}}, {"size", 4}};
+  const auto config = ParseConfig(file.dump(), {}, error);
+  ASSERT_TRUE(config) << error;
+  EXPECT_EQ(config->duty->lease, std::chrono::milliseconds(3000));
+  const std::tuple<const char*, json, const char*> cases[] = {
+      {"voters", json::array(), "duty.voters: is missing or empty"},
+      {"voters", {"a", "b"}, "duty.voters: are 2: an odd number is needed"},
+      {"voters", {"a", "b", "c", "d", "e"}, "duty.voters: are 5, and fleet.size is 4"},
+      {"voters", {"a", "a", "b"}, "duty.voters: holds a twice"},
+      {"voters", {"a", "b c", "d"}, "duty.voters: holds no name of 1 to 64 plain characters"},
+      {"voters", 3, "duty.voters: is not a list of at most 7 names"},
+      {"voters_before", {"a", "b"}, "duty.voters_before: are 2"},
+      {"names", json::array(), "duty.names: is missing or empty"},
+      {"names", {"dance"}, "duty.names: holds dance, and there is record alone"},
+      {"lease_ms", 900, "duty.lease_ms: is 900, below twice fleet.probe_ms"},
+      {"lease_ms", "long", "duty.lease_ms: is not a number"},
+      {"clock_bound", 0, "duty.clock_bound: is out of range"},
+      {"clock_bound", 0.11, "duty.clock_bound: is out of range"},
+      {"ledger", "here", "duty.ledger: is not an IPv4 address"},
+      {"ledger", "127.0.0.1:0", "duty.ledger: is not an IPv4 address"},
+      {"record_ms", 1, "duty.record_ms: is out of range"},
+      {"speed", 1, "duty.speed: is not known"}};
+  for (const auto& [key, value, expected] : cases) {
+    json wrong = file;
+    wrong["duty"][key] = value;
+    EXPECT_EQ(ErrorOf(wrong.dump()).substr(0, std::string_view(expected).size()), expected)
+        << wrong["duty"].dump();
+  }
+  for (const char* key : {"voters", "names", "ledger"}) {
+    json wrong = file;
+    wrong["duty"].erase(key);
+    EXPECT_TRUE(ErrorOf(wrong.dump()).starts_with(std::string("duty.") + key)) << key;
+  }
+}
+
 }  // namespace
 }  // namespace curlewdoor::config
--- a/tests/duty/model_check_test.cpp
+++ b/tests/duty/model_check_test.cpp
@@ -1,7 +1,7 @@
 // All interleavings, to a depth, of three voters and two candidates for one duty: questions, lost, repeated
 // and late messages, restarts of voters, stalls (nobody has to act at any time) and ticks of clocks that
-// differ by the bound. Held in every state: one holder at a time, and tokens of holdings rise. Four mutants
-// are found, each with its trace.
+// differ by the bound, and one planned handing on. Held in every state: one holder at a time, and tokens of
+// holdings rise. Five mutants are found, each with its trace.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -20,13 +20,23 @@
 
 constexpr std::size_t kVoters = 3, kCandidates = 2;
 
-enum class Mutant { kNone, kNoSilence, kFromTheAnswer, kMajorityOffByOne, kNotCheckedAtTheAct };
+enum class Mutant {
+  kNone,
+  kNoSilence,
+  kFromTheAnswer,
+  kMajorityOffByOne,
+  kNotCheckedAtTheAct,
+  kActsAfterThePass
+};
+
+enum class Letter : char { kAnswer, kQuestion, kPass };
 
 struct Mail {
-  bool question = true;
+  Letter letter = Letter::kQuestion;
   std::size_t candidate = 0, voter = 0;
   Ask ask;
   Answer answer;
+  Life to = 0;  // of a pass
 };
 
 // With e = 1/3 a fast clock runs twice as fast as a slow one: the bound, in whole steps.
@@ -43,15 +53,16 @@
   std::vector<Candidate> candidates;
   std::vector<Time> answered_at;  // of kFromTheAnswer: when a majority was there
   std::vector<Mail> mail;
-  int true_time = 0, restarts = 0;
+  int true_time = 0, restarts = 0, passes = 0;
   std::uint64_t highest_held = 0;
   std::size_t last_holder = kCandidates;
 };
 
 class Check {
  public:
-  Check(Mutant mutant, std::vector<int> rates, int depth)
-      : mutant_(mutant), rates_(std::move(rates)), depth_(depth) {}
+  // `held`: begins where candidate 0 has just come to hold the duty, by voters 0 and 1.
+  Check(Mutant mutant, std::vector<int> rates, int depth, bool held = false)
+      : mutant_(mutant), rates_(std::move(rates)), depth_(depth), held_(held) {}
 
   // Empty: nothing is broken. Else the trace that led there.
   std::string Run() {
@@ -64,6 +75,12 @@
     state.true_time = 100;
     for (std::size_t c = 0; c < kCandidates; ++c) state.candidates.emplace_back(terms, c + 1);
     state.answered_at.resize(kCandidates);
+    if (held_) {
+      const Ask ask = state.candidates[0].Begin(OwnClock(state, 0));
+      for (std::size_t v : {0, 1})
+        state.candidates[0].OnAnswer(v, state.voters[v].OnAsk(VoterClock(state, v), ask));
+      Judge(state);
+    }
     Visit(state, 0);
     return broken_;
   }
@@ -97,6 +114,7 @@
       left(voter.until(), VoterClock(state, v));
       add(static_cast<std::int64_t>(voter.who()));
       add(static_cast<std::int64_t>(voter.highest()));
+      add(voter.HandOn().own_token);
     }
     for (std::size_t c = 0; c < kCandidates; ++c) {
       const Candidate& candidate = state.candidates[c];
@@ -116,17 +134,19 @@
     std::vector<std::string> letters;
     for (const Mail& mail : state.mail) {
       std::string letter;
-      letter += static_cast<char>(mail.question);
+      letter += static_cast<char>(mail.letter);
       letter += static_cast<char>(mail.candidate);
       letter += static_cast<char>(mail.voter);
-      letter += static_cast<char>(mail.question ? mail.ask.question : mail.answer.question);
-      letter += static_cast<char>(mail.question ? mail.ask.token : mail.answer.highest);
+      const bool answers = mail.letter == Letter::kAnswer;
+      letter += static_cast<char>(answers ? mail.answer.question : mail.ask.question);
+      letter += static_cast<char>(answers ? mail.answer.highest : mail.ask.token);
+      letter += static_cast<char>(mail.to);
       letter += static_cast<char>(mail.answer.yes);
       letters.push_back(letter);
     }
     std::sort(letters.begin(), letters.end());
     for (const std::string& letter : letters) key += letter;
-    add(state.restarts);
+    add(state.restarts * 2 + state.passes);
     add(static_cast<std::int64_t>(state.highest_held * 4 + state.last_holder));
     return key;
   }
@@ -172,9 +192,13 @@
         if (!repeated) next.mail.erase(next.mail.begin() + static_cast<std::ptrdiff_t>(i));
         const std::string between =
             std::to_string(mail.candidate) + " and voter " + std::to_string(mail.voter);
-        if (mail.question) {
+        if (mail.letter == Letter::kPass) {
+          next.voters[mail.voter].OnPass(VoterClock(next, mail.voter), mail.candidate + 1, mail.ask.token,
+                                         mail.to);
+          Step(std::move(next), depth, "pass heard, candidate " + between);
+        } else if (mail.letter == Letter::kQuestion) {
           const Answer answer = next.voters[mail.voter].OnAsk(VoterClock(next, mail.voter), mail.ask);
-          next.mail.push_back({false, mail.candidate, mail.voter, {}, answer});
+          next.mail.push_back({Letter::kAnswer, mail.candidate, mail.voter, {}, answer});
           Step(std::move(next), depth,
                std::string(answer.yes ? "yes" : "no") + " between candidate " + between);
         } else {
@@ -197,12 +221,28 @@
         State next = state;
         const Ask ask = next.candidates[c].Begin(OwnClock(next, c));
         for (std::size_t v = 0; v < kVoters; ++v)
-          if (v != lost) next.mail.push_back({true, c, v, ask, {}});
+          if (v != lost) next.mail.push_back({Letter::kQuestion, c, v, ask, {}});
         Step(std::move(next), depth,
              "candidate " + std::to_string(c) + " asks all but voter " + std::to_string(lost));
         if (!broken_.empty()) return;
       }
     }
+    // The holder hands on, to the other or to whoever asks, and tells the voter that all majorities share.
+    for (std::size_t c = 0; c < kCandidates; ++c) {
+      if (!state.candidates[c].May(OwnClock(state, c)) || state.passes > 0 ||
+          state.mail.size() + 1 > kMostMail)
+        continue;
+      for (const Life to : {Life{0}, Life{2 - c}}) {
+        State next = state;
+        ++next.passes;
+        Mail mail{Letter::kPass, c, 1, {0, c + 1, next.candidates[c].token()}, {}, to};
+        next.mail.push_back(mail);
+        if (mutant_ != Mutant::kActsAfterThePass) next.candidates[c].Give();
+        Step(std::move(next), depth,
+             "candidate " + std::to_string(c) + " hands on to " + (to == 0 ? "whoever asks" : "the other"));
+        if (!broken_.empty()) return;
+      }
+    }
     State ticked = state;
     ++ticked.true_time;
     Step(std::move(ticked), depth, "tick");
@@ -223,6 +263,7 @@
   const Mutant mutant_;
   const std::vector<int> rates_;  // of the voters, then of the candidates
   const int depth_;
+  const bool held_;
   std::unordered_map<std::string, int> seen_;  // and the smallest depth that each state was met at
   std::vector<std::string> trace_;
   std::string broken_;
@@ -239,9 +280,11 @@
   // Slow holders before fast voters are the worst; the others are looked at too.
   for (const std::vector<int>& rates :
        {std::vector<int>{2, 2, 2, 1, 1}, {1, 1, 1, 2, 2}, {2, 1, 2, 1, 2}, {1, 1, 1, 1, 1}}) {
-    Check check(Mutant::kNone, rates, Depth());
-    EXPECT_EQ(check.Run(), "");
-    states += check.states();
+    for (const bool held : {false, true}) {
+      Check check(Mutant::kNone, rates, Depth(), held);
+      EXPECT_EQ(check.Run(), "");
+      states += check.states();
+    }
   }
   std::printf("model check: %zu states to depth %d, four settings of clocks\n", states, Depth());
   EXPECT_GT(states, 10'000u);
@@ -252,7 +295,8 @@
       {Mutant::kNoSilence, "yes given again after a restart"},
       {Mutant::kFromTheAnswer, "lease counted from the answer"},
       {Mutant::kMajorityOffByOne, "majority off by one"},
-      {Mutant::kNotCheckedAtTheAct, "lease not checked at the act"}};
+      {Mutant::kNotCheckedAtTheAct, "lease not checked at the act"},
+      {Mutant::kActsAfterThePass, "the old holder acts on after it has handed on"}};
   for (const auto& [mutant, name] : mutants) {
     const std::string trace = Check(mutant, {2, 2, 2, 1, 1}, 16).Run();
     EXPECT_NE(trace, "") << name;
--- a/tests/fleet/rig_test.cpp
+++ b/tests/fleet/rig_test.cpp
@@ -22,6 +22,15 @@
                                 << ".toml --logs FOLDER";
 }
 
+void PlayInVirtualTime(const char* name) {
+  const Scenario scenario = Load(name);
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    VirtualFleet fleet(scenario, seed);
+    const Result result = fleet.Play();
+    EXPECT_TRUE(result.AllHeld()) << TextReport(result) << fleet.Views();
+  }
+}
+
 class FleetRig : public ::testing::TestWithParam<const char*> {};
 INSTANTIATE_TEST_SUITE_P(Rehearsals, FleetRig,
                          ::testing::Values("fleet-crash", "fleet-join", "fleet-leave", "fleet-split",
@@ -31,6 +40,18 @@
 
 TEST_P(FleetRig, AllHeldWithRealProcesses) { PlayWithRealProcesses(GetParam()); }
 
+// Duties: one holder at a time, by what the daemons log and by what comes to the ledger.
+class DutyRig : public ::testing::TestWithParam<const char*> {};
+INSTANTIATE_TEST_SUITE_P(Rehearsals, DutyRig,
+                         ::testing::Values("duty-crash", "duty-cut-holder", "duty-deaf-holder",
+                                           "duty-handover", "duty-late-act", "duty-ledger-cut", "duty-loss",
+                                           "duty-split", "duty-stall", "duty-voters"),
+                         NameOfRehearsal);
+
+TEST_P(DutyRig, AllHeldWithRealProcesses) { PlayWithRealProcesses(GetParam()); }
+
+TEST_P(DutyRig, AllHeldInVirtualTime) { PlayInVirtualTime(GetParam()); }
+
 // Clients ask meanwhile, and the five rules are judged too.
 class FleetRigWithLoad : public ::testing::TestWithParam<const char*> {};
 INSTANTIATE_TEST_SUITE_P(Rehearsals, FleetRigWithLoad,
@@ -38,14 +59,7 @@
 
 TEST_P(FleetRigWithLoad, AllHeldWithRealProcesses) { PlayWithRealProcesses(GetParam()); }
 
-TEST_P(FleetRig, AllHeldInVirtualTime) {
-  const Scenario scenario = Load(GetParam());
-  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    VirtualFleet fleet(scenario, seed);
-    const Result result = fleet.Play();
-    EXPECT_TRUE(result.AllHeld()) << TextReport(result) << fleet.Views();
-  }
-}
+TEST_P(FleetRig, AllHeldInVirtualTime) { PlayInVirtualTime(GetParam()); }
 
 }  // namespace
 }  // namespace curlewdoor::fleetkit
--- a/tests/kit/command_line_test.sh
+++ b/tests/kit/command_line_test.sh
@@ -29,7 +29,7 @@
 expect 2 'stand takes one of' "$kit" stand dog
 for file in "$rehearsals"/*.toml; do
   case $file in
-    */fleet-*) expect 0 'gateways that see one another' "$kit" check "$file" ;;
+    */fleet-* | */duty-*) expect 0 'gateways that see one another' "$kit" check "$file" ;;
     *) expect 0 'requests a second' "$kit" check "$file" ;;
   esac
 done
--- a/tests/kit/virtual_test.cpp
+++ b/tests/kit/virtual_test.cpp
@@ -44,7 +44,8 @@
   std::set<std::string> names;
   // Those of gateways that see one another have a kit command and tests of their own (tests/fleet).
   for (const auto& entry : std::filesystem::directory_iterator(CURLEWDOOR_REHEARSALS))
-    if (entry.path().extension() == ".toml" && !entry.path().stem().string().starts_with("fleet-"))
+    if (const std::string name = entry.path().stem().string();
+        entry.path().extension() == ".toml" && !name.starts_with("fleet-") && !name.starts_with("duty-"))
       names.insert(entry.path().stem().string());
   return {names.begin(), names.end()};
 }
