Voters changed by SIGHUP to real processes, with the holder killed in the middle: duty-new-voters

Need: the change of who votes was proved by tests of the machines alone.

Change: faults duty_voters and duty_voters_end in the kit, for real processes (each file written, SIGHUP) and for virtual time; a rehearsal that replaces two of three voters, kills the holder between the two steps and the old voters after them.

--- a/src/fleetkit/scenario.cpp
+++ b/src/fleetkit/scenario.cpp
@@ -50,9 +50,10 @@
   fault.kind = known->kind;
   fault.after_s = Between(table, "after_s", {}, kLongestWait);
   const bool targets = fault.kind != FaultKind::kWait && fault.kind != FaultKind::kLinkHeal &&
-                       fault.kind != FaultKind::kLedgerHeal;
+                       fault.kind != FaultKind::kLedgerHeal && fault.kind != FaultKind::kDutyVotersEnd;
   const bool of_duties = fault.kind == FaultKind::kDutyHandOver || fault.kind == FaultKind::kLedgerHold ||
-                         fault.kind == FaultKind::kLedgerHeal;
+                         fault.kind == FaultKind::kLedgerHeal || fault.kind == FaultKind::kDutyVoters ||
+                         fault.kind == FaultKind::kDutyVotersEnd;
   if (of_duties && !scenario.duties) table.Fail("kind", fmt::format("{} needs [duties]", word));
   if (targets) {
     fault.who = Gateways(table, known->of_links ? "from" : "names", scenario);
@@ -171,6 +172,8 @@
       {FaultKind::kLinkHeal, "link_heal", true, "", 0, 0, "ends all troubles of links"},
       {FaultKind::kDutyHandOver, "duty_handover", false, "", 0, 0,
        "the holder hands its duty to this gateway"},
+      {FaultKind::kDutyVoters, "duty_voters", false, "", 0, 0, "these vote, beside the list in force"},
+      {FaultKind::kDutyVotersEnd, "duty_voters_end", false, "", 0, 0, "and that list goes"},
       {FaultKind::kLedgerHold, "ledger_hold", false, "", 0, 0,
        "what it sends to the ledger stays on its way"},
       {FaultKind::kLedgerHeal, "ledger_heal", false, "", 0, 0, "what was held arrives at the ledger"},
@@ -185,6 +188,12 @@
 
 std::string NameOf(int gateway) { return fmt::format("gateway-{}", gateway); }
 
+std::vector<std::string> NamesOf(const std::vector<int>& gateways) {
+  std::vector<std::string> names;
+  for (int gateway : gateways) names.push_back(NameOf(gateway));
+  return names;
+}
+
 std::optional<Scenario> ParseScenario(std::string_view text, const std::string& path, std::string& error) {
   return rehearsal::ParseWith(&Read, text, path, error);
 }
--- a/src/fleetkit/scenario.hpp
+++ b/src/fleetkit/scenario.hpp
@@ -45,11 +45,13 @@
   kLinkReorder,
   kLinkCorrupt,
   kLinkDelay,
-  kLinkHeal,      // ends all troubles of links
-  kDutyHandOver,  // the holder is asked to hand its duty to this gateway
-  kLedgerHold,    // what this gateway sends to the ledger stays on its way
-  kLedgerHeal,    // and arrives now
-  kWait           // nothing breaks
+  kLinkHeal,       // ends all troubles of links
+  kDutyHandOver,   // the holder is asked to hand its duty to this gateway
+  kDutyVoters,     // these vote from now on, beside the list in force (SIGHUP to all)
+  kDutyVotersEnd,  // the list that was in force before goes (SIGHUP to all)
+  kLedgerHold,     // what this gateway sends to the ledger stays on its way
+  kLedgerHeal,     // and arrives now
+  kWait            // nothing breaks
 };
 
 struct FaultWord {
@@ -117,6 +119,7 @@
 };
 
 std::string NameOf(int gateway);
+std::vector<std::string> NamesOf(const std::vector<int>& gateways);
 
 // On nullopt `error` names file, line and key, and says what was expected.
 std::optional<Scenario> LoadScenario(const std::string& path, std::string& error);
--- a/src/fleetkit/stage.cpp
+++ b/src/fleetkit/stage.cpp
@@ -50,6 +50,7 @@
   result_.seed = seed;
   // Voters count by their own clocks: a stopped holder's lease ends at the latest so long after its stop.
   constexpr double kSlack_s = 0.0005;  // of the times that gateways tell
+  for (int voter = 0; scenario.duties && voter < scenario.duties->voters; ++voter) voters_.push_back(voter);
   if (scenario.duties)
     duties_.emplace(scenario.duties->lease_ms / 1000 * (1 + scenario.clock_rate), kSlack_s);
   result_.verdicts = {{"agreed", ""}, {"alive", ""}, {"left", ""}, {"running", ""}};
@@ -209,6 +210,10 @@
     troubles_.push_back(std::move(trouble));
     SetLinks(now);
     expects_from_ += fault.for_s;
+  } else if (fault.kind == FaultKind::kDutyVoters) {
+    hand.SetVoters(who, std::exchange(voters_, who));
+  } else if (fault.kind == FaultKind::kDutyVotersEnd) {
+    hand.SetVoters(voters_, {});
   } else if (fault.kind == FaultKind::kLedgerHeal) {
     for (int g = 0; g < scenario_.gateways; ++g) hand.HoldLedger(g, false);
   } else if (fault.kind != FaultKind::kWait) {
--- a/src/fleetkit/stage.hpp
+++ b/src/fleetkit/stage.hpp
@@ -27,6 +27,8 @@
   virtual void Continue(int process) = 0;
   virtual void Upgrade(int process) = 0;
   virtual void HandOver(int /*holder*/, int /*to*/) {}
+  // Told to all that run, as by SIGHUP; `before` may be empty.
+  virtual void SetVoters(const std::vector<int>& /*voters*/, const std::vector<int>& /*before*/) {}
   virtual void HoldLedger(int /*process*/, bool /*on*/) {}
 };
 
@@ -123,6 +125,7 @@
   std::vector<Due> due_;
   std::vector<int> last_;      // whom the last fault struck
   std::optional<int> holder_;  // as last seen
+  std::vector<int> voters_;
   std::optional<DutyJudge> duties_;
   std::size_t fault_ = 0;  // the next one to begin
   Phase phase_ = Phase::kBefore;
--- a/src/fleetkit/virtual_fleet.cpp
+++ b/src/fleetkit/virtual_fleet.cpp
@@ -35,6 +35,8 @@
       stage_(scenario, seed),
       gateways_(static_cast<std::size_t>(scenario.processes())),
       seen_(static_cast<std::size_t>(scenario.processes())) {
+  for (int voter = 0; scenario.duties && voter < scenario.duties->voters; ++voter)
+    voters_.push_back(NameOf(voter));
   for (Gateway& gateway : gateways_) {
     gateway.rate = 1 + standin::Uniform(random_, -scenario.clock_rate, scenario.clock_rate);
     gateway.offset = standin::Uniform(random_, 0, scenario.clock_offset_s);
@@ -161,7 +163,8 @@
 duty::Options VirtualFleet::DutyOptionsOf(int process) const {
   duty::Options options;
   options.name = gateways_[static_cast<std::size_t>(process)].name;
-  for (int voter = 0; voter < scenario_.duties->voters; ++voter) options.voters.push_back(NameOf(voter));
+  options.voters = voters_;
+  options.voters_before = voters_before_;
   options.duties = {"record"};
   options.lease = standin::FromSeconds(scenario_.duties->lease_ms / 1000);
   options.clock_bound = scenario_.duties->clock_bound;
@@ -226,6 +229,21 @@
   for (const auto& call : std::exchange(gateway.on_the_way, {})) Append(call);
 }
 
+void VirtualFleet::SetVoters(const std::vector<int>& voters, const std::vector<int>& before) {
+  voters_ = NamesOf(voters);
+  voters_before_ = NamesOf(before);
+  for (std::size_t g = 0; g < gateways_.size(); ++g) {
+    Gateway& gateway = gateways_[g];
+    const int process = static_cast<int>(g);
+    if (!gateway.up || gateway.stopped ||
+        !gateway.duties->WhyNot(Local(gateway), DutyOptionsOf(process)).empty())
+      continue;
+    duty::Out out;
+    gateway.duties->Retune(Local(gateway), DutyOptionsOf(process), out);
+    CarryDuties(process, std::move(out));
+  }
+}
+
 void VirtualFleet::HandOver(int holder, int to) {
   Gateway& gateway = gateways_[static_cast<std::size_t>(holder)];
   if (!gateway.up || gateway.stopped) return;
--- a/src/fleetkit/virtual_fleet.hpp
+++ b/src/fleetkit/virtual_fleet.hpp
@@ -77,6 +77,7 @@
 
   void HandOver(int holder, int to) override;
   void HoldLedger(int process, bool on) override;
+  void SetVoters(const std::vector<int>& voters, const std::vector<int>& before) override;
 
   void StartDuties(int process);
   void CarryDuties(int process, duty::Out out);
@@ -113,6 +114,7 @@
   std::uint64_t next_order_ = 0;
   double now_ = 0;
   bool look_due_ = true;
+  std::vector<std::string> voters_, voters_before_;
   standin::Ledger ledger_;
   Traffic traffic_;
   std::uint64_t hash_ = 0, told_dead_ = 0;
--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -82,6 +82,8 @@
       seen_(gateways_.size()),
       timer_(loop_, [this](int) { Look(); }) {
   std::signal(SIGPIPE, SIG_IGN);
+  for (int voter = 0; scenario_.duties && voter < scenario_.duties->voters; ++voter)
+    voters_.push_back(fleetkit::NameOf(voter));
 }
 
 FleetRig::~FleetRig() {
@@ -166,9 +168,8 @@
                      {"seeds", seeds},         {"advertise", gateway.relay->address().ToText()},
                      {"size", scenario_.size}, {"probe_ms", scenario_.probe_ms}};
   if (scenario_.duties) {
-    nlohmann::json voters = nlohmann::json::array();
-    for (int voter = 0; voter < scenario_.duties->voters; ++voter) voters.push_back(fleetkit::NameOf(voter));
-    config["duty"] = {{"voters", voters},
+    config["duty"] = {{"voters", voters_},
+                      {"voters_before", voters_before_},
                       {"names", {"record"}},
                       {"lease_ms", scenario_.duties->lease_ms},
                       {"clock_bound", scenario_.duties->clock_bound},
@@ -286,6 +287,17 @@
   gateway.upgrading = true;
 }
 
+// By SIGHUP to each, one after the other, as operators do.
+void FleetRig::SetVoters(const std::vector<int>& voters, const std::vector<int>& before) {
+  voters_ = fleetkit::NamesOf(voters);
+  voters_before_ = fleetkit::NamesOf(before);
+  for (int g = 0; g < scenario_.gateways; ++g) {
+    if (!stage_.running(g)) continue;
+    WriteConfig(g);
+    gateways_[static_cast<std::size_t>(g)].process.Signal(SIGHUP);
+  }
+}
+
 void FleetRig::HandOver(int holder, int to) {
   gateways_[static_cast<std::size_t>(holder)].to_call =
       fmt::format("HANDOVER record {}\n", fleetkit::NameOf(to));
--- a/src/playing/fleet_rig.hpp
+++ b/src/playing/fleet_rig.hpp
@@ -63,6 +63,7 @@
   void Upgrade(int process) override;
   void HandOver(int holder, int to) override;
   void HoldLedger(int process, bool on) override;
+  void SetVoters(const std::vector<int>& voters, const std::vector<int>& before) override;
 
   // The load's own faults leave gateways alone, but for a new configuration.
   void StartGateway(int) override {}
@@ -105,6 +106,7 @@
   const rehearsal::Scenario load_;
   std::vector<fleetkit::Seen> seen_;
   std::unique_ptr<SocketWorld> world_;  // where the scenario has a load
+  std::vector<std::string> voters_, voters_before_;
   standin::Ledger ledger_;
   bool asking_ = false;
   net::TimerWatcher timer_;
--- a/tests/fleet/rig_test.cpp
+++ b/tests/fleet/rig_test.cpp
@@ -45,7 +45,7 @@
 INSTANTIATE_TEST_SUITE_P(Rehearsals, DutyRig,
                          ::testing::Values("duty-crash", "duty-cut-holder", "duty-deaf-holder",
                                            "duty-handover", "duty-late-act", "duty-ledger-cut", "duty-loss",
-                                           "duty-split", "duty-stall", "duty-voters"),
+                                           "duty-new-voters", "duty-split", "duty-stall", "duty-voters"),
                          NameOfRehearsal);
 
 TEST_P(DutyRig, AllHeldWithRealProcesses) { PlayWithRealProcesses(GetParam()); }
