Who stands still to the end of a rehearsal tells when its lease was over

Cause: at 100 real processes the judge of duties called a holder two that was stopped and never went on: from outside its lease is known to a renewal only (17.00 s + a lease, and another gained it 0.15 s before that).

Change: such a process is let go on at the end and logs the moment; the bound for those that are killed meanwhile is what a holder counts, not what a voter does.

--- a/src/fleetkit/duty_judge.cpp
+++ b/src/fleetkit/duty_judge.cpp
@@ -33,6 +33,13 @@
       if (holding.process == process && !holding.until && holding.from < latest) holding.latest = latest;
 }
 
+bool DutyJudge::Holds(int process) const {
+  for (const auto& [duty, holdings] : holdings_)
+    for (const Holding& holding : holdings)
+      if (holding.process == process && !holding.until) return true;
+  return false;
+}
+
 void DutyJudge::Gone(double at, int process) {
   const auto stopped = stopped_.find(process);
   const double last = stopped != stopped_.end() ? std::min(at, stopped->second + lease_s_) : at;
--- a/src/fleetkit/duty_judge.hpp
+++ b/src/fleetkit/duty_judge.hpp
@@ -28,6 +28,8 @@
   void Stopped(double at, int process) { stopped_[process] = at; }
   void Continued(double at, int process);
   void Gone(double at, int process);  // killed, or ended
+  // It holds something, as far as it has told.
+  bool Holds(int process) const;
   // What has come to the ledger, whenever that was sent, and whether the ledger took it.
   void Appended(double at, const std::string& duty, std::uint64_t token, const std::string& by, bool taken);
 
--- a/src/fleetkit/stage.cpp
+++ b/src/fleetkit/stage.cpp
@@ -52,7 +52,9 @@
   constexpr double kSlack_s = 0.0005;  // of the times that gateways tell
   for (int voter = 0; scenario.duties && voter < scenario.duties->voters; ++voter) voters_.push_back(voter);
   if (scenario.duties)
-    duties_.emplace(scenario.duties->lease_ms / 1000 * (1 + scenario.clock_rate), kSlack_s);
+    duties_.emplace(scenario.duties->lease_ms / 1000 * (1 - scenario.duties->clock_bound) /
+                        (1 + scenario.duties->clock_bound) * (1 + scenario.clock_rate),
+                    kSlack_s);
   result_.verdicts = {{"agreed", ""}, {"alive", ""}, {"left", ""}, {"running", ""}};
   if (scenario.duties) result_.verdicts.push_back({"held", ""});
 }
--- a/src/fleetkit/virtual_fleet.cpp
+++ b/src/fleetkit/virtual_fleet.cpp
@@ -88,6 +88,14 @@
     now_ = event.at;
     event.what();
   }
+  // Who stands still to the end is asked when its lease was over: nobody else knows it as exactly.
+  for (std::size_t g = 0; g < gateways_.size(); ++g) {
+    Gateway& gateway = gateways_[g];
+    if (!gateway.up || !gateway.stopped || !gateway.duties) continue;
+    duty::Out out;
+    gateway.duties->Tick(Local(gateway), out);
+    CarryDuties(static_cast<int>(g), std::move(out));
+  }
   return stage_.Finish(now_, false);
 }
 
--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -332,6 +332,7 @@
   timer_.StartIn(std::chrono::milliseconds(0), kLookEvery);
   while (!stage_.done()) ev_run(loop_, EVRUN_ONCE);
   JudgeLoad();
+  LetStoppedTell();
   ReadLogs();
   std::uint64_t datagrams = 0, bytes = 0;
   double cpu = 0;
@@ -362,6 +363,21 @@
   for (int g = scenario_.started; g < scenario_.gateways; ++g) world_->Absent(g);
 }
 
+// Who stands still to the end is let go on, so that it tells when its lease was over: from outside that is
+// known to a renewal only.
+void FleetRig::LetStoppedTell() {
+  for (int g = 0; scenario_.duties && g < scenario_.gateways; ++g) {
+    if (!stage_.running(g) || !stage_.stopped(g) || !stage_.duties().Holds(g)) continue;
+    Gateway& gateway = gateways_[static_cast<std::size_t>(g)];
+    gateway.process.Signal(SIGCONT);
+    const double ends = Now() + kPlaysOn_s;
+    while (stage_.duties().Holds(g) && gateway.process.running() && Now() < ends) {
+      ev_run(loop_, EVRUN_ONCE);
+      ReadLogs();
+    }
+  }
+}
+
 // The five rules beside those of the fleet.
 void FleetRig::JudgeLoad() {
   if (!world_) return;
--- a/src/playing/fleet_rig.hpp
+++ b/src/playing/fleet_rig.hpp
@@ -77,6 +77,7 @@
   void Prepare(int process);
   void PrepareLoad();
   void JudgeLoad();
+  void LetStoppedTell();
   nlohmann::json ConfigOf(int process) const;
   // False: the place is still held, by the life that ends.
   void StartWhereFree(int process);
