--- a/src/net/ledger.hpp
+++ b/src/net/ledger.hpp
@@ -38,7 +38,6 @@
 
   // There is something to append. While a call is under way it changes nothing.
   void Append();
-  void Reap() {}
 
  private:
   enum class State { kClosed, kConnecting, kIdle, kWaiting };
--- a/tests/duty/ledger_test.cpp
+++ b/tests/duty/ledger_test.cpp
@@ -19,7 +19,7 @@
     EXPECT_TRUE(door_.Open(Address{0x7f000001, 0}, error)) << error;
     ledger_.emplace(loop_, descriptors_, door_.address(), static_cast<Ledger::Owner&>(*this));
   }
-  ~LedgerTest() override { ledger_.reset(); }
+  ~LedgerTest() override { ledger_.reset(); }  // its descriptors are counted in a member
 
   std::optional<std::string> OnReady() override { return line_; }
   void OnTaken(std::uint64_t number) override { told_ += "taken " + std::to_string(number) + ";"; }
@@ -33,7 +33,11 @@
     return told_;
   }
 
-  struct ev_loop* loop_ = ev_loop_new(0);
+  struct Loop {  // outlives what is on it
+    struct ev_loop* loop = ev_loop_new(0);
+    ~Loop() { ev_loop_destroy(loop); }
+  } owned_;
+  struct ev_loop* loop_ = owned_.loop;
   Descriptors descriptors_{1024, false, false, true};
   standin::Ledger stand_in_;
   std::string answer_;  // in place of the stand-in's
