Clean-up: duties read their settings in one place; unused parameters gone

Duties kept a copy of settings that its machine holds, to be changed beside it at SIGHUP; two functions took a time that they did not use; OrDash and YesNo stood in two files.

Change: the machine's options are asked; src/app/words.hpp has the words. No change of behaviour.

--- a/src/app/duties.cpp
+++ b/src/app/duties.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "app/words.hpp"
 #include "duty/view.hpp"
 #include "util/hash.hpp"
 
@@ -30,14 +31,13 @@
 std::string Joined(const List& list) {
   return list.empty() ? std::string("-") : fmt::format("{}", fmt::join(list, ","));
 }
-std::string_view OrDash(const std::string& text) { return text.empty() ? std::string_view("-") : text; }
 
 }  // namespace
 
 Duties::Duties(struct ev_loop* loop, const config::Config& config, std::uint64_t boot,
                net::Descriptors& descriptors, log::Logger& logger, Ground& ground)
     : loop_(loop),
-      config_(*config.duty),
+      record_every_(config.duty->record_every),
       logger_(logger),
       ground_(ground),
       machine_(OptionsOf(config), FloorOf(boot), StableHash(config.name, config.seed ^ boot ^ 0xd07)),
@@ -48,8 +48,8 @@
                Carry(std::move(out));
              }),
       record_timer_(loop, [this](int) { RecordDue(); }) {
-  if (config_.ledger)
-    ledger_.emplace(loop, descriptors, *config_.ledger, static_cast<net::Ledger::Owner&>(*this));
+  if (config.duty->ledger)
+    ledger_.emplace(loop, descriptors, *config.duty->ledger, static_cast<net::Ledger::Owner&>(*this));
 }
 
 Duties::~Duties() = default;
@@ -57,10 +57,11 @@
 void Duties::Start() {
   if (std::exchange(started_, true)) return;
   machine_.Start(Now());
-  logger_.Info("duty: event=open duties={} voters={} before={} votes={} silent_ms={}", Joined(config_.names),
-               Joined(config_.voters), Joined(config_.voters_before), machine_.votes() ? "yes" : "no",
+  const duty::Options& options = machine_.options();
+  logger_.Info("duty: event=open duties={} voters={} before={} votes={} silent_ms={}", Joined(options.duties),
+               Joined(options.voters), Joined(options.voters_before), YesNo(machine_.votes()),
                Milliseconds(machine_.silent_for(Now())));
-  if (ledger_) record_timer_.StartIn(config_.record_every, config_.record_every);
+  if (ledger_) record_timer_.StartIn(record_every_, record_every_);
   Arm();
 }
 
@@ -116,11 +117,6 @@
 }
 
 void Duties::Retune(const config::Config& next) {
-  config_.voters = next.duty->voters;
-  config_.voters_before = next.duty->voters_before;
-  config_.names = next.duty->names;
-  config_.lease = next.duty->lease;
-  config_.clock_bound = next.duty->clock_bound;
   duty::Out out;
   machine_.Retune(Now(), OptionsOf(next), out);
   Carry(std::move(out));
@@ -178,7 +174,7 @@
   const auto token = machine_.May(Now(), kRecord);
   if (!token) return std::nullopt;
   constexpr int kFreshIntervals = 5;
-  const auto sum = uses_.Add(Now(), kFreshIntervals * config_.record_every);
+  const auto sum = uses_.Add(Now(), kFreshIntervals * record_every_);
   return fmt::format("append {} {} gateways={} served={} refused={} failed={} by={}", kRecord, *token,
                      sum.gateways, sum.use.served, sum.use.refused, sum.use.failed, machine_.options().name);
 }
@@ -204,11 +200,11 @@
 
 std::string Duties::Describe() const {
   const duty::Time now = Now();
-  std::string text =
-      fmt::format("duties name={} voters={} before={} votes={} silent_ms={} lease_ms={} behind={}\n",
-                  machine_.options().name, Joined(config_.voters), Joined(config_.voters_before),
-                  machine_.votes() ? "yes" : "no", Milliseconds(machine_.silent_for(now)),
-                  Milliseconds(config_.lease), Joined(machine_.Behind()));
+  const duty::Options& options = machine_.options();
+  std::string text = fmt::format(
+      "duties name={} voters={} before={} votes={} silent_ms={} lease_ms={} behind={}\n", options.name,
+      Joined(options.voters), Joined(options.voters_before), YesNo(machine_.votes()),
+      Milliseconds(machine_.silent_for(now)), Milliseconds(options.lease), Joined(machine_.Behind()));
   for (const duty::Standing& standing : machine_.Standings(now))
     text += fmt::format("duty name={} state={} holder={} token={} left_ms={} for_ms={} voters_heard={}\n",
                         standing.duty, standing.state, OrDash(standing.holder), standing.token,
--- a/src/app/duties.hpp
+++ b/src/app/duties.hpp
@@ -67,7 +67,7 @@
   void RecordDue();
 
   struct ev_loop* loop_;
-  config::Duty config_;
+  const std::chrono::milliseconds record_every_;
   log::Logger& logger_;
   Ground& ground_;
   duty::Machine machine_;
--- a/src/app/peers.cpp
+++ b/src/app/peers.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "app/words.hpp"
 #include "duty/view.hpp"
 #include "util/bytes.hpp"
 #include "util/hash.hpp"
@@ -43,9 +44,6 @@
   return options;
 }
 
-std::string_view YesNo(bool yes) { return yes ? "yes" : "no"; }
-std::string_view OrDash(const std::string& text) { return text.empty() ? std::string_view("-") : text; }
-
 std::string Line(const Record& record, fleet::Duration since) {
   return fmt::format("member name={} state={} for_ms={} boot={} incarnation={} address={} by={} about={}\n",
                      record.name, fleet::Word(record.state), since / std::chrono::milliseconds(1),
--- a/src/duty/machine.cpp
+++ b/src/duty/machine.cpp
@@ -161,7 +161,7 @@
     if (renews) {
       Ask(now, name, duty, out);
     } else if (!duty.letter.entries.empty()) {  // again, to those that have not answered
-      ToVoters(now, duty.letter, duty.answered, out);
+      ToVoters(duty.letter, duty.answered, out);
     }
     const Time renewal = duty.candidate.asked_at() + Part(kRenewAfter);
     duty.due = std::min(renewal, now + Part(kRound));
@@ -172,7 +172,7 @@
     if (duty.state == State::kAsking) return GiveUpAsking(now, name, duty, out);
     return EndPass(now, duty, out);
   }
-  ToVoters(now, duty.letter, duty.answered, out);
+  ToVoters(duty.letter, duty.answered, out);
   duty.due = std::min(duty.ends, now + Part(kRound));
 }
 
@@ -201,7 +201,7 @@
   return message;
 }
 
-void Machine::Send(Time, const std::string& to, const Message& message, Out& out) {
+void Machine::Send(const std::string& to, const Message& message, Out& out) {
   if (to == options_.name) return to_self_.push_back(message);
   Message part = message;  // as many entries as a datagram takes
   for (std::size_t from = 0; from < message.entries.size(); from += kEntriesAtOnce) {
@@ -212,10 +212,10 @@
   }
 }
 
-void Machine::ToVoters(Time now, const Message& message, const std::set<std::size_t>& but, Out& out) {
+void Machine::ToVoters(const Message& message, const std::set<std::size_t>& but, Out& out) {
   for (std::size_t v = 0; v < voters_.size(); ++v)
     if (!but.contains(v) && (voters_[v] == options_.name || view_.others.contains(voters_[v])))
-      Send(now, voters_[v], message, out);
+      Send(voters_[v], message, out);
 }
 
 // What a gateway tells itself, as voter and as candidate, goes the same way as everything else.
@@ -287,9 +287,7 @@
         if (!number || entry.question != duty.candidate.question()) break;
         duty.answered.insert(*number);
         duty.candidate.OnAnswer(*number, {entry.question, entry.yes, entry.token});
-        if (!entry.yes) {
-          duty.refused.insert(*number);
-        }
+        if (!entry.yes) duty.refused.insert(*number);
         if (duty.state == State::kAsking && Hopeless(duty)) {
           GiveUpAsking(now, entry.duty, duty, out);
           break;
@@ -327,7 +325,7 @@
     }
   }
   // Also to who has left the view: it waits for this word to hand its duties on.
-  if (!answer.entries.empty()) Send(now, from, answer, out);
+  if (!answer.entries.empty()) Send(from, answer, out);
   if (message.kind == Kind::kSeen && looking_ && LookIsOver()) EndLook(now, out);
 }
 
@@ -346,7 +344,7 @@
   for (const auto& [name, duty] : duties_)
     if (duty.state == State::kWaiting) letter.entries.push_back(Named(name));
   looking_->duties = letter.entries.size();
-  ToVoters(now, letter, {}, out);
+  ToVoters(letter, {}, out);
 }
 
 bool Machine::LookIsOver() const {
@@ -406,7 +404,7 @@
   entry.question = ask.question;
   entry.token = ask.token;
   duty.letter.entries = {entry};
-  ToVoters(now, duty.letter, {}, out);
+  ToVoters(duty.letter, {}, out);
 }
 
 // Those that have refused leave no majority: what the others have promised only stands in the way.
@@ -425,7 +423,7 @@
   Entry entry = Named(name);
   entry.token = token;
   letter.entries = {entry};
-  ToVoters(now, letter, {}, out);
+  ToVoters(letter, {}, out);
   Enter(duty, State::kWaiting, now);
   // Not what voters said they were bound to: that was mostly another candidate, which gives up too
   // (duty-deaf-holder, seed 158: two that stood in each other's way both waited out a lease).
@@ -512,7 +510,7 @@
   entry.who = view_.others.at(to).life;
   entry.holder = to;
   duty.letter.entries = {entry};
-  ToVoters(now, duty.letter, {}, out);
+  ToVoters(duty.letter, {}, out);
   ++duty.changes;
   out.changes.push_back({Change::Kind::kHandedOn, name, token, to, now});
   return "";
@@ -523,7 +521,7 @@
   Entry entry = Named(duty.letter.entries.front().duty);
   entry.token = duty.passed_token;
   take.entries = {entry};
-  Send(now, duty.successor, take, out);
+  Send(duty.successor, take, out);
   duty.holder = duty.successor;
   Enter(duty, State::kWaiting, now);
   duty.due = now + options_.lease + Wait();  // not at once back to who has just given it up
--- a/src/duty/machine.hpp
+++ b/src/duty/machine.hpp
@@ -161,8 +161,8 @@
   void SetVoters();
   Terms TermsNow() const;
   Message Letter(Kind kind) const;
-  void Send(Time now, const std::string& to, const Message& message, Out& out);
-  void ToVoters(Time now, const Message& message, const std::set<std::size_t>& but, Out& out);
+  void Send(const std::string& to, const Message& message, Out& out);
+  void ToVoters(const Message& message, const std::set<std::size_t>& but, Out& out);
   void Deliver(Time now, Out& out);
   void Take(Time now, const std::string& from, Life life, const Message& message, Out& out);
   bool AcceptsListsOf(const Message& message) const;
