--- /dev/null
+++ b/src/agreement/package.cmake
@@ -0,0 +1,5 @@
+# The core: epochs of members and the configuration that they keep. Pure.
+add_library(curlewdoor_agreement STATIC src/agreement/codec.cpp src/agreement/core.cpp src/agreement/proposing.cpp)
+target_include_directories(curlewdoor_agreement PUBLIC src)
+target_include_directories(curlewdoor_agreement SYSTEM PRIVATE ${MSGPACK})
+system_test(agreement_test tests/agreement/agreement_test.cpp curlewdoor_agreement)
--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -33,7 +33,7 @@
                    config.fleet.has_value()),
       reducer_(make_core(config_.settings, config_.seed)),
       listener_(loop, config_.settings, descriptors_, *this, Ahead(config, descriptors_)),
-      upstream_(loop, config_.settings, descriptors_, *this),
+      upstream_(loop, config_.settings, descriptors_, *this, dialect_),
       counter_(loop, config_.settings, config_.counter, descriptors_, *this),
       discovery_(loop, config_.settings, config_.discovery,
                  config_.settings.discovery == curlewdoor::Discovery::kPush,
@@ -108,58 +108,13 @@
 }
 
 void Service::Apply(const StartAttempt& effect) {
-  const http::Message* request = listener_.RequestOf(effect.attempt.request);
-  if (request == nullptr) return Post(AttemptBroken{effect.attempt});
+  if (!uploads_.Start(effect)) return Post(AttemptBroken{effect.attempt});
   ++counts_.attempts;
-  const RequestId id = effect.attempt.request;
-  const auto known = uploads_.find(id);
-  if (known == uploads_.end() && !listener_.uploading(id)) return upstream_.Start(effect, *request);
-  uploads_[id] = Upload{effect.attempt};
-  upstream_.Start(effect, *request, net::Upstream::Streamed{request->length()});
-  OnUpload(id);
-}
-
-// Passes on what has come of a long body, as far as the attempt's connection takes it. What is held is given
-// up only when no more could be read else: until then another attempt can be made.
-void Service::OnUpload(RequestId id) {
-  const auto found = uploads_.find(id);
-  if (found == uploads_.end() || found->second.pumping) return;
-  found->second.pumping = true;
-  for (;;) {
-    const auto it = uploads_.find(id);
-    const http::Message* request = listener_.RequestOf(id);
-    if (it == uploads_.end()) return;
-    Upload& upload = it->second;
-    if (request == nullptr) {
-      uploads_.erase(it);
-      return;
-    }
-    const AttemptId attempt = upload.attempt;
-    if (upload.ended || !upstream_.CanFeed(attempt)) break;
-    const std::string_view body = request->body();
-    if (upload.fed < body.size()) {
-      const std::string_view rest = body.substr(upload.fed);
-      upload.fed = body.size();
-      upstream_.Feed(attempt, rest);
-    } else if (!listener_.uploading(id)) {
-      upload.ended = true;
-      Post(RequestWhole{id});
-      upstream_.EndFeed(attempt);
-    } else if (upload.bound || listener_.upload_full(id)) {
-      if (body.empty()) break;
-      if (!std::exchange(upload.bound, true)) Post(UploadBound{attempt});
-      upload.fed = 0;
-      listener_.TakeUpload(id);
-    } else {
-      break;
-    }
-  }
-  if (const auto it = uploads_.find(id); it != uploads_.end()) it->second.pumping = false;
 }
 
 void Service::Apply(const DeliverAnswer& effect) {
   ++counts_.served;
-  uploads_.erase(effect.attempt.request);
+  uploads_.Forget(effect.attempt.request);
   if (upstream_.stream_begins()) {
     upstream_.StreamTo(effect.attempt.request);
     return listener_.BeginDelivery(effect.attempt.request, *upstream_.current_answer());
@@ -169,13 +124,13 @@
 
 void Service::Apply(const AnswerRefused& effect) {
   ++counts_.refused;
-  uploads_.erase(effect.request);
+  uploads_.Forget(effect.request);
   listener_.Refuse(effect.request, effect.retry_after);
 }
 
 void Service::Apply(const AnswerFailed& effect) {
   ++counts_.failed;
-  uploads_.erase(effect.request);
+  uploads_.Forget(effect.request);
   listener_.Fail(effect.request);
 }
 
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -16,14 +16,16 @@
 #include "net/counter.hpp"
 #include "net/discovery.hpp"
 #include "net/listener.hpp"
+#include "net/platform_dialect.hpp"
 #include "net/shutdown.hpp"
 #include "net/socket_io.hpp"
+#include "net/uploads.hpp"
 #include "net/upstream.hpp"
 #include "roster/by_hand.hpp"
 
 namespace curlewdoor::app {
 
-class Service : net::Inputs {
+class Service : net::Inputs, net::Uploads::Owner {
  public:
   // Reads the configuration anew, while the program runs; on nullopt the text tells the faulty key.
   using Reload =
@@ -53,7 +55,9 @@
   }
 
   // Bodies in pieces: docs/streaming.md.
-  void OnUpload(RequestId request) override;
+  void OnUpload(RequestId request) override { uploads_.Pump(request); }
+  void OnWhole(RequestId request) override { Post(RequestWhole{request}); }
+  void OnBound(const AttemptId& attempt) override { Post(UploadBound{attempt}); }
   void OnAnswerRoom(RequestId request) override { upstream_.ReadOn(request); }
   void OnAnswerLost(RequestId request) override { upstream_.DropStream(request); }
   bool WantsAnswer(RequestId request) override { return listener_.WantsBytes(request); }
@@ -64,7 +68,7 @@
 
   void Apply(const StartAttempt& effect);
   void Apply(const DropAttempt& effect) {
-    uploads_.erase(effect.attempt.request);
+    uploads_.Forget(effect.attempt.request);
     upstream_.Drop(effect.attempt);
   }
   void Apply(const DeliverAnswer& effect);
@@ -109,6 +113,7 @@
   net::Descriptors descriptors_;
   const std::unique_ptr<Core> reducer_;
   net::Listener listener_;
+  net::PlatformDialect dialect_{config_.settings};
   net::Upstream upstream_;
   net::Counter counter_;
   net::Discovery discovery_;
@@ -124,13 +129,7 @@
   TimePoint house_due_;
   std::deque<Input> inputs_;
   std::vector<Effect> effects_;
-  // Of a request whose body comes in pieces: its attempt, and how much of what is held has been passed on.
-  struct Upload {
-    AttemptId attempt;
-    std::size_t fed = 0;
-    bool bound = false, pumping = false, ended = false;
-  };
-  std::unordered_map<RequestId, Upload, IdHash> uploads_;
+  net::Uploads uploads_{listener_, upstream_, *this};
   bool handling_ = false;
   struct {
     std::uint64_t served = 0, refused = 0, failed = 0, attempts = 0, calls = 0;
--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -1,6 +1,6 @@
 // The interface of the decision module: what a gateway is told (settings, events), what it may do
 // (actions), and the one class that decides. No I/O, no clock, no threads: the same events give the same
-// actions. All decisions are in logic.cpp.
+// actions. All decisions are in logic.cpp and logic/leases.cpp.
 #pragma once
 
 #include <chrono>
@@ -75,6 +75,7 @@
   double price = 1;
   double beyond_worth = 0;
   double beyond_cost = 0;
+  Duration window{};  // of its count; zero: burst / rate
   bool operator==(const Plan&) const = default;
 };
 
@@ -345,12 +346,9 @@
   double latency = 0, units = 0;  // smoothed, of good answers
 };
 
-struct OwnMemory {
-  TimePoint forgot_at;    // when a customer was last forgotten: at an eviction, or at the start
-  double mean_units = 0;  // smoothed, of all requests
-  double room = 0;        // work that may be out, by what came back in time; 0: not known yet
-  double mean_density = 0;
-  double part = 1;  // of the usual gateways: those that see the same counter
+struct CountingMemory {
+  TimePoint forgot_at;  // when a customer was last forgotten: at an eviction, or at the start
+  double part = 1;      // of the usual gateways: those that see the same counter
   Duration unseen_for{};
   bool silent = false;
   int call_failures = 0;
@@ -358,6 +356,12 @@
   double call_rate = 0, calls_left = 0;  // calls a second, and those saved up
   TimePoint calls_at;
   double mean_stake = 0, admitted = 1, counted = 1;  // smoothed: worth at stake, units let in, and counted
+};
+
+struct ServingMemory {
+  double mean_units = 0;  // smoothed, of all requests
+  double room = 0;        // work that may be out, by what came back in time; 0: not known yet
+  double mean_density = 0;
   double retry_budget = 0;
   double unheard_fails = 0;  // smoothed: how often hosts not heard from lately fail
   double warm_rate = 0;      // good answers a second from one warm host to this gateway
@@ -365,6 +369,8 @@
   TimePoint warm_since;
 };
 
+struct OwnMemory : CountingMemory, ServingMemory {};
+
 struct GatewayMemory {
   struct OfHost {
     HostId host;
--- a/src/logic_records.hpp
+++ b/src/logic_records.hpp
@@ -7,18 +7,12 @@
 #include <vector>
 
 #include "logic.hpp"
+#include "logic/leases.hpp"
 
 namespace curlewdoor::records {
 
-struct Customer : CustomerMemory {
-  std::shared_ptr<const Plan> plan;
-  bool calling = false;   // one call is out, at most
-  bool given_up = false;  // nobody waits for it any more
-  std::int64_t call_window = 0;
-  double call_lease = 0, call_owed = 0;
-  std::deque<RequestId> waiting;
-  int open = 0;  // attempts out
-};
+using Claim = Leases::Claim;
+using Customer = Leases::Customer;
 
 struct Attempt {
   HostId host;
@@ -41,17 +35,12 @@
   std::deque<HostId> met;  // hosts that answered it in time, the latest first
 };
 
-struct Request {
-  RequestId id;
-  Customer* customer = nullptr;
+struct Request : Claim {
   std::shared_ptr<const Settings> under;  // from its arrival to its end, whatever changes meanwhile
   const RequestClass* kind = nullptr;     // of these
   std::shared_ptr<ClassState> learnt;
-  double units = 1;
-  TimePoint arrived, deadline;
+  TimePoint deadline;
   bool closed = false;
-  bool counted = false;  // its units were taken from the quota ...
-  bool covered = false;  // ... and were counted where every gateway sees them, under the ceiling
   std::vector<Attempt> attempts;
 };
 
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -10,16 +10,10 @@
 namespace curlewdoor::net {
 namespace {
 
-using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// From the first byte of a request to its last; of the first one, from connecting on (guards against those
-// that connect and say nothing, or a little at a time).
-// Its head; and again as much for a body that is held whole.
-constexpr Duration kSlowestRequest = milliseconds(2400);
 constexpr std::size_t kUsualRead = 2048, kLongRead = 16 * 1024;
 constexpr Duration kSlowestAnswer = seconds(5);  // for the client to take it
-constexpr Duration kLongestIdle = seconds(10);
 constexpr Duration kLinger = seconds(1);         // for the client to read the last answer before the end ...
 constexpr Duration kLongestLinger = seconds(3);  // ... and while it still sends what nobody wants
 // Bytes kept of what a client sends ahead of an answer.
@@ -300,15 +294,16 @@
 
 void Client::CheckTime(TimePoint now) {
   const Duration in_state = now - since_;
+  const ClientTimes times = owner_.times();
   const bool body = request_.head_done() && head_at_ != TimePoint{};
   const Duration taken = body ? now - head_at_ : in_state;
-  if (state_ == State::kReading && request_.started() && taken > kSlowestRequest) return AnswerBad(408);
+  if (state_ == State::kReading && request_.started() && taken > times.slowest_request) return AnswerBad(408);
   // A long body's pace counts while its connection is read, a long answer's while some of it waits.
   if (state_ == State::kWaiting && uploading_ && pace_.TooSlow(now, !upload_full())) return Close();
   if (state_ == State::kSkipping && pace_.TooSlow(now, true)) return Close();
   if (state_ == State::kStreaming && pace_.TooSlow(now, !out_.empty(), kSlowestAnswer)) return Close();
   const bool over =
-      (between_requests() && in_state > (served_any_ ? kLongestIdle : kSlowestRequest)) ||
+      (between_requests() && in_state > (served_any_ ? times.longest_idle : times.slowest_request)) ||
       (state_ == State::kWriting && in_state > kSlowestAnswer) ||
       (state_ == State::kLingering && (in_state > kLongestLinger || now - last_discarded_ > kLinger));
   if (over) Close();
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -17,6 +17,14 @@
 
 namespace curlewdoor::net {
 
+// What a client may take its time for.
+struct ClientTimes {
+  // From the first byte of a request to its last; of the first one, from connecting on (guards against those
+  // that connect and say nothing, or a little at a time). Its head; and again as much for a body held whole.
+  Duration slowest_request = std::chrono::milliseconds(2400);
+  Duration longest_idle = std::chrono::seconds(10);
+};
+
 class Client {
  public:
   class Owner {
@@ -36,6 +44,7 @@
     // Between two requests, while holding.
     virtual void OnHeld(Client& client) = 0;
     virtual TimePoint Now() = 0;
+    virtual ClientTimes times() const { return {}; }
   };
 
   Client(struct ev_loop* loop, Descriptor descriptor, Owner& owner);
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -27,7 +27,8 @@
   io_.GoFirst();
 }
 
-void Connection::Connect(Descriptor descriptor, const Address& address, Duration timeout) {
+void Connection::Connect(Descriptor descriptor, const Address& address, Duration timeout,
+                         Duration unacknowledged) {
   descriptor_ = std::move(descriptor);
   descriptor_.Set(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const sockaddr_in to = address.ToSocket();
@@ -37,6 +38,7 @@
   if (begun) {
     const int on = 1;
     ::setsockopt(descriptor_.fd(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    if (unacknowledged > Duration::zero()) LimitSilence(descriptor_.fd(), unacknowledged);
     WantEvents();
   }
   connect_timer_.StartIn(begun ? timeout : Duration::zero());
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -40,7 +40,8 @@
 
   // Begins to connect; it ends in OnUp or, in `timeout` at the latest, in OnBroken. OnBroken is never called
   // from within: a connection that fails at once says so from the loop.
-  void Connect(Descriptor descriptor, const Address& address, Duration timeout);
+  // `unacknowledged`: what was sent and not acknowledged for so long breaks it; zero: the system's time.
+  void Connect(Descriptor descriptor, const Address& address, Duration timeout, Duration unacknowledged = {});
   void Close();
   // A connection that is up, from another process or to one. Nothing is owed on it.
   void Adopt(Descriptor descriptor);
--- /dev/null
+++ b/src/net/dialect.hpp
@@ -0,0 +1,36 @@
+// What a deployment's hosts and gateways say to each other beside HTTP itself: names of headers, what an
+// answer tells. The connections and exchanges (upstream.hpp) are the same for all.
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+#include "core/reducer.hpp"
+#include "http/message.hpp"
+
+namespace curlewdoor::net {
+
+class Dialect {
+ public:
+  virtual ~Dialect() = default;
+  // Headers of the client's that are not passed on as they stand.
+  virtual std::initializer_list<std::string_view> Dropped() const = 0;
+  // Appends whole header lines of this attempt alone; `left` until it expires, as its request is written.
+  virtual void AppendLines(const AttemptId& attempt, Duration left, std::string& out) const = 0;
+  // Whether an answer belongs to this attempt; one that doesn't is passed over.
+  virtual bool Belongs(const AttemptId&, const http::Message&) const { return true; }
+  // The host says that it did not run the request.
+  virtual bool NotRun(const http::Message& answer) const = 0;
+  // The host's load, where answers tell it.
+  virtual LoadReport Load(const http::Message&) const { return {}; }
+  // A probe's head up to its last header line.
+  virtual std::string_view ProbeHead(bool with_load) const = 0;
+  // How long a kept connection may stand idle, told by an answer; zero: not told.
+  virtual Duration KeepAlive(const http::Message&) const { return {}; }
+  // After how long without an acknowledgement of what was sent a connection is taken as lost; zero: the
+  // system's time.
+  virtual Duration Unacknowledged() const { return {}; }
+};
+
+}  // namespace curlewdoor::net
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -112,6 +112,18 @@
   return StatusOf(::recv(fd, nobodys.data(), nobodys.size(), MSG_DONTWAIT));
 }
 
+void LimitSilence(int socket, Duration longest) {
+  const auto set = [&](int level, int option, int value) {
+    ::setsockopt(socket, level, option, &value, sizeof value);
+  };
+  const auto ms = static_cast<int>(longest / std::chrono::milliseconds(1));
+  set(IPPROTO_TCP, TCP_USER_TIMEOUT, ms);
+  set(SOL_SOCKET, SO_KEEPALIVE, 1);
+  set(IPPROTO_TCP, TCP_KEEPIDLE, 1);
+  set(IPPROTO_TCP, TCP_KEEPINTVL, 1);
+  set(IPPROTO_TCP, TCP_KEEPCNT, std::max(1, ms / 1000));
+}
+
 std::optional<Duration> SinceReceived(int socket) {
   tcp_info info{};
   socklen_t size = sizeof info;
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -37,6 +37,10 @@
 // The same for bytes that nobody wants.
 ReadStatus Discard(int fd);
 
+// A TCP connection breaks where what was sent is not acknowledged for so long, and where the other side's
+// machine is silent for about as long while nothing is sent (whole seconds: one at the least).
+void LimitSilence(int socket, Duration longest);
+
 // How long ago the last bytes came to a TCP socket, as the system has it, in steps of its clock (up to 10
 // ms); nullopt: it does not say.
 std::optional<Duration> SinceReceived(int socket);
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -11,10 +11,6 @@
 namespace curlewdoor::net {
 namespace {
 
-constexpr std::string_view kTimeoutHeader = "X-Timeout";
-constexpr std::string_view kLoadHeader = "X-Server-Load";
-constexpr std::string_view kNotRunHeader = "X-Not-Processed";
-
 std::string_view Number(std::array<char, 24>& digits, std::int64_t value) {
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(), value).ptr;
   return {digits.data(), static_cast<std::size_t>(end - digits.data())};
@@ -31,11 +27,13 @@
 
 }  // namespace
 
-Upstream::Upstream(struct ev_loop* loop, const Settings& settings, Descriptors& descriptors, Inputs& inputs)
+Upstream::Upstream(struct ev_loop* loop, const Settings& settings, Descriptors& descriptors, Inputs& inputs,
+                   const Dialect& dialect)
     : loop_(loop),
       settings_(settings),
       descriptors_(descriptors),
       inputs_(inputs),
+      dialect_(dialect),
       // Half of the limit: what is written to a connection just as the host closes it ends as a reset.
       keep_time_(settings.limits.connection_idle / 2) {}
 
@@ -52,7 +50,7 @@
   std::vector<iovec> head{http::Piece(http_method_str(request.method())), http::Piece(" "),
                           http::Piece(request.target()), http::Piece(" HTTP/1.1\r\n")};
   if (!request.Has("Host")) head.push_back(http::Piece("Host: service.internal\r\n"));
-  request.AppendEndToEnd({kTimeoutHeader}, head);
+  request.AppendEndToEnd(dialect_.Dropped(), head);
   Send(*link, head, streamed ? std::string_view() : request.body());
 }
 
@@ -62,8 +60,7 @@
   link->expires = inputs_.Now() + settings_.limits.connect_timeout;
   link->feeding = link->chunked = false;
   link->length = 0;
-  const iovec head[] = {http::Piece(effect.with_load ? "GET /_load HTTP/1.1\r\nHost: service.internal\r\n"
-                                                     : "GET /ping HTTP/1.1\r\nHost: service.internal\r\n")};
+  const iovec head[] = {http::Piece(dialect_.ProbeHead(effect.with_load))};
   Send(*link, head, {});
 }
 
@@ -82,6 +79,13 @@
   return link;
 }
 
+// It has stood idle for as long as hosts of late let it, or for most of what its host has told.
+bool Upstream::Stale(const Link& link) const {
+  const Duration idle = inputs_.Now() - link.kept_since;
+  const bool told = link.keep_alive > Duration::zero();
+  return idle >= keep_time_.value() || (told && idle >= link.keep_alive - link.keep_alive / 4);
+}
+
 // Nothing is ever sent a second time by itself: a connection that the host has closed is found out here, by
 // a look at what it sent, before anything is written to it.
 Upstream::Link* Upstream::FindKept(HostId host, const Address& address) {
@@ -91,7 +95,7 @@
     Link* link = kept->second.back();
     Unkeep(*link);
     const Duration idle = inputs_.Now() - link->kept_since;
-    if (idle < keep_time_.value() && link->address == address && link->connection.Quiet()) {
+    if (!Stale(*link) && link->address == address && link->connection.Quiet()) {
       link->idle = idle;
       return link;
     }
@@ -109,7 +113,8 @@
   link.host = host;
   link.address = address;
   ++opened_;
-  link.connection.Connect(std::move(*descriptor), address, settings_.limits.connect_timeout);
+  link.connection.Connect(std::move(*descriptor), address, settings_.limits.connect_timeout,
+                          dialect_.Unacknowledged());
   return &link;
 }
 
@@ -121,14 +126,16 @@
     return;
   }
   const Duration left = std::max(Duration::zero(), link.expires - inputs_.Now());
-  std::array<char, 24> timeout_digits, length_digits;
+  std::array<char, 24> length_digits;
   std::vector<iovec> pieces(head.begin(), head.end());
-  pieces.push_back(http::Piece("X-Timeout: "));
-  pieces.push_back(http::Piece(Number(timeout_digits, left / std::chrono::microseconds(1))));
+  std::string lines;
+  const auto* attempt = std::get_if<AttemptId>(&link.task);
+  dialect_.AppendLines(attempt != nullptr ? *attempt : AttemptId{}, left, lines);
+  pieces.push_back(http::Piece(lines));
   if (link.chunked) {
-    pieces.push_back(http::Piece("u\r\nTransfer-Encoding: chunked\r\n\r\n"));
+    pieces.push_back(http::Piece("Transfer-Encoding: chunked\r\n\r\n"));
   } else {
-    pieces.push_back(http::Piece("u\r\nContent-Length: "));
+    pieces.push_back(http::Piece("Content-Length: "));
     pieces.push_back(http::Piece(Number(length_digits, static_cast<std::int64_t>(link.length))));
     pieces.push_back(http::Piece("\r\n\r\n"));
   }
@@ -190,11 +197,11 @@
 // The head of a long answer is here. For the module the attempt has ended well; its bytes go on as the client
 // takes them.
 void Upstream::OnBegun(Link& link, const http::Message& answer) {
+  if (Foreign(link, answer)) return OnBroken(link);
   const Task task = EndTask(link);
   const auto* attempt = std::get_if<AttemptId>(&task);
   if (attempt == nullptr) return Retire(link);
-  LoadReport load;
-  if (settings_.reports.how != Reports::kNone) load = ReadLoadReport(answer.Find(kLoadHeader));
+  LoadReport load = dialect_.Load(answer);
   current_answer_ = &answer;
   stream_begins_ = true;
   stream_to_.reset();
@@ -222,7 +229,14 @@
 
 void Upstream::DropStream(RequestId request) { DropTask(request); }
 
+// An answer that came late to another request; the one that is owed is still to come.
+bool Upstream::Foreign(const Link& link, const http::Message& answer) const {
+  const auto* attempt = std::get_if<AttemptId>(&link.task);
+  return attempt != nullptr && !dialect_.Belongs(*attempt, answer);
+}
+
 void Upstream::OnAnswer(Link& link, const http::Message& answer) {
+  if (Foreign(link, answer)) return;
   const Task task = EndTask(link);
   if (const auto* request = std::get_if<RequestId>(&task)) {
     inputs_.OnAnswerEnd(*request, true);
@@ -233,10 +247,10 @@
   // A long body that nobody reads may stand behind an answer that is no 200.
   const bool reusable = link.written && answer.done() && answer.keep_alive();
   current_answer_ = &answer;
-  LoadReport load;
-  if (settings_.reports.how != Reports::kNone) load = ReadLoadReport(answer.Find(kLoadHeader));
+  LoadReport load = dialect_.Load(answer);
+  link.keep_alive = dialect_.KeepAlive(answer);
   if (const auto* attempt = std::get_if<AttemptId>(&task)) {
-    const bool not_run = answer.Find(kNotRunHeader) == "1";
+    const bool not_run = dialect_.NotRun(answer);
     inputs_.Post(AttemptAnswered{*attempt, answer.status(), not_run, std::move(load)});
   } else if (const auto* probe = std::get_if<ProbeId>(&task)) {
     if (load.empty()) load = ReadLoadReport(answer.body());
@@ -404,10 +418,9 @@
     const bool sends = std::holds_alternative<RequestId>(link.task) && WantsBytes(link);
     if ((waits || sends) && inputs_.Now() - link.moved_at > kLongestPause) OnBroken(link);
   }
-  const TimePoint before = inputs_.Now() - keep_time_.value();
   for (auto it = kept_.begin(); it != kept_.end();) {
     auto& links = it->second;
-    while (!links.empty() && links.front()->kept_since <= before) Retire(*links.front());
+    while (!links.empty() && Stale(*links.front())) Retire(*links.front());
     it = links.empty() ? kept_.erase(it) : std::next(it);
   }
 }
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -9,6 +9,7 @@
 
 #include "handover/frames.hpp"
 #include "net/connection.hpp"
+#include "net/dialect.hpp"
 #include "net/inputs.hpp"
 #include "net/keep_time.hpp"
 
@@ -16,7 +17,9 @@
 
 class Upstream {
  public:
-  Upstream(struct ev_loop* loop, const Settings& settings, Descriptors& descriptors, Inputs& inputs);
+  // `dialect` must outlive it.
+  Upstream(struct ev_loop* loop, const Settings& settings, Descriptors& descriptors, Inputs& inputs,
+           const Dialect& dialect);
 
   // `streamed`: the body follows by Feed() and EndFeed(), of this length or in chunks.
   struct Streamed {
@@ -101,6 +104,7 @@
     bool feeding = false, chunked = false;  // its request's body comes in pieces
     TimePoint moved_at;                     // when bytes of a streamed body or answer passed last
     TimePoint kept_since, written_at;
+    Duration keep_alive{};         // as the host told; zero: it did not
     std::optional<Duration> idle;  // how long it had stood kept, where the present task took it so
   };
   using Links = std::list<Link>;
@@ -112,6 +116,8 @@
   void OnUp(Link& link);
   void OnWritten(Link& link);
   void OnAnswer(Link& link, const http::Message& answer);
+  bool Foreign(const Link& link, const http::Message& answer) const;
+  bool Stale(const Link& link) const;
   void OnBroken(Link& link);
   void OnBegun(Link& link, const http::Message& answer);
   void OnBytes(Link& link, std::string_view bytes);
@@ -128,6 +134,7 @@
   const Settings& settings_;
   Descriptors& descriptors_;
   Inputs& inputs_;
+  const Dialect& dialect_;
   Links links_, retired_;
   std::unordered_map<AttemptId, Link*, AttemptIdHash> by_attempt_;
   std::unordered_map<ProbeId, Link*, IdHash> by_probe_;
--- /dev/null
+++ b/src/shelf/leveldb_shelf.cpp
@@ -0,0 +1,194 @@
+#include <fcntl.h>
+#include <leveldb/cache.h>
+#include <leveldb/db.h>
+#include <leveldb/env.h>
+#include <leveldb/write_batch.h>
+#include <pthread.h>
+#include <signal.h>
+#include <unistd.h>
+
+#include <condition_variable>
+#include <deque>
+#include <mutex>
+
+#include "shelf/shelf.hpp"
+
+namespace curlewdoor::shelf {
+namespace {
+
+constexpr std::size_t kStack = 128 << 10;
+constexpr std::size_t kWriteBuffer = 256 << 10;
+constexpr std::size_t kBlockCache = 64 << 10;
+constexpr int kOpenFiles = 20;
+
+class NoLog : public leveldb::Logger {
+ public:
+  void Logv(const char*, std::va_list) override {}
+};
+
+// A renamed name lasts only once its directory is synced, and LevelDB removes the old manifest right after it
+// has renamed CURRENT: without the sync a loss of power could leave a CURRENT that names a file that is gone.
+class LastingEnv : public leveldb::EnvWrapper {
+ public:
+  explicit LastingEnv(std::string directory)
+      : leveldb::EnvWrapper(leveldb::Env::Default()), directory_(std::move(directory)) {}
+  leveldb::Status RenameFile(const std::string& from, const std::string& to) override {
+    leveldb::Status status = leveldb::EnvWrapper::RenameFile(from, to);
+    if (!status.ok()) return status;
+    int fd = open(directory_.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
+    bool synced = fd >= 0 && fsync(fd) == 0;
+    if (fd >= 0) close(fd);
+    return synced ? status : leveldb::Status::IOError(directory_, "the directory can't be synced");
+  }
+
+ private:
+  std::string directory_;
+};
+
+class LevelDbShelf : public Shelf {
+ public:
+  explicit LevelDbShelf(const std::string& directory)
+      : env_(directory), cache_(leveldb::NewLRUCache(kBlockCache)), directory_(directory) {
+    if (leveldb::Status status = Open(); !status.ok()) throw ShelfError(directory + ": " + status.ToString());
+    if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) throw ShelfError(directory + ": no pipe");
+    if (!StartThread()) {
+      ClosePipe();
+      throw ShelfError(directory + ": no thread");
+    }
+  }
+
+  ~LevelDbShelf() override {
+    {
+      std::lock_guard lock(mutex_);
+      stop_ = true;
+    }
+    wake_.notify_one();
+    pthread_join(thread_, nullptr);
+    ClosePipe();
+  }
+
+  std::optional<std::string> Read(const std::string& key) override {
+    if (!db_) throw ShelfError(directory_ + ": closed after a failed write");
+    std::string bytes;
+    leveldb::ReadOptions options;
+    options.verify_checksums = true;
+    leveldb::Status status = db_->Get(options, key, &bytes);
+    if (status.IsNotFound()) return std::nullopt;
+    if (!status.ok()) throw ShelfError(directory_ + ": " + status.ToString());
+    return bytes;
+  }
+
+  bool Write(std::uint64_t id, Records records) override {
+    {
+      std::lock_guard lock(mutex_);
+      if (waiting_.size() + results_.size() + (at_work_ ? 1 : 0) >= kMostWaiting) return false;
+      waiting_.emplace_back(id, std::move(records));
+    }
+    wake_.notify_one();
+    return true;
+  }
+
+  std::vector<Result> Drain() override {
+    char bytes[kMostWaiting];
+    while (read(pipe_[0], bytes, sizeof bytes) > 0) {
+    }
+    std::lock_guard lock(mutex_);
+    return std::exchange(results_, {});
+  }
+
+  int fd() const override { return pipe_[0]; }
+
+ private:
+  leveldb::Status Open() {
+    leveldb::Options options;
+    options.env = &env_;
+    options.create_if_missing = true;
+    options.info_log = &log_;
+    options.write_buffer_size = kWriteBuffer;
+    options.block_cache = cache_.get();
+    options.max_open_files = kOpenFiles;
+    options.compression = leveldb::kNoCompression;
+    leveldb::DB* db = nullptr;
+    leveldb::Status status = leveldb::DB::Open(options, directory_, &db);
+    if (status.ok()) db_.reset(db);
+    return status;
+  }
+
+  // LevelDB takes nothing more after a failed sync until it is opened anew.
+  leveldb::Status Store(const Records& records) {
+    if (!db_) {
+      if (leveldb::Status status = Open(); !status.ok()) return status;
+    }
+    leveldb::WriteBatch batch;
+    for (const auto& [key, bytes] : records) batch.Put(key, bytes);
+    leveldb::WriteOptions options;
+    options.sync = true;
+    leveldb::Status status = db_->Write(options, &batch);
+    if (!status.ok()) db_.reset();
+    return status;
+  }
+
+  bool StartThread() {
+    pthread_attr_t attributes;
+    sigset_t all, before;
+    sigfillset(&all);  // signals are for the owner's thread
+    pthread_attr_init(&attributes);
+    pthread_attr_setstacksize(&attributes, kStack);
+    pthread_sigmask(SIG_SETMASK, &all, &before);
+    int error = pthread_create(
+        &thread_, &attributes,
+        [](void* self) -> void* {
+          static_cast<LevelDbShelf*>(self)->Work();
+          return nullptr;
+        },
+        this);
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+    pthread_attr_destroy(&attributes);
+    return error == 0;
+  }
+
+  void Work() {
+    std::unique_lock lock(mutex_);
+    while (true) {
+      wake_.wait(lock, [this] { return stop_ || !waiting_.empty(); });
+      if (stop_) return;
+      auto [id, records] = std::move(waiting_.front());
+      waiting_.pop_front();
+      at_work_ = true;
+      lock.unlock();
+      leveldb::Status status = Store(records);
+      lock.lock();
+      at_work_ = false;
+      results_.push_back({id, status.ok(), status.ok() ? "" : status.ToString()});
+      if (write(pipe_[1], "r", 1) != 1) continue;  // full: readable as it is
+    }
+  }
+
+  void ClosePipe() {
+    close(pipe_[0]);
+    close(pipe_[1]);
+  }
+
+  NoLog log_;
+  LastingEnv env_;
+  std::unique_ptr<leveldb::Cache> cache_;
+  std::string directory_;
+  std::unique_ptr<leveldb::DB> db_;
+  int pipe_[2] = {-1, -1};
+  pthread_t thread_{};
+  std::mutex mutex_;
+  std::condition_variable wake_;
+  std::deque<std::pair<std::uint64_t, Records>> waiting_;  // and the rest: under the mutex
+  std::vector<Result> results_;
+  bool at_work_ = false, stop_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<Shelf> OpenShelf(const std::string& directory) {
+  return std::make_unique<LevelDbShelf>(directory);
+}
+
+bool ShelfEmpty(const std::string& directory) { return access((directory + "/CURRENT").c_str(), F_OK) != 0; }
+
+}  // namespace curlewdoor::shelf
--- /dev/null
+++ b/src/system/front.cpp
@@ -0,0 +1,549 @@
+#include "system/front.hpp"
+
+#include <algorithm>
+#include <charconv>
+
+#include "events/events.hpp"
+#include "net/request.hpp"
+#include "net/socket_io.hpp"
+#include "system/words.hpp"
+#include "util/hash.hpp"
+#include "util/number.hpp"
+#include "util/seconds.hpp"
+
+namespace curlewdoor::system {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using trying::Ending;
+using How = trying::Ending::How;
+
+constexpr Duration kCountWait = milliseconds(25);  // for a lease; then the measured share decides
+constexpr Duration kConnectTimeout = milliseconds(250);
+constexpr Duration kKeepIdle = seconds(8);  // connections to hosts, unless they tell otherwise
+constexpr Duration kUnacknowledged = milliseconds(1500);
+constexpr Duration kExpiryMargin = milliseconds(20);  // a host's own answer at the deadline goes first
+constexpr std::size_t kMostAhead = 64 * 1024;         // bytes of one long body that are held
+constexpr std::size_t kMostRequests = 4096;           // open at once; more are declined
+constexpr double kMeanStep = 0.05;                    // weight of one answer in a route's mean
+constexpr double kLeastWindow = 0.5;                  // seconds: a burst below that is rounded up to it
+constexpr double kFirstMean = 0.1;                    // seconds, until answers have told
+
+constexpr std::initializer_list<std::string_view> kDropped{kDeadlineHeader, kTenantHeader, kInstanceHeader,
+                                                           kKeyHeader};
+
+// The key of a request, without its scheme.
+std::string_view KeyOf(const http::Message& message) {
+  std::string_view value = message.Find(kKeyHeader);
+  if (value.size() <= kKeyScheme.size() || !http::SameName(value.substr(0, kKeyScheme.size()), kKeyScheme) ||
+      value[kKeyScheme.size()] != ' ')
+    return {};
+  return http::Trimmed(value.substr(kKeyScheme.size() + 1));
+}
+
+// A request line may name the whole address (RFC 9112, 3.2.2).
+std::string_view OriginForm(std::string_view target) {
+  const auto scheme = target.find("://");
+  if (target.starts_with('/') || scheme == std::string_view::npos) return target;
+  const auto path = target.find('/', scheme + 3);
+  return path == std::string_view::npos ? std::string_view("/") : target.substr(path);
+}
+
+curlewdoor::Settings UpstreamSettings() {
+  curlewdoor::Settings settings;
+  settings.limits.connect_timeout = kConnectTimeout;
+  settings.limits.connection_idle = 2 * kKeepIdle;  // half of it is used
+  return settings;
+}
+
+}  // namespace
+
+Front::Front(struct ev_loop* loop, const settings::NodeSettings& settings, net::Descriptors& descriptors,
+             std::uint64_t seed, AddToCount add, OffsetOf offset)
+    : Door(loop, descriptors, *this, kMostAhead),
+      loop_(loop),
+      settings_(settings),
+      add_(std::move(add)),
+      offset_(std::move(offset)),
+      rng_(seed),
+      upstream_settings_(UpstreamSettings()),
+      upstream_(loop, upstream_settings_, descriptors, *this, *this),
+      uploads_(*this, upstream_, *this),
+      leases_(*this, rng_),
+      timer_(loop, [this](int) { OnTimer(); }),
+      count_timer_(loop,
+                   [this](int) {
+                     for (const CountAnswered& answer : std::exchange(counted_, {})) OnCount(answer);
+                   }),
+      fresh_(settings.bootstrap) {
+  SetGateways(1);
+}
+
+Front::~Front() = default;
+
+TimePoint Front::Now() { return TimePoint(std::chrono::steady_clock::now().time_since_epoch()); }
+
+// ---- What is in force ---------------------------------------------------------------------------------
+
+std::shared_ptr<const Plan> Front::PlanOf(const std::shared_ptr<const policy::Policy>&,
+                                          const policy::Tenant& tenant) const {
+  auto plan = std::make_shared<Plan>();
+  plan->name = tenant.name;
+  plan->rate = tenant.rate_per_s;
+  plan->burst = std::max(tenant.burst_size, tenant.rate_per_s * kLeastWindow);
+  return plan;
+}
+
+void Front::SetPolicy(std::shared_ptr<const policy::Policy> policy) {
+  if (policy == nullptr || (policy_ != nullptr && policy->version() < policy_->version())) return;
+  policy_ = std::move(policy);
+  std::unordered_map<std::string, std::shared_ptr<const Plan>> plans;
+  for (const policy::Tenant& tenant : policy_->tenants()) {
+    auto plan = PlanOf(policy_, tenant);
+    const auto known = plans_.find(tenant.name);
+    plans[tenant.name] = known != plans_.end() && *known->second == *plan ? known->second : std::move(plan);
+  }
+  plans_.swap(plans);
+  leases_.Replan(Now(), [this](const std::string& name) {
+    const auto it = plans_.find(name);
+    return it != plans_.end() ? it->second : nullptr;
+  });
+  times_.slowest_request = policy_->limits().header_timeout;
+  times_.longest_idle = policy_->limits().idle_timeout;
+}
+
+Front::Service& Front::ServiceOf(const std::string& name) {
+  auto& service = services_[name];
+  if (service == nullptr) {
+    const trying::Budget::Options budget{settings_.bounds.retry_budget_ratio, settings_.bounds.retry_slack,
+                                         settings_.bounds.retry_window, gateways_};
+    service = std::make_unique<Service>(
+        Service{name, choosing::Chooser({}, rng_()), trying::Budget(budget, fresh_, Now()), {}, true});
+  }
+  return *service;
+}
+
+void Front::SetHosts(const directory::ByService& hosts) {
+  const TimePoint now = Now();
+  std::unordered_map<HostId, HostInfo, IdHash> known;
+  std::unordered_map<std::string, HostId> ids;
+  for (auto& [name, service] : services_) service->known = false;
+  for (const auto& [name, entries] : hosts.all()) {
+    std::vector<choosing::Host> usable;
+    for (const directory::Entry& entry : entries) {
+      const auto found = ids_.find(entry.id);
+      const HostId id = found != ids_.end() ? found->second : HostId{next_host_++};
+      const auto address = ParseAddress(entry.address);
+      if (!address) continue;
+      ids.emplace(entry.id, id);
+      known[id] = HostInfo{entry.id, name, *address};
+      if (entry.state != directory::HostState::kReady) {
+        // What waits for a connection to it goes elsewhere: nothing new arrives there.
+        upstream_.StopSendingTo(id, now);
+        upstream_.CloseKeptTo(id);
+        continue;
+      }
+      usable.push_back({id, std::max(1, entry.slots), entry.zone == settings_.zone, entry.silent,
+                        TimePoint(entry.warm_at.time_since_epoch())});
+    }
+    Service& service = ServiceOf(name);
+    service.known = true;
+    service.chooser.SetHosts(now, usable);
+  }
+  for (const auto& [id, info] : hosts_)
+    if (!known.contains(id)) {
+      upstream_.StopSendingTo(id, now);
+      upstream_.CloseKeptTo(id);
+    }
+  for (auto& [name, service] : services_)
+    if (!service->known) service->chooser.SetHosts(now, {});
+  hosts_.swap(known);
+  ids_.swap(ids);
+}
+
+void Front::SetGateways(int gateways) {
+  gateways_ = std::max(1, gateways);
+  Leases::Options options;
+  options.gateways = gateways_;
+  options.wait = kCountWait;
+  leases_.Configure(Now(), options);
+  for (auto& [name, service] : services_) service->budget.SetGateways(gateways_);
+}
+
+// ---- Requests -----------------------------------------------------------------------------------------
+
+void Front::OnRequest(net::Client& client) {
+  last_came_ = Now();
+  const http::Message& message = client.request();
+  ++counts_.requests;
+  const auto reject = [&](int status, std::string_view reason) {
+    ++counts_.rejected;
+    client.Answer(status, {}, reason);
+  };
+  if (policy_ == nullptr || requests_.size() >= kMostRequests) {
+    Wait(client);
+    return Decline(client.id, 503, milliseconds(200));
+  }
+  const policy::Route* route = policy_->FindRoute(message.Find("Host"), OriginForm(message.target()));
+  if (route == nullptr) {
+    ++figures_.no_route;
+    events::Say(events::Event::kNoRoute, std::string(message.target()));
+    return reject(404, "no such route\n");
+  }
+  const policy::Tenant* tenant = nullptr;
+  if (policy_->has_tenants()) {
+    const std::string_view key = KeyOf(message);
+    tenant = key.empty() ? nullptr : policy_->FindKey(key);
+    if (tenant == nullptr && !route->public_access) {
+      ++figures_.no_key;
+      events::Say(events::Event::kKeyUnknown, route->name);
+      return reject(401, "no such key\n");
+    }
+  }
+  if (message.method() == HTTP_HEAD || message.method() == HTTP_CONNECT) return reject(405, "not carried\n");
+  if (message.length().value_or(0) > policy_->limits().max_body_bytes) return reject(413, "too large\n");
+  std::uint64_t deadline = 0;
+  const std::string_view told = message.Find(kDeadlineHeader);
+  if (!told.empty() && !ParseNumber(told, deadline)) return reject(400, "X-Deadline-Remaining: a number\n");
+
+  Request request;
+  request.id = Wait(client);
+  request.policy = policy_;
+  request.route = route;
+  request.tenant = tenant != nullptr ? tenant->name : std::string();
+  request.wire_id = message.Find(kAttemptIdHeader);
+  request.arrived = Now();
+  const Duration left =
+      told.empty()
+          ? Duration(route->timeout)
+          : std::min<Duration>(route->timeout, milliseconds(std::min<std::uint64_t>(deadline, 86'400'000)));
+  request.expires = request.arrived + left;
+  request.record.repeatable = route->repeat == policy::Repeat::kIdempotent;
+  request.record.most_attempts = route->max_attempts;
+  const RequestId id = request.id;
+  requests_.emplace(id, std::move(request));
+  Post(RequestRead{RequestArrived{.id = id}});
+}
+
+void Front::Begin(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Request& request = it->second;
+  ++figures_.requests;
+  deadlines_.emplace(request.expires + kExpiryMargin, id);
+  ArmTimer();
+  const std::size_t part = request.route->PickService(StableHash(request.wire_id));
+  request.service = &ServiceOf(request.policy->services()[part].name);
+  request.service->budget.OnRequest(Now());
+  const auto plan = plans_.find(request.tenant);
+  if (request.tenant.empty() || plan == plans_.end()) return Dispatch(request);
+  request.claim.id = id;
+  request.claim.units = 1;
+  request.claim.arrived = request.arrived;
+  leases_.Ask(Now(), request.claim, request.tenant, plan->second);
+}
+
+void Front::Admit(Leases::Claim& claim) {
+  const auto it = requests_.find(claim.id);
+  if (it == requests_.end()) return;
+  ++claim.customer->open;
+  it->second.held_open = true;
+  Dispatch(it->second);
+}
+
+void Front::Deny(Leases::Claim& claim, Duration retry_after) {
+  const auto it = requests_.find(claim.id);
+  if (it == requests_.end()) return;
+  ++figures_.beyond_quota;
+  if (events::Heard(events::Event::kOverQuota)) events::Say(events::Event::kOverQuota, it->second.tenant);
+  const RequestId id = claim.id;
+  Forget(it->second);
+  Decline(id, 429, std::max<Duration>(retry_after, milliseconds(1)));
+}
+
+double Front::Mean(const Request& request) const {
+  const auto it = request.service->means.find(request.route->name);
+  return it != request.service->means.end() ? it->second : kFirstMean;
+}
+
+void Front::Dispatch(Request& request) {
+  const TimePoint now = Now();
+  const auto host = request.service->chooser.Choose(now, request.tried);
+  if (!host) {
+    events::Say(events::Event::kNoHost, request.service->name);
+    return Conclude(request, !request.record.may_have_run, ComeBack(request), 502);
+  }
+  const HostInfo& info = hosts_.at(*host);
+  request.host = *host;
+  request.instance = info.instance;
+  request.out = true;
+  request.written = false;
+  request.sent = now;
+  request.tried.push_back(*host);
+  request.service->chooser.Started(*host);
+  const AttemptId attempt{request.id, request.record.attempts++};
+  if (!uploads_.Start({attempt, *host, info.address, request.expires})) Post(AttemptBroken{attempt});
+}
+
+// ---- Attempts -----------------------------------------------------------------------------------------
+
+template <typename Do>
+void Front::Run(Do&& act) {
+  if (running_) return act();
+  running_ = true;
+  act();
+  while (!inputs_queue_.empty()) {
+    const Input next = std::move(inputs_queue_.front());
+    inputs_queue_.pop_front();
+    Handle(next);
+  }
+  running_ = false;
+}
+
+void Front::Post(Input input) {
+  if (running_) {
+    inputs_queue_.push_back(std::move(input));
+    return;
+  }
+  Run([&] { Handle(input); });
+}
+
+void Front::Handle(const Input& input) {
+  if (const auto* read = std::get_if<RequestRead>(&input)) return Begin(read->request.id);
+  const auto find = [&](const AttemptId& attempt) -> Request* {
+    const auto it = requests_.find(attempt.request);
+    if (it == requests_.end() || !it->second.out || it->second.record.attempts - 1 != attempt.number)
+      return nullptr;
+    return &it->second;
+  };
+  if (const auto* written = std::get_if<AttemptWritten>(&input)) {
+    if (Request* request = find(written->attempt)) request->written = true;
+  } else if (const auto* broken = std::get_if<AttemptBroken>(&input)) {
+    Request* request = find(broken->attempt);
+    if (request == nullptr) return;
+    EndAttempt(*request,
+               {.how = request->written ? How::kBroken : How::kNoConnect, .written = request->written},
+               nullptr);
+  } else if (const auto* answered = std::get_if<AttemptAnswered>(&input)) {
+    Request* request = find(answered->attempt);
+    const http::Message* answer = upstream_.current_answer();
+    if (request == nullptr || answer == nullptr) return;
+    Ending ending{.how = How::kAnswered, .written = request->written, .status = answered->status};
+    ending.not_run = answered->not_processed;
+    // An answer that ends with its connection may have been cut; one that was coded is not the host's.
+    const bool framed = answer->length() || answer->Has("Transfer-Encoding") || answered->status == 204;
+    ending.whole = framed && (answer->done() || upstream_.stream_begins());
+    ending.sealed = !answer->Find(kSealHeader).empty() && !answer->Has("Content-Encoding") &&
+                    answer->Find(kAttemptIdHeader) == request->wire_id;
+    EndAttempt(*request, ending, answer);
+  }
+}
+
+void Front::EndAttempt(Request& request, const Ending& ending, const http::Message* answer) {
+  const TimePoint now = Now();
+  Service& service = *request.service;
+  request.out = false;
+  const double latency = Seconds(now - request.sent), mean = Mean(request);
+  using choosing::End;
+  End end = End::kFailed;
+  if (ending.how == How::kNoConnect) end = End::kNoConnect;
+  if (ending.how == How::kTimedOut) end = End::kFailed;
+  if (ending.how == How::kAnswered) {
+    if (ending.status == 421) {
+      end = End::kElsewhere;
+    } else if (ending.not_run) {
+      end = End::kFull;
+    } else if (ending.sealed && ending.status < 500) {
+      end = End::kAnswered;
+    }
+  }
+  service.chooser.Ended(now, request.host, end, mean > 0 ? latency / mean : 1);
+  if (end == End::kAnswered && ending.status < 300) {
+    const auto [it, first] = service.means.try_emplace(request.route->name, latency);
+    if (!first) it->second += kMeanStep * (latency - it->second);
+  }
+  if (end != End::kAnswered && events::Heard(events::Event::kAttemptFailed))
+    events::Say(events::Event::kAttemptFailed, service.name + " host " + request.instance + " how " +
+                                                   std::to_string(static_cast<int>(ending.how)) + " status " +
+                                                   std::to_string(ending.status) +
+                                                   (ending.written ? " written" : " not written"));
+  const bool time = now + FromSeconds(mean / 2) < request.expires;
+  switch (trying::Follow(request.record, ending, service.budget.Covers(now), time)) {
+    case trying::Next::kPass: {
+      const RequestId id = request.id;
+      ++figures_.passed;
+      Forget(request);
+      if (upstream_.stream_begins()) {
+        upstream_.StreamTo(id);
+        return BeginDelivery(id, *answer);
+      }
+      return Deliver(id, *answer);
+    }
+    case trying::Next::kAgain:
+      ++figures_.again;
+      if (trying::Arrived(ending)) service.budget.Spend(now);
+      return Dispatch(request);
+    case trying::Next::kDecline:
+      return Conclude(request, true, ComeBack(request), 503);
+    case trying::Next::kFail:
+      return Conclude(request, false, {}, 502);
+  }
+}
+
+Duration Front::ComeBack(const Request& request) {
+  const double random = static_cast<double>(rng_() >> 11) * 0x1.0p-53;
+  return FromSeconds(std::clamp(Mean(request), 0.02, 1.0) * (0.3 + random));
+}
+
+// The one place of our own final answers to requests that were taken in.
+void Front::Conclude(Request& request, bool decline, Duration retry_after, int status) {
+  const RequestId id = request.id;
+  const bool promise = decline && !request.record.may_have_run && !request.out;
+  if (promise && request.claim.customer != nullptr) leases_.Return(Now(), request.claim);
+  if (request.out) {
+    request.service->chooser.Ended(Now(), request.host, choosing::End::kNothing, 0);
+    upstream_.Drop({id, request.record.attempts - 1});
+  }
+  Forget(request);
+  if (promise) {
+    ++figures_.declined;
+    return Decline(id, 503, retry_after);
+  }
+  ++figures_.failed;
+  Fail(id, status);
+}
+
+void Front::Forget(Request& request) {
+  const RequestId id = request.id;
+  if (request.held_open) --request.claim.customer->open;
+  deadlines_.erase({request.expires + kExpiryMargin, id});
+  uploads_.Forget(id);
+  requests_.erase(id);
+}
+
+void Front::OnLeft(RequestId id) {
+  const auto it = requests_.find(id);
+  if (it == requests_.end()) return;
+  Request& request = it->second;
+  ++figures_.left;
+  if (request.claim.customer != nullptr && !request.held_open) leases_.OnGone(request.claim);
+  if (request.out) {
+    request.service->chooser.Ended(Now(), request.host, choosing::End::kNothing, 0);
+    upstream_.Drop({id, request.record.attempts - 1});
+  }
+  Forget(request);
+}
+
+void Front::OnBound(const AttemptId& attempt) {
+  if (const auto it = requests_.find(attempt.request); it != requests_.end()) it->second.record.bound = true;
+}
+
+// ---- Times --------------------------------------------------------------------------------------------
+
+void Front::Start(const SetTimer& timer) {
+  count_timers_.emplace(Now() + timer.delay, timer.token.value);
+  ArmTimer();
+}
+
+void Front::ArmTimer() {
+  TimePoint due = TimePoint::max();
+  if (!deadlines_.empty()) due = deadlines_.begin()->first;
+  if (!count_timers_.empty()) due = std::min(due, count_timers_.begin()->first);
+  timer_.Stop();
+  if (due == TimePoint::max()) return;
+  timer_.StartIn(std::max<Duration>(due - Now(), Duration::zero()));
+}
+
+void Front::OnTimer() {
+  Run([this] {
+    const TimePoint now = Now();
+    while (!count_timers_.empty() && count_timers_.begin()->first <= now) {
+      const TimerToken token{count_timers_.begin()->second};
+      count_timers_.erase(count_timers_.begin());
+      leases_.OnTimer(now, token);
+    }
+    while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
+      const auto it = requests_.find(deadlines_.begin()->second);
+      deadlines_.erase(deadlines_.begin());
+      if (it == requests_.end()) continue;
+      ++figures_.expired;
+      Request& request = it->second;
+      if (request.claim.customer != nullptr && !request.held_open) leases_.OnGone(request.claim);
+      if (request.out && request.written) request.record.may_have_run = true;
+      if (request.out) {
+        request.out = false;
+        request.service->chooser.Ended(now, request.host, choosing::End::kFailed, 0);
+        upstream_.Drop({request.id, request.record.attempts - 1});
+      }
+      Conclude(request, true, milliseconds(50), 504);
+    }
+  });
+  ArmTimer();
+}
+
+void Front::OnCount(const CountAnswered& answer) {
+  Run([&] { leases_.OnCount(Now(), answer); });
+}
+
+void Front::CountLater(const CountAnswered& answer) {
+  counted_.push_back(answer);
+  if (!count_timer_.active()) count_timer_.StartIn(Duration::zero());
+}
+
+void Front::Note(const Log& line) { events::Say(events::Event::kCounterSilent, line.text); }
+
+void Front::Leave() {
+  leaving_ = true;
+  Drain();
+}
+
+void Front::KeepHouse() {
+  Run([this] {
+    CheckTimes();
+    upstream_.CloseIdle();
+  });
+}
+
+void Front::ReapAll() {
+  Reap();
+  upstream_.Reap();
+}
+
+// ---- What hosts are told and tell ---------------------------------------------------------------------
+
+std::initializer_list<std::string_view> Front::Dropped() const { return kDropped; }
+
+void Front::AppendLines(const AttemptId& attempt, Duration left, std::string& out) const {
+  const auto it = requests_.find(attempt.request);
+  if (it == requests_.end()) return;
+  const Request& request = it->second;
+  const auto line = [&](std::string_view name, std::string_view value) {
+    out.append(name).append(": ").append(value).append("\r\n");
+  };
+  line(kDeadlineHeader, std::to_string(left / milliseconds(1)));
+  line(kInstanceHeader, request.instance);
+  if (!request.tenant.empty()) line(kTenantHeader, request.tenant);
+}
+
+bool Front::Belongs(const AttemptId& attempt, const http::Message& answer) const {
+  const auto it = requests_.find(attempt.request);
+  const std::string_view id = answer.Find(kAttemptIdHeader);
+  return it == requests_.end() || id.empty() || id == it->second.wire_id;
+}
+
+bool Front::NotRun(const http::Message& answer) const { return answer.Has(kNotRunHeader); }
+
+Duration Front::KeepAlive(const http::Message& answer) const {
+  const std::string_view value = answer.Find("Keep-Alive");
+  const auto at = value.find("timeout=");
+  if (at == std::string_view::npos) return {};
+  int told = 0;
+  const std::string_view digits = value.substr(at + 8);
+  std::from_chars(digits.data(), digits.data() + digits.size(), told);
+  return seconds(std::clamp(told, 0, 3600));
+}
+
+Duration Front::Unacknowledged() const { return kUnacknowledged; }
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/front.hpp
@@ -0,0 +1,171 @@
+// The data plane: takes clients' requests, finds route and tenant, asks the count, sends to a host of the
+// route's service and passes the answer on. Decides nothing itself: policy says where and who, Leases whether
+// within the quota, Chooser which host, trying what follows.
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "choosing/choosing.hpp"
+#include "directory/by_service.hpp"
+#include "logic/leases.hpp"
+#include "net/door.hpp"
+#include "net/uploads.hpp"
+#include "net/upstream.hpp"
+#include "policy/policy.hpp"
+#include "settings/settings.hpp"
+#include "trying/trying.hpp"
+
+namespace curlewdoor::system {
+
+class Front : public net::Door, net::Inputs, net::Uploads::Owner, net::Dialect, Leases::Port {
+ public:
+  // Adds to the tenant's count, wherever it stands; the answer comes by OnCount().
+  using AddToCount = std::function<void(const std::string& tenant, const AddCount& call)>;
+  using OffsetOf = std::function<Duration(const std::string& tenant)>;
+
+  Front(struct ev_loop* loop, const settings::NodeSettings& settings, net::Descriptors& descriptors,
+        std::uint64_t seed, AddToCount add, OffsetOf offset);
+  ~Front() override;
+
+  // Only forward: an older version than the one in force changes nothing.
+  void SetPolicy(std::shared_ptr<const policy::Policy> policy);
+  const std::shared_ptr<const policy::Policy>& policy() const { return policy_; }
+  void SetHosts(const directory::ByService& hosts);
+  void SetGateways(int gateways);
+  void OnCount(const CountAnswered& answer);
+  void CountLater(const CountAnswered& answer);  // the same from within AddToCount: from the loop
+
+  // Begins to end: answers close their connections, and no request is given up by us any more.
+  void Leave();
+  // What is to be done now and then: times, idle connections.
+  void KeepHouse();
+  // Frees what was closed. Not from within an event of a connection.
+  void ReapAll();
+  std::size_t open_requests() const { return requests_.size(); }
+
+  struct Figures {
+    std::uint64_t requests = 0, passed = 0, declined = 0, beyond_quota = 0, failed = 0, again = 0;
+    std::uint64_t no_route = 0, no_key = 0, expired = 0, left = 0;
+  };
+  const Figures& figures() const { return figures_; }
+  std::uint64_t opened() const { return upstream_.opened(); }
+
+ private:
+  struct Service {
+    std::string name;
+    choosing::Chooser chooser;
+    trying::Budget budget;
+    std::map<std::string, double> means;  // seconds that answers take, by route
+    bool known = true;
+  };
+  struct Request {
+    RequestId id;
+    std::shared_ptr<const policy::Policy> policy;  // from its arrival to its end
+    const policy::Route* route = nullptr;
+    Service* service = nullptr;
+    std::string tenant, wire_id;
+    trying::Record record;
+    Leases::Claim claim;
+    bool held_open = false;  // its customer's `open` counts it
+    TimePoint arrived, expires;
+    std::vector<HostId> tried;
+    HostId host;  // of the attempt that is out
+    std::string instance;
+    bool out = false, written = false;
+    TimePoint sent;
+  };
+  struct HostInfo {
+    std::string instance, service;
+    Address address;
+  };
+
+  // Door.
+  void OnRequest(net::Client& client) override;
+  void OnLeft(RequestId id) override;
+  net::ClientTimes times() const override { return times_; }
+  // Inputs.
+  void Post(Input input) override;
+  TimePoint Now() override;
+  Duration Unseen(int) override { return {}; }
+  using Door::OnAnswerRoom;
+  using Door::OnUpload;
+  void OnUpload(RequestId request) override { uploads_.Pump(request); }
+  void OnAnswerRoom(RequestId request) override { upstream_.ReadOn(request); }
+  void OnAnswerLost(RequestId request) override { upstream_.DropStream(request); }
+  bool WantsAnswer(RequestId request) override { return WantsBytes(request); }
+  void OnAnswerBytes(RequestId request, std::string_view bytes) override { DeliverBytes(request, bytes); }
+  void OnAnswerEnd(RequestId request, bool whole) override { EndDelivery(request, whole); }
+  // Uploads.
+  void OnWhole(RequestId) override {}
+  void OnBound(const AttemptId& attempt) override;
+  // Dialect.
+  std::initializer_list<std::string_view> Dropped() const override;
+  void AppendLines(const AttemptId& attempt, Duration left, std::string& out) const override;
+  bool Belongs(const AttemptId& attempt, const http::Message& answer) const override;
+  bool NotRun(const http::Message& answer) const override;
+  std::string_view ProbeHead(bool) const override { return {}; }
+  Duration KeepAlive(const http::Message& answer) const override;
+  Duration Unacknowledged() const override;
+  // Leases.
+  void Admit(Leases::Claim& claim) override;
+  void Deny(Leases::Claim& claim, Duration retry_after) override;
+  void Add(const std::string& customer, const AddCount& call) override { add_(customer, call); }
+  void Start(const SetTimer& timer) override;
+  void Note(const Log& line) override;
+  Duration ClockOffset(const std::string& customer) const override { return offset_(customer); }
+
+  template <typename Do>
+  void Run(Do&& act);  // and all that is posted meanwhile
+  void Handle(const Input& input);
+  void Begin(RequestId id);
+  void Dispatch(Request& request);
+  void EndAttempt(Request& request, const trying::Ending& ending, const http::Message* answer);
+  void Conclude(Request& request, bool decline, Duration retry_after, int status);
+  Duration ComeBack(const Request& request);
+  void Forget(Request& request);
+  void ArmTimer();
+  void OnTimer();
+  Service& ServiceOf(const std::string& name);
+  std::shared_ptr<const Plan> PlanOf(const std::shared_ptr<const policy::Policy>& policy,
+                                     const policy::Tenant& tenant) const;
+  double Mean(const Request& request) const;
+
+  struct ev_loop* loop_;
+  const settings::NodeSettings settings_;
+  const AddToCount add_;
+  const std::function<Duration(const std::string&)> offset_;
+  std::mt19937_64 rng_;
+  curlewdoor::Settings upstream_settings_;
+  net::Upstream upstream_;
+  net::Uploads uploads_;
+  Leases leases_;
+  std::shared_ptr<const policy::Policy> policy_;
+  std::unordered_map<std::string, std::shared_ptr<const Plan>> plans_;  // of the policy in force, by tenant
+  std::map<std::string, std::unique_ptr<Service>> services_;
+  std::unordered_map<std::string, HostId> ids_;  // by instance
+  std::unordered_map<HostId, HostInfo, IdHash> hosts_;
+  std::uint64_t next_host_ = 1;
+  std::unordered_map<RequestId, Request, IdHash> requests_;
+  std::set<std::pair<TimePoint, RequestId>> deadlines_;
+  std::set<std::pair<TimePoint, std::uint64_t>> count_timers_;  // by token
+  net::TimerWatcher timer_, count_timer_;
+  std::vector<CountAnswered> counted_;
+  std::deque<Input> inputs_queue_;
+  bool running_ = false;
+  bool leaving_ = false;
+  int gateways_ = 1;
+  const bool fresh_;
+  net::ClientTimes times_;
+  Figures figures_;
+};
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/link.hpp
@@ -0,0 +1,124 @@
+// Streams of messages between gateways: each dials the core members and is dialled by others. Moves frames
+// and decides nothing; bounded in all that it holds. On the wire: four bytes of length (big end first), then
+// so many bytes; a frame of length zero says that the other side is there.
+#pragma once
+
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/buffer.hpp"
+#include "logic.hpp"
+#include "net/descriptors.hpp"
+#include "net/watcher.hpp"
+#include "util/address.hpp"
+
+namespace curlewdoor::system {
+
+inline constexpr std::size_t kMostFrame = 9 * 1024 * 1024;       // bytes
+inline constexpr std::size_t kMostUnwritten = 12 * 1024 * 1024;  // bytes; one that reads no more is dropped
+
+class Link {
+ public:
+  class Stream;
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    // A stream that this process dialled (`dialled`) or that was dialled here stands; it may be written to.
+    virtual void OnUp(Stream& stream) = 0;
+    virtual void OnFrame(Stream& stream, std::string_view frame) = 0;
+    virtual void OnDown(Stream& stream) = 0;  // after OnUp; it is gone then
+  };
+
+  // One stream. The owner may hang its own knowledge of the other side on it.
+  class Stream {
+   public:
+    Stream(Link& link, net::Descriptor descriptor, const Address& to, bool dialled);
+    void Send(std::string_view frame);
+    void Close();
+    bool up() const { return up_; }
+    bool dialled() const { return dialled_; }
+    const Address& to() const { return to_; }  // where it was dialled to, or came from
+    TimePoint heard() const { return heard_; }
+    std::size_t unwritten() const { return out_.size(); }
+
+    std::string name;          // of the other side's machine, once it has said so
+    bool subscribed = false;   // wants news
+    std::uint64_t number = 0;  // of this stream in this process
+
+   private:
+    friend class Link;
+    void OnEvent(int events);
+    void Read();
+    void Flush();
+    void Want();
+
+    Link& link_;
+    net::Descriptor descriptor_;
+    const Address to_;
+    const bool dialled_;
+    bool up_ = false, closed_ = false;
+    net::IoWatcher io_;
+    http::Buffer in_, out_;
+    TimePoint begun_, heard_, sent_;
+  };
+
+  struct Options {
+    Duration beat = std::chrono::milliseconds(400);     // an idle stream says so often that it is there
+    Duration silent = std::chrono::milliseconds(1500);  // one that says nothing for so long is down
+    Duration connect = std::chrono::milliseconds(500);
+    Duration again_least = std::chrono::milliseconds(100), again_most = std::chrono::milliseconds(1000);
+    std::size_t most_streams = 1200;
+  };
+
+  Link(struct ev_loop* loop, net::Descriptors& descriptors, Owner& owner, Options options,
+       std::uint64_t seed);
+  ~Link();
+
+  bool Listen(const Address& address, std::string& error);
+  // Those to be dialled from now on, and again whenever they are down; streams to others are closed.
+  void SetTargets(const std::vector<Address>& targets);
+  // The stream dialled to this address, where it is up.
+  Stream* To(const Address& address);
+  template <typename Do>
+  void ForEach(Do&& act) {  // streams that are up; `act` may close them
+    std::vector<Stream*> present;
+    for (auto& stream : streams_)
+      if (stream->up_) present.push_back(stream.get());
+    for (Stream* stream : present) act(*stream);
+  }
+  // About every 100 ms: says that we are there, finds who isn't, dials again; frees what was closed.
+  void KeepHouse();
+  std::uint64_t bytes_out() const { return bytes_out_; }
+  std::uint64_t dropped() const { return dropped_; }  // streams that sent no frames of ours
+
+ private:
+  friend class Stream;
+  struct Target {
+    TimePoint next{};
+    Duration pause{};
+    Stream* stream = nullptr;
+  };
+  TimePoint Now() const;
+  void Accept();
+  void Dial(const Address& to, Target& target);
+  void Remove(Stream& stream);
+
+  struct ev_loop* loop_;
+  net::Descriptors& descriptors_;
+  Owner& owner_;
+  const Options options_;
+  std::uint64_t seed_;
+  Address address_;
+  int fd_ = -1;
+  net::IoWatcher io_;
+  std::vector<std::unique_ptr<Stream>> streams_, retired_;
+  std::map<Address, Target> targets_;
+  std::uint64_t next_number_ = 1, bytes_out_ = 0, dropped_ = 0;
+};
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/message.cpp
@@ -0,0 +1,76 @@
+#include "system/message.hpp"
+
+#include <msgpack.hpp>
+
+namespace curlewdoor::system {
+namespace {
+
+// The fields of each message, in the order on the wire.
+auto Fields(Hello& m) { return std::tie(m.name, m.counted); }
+auto Fields(Clock& m) { return std::tie(m.asked_us, m.told_us); }
+auto Fields(Hosts& m) { return std::tie(m.batch); }
+auto Fields(Refreshed& m) { return std::tie(m.beats); }
+auto Fields(Tell& m) { return std::tie(m.number, m.batch); }
+auto Fields(Told& m) { return std::tie(m.number); }
+auto Fields(Put& m) { return std::tie(m.number, m.version, m.text); }
+auto Fields(Get& m) { return std::tie(m.number); }
+auto Fields(Done& m) { return std::tie(m.number, m.status, m.body); }
+auto Fields(Config& m) { return std::tie(m.version, m.text); }
+auto Fields(Members& m) { return std::tie(m.epoch, m.members); }
+auto Fields(AddUnits& m) { return std::tie(m.number, m.tenant, m.count, m.lifetime_us, m.amount); }
+auto Fields(Total& m) { return std::tie(m.number, m.counted, m.total); }
+auto Fields(CoreBytes& m) { return std::tie(m.bytes); }
+
+template <std::size_t kIndex>
+std::optional<Message> Read(std::size_t kind, const msgpack::object& body) {
+  if constexpr (kIndex == std::variant_size_v<Message>) {
+    return std::nullopt;
+  } else {
+    if (kind != kIndex) return Read<kIndex + 1>(kind, body);
+    std::variant_alternative_t<kIndex, Message> message;
+    auto fields = Fields(message);
+    constexpr std::size_t kFields = std::tuple_size_v<decltype(fields)>;
+    // More fields than are known here are a later minor version's.
+    if (body.type != msgpack::type::ARRAY || body.via.array.size < kFields) return std::nullopt;
+    std::size_t at = 0;
+    std::apply([&](auto&... each) { (body.via.array.ptr[at++].convert(each), ...); }, fields);
+    return Message(std::move(message));
+  }
+}
+
+}  // namespace
+
+std::string Encode(const Message& message) {
+  msgpack::sbuffer buffer(256);
+  msgpack::packer<msgpack::sbuffer> packer(buffer);
+  packer.pack_array(3);
+  packer.pack(kLinkVersion);
+  packer.pack(message.index());
+  std::visit(
+      [&](const auto& each) {
+        auto fields = Fields(const_cast<std::remove_cvref_t<decltype(each)>&>(each));
+        packer.pack_array(std::tuple_size_v<decltype(fields)>);
+        std::apply([&](const auto&... field) { (packer.pack(field), ...); }, fields);
+      },
+      message);
+  return {buffer.data(), buffer.size()};
+}
+
+std::optional<Message> Decode(std::string_view bytes) {
+  try {
+    const msgpack::unpack_limit limit(2 * kMostRefreshed, 16, bytes.size(), bytes.size(), 0, 8);
+    std::size_t at = 0;
+    // What is text stays in `bytes` until it is converted.
+    const msgpack::object_handle handle = msgpack::unpack(
+        bytes.data(), bytes.size(), at, [](auto, std::size_t, void*) { return true; }, nullptr, limit);
+    const msgpack::object& whole = handle.get();
+    if (at != bytes.size() || whole.type != msgpack::type::ARRAY || whole.via.array.size != 3)
+      return std::nullopt;
+    if (whole.via.array.ptr[0].as<std::uint8_t>() != kLinkVersion) return std::nullopt;
+    return Read<0>(whole.via.array.ptr[1].as<std::size_t>(), whole.via.array.ptr[2]);
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/node.cpp
@@ -0,0 +1,821 @@
+#include "system/node.hpp"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <csignal>
+#include <stdexcept>
+#include <utility>
+
+#include "agreement/codec.hpp"
+#include "directory/codec.hpp"
+#include "events/events.hpp"
+#include "system/words.hpp"
+#include "util/hash.hpp"
+
+namespace curlewdoor::system {
+namespace {
+
+using events::Event;
+using events::Say;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kFleetName[] = "curlewdoor";
+constexpr milliseconds kTick{50};
+constexpr milliseconds kProbe{500};  // of the fleet's view
+constexpr int kRefreshTicks = 6;     // beats that say nothing new are told together
+constexpr int kSecondTicks = 20;
+constexpr milliseconds kCallEnds{900};   // operators and hosts go elsewhere after a second of silence
+constexpr milliseconds kPassAgain{300};  // then another core member is asked
+constexpr milliseconds kTellEnds{700};
+constexpr milliseconds kAddEnds{400};
+constexpr std::size_t kMostPending = 256, kMostTellings = 1024, kMostAddings = 4096;
+constexpr double kSilentBeats = 3.5;  // a host that has missed so many is silent
+constexpr milliseconds kStopListening{
+    2600};                               // after SIGTERM: the platform has seen by then that we don't serve
+constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
+constexpr std::size_t kMostConfig = 8 * 1024 * 1024;
+constexpr int kReserved = 300;  // descriptors: files, the loop's own, what the platform keeps
+
+std::int64_t StampOf(const std::string& path) {
+  struct stat st {};
+  if (::stat(path.c_str(), &st) != 0) return 0;
+  return st.st_mtim.tv_sec * 1'000'000'000LL + st.st_mtim.tv_nsec;
+}
+
+std::uint64_t BootNow() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count());
+}
+
+std::string Hex(std::uint64_t value) {
+  char text[20];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+
+int Descriptors(const settings::NodeSettings& settings) {
+  return std::max(256, static_cast<int>(settings.limits.fd_limit) - kReserved);
+}
+
+}  // namespace
+
+Node::Node(struct ev_loop* loop, settings::NodeSettings settings, std::string settings_path,
+           std::uint64_t seed)
+    : loop_(loop),
+      settings_(std::move(settings)),
+      settings_path_(std::move(settings_path)),
+      settings_stamp_(StampOf(settings_path_)),
+      rng_(seed),
+      fleet_address_{settings_.ip_address, settings_.internal_ports.first},
+      link_address_{settings_.ip_address, static_cast<std::uint16_t>(settings_.internal_ports.first + 1)},
+      front_descriptors_(Descriptors(settings_) * 7 / 10),
+      link_descriptors_(Descriptors(settings_) * 3 / 10, false, false, true),
+      fleet_link_(loop, link_descriptors_, *this),
+      fleet_timer_(loop,
+                   [this](int) {
+                     fleet::Out out;
+                     fleet_->Tick(Now(), out);
+                     Carry(std::move(out));
+                   }),
+      link_(loop, link_descriptors_, *this, {}, seed),
+      front_(
+          loop, settings_, front_descriptors_, rng_(),
+          [this](const std::string& tenant, const AddCount& call) { AddToCount(tenant, call); },
+          [this](const std::string& tenant) { return ClockOffset(tenant); }),
+      control_(
+          loop, link_descriptors_, [this](CallDoor::Call call) { OnCall(std::move(call)); }, kMostConfig),
+      readiness_(
+          loop, link_descriptors_,
+          [this](CallDoor::Call call) {
+            const bool asked = call.path == kReadinessPath;
+            readiness_.Reply(call.id, !asked ? 404 : ready_ && !leaving_ ? 200 : 503);
+          },
+          1024),
+      started_at_(Now()),
+      house_timer_(loop, [this](int) { KeepHouse(); }),
+      reap_(loop,
+            [this](int) {
+              front_.ReapAll();
+              control_.Reap();
+              readiness_.Reap();
+            }),
+      term_(loop, SIGTERM, [this](int) { OnTerm(); }),
+      interrupt_(loop, SIGINT, [this](int) { OnTerm(); }),
+      hang_up_(loop, SIGHUP, [this](int) { LookAtSettings(); }) {
+  const auto open = [](const auto& listen) {
+    std::string error;
+    if (!listen(error)) throw std::runtime_error(error);
+  };
+  OpenCore();
+  fleet::Options options;
+  options.fleet = kFleetName;
+  options.name = settings_.node_name;
+  options.boot = BootNow();
+  options.address = fleet_address_;
+  options.about = core_ ? "core:" + Hex(disk_) : "-";
+  options.probe = kProbe;
+  for (const Address& seed_node : settings_.seed_nodes)
+    options.seeds.push_back({seed_node.ip, fleet_address_.port});
+  // A core member that comes back knows its companions, wherever the seeds have gone meanwhile.
+  for (const CoreMember& member : members_)
+    if (member.address.ip != settings_.ip_address)
+      options.seeds.push_back({member.address.ip, fleet_address_.port});
+  std::erase(options.seeds, fleet_address_);
+  fleet_ = std::make_unique<fleet::Machine>(options, StableHash(options.name, options.boot));
+
+  open([&](std::string& error) { return link_.Listen(link_address_, error); });
+  open([&](std::string& error) { return fleet_link_.Open(fleet_address_, error); });
+  const auto& listen = settings_.listen_addresses;
+  if (listen.control_plane)
+    open([&](std::string& error) { return control_.Listen(*listen.control_plane, error); });
+  if (listen.readiness) open([&](std::string& error) { return readiness_.Listen(*listen.readiness, error); });
+  if (listen.data_plane) open([&](std::string& error) { return front_.Listen(*listen.data_plane, error); });
+  control_.StartAccepting();
+  readiness_.StartAccepting();
+  front_.StartAccepting();
+  reap_.Start();
+  house_timer_.StartIn(kTick, kTick);
+  fleet::Out out;
+  fleet_->Start(Now(), out);
+  Carry(std::move(out));
+  Say(Event::kStarted, settings_.node_name + " zone " + settings_.zone + (core_ ? " core" : ""));
+}
+
+Node::~Node() = default;
+
+// ---- Fleet --------------------------------------------------------------------------------------------
+
+void Node::OnDatagram(std::string_view bytes) {
+  auto why = fleet::Drop::kNone;
+  const auto message = fleet::Decode(bytes, kFleetName, why);
+  if (!message || message->kind == fleet::Kind::kExchange || message->kind == fleet::Kind::kExchangeReply)
+    return;
+  fleet::Out out;
+  fleet_->OnMessage(Now(), *message, out);
+  Carry(std::move(out));
+}
+
+std::string Node::OnExchange(std::string_view bytes) {
+  auto why = fleet::Drop::kNone;
+  const auto message = fleet::Decode(bytes, kFleetName, why);
+  if (!message || message->kind != fleet::Kind::kExchange) return {};
+  const std::string answer = fleet::Encode(fleet_->Full(fleet::Kind::kExchangeReply), kFleetName);
+  fleet::Out out;
+  fleet_->OnMessage(Now(), *message, out);
+  Carry(std::move(out));
+  return answer;
+}
+
+void Node::OnExchangeEnd(const Address& with, std::string_view bytes) {
+  auto why = fleet::Drop::kNone;
+  fleet::Out out;
+  const auto message = bytes.empty() ? std::nullopt : fleet::Decode(bytes, kFleetName, why);
+  if (message && message->kind == fleet::Kind::kExchangeReply) {
+    fleet_->OnMessage(Now(), *message, out);
+  } else {
+    fleet_->OnExchangeFailed(Now(), with, out);
+  }
+  Carry(std::move(out));
+}
+
+void Node::Carry(fleet::Out out) {
+  for (const auto& [to, message] : out.datagrams) fleet_link_.Send(to, fleet::Encode(message, kFleetName));
+  for (const auto& [with, message] : out.exchanges)
+    fleet_link_.Exchange(with, fleet::Encode(message, kFleetName));
+  for (const fleet::Change& change : out.changes) {
+    if (change.kind != fleet::Change::Kind::kMember) continue;
+    Say(change.member.present() ? Event::kMemberSeen : Event::kMemberLost,
+        change.member.name + " " + std::string(fleet::Word(change.member.state)) + " " + change.member.about);
+  }
+  fleet_timer_.Stop();
+  if (const auto due = fleet_->NextDue()) {
+    ev_now_update(loop_);
+    fleet_timer_.StartIn(std::max(fleet::Duration::zero(), *due - Now()));
+  }
+  if (std::exchange(seen_view_, fleet_->version()) != fleet_->version()) OnView();
+}
+
+void Node::OnView() {
+  std::vector<Address> targets;
+  std::vector<agreement::Seen> counted;
+  const auto look = [&](const fleet::Record& record) {
+    if (!record.about.starts_with("core:")) return;
+    const Address address{record.address.ip, link_address_.port};
+    const std::uint64_t disk = std::strtoull(record.about.c_str() + 5, nullptr, 16);
+    counted.push_back({{{record.name, disk}, address.ToText()}, record.present()});
+    if (record.present() && address != link_address_) targets.push_back(address);
+  };
+  look(fleet_->self());
+  for (const auto& [name, member] : fleet_->others()) look(member.record);
+  for (const CoreMember& member : members_)
+    if (member.address != link_address_) targets.push_back(member.address);
+  std::sort(targets.begin(), targets.end());
+  targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
+  link_.SetTargets(targets);
+  front_.SetGateways(static_cast<int>(fleet_->alive()));
+  if (!core_) return;
+  agreement::Out out;
+  core_->OnView(Now(), counted, out);
+  CarryCore(std::move(out));
+}
+
+// ---- Link ---------------------------------------------------------------------------------------------
+
+void Node::Broadcast(const Message& message) {
+  const std::string frame = Encode(message);
+  link_.ForEach([&](Link::Stream& stream) {
+    if (stream.subscribed) stream.Send(frame);
+  });
+}
+
+void Node::ToCore(const Message& message) {
+  const std::string frame = Encode(message);
+  link_.ForEach([&](Link::Stream& stream) {
+    if (stream.dialled()) stream.Send(frame);
+  });
+}
+
+void Node::OnUp(Link::Stream& stream) {
+  stream.Send(Encode(Hello{settings_.node_name, core_.has_value()}));
+  if (!stream.dialled()) return;
+  Say(Event::kLinkUp, stream.to().ToText());
+  stream.Send(
+      Encode(Clock{std::chrono::duration_cast<std::chrono::microseconds>(Now().time_since_epoch()).count()}));
+  if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+}
+
+// A stream that was dialled here wants all news from now on, and begins with all that there is.
+void Node::Take(Link::Stream& stream, Hello& message) {
+  stream.name = message.name;
+  if (stream.dialled() || !core_) return;
+  stream.subscribed = true;
+  if (epoch_ > 0) stream.Send(Encode(MembersNow()));
+  if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+  if (had_majority_ && core_->committed().version > 0) stream.Send(Encode(ConfigNow()));
+}
+
+void Node::OnDown(Link::Stream& stream) {
+  if (stream.dialled()) Say(Event::kLinkDown, stream.to().ToText() + " " + stream.name);
+  std::vector<CountName> lost;
+  for (auto it = addings_.begin(); it != addings_.end();) {
+    const bool of_it = it->second.stream == stream.number;
+    if (of_it) lost.push_back(it->second.name);
+    it = of_it ? addings_.erase(it) : std::next(it);
+  }
+  for (const CountName name : lost) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
+  for (auto& [number, pending] : pending_)
+    if (pending.stream == stream.number) pending.next = Now();
+}
+
+void Node::OnFrame(Link::Stream& stream, std::string_view frame) {
+  auto message = Decode(frame);
+  if (!message) {
+    Say(Event::kMessageRefused,
+        "from " + stream.to().ToText() + " " + std::to_string(frame.size()) + " bytes");
+    return stream.Close();
+  }
+  std::visit([&](auto& each) { Take(stream, each); }, *message);
+}
+
+void Node::Take(Link::Stream& stream, Clock& message) {
+  const auto now = Now();
+  const auto now_us = std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count();
+  if (message.told_us < 0) return stream.Send(Encode(Clock{message.asked_us, now_us}));
+  const Duration round_trip = std::chrono::microseconds(now_us - message.asked_us);
+  const Duration offset = std::chrono::microseconds(message.told_us - (now_us + message.asked_us) / 2);
+  Offset& known = offsets_[stream.name];
+  // The quickest of late is the most exact; clocks drift, so it doesn't count for ever.
+  if (known.at == Steady{} || round_trip <= known.round_trip || now - known.at > seconds(20))
+    known = {offset, round_trip, now};
+}
+
+void Node::Take(Link::Stream&, Hosts& message) { MergeBatch(message.batch); }
+
+void Node::Take(Link::Stream&, Refreshed& message) {
+  for (const auto& [id, sequence] : message.beats) directory_.Refresh(Now(), id, sequence);
+  OnHostsChanged();
+}
+
+void Node::Take(Link::Stream& stream, Tell& message) {
+  MergeBatch(message.batch);
+  stream.Send(Encode(Told{message.number}));
+}
+
+void Node::Take(Link::Stream&, Told& message) {
+  const auto it = tellings_.find(message.number);
+  if (it == tellings_.end()) return;
+  const RequestId call = it->second.call;
+  tellings_.erase(it);
+  ReplyBeat(call);
+}
+
+void Node::Take(Link::Stream& stream, Put& message) {
+  const std::uint64_t number = message.number, from = stream.number;
+  Pending pending;
+  pending.is_put = true;
+  pending.version = message.version;
+  pending.text = std::move(message.text);
+  pending.ends = Now() + kCallEnds;
+  pending.answer = [this, number, from](int status, std::string body) {
+    link_.ForEach([&](Link::Stream& each) {
+      if (each.number == from) each.Send(Encode(Done{number, status, body}));
+    });
+  };
+  if (!core_member()) return pending.answer(503, {});
+  Ask(std::move(pending));
+}
+
+void Node::Take(Link::Stream& stream, Get& message) {
+  const std::uint64_t number = message.number, from = stream.number;
+  Pending pending;
+  pending.ends = Now() + kCallEnds;
+  pending.answer = [this, number, from](int status, std::string body) {
+    link_.ForEach([&](Link::Stream& each) {
+      if (each.number == from) each.Send(Encode(Done{number, status, body}));
+    });
+  };
+  if (!core_member()) return pending.answer(503, {});
+  Ask(std::move(pending));
+}
+
+void Node::Take(Link::Stream& stream, Done& message) {
+  const auto it = pending_.find(message.number);
+  if (it == pending_.end()) return;
+  if (message.status == 503) {  // another member may do better
+    if (it->second.stream == stream.number) PassOn(it->first, it->second);
+    return;
+  }
+  Answer(message.number, message.status, std::move(message.body));
+}
+
+void Node::Take(Link::Stream&, Config& message) { SetInForce(message.version, message.text); }
+
+void Node::Take(Link::Stream&, Members& message) {
+  std::vector<CoreMember> members;
+  for (const auto& [name, disk, text] : message.members)
+    if (const auto address = ParseAddress(text)) members.push_back({name, disk, *address});
+  OnRoster(message.epoch, std::move(members));
+}
+
+void Node::Take(Link::Stream& stream, AddUnits& message) {
+  const auto total = AddHere(message.tenant, CountName{message.count},
+                             std::chrono::microseconds(message.lifetime_us), message.amount);
+  stream.Send(Encode(Total{message.number, total.has_value(), total.value_or(0)}));
+}
+
+void Node::Take(Link::Stream&, Total& message) {
+  const auto it = addings_.find(message.number);
+  if (it == addings_.end()) return;
+  const Adding adding = it->second;
+  addings_.erase(it);
+  const Duration latency = Now() - (adding.ends - kAddEnds);
+  front_.OnCount(
+      {adding.name, message.counted ? Outcome::kOk : Outcome::kConnectFailed, message.total, latency});
+}
+
+void Node::Take(Link::Stream&, CoreBytes& message) {
+  if (!core_) return;
+  const auto decoded = agreement::DecodeMessage(message.bytes);
+  if (!decoded) return Say(Event::kMessageRefused, "of the core");
+  agreement::Out out;
+  core_->OnMessage(Now(), *decoded, out);
+  CarryCore(std::move(out));
+}
+
+// ---- Calls from outside -------------------------------------------------------------------------------
+
+void Node::OnCall(CallDoor::Call call) {
+  try {
+    auto command = directory::Decode(call.method, call.path, std::move(call.body));
+    std::visit([&](auto& each) { Run(call.id, each); }, command);
+  } catch (const directory::CallError& error) {
+    Say(Event::kBeatRefused, call.path + ": " + error.text);
+    control_.Reply(call.id, error.status, error.text + "\n", "text/plain");
+  }
+}
+
+void Node::ReplyBeat(RequestId id) { control_.Reply(id, 200, "{}", "application/json"); }
+
+void Node::Run(RequestId id, const directory::Beat& beat) {
+  const auto* known = directory_.Find(beat.id);
+  const bool news = directory_.Apply(Now(), beat) || known == nullptr;
+  if (!news && !beat.draining) {
+    if (refreshed_.size() < kMostRefreshed) refreshed_.emplace_back(beat.id, beat.sequence);
+    return ReplyBeat(id);
+  }
+  TellHost(id, beat.id);
+}
+
+void Node::Run(RequestId id, const directory::Leave& leave) {
+  directory_.Apply(Now(), leave);
+  TellHost(id, leave.id);
+}
+
+// Acknowledged once a core member has passed it on: every gateway in touch has it on its way then.
+void Node::TellHost(RequestId id, const std::string& host) {
+  OnHostsChanged();
+  const auto* entry = directory_.Find(host);
+  if (entry == nullptr) return control_.Reply(id, 503);
+  if (core_ && had_majority_) {  // it has told all that wait for news
+    ToCore(Hosts{directory::Encode({*entry}, Now())});
+    return ReplyBeat(id);
+  }
+  bool reached = false;
+  link_.ForEach([&](Link::Stream& stream) { reached = reached || stream.dialled(); });
+  if (!reached || tellings_.size() >= kMostTellings) return control_.Reply(id, 503);
+  const std::uint64_t number = next_number_++;
+  tellings_[number] = {id, Now() + kTellEnds};
+  ToCore(Tell{number, directory::Encode({*entry}, Now())});
+}
+
+void Node::Run(RequestId id, directory::PutConfig& put) {
+  Pending pending;
+  try {
+    const auto policy = policy::Policy::Read(put.text);
+    pending.version = policy->version();
+  } catch (const policy::PolicyError& error) {
+    Say(Event::kConfigRefused, error.what());
+    return control_.Reply(id, 400, std::string(error.what()) + "\n", "text/plain");
+  }
+  Say(Event::kConfigTaken, "version " + std::to_string(pending.version));
+  pending.is_put = true;
+  pending.text = std::move(put.text);
+  pending.ends = Now() + kCallEnds;
+  pending.answer = [this, id](int status, std::string body) {
+    control_.Reply(id, status, body, "application/json");
+  };
+  Ask(std::move(pending));
+}
+
+void Node::Run(RequestId id, const directory::ReadConfig&) {
+  Pending pending;
+  pending.ends = Now() + kCallEnds;
+  pending.answer = [this, id](int status, std::string body) {
+    control_.Reply(id, status, body, "application/json");
+  };
+  Ask(std::move(pending));
+}
+
+void Node::Ask(Pending pending) {
+  if (pending_.size() >= kMostPending) return pending.answer(503, {});
+  const std::uint64_t number = next_number_++;
+  Pending& kept = pending_[number] = std::move(pending);
+  if (core_member()) {
+    kept.next = kept.ends;
+    agreement::Out out;
+    if (kept.is_put) {
+      core_->Put(Now(), number, {kept.version, std::move(kept.text)}, out);
+    } else {
+      core_->Get(Now(), number, out);
+    }
+    return CarryCore(std::move(out));
+  }
+  PassOn(number, kept);
+}
+
+// To a core member that wasn't asked yet; when all were, to the first again.
+void Node::PassOn(std::uint64_t number, Pending& pending) {
+  Link::Stream* next = nullptr;
+  link_.ForEach([&](Link::Stream& stream) {
+    const bool member = std::any_of(members_.begin(), members_.end(),
+                                    [&](const CoreMember& each) { return each.address == stream.to(); });
+    const bool asked =
+        std::find(pending.asked.begin(), pending.asked.end(), stream.to()) != pending.asked.end();
+    if (stream.dialled() && member && !asked && next == nullptr) next = &stream;
+  });
+  pending.next = Now() + kPassAgain;
+  if (next == nullptr) {
+    pending.asked.clear();
+    pending.stream = 0;
+    pending.next = Now() + kPassAgain / 2;
+    return;
+  }
+  pending.asked.push_back(next->to());
+  pending.stream = next->number;
+  next->Send(pending.is_put ? Encode(Put{number, pending.version, pending.text}) : Encode(Get{number}));
+}
+
+void Node::Answer(std::uint64_t number, int status, std::string body) {
+  const auto it = pending_.find(number);
+  if (it == pending_.end()) return;
+  const auto answer = std::move(it->second.answer);
+  pending_.erase(it);
+  answer(status, std::move(body));
+}
+
+// ---- Directory ----------------------------------------------------------------------------------------
+
+void Node::MergeBatch(const std::string& batch) {
+  const auto entries = directory::Decode(batch, Now());
+  if (!entries) return Say(Event::kMessageRefused, "hosts");
+  for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
+  OnHostsChanged();
+}
+
+void Node::OnHostsChanged() {
+  if (told_hosts_ == directory_.version()) return;
+  std::vector<directory::Entry> changed;
+  if (const auto news = directory_.journal().Since(told_hosts_)) {
+    for (const directory::Event& event : *news) {
+      if (event.kind == directory::Event::Kind::kForgotten) continue;
+      changed.push_back(event.entry);
+      const auto& entry = event.entry;
+      Say(entry.gone()     ? Event::kHostGone
+          : entry.silent   ? Event::kHostSilent
+          : entry.draining ? Event::kHostDraining
+                           : Event::kHostSeen,
+          entry.id + " " + entry.service + " " + entry.address);
+    }
+  } else {
+    changed = directory_.All();
+  }
+  told_hosts_ = directory_.version();
+  if (core_ && !changed.empty()) Broadcast(Hosts{directory::Encode(changed, Now())});
+  if (by_service_.Fold(directory_)) front_.SetHosts(by_service_);
+}
+
+// ---- Core ---------------------------------------------------------------------------------------------
+
+void Node::OpenCore() {
+  if (!settings_.quorum_member) return;
+  const std::string directory =
+      (settings_.data_directory.empty() ? "/tmp/curlewdoor" : settings_.data_directory) + "/core";
+  const bool empty = shelf::ShelfEmpty(directory);
+  shelf_ = shelf::OpenShelf(directory);
+  Say(Event::kShelfOpened, directory + (empty ? " (empty)" : ""));
+  const auto life = shelf_->Read("life");
+  agreement::State state;
+  if (life && life->size() == 16) {
+    disk_ = std::strtoull(life->c_str(), nullptr, 16);
+    const auto read =
+        agreement::DecodeState(shelf_->Read(agreement::kStateKey), shelf_->Read(agreement::kValueKey));
+    if (!read) throw std::runtime_error(directory + ": its state can't be read");
+    state = *read;
+  } else {
+    if (!settings_.bootstrap) Say(Event::kWipedDisk, directory);
+    disk_ = rng_() | 1;
+    shelf_->Write(0, {{"life", Hex(disk_)}});
+  }
+  agreement::Options options;
+  options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
+  core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, settings_.bootstrap,
+                std::move(state), options, rng_());
+  for (const agreement::Member& member : core_->roster().members)
+    if (const auto address = ParseAddress(member.address))
+      members_.push_back({member.life.node, member.life.disk, *address});
+  epoch_ = core_->roster().epoch;
+  shelf_io_ = std::make_unique<net::IoWatcher>(loop_, [this](int) { OnShelf(); });
+  shelf_io_->Want(shelf_->fd(), EV_READ);
+}
+
+void Node::OnShelf() {
+  for (const shelf::Result& result : shelf_->Drain()) {
+    if (!result.ok) Say(Event::kShelfFailed, result.error);
+    agreement::Out out;
+    core_->OnWritten(Now(), result.id, result.ok, out);
+    CarryCore(std::move(out));
+  }
+}
+
+void Node::CarryCore(agreement::Out out) {
+  for (const std::string& note : out.notes) Say(Event::kSuccessorProposed, note);
+  for (agreement::Write& write : out.writes) {
+    if (shelf_->Write(write.id, std::move(write.records))) continue;
+    agreement::Out failed;
+    core_->OnWritten(Now(), write.id, false, failed);
+    CarryCore(std::move(failed));
+  }
+  for (const agreement::Sending& sending : out.sends) {
+    const auto address = ParseAddress(sending.to.address);
+    Link::Stream* stream = address ? link_.To(*address) : nullptr;
+    if (stream != nullptr) stream->Send(Encode(CoreBytes{agreement::Encode(sending.message)}));
+  }
+  if (out.roster_changed) {
+    std::vector<CoreMember> members;
+    for (const agreement::Member& member : core_->roster().members)
+      if (const auto address = ParseAddress(member.address))
+        members.push_back({member.life.node, member.life.disk, *address});
+    OnRoster(core_->roster().epoch, std::move(members));
+  }
+  LookAtMajority();
+  // Before any acknowledgement: what it acknowledges is then on its way to all.
+  if (out.committed_changed) {
+    SetInForce(core_->committed().version, core_->committed().text);
+    if (had_majority_) Broadcast(ConfigNow());
+  }
+  for (agreement::Done& done : out.done) {
+    const auto it = pending_.find(done.call);
+    if (it == pending_.end()) continue;
+    const bool put = it->second.is_put;
+    const bool good = done.outcome == agreement::Outcome::kKept || done.outcome == agreement::Outcome::kOlder;
+    if (!good) {
+      Answer(done.call, 503, {});
+    } else if (put) {
+      if (done.outcome == agreement::Outcome::kOlder)
+        Say(Event::kConfigOvertaken, "by " + std::to_string(done.value.version));
+      Answer(done.call, 200, "{}");
+    } else if (done.value.version == 0) {
+      Answer(done.call, 404, "{}");
+    } else {
+      Answer(done.call, 200, std::move(done.value.text));
+    }
+  }
+}
+
+void Node::LookAtMajority() {
+  const bool majority = core_member() && core_->learned() && core_->majority(Now());
+  if (majority == had_majority_) return;
+  had_majority_ = majority;
+  Say(majority ? Event::kMajorityBack : Event::kNoMajority, "epoch " + std::to_string(epoch_));
+  if (!majority) return counts_.Stop();
+  counts_.Begin(Net(Now()));
+  Say(Event::kCountBegun, "epoch " + std::to_string(epoch_));
+  Broadcast(MembersNow());
+  if (core_->committed().version > 0) Broadcast(ConfigNow());
+}
+
+Message Node::ConfigNow() const { return Config{core_->committed().version, core_->committed().text}; }
+
+Message Node::MembersNow() const {
+  Members message{epoch_, {}};
+  for (const CoreMember& member : members_)
+    message.members.emplace_back(member.name, member.disk, member.address.ToText());
+  return message;
+}
+
+void Node::SetInForce(std::uint64_t version, const std::string& text) {
+  const auto& now = front_.policy();
+  if (version == 0 || (now != nullptr && (version < now->version() || text == now->text()))) return;
+  try {
+    front_.SetPolicy(policy::Policy::Read(text));
+    Say(Event::kConfigInForce, "version " + std::to_string(version));
+  } catch (const policy::PolicyError& error) {
+    Say(Event::kConfigRefused, std::string("kept by the core: ") + error.what());
+  }
+  SetReady();
+}
+
+void Node::OnRoster(std::uint64_t epoch, std::vector<CoreMember> members) {
+  if (epoch <= epoch_) return;
+  epoch_ = epoch;
+  members_ = std::move(members);
+  std::string names;
+  for (const CoreMember& member : members_) names += " " + member.name;
+  Say(Event::kRosterInForce, "epoch " + std::to_string(epoch) + names);
+  if (core_ && had_majority_) {
+    // Tenants' counts may have moved here: nothing is known of what was added elsewhere.
+    counts_.Begin(Net(Now()));
+    Broadcast(MembersNow());
+  }
+  OnView();
+}
+
+// ---- Count --------------------------------------------------------------------------------------------
+
+const Node::CoreMember* Node::Holder(const std::string& tenant) const {
+  const CoreMember* best = nullptr;
+  std::uint64_t best_rank = 0;
+  for (const CoreMember& member : members_) {
+    const std::uint64_t rank = StableHash(tenant, StableHash(member.name, member.disk));
+    if (best != nullptr && rank <= best_rank) continue;
+    best = &member;
+    best_rank = rank;
+  }
+  return best;
+}
+
+std::optional<double> Node::AddHere(const std::string& tenant, CountName name, Duration lifetime,
+                                    double amount) {
+  const CoreMember* holder = Holder(tenant);
+  const bool here = holder != nullptr && holder->name == settings_.node_name && holder->disk == disk_;
+  if (!here || !had_majority_) return std::nullopt;
+  return counts_.Add(Net(Now()), name, lifetime, amount);
+}
+
+void Node::AddToCount(const std::string& tenant, const AddCount& call) {
+  const CoreMember* holder = Holder(tenant);
+  Link::Stream* stream = nullptr;
+  const bool here = holder != nullptr && holder->name == settings_.node_name;
+  if (holder != nullptr && !here) stream = link_.To(holder->address);
+  if (stream != nullptr && addings_.size() < kMostAddings) {
+    const std::uint64_t number = next_number_++;
+    addings_[number] = {call.name, stream->number, Now() + kAddEnds};
+    const auto lifetime = std::chrono::duration_cast<std::chrono::microseconds>(call.lifetime).count();
+    return stream->Send(Encode(AddUnits{number, tenant, call.name.value, lifetime, call.amount}));
+  }
+  // Answered from the loop, never from within.
+  const auto total = here ? AddHere(tenant, call.name, call.lifetime, call.amount) : std::nullopt;
+  front_.CountLater(
+      {call.name, total ? Outcome::kOk : Outcome::kConnectFailed, total.value_or(0), Duration{}});
+}
+
+Duration Node::ClockOffset(const std::string& tenant) const {
+  const CoreMember* holder = Holder(tenant);
+  if (holder == nullptr || holder->name == settings_.node_name) return {};
+  const auto it = offsets_.find(holder->name);
+  return it != offsets_.end() ? it->second.offset : Duration{};
+}
+
+// ---- Life ---------------------------------------------------------------------------------------------
+
+void Node::SetReady() {
+  const bool ready = front_.policy() != nullptr && !leaving_;
+  if (ready == ready_) return;
+  ready_ = ready;
+  Say(ready ? Event::kReady : Event::kNotReady, settings_.node_name);
+}
+
+void Node::KeepHouse() {
+  const Steady now = Now();
+  ++ticks_;
+  link_.KeepHouse();
+  fleet_link_.Reap();
+  if (core_) {
+    agreement::Out out;
+    core_->Tick(now, out);
+    CarryCore(std::move(out));
+  }
+  if (ticks_ % 2 == 0) front_.KeepHouse();
+  if (ticks_ % 5 == 0) {
+    control_.CheckTimes();
+    readiness_.CheckTimes();
+  }
+  if (ticks_ % kRefreshTicks == 0 && !refreshed_.empty()) {
+    ToCore(Refreshed{std::move(refreshed_)});
+    refreshed_.clear();
+  }
+  // Silence is said by who hears the core, and not before it has listened for long enough.
+  const auto silent = std::chrono::duration_cast<directory::Duration>(settings_.heartbeat * kSilentBeats);
+  if (had_majority_ && ticks_ % 4 == 0 && now - started_at_ > silent) {
+    directory_.Silence(now, silent);
+    OnHostsChanged();
+  }
+  std::vector<std::uint64_t> over;
+  for (auto& [number, pending] : pending_) {
+    if (now >= pending.ends) {
+      over.push_back(number);
+    } else if (now >= pending.next) {
+      PassOn(number, pending);
+    }
+  }
+  for (const std::uint64_t number : over) Answer(number, 503, {});
+  over.clear();
+  for (const auto& [number, telling] : tellings_)
+    if (now >= telling.ends) over.push_back(number);
+  for (const std::uint64_t number : over) {
+    control_.Reply(tellings_.at(number).call, 503);
+    tellings_.erase(number);
+  }
+  std::vector<CountName> unanswered;
+  for (auto it = addings_.begin(); it != addings_.end();) {
+    const bool late = now >= it->second.ends;
+    if (late) unanswered.push_back(it->second.name);
+    it = late ? addings_.erase(it) : std::next(it);
+  }
+  for (const CountName name : unanswered) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
+  if (ticks_ % kSecondTicks == 0) {
+    directory_.Forget(now);
+    OnHostsChanged();
+    LookAtSettings();
+    events::SayLeftOut();
+    ToCore(Clock{std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count()});
+  }
+  if (!leaving_) return;
+  const auto since = now - term_at_;
+  if (since >= kStopListening) front_.StopListening();
+  if ((since >= kStopListening && !front_.owes_anything()) || since >= settings_.bounds.grace - kEndMargin)
+    End();
+}
+
+void Node::LookAtSettings() {
+  const std::int64_t stamp = StampOf(settings_path_);
+  if (stamp == settings_stamp_) return;
+  settings_stamp_ = stamp;
+  try {
+    settings_ = settings::LoadSettings(settings_path_);
+    Say(Event::kSettingsChanged, settings_path_);
+  } catch (const settings::SettingsError& error) {
+    Say(Event::kSettingsRefused, error.what());
+  }
+}
+
+void Node::OnTerm() {
+  if (leaving_) return;
+  leaving_ = true;
+  term_at_ = Now();
+  Say(Event::kTermReceived, settings_.node_name);
+  SetReady();
+  front_.Leave();
+}
+
+void Node::End() {
+  fleet::Out out;
+  fleet_->Leave(Now(), out);
+  Carry(std::move(out));
+  Say(front_.owes_anything() ? Event::kDrainCutShort : Event::kDrained, settings_.node_name);
+  ev_break(loop_, EVBREAK_ALL);
+}
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/node.hpp
@@ -0,0 +1,187 @@
+// One process of the system: puts the parts together and carries between them. Decides nothing of its own:
+// who is there says fleet, which hosts there are directory, what is in force agreement, what becomes of a
+// request Front.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "agreement/core.hpp"
+#include "counting/held_counts.hpp"
+#include "directory/by_service.hpp"
+#include "directory/command.hpp"
+#include "directory/directory.hpp"
+#include "fleet/machine.hpp"
+#include "net/fleet_link.hpp"
+#include "settings/settings.hpp"
+#include "shelf/shelf.hpp"
+#include "system/call_door.hpp"
+#include "system/front.hpp"
+#include "system/link.hpp"
+#include "system/message.hpp"
+
+namespace curlewdoor::system {
+
+class Node : net::FleetLink::Owner, Link::Owner {
+ public:
+  // Throws std::runtime_error where it can't begin. `settings_path` is looked at again now and then.
+  Node(struct ev_loop* loop, settings::NodeSettings settings, std::string settings_path, std::uint64_t seed);
+  ~Node() override;
+
+ private:
+  using Steady = std::chrono::steady_clock::time_point;
+
+  // An operator's call, or one that another gateway passes on, until it is answered.
+  struct Pending {
+    std::function<void(int status, std::string body)> answer;
+    bool is_put = false;
+    std::uint64_t version = 0;
+    std::string text;
+    Steady ends, next;
+    std::vector<Address> asked;
+    std::uint64_t stream = 0;  // that it was passed to; 0: none
+  };
+  struct Telling {  // a beat that waits until it has been passed on
+    RequestId call;
+    Steady ends;
+  };
+  struct Adding {
+    CountName name;
+    std::uint64_t stream = 0;
+    Steady ends;
+  };
+  struct Offset {  // of another machine's clock
+    Duration offset{}, round_trip{};
+    Steady at;
+  };
+  struct CoreMember {
+    std::string name;
+    std::uint64_t disk = 0;
+    Address address;
+  };
+
+  static Steady Now() { return std::chrono::steady_clock::now(); }
+  static TimePoint Net(Steady at) { return TimePoint(at.time_since_epoch()); }
+
+  // Fleet.
+  void OnDatagram(std::string_view bytes) override;
+  std::string OnExchange(std::string_view bytes) override;
+  void OnExchangeEnd(const Address& with, std::string_view bytes) override;
+  void Carry(fleet::Out out);
+  void OnView();
+
+  // Link.
+  void OnUp(Link::Stream& stream) override;
+  void OnFrame(Link::Stream& stream, std::string_view frame) override;
+  void OnDown(Link::Stream& stream) override;
+  void Take(Link::Stream& stream, Hello& message);
+  void Take(Link::Stream& stream, Clock& message);
+  void Take(Link::Stream& stream, Hosts& message);
+  void Take(Link::Stream& stream, Refreshed& message);
+  void Take(Link::Stream& stream, Tell& message);
+  void Take(Link::Stream& stream, Told& message);
+  void Take(Link::Stream& stream, Put& message);
+  void Take(Link::Stream& stream, Get& message);
+  void Take(Link::Stream& stream, Done& message);
+  void Take(Link::Stream& stream, Config& message);
+  void Take(Link::Stream& stream, Members& message);
+  void Take(Link::Stream& stream, AddUnits& message);
+  void Take(Link::Stream& stream, Total& message);
+  void Take(Link::Stream& stream, CoreBytes& message);
+  void Broadcast(const Message& message);  // to all that wait for news
+  void ToCore(const Message& message);     // to all core members that are reached
+
+  // Calls from outside.
+  void OnCall(CallDoor::Call call);
+  void Run(RequestId id, const directory::Beat& beat);
+  void Run(RequestId id, const directory::Leave& leave);
+  void Run(RequestId id, directory::PutConfig& put);
+  void Run(RequestId id, const directory::ReadConfig& read);
+  void TellHost(RequestId id, const std::string& host);
+  void ReplyBeat(RequestId id);
+  void Ask(Pending pending);
+  void PassOn(std::uint64_t number, Pending& pending);
+  void Answer(std::uint64_t number, int status, std::string body);
+
+  // Directory.
+  void MergeBatch(const std::string& batch);
+  void OnHostsChanged();  // after each change: told on by the core, taken over by the front
+
+  // Core.
+  void OpenCore();
+  void CarryCore(agreement::Out out);
+  void OnShelf();
+  void SetInForce(std::uint64_t version, const std::string& text);
+  void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
+  void LookAtMajority();
+  bool core_member() const { return core_ && core_->member(); }
+  Message ConfigNow() const;
+  Message MembersNow() const;
+
+  // Count.
+  const CoreMember* Holder(const std::string& tenant) const;
+  void AddToCount(const std::string& tenant, const AddCount& call);
+  Duration ClockOffset(const std::string& tenant) const;
+  std::optional<double> AddHere(const std::string& tenant, CountName name, Duration lifetime, double amount);
+
+  // Life.
+  void KeepHouse();
+  void LookAtSettings();
+  void SetReady();
+  void OnTerm();
+  void End();
+
+  struct ev_loop* loop_;
+  settings::NodeSettings settings_;
+  const std::string settings_path_;
+  std::int64_t settings_stamp_ = 0;
+  std::mt19937_64 rng_;
+  const Address fleet_address_, link_address_;
+  net::Descriptors front_descriptors_, link_descriptors_;
+
+  std::unique_ptr<shelf::Shelf> shelf_;
+  std::optional<agreement::Core> core_;
+  std::uint64_t disk_ = 0;
+  std::unique_ptr<net::IoWatcher> shelf_io_;
+  bool had_majority_ = false;
+
+  std::unique_ptr<fleet::Machine> fleet_;
+  net::FleetLink fleet_link_;
+  net::TimerWatcher fleet_timer_;
+  std::uint64_t seen_view_ = 0;
+
+  Link link_;
+  std::map<std::string, Offset> offsets_;  // by machine
+  std::uint64_t epoch_ = 0;
+  std::vector<CoreMember> members_;  // of the core, in `epoch_`
+
+  directory::Directory directory_;
+  directory::ByService by_service_;
+  std::uint64_t told_hosts_ = 0;  // of the directory's journal
+  std::vector<std::pair<std::string, std::uint64_t>> refreshed_;
+
+  std::unordered_map<std::uint64_t, Pending> pending_;
+  std::unordered_map<std::uint64_t, Telling> tellings_;
+  std::unordered_map<std::uint64_t, Adding> addings_;
+  std::uint64_t next_number_ = 1;
+  counting::HeldCounts counts_;
+
+  Message config_message_{Config{}};
+  Front front_;
+  CallDoor control_, readiness_;
+  bool ready_ = false, leaving_ = false;
+  Steady term_at_, started_at_;
+  net::TimerWatcher house_timer_;
+  net::PrepareWatcher reap_;
+  net::SignalWatcher term_, interrupt_, hang_up_;
+  int ticks_ = 0;
+};
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/trying/package.cmake
@@ -0,0 +1,3 @@
+# What became of an attempt, whether there is another, and the budget of further tries. Pure.
+add_library(curlewdoor_trying STATIC src/trying/trying.cpp)
+target_link_libraries(curlewdoor_trying PUBLIC curlewdoor_logic)
--- /dev/null
+++ b/src/trying/trying.cpp
@@ -0,0 +1,89 @@
+#include "trying/trying.hpp"
+
+#include <algorithm>
+
+#include "util/seconds.hpp"
+
+namespace curlewdoor::trying {
+namespace {
+
+constexpr double kSafe = 0.7;        // of what the rule allows: gateways come and go, and windows slide
+constexpr double kSlackSaved = 0.6;  // of the slack that a gateway may have saved up; the rest refills it
+
+bool IsPromise(int status) { return status == 429 || status == 503 || status == 408 || status == 421; }
+
+}  // namespace
+
+Verdict Judge(const Ending& ending) {
+  switch (ending.how) {
+    case Ending::How::kNoConnect:
+      return Verdict::kNotRun;
+    case Ending::How::kBroken:
+    case Ending::How::kTimedOut:
+      return ending.written ? Verdict::kMayHaveRun : Verdict::kNotRun;
+    case Ending::How::kAnswered:
+      break;
+  }
+  if (ending.not_run || ending.status == 421) return Verdict::kNotRun;
+  return ending.status >= 200 && ending.status < 300 && ending.sealed ? Verdict::kRan : Verdict::kMayHaveRun;
+}
+
+bool Arrived(const Ending& ending) { return ending.written || ending.how == Ending::How::kAnswered; }
+
+bool MayPass(const Ending& ending) {
+  if (ending.how != Ending::How::kAnswered || !ending.whole) return false;
+  if (ending.status >= 200 && ending.status < 300) return ending.sealed;
+  return ending.status >= 300 && !IsPromise(ending.status) && !ending.not_run;
+}
+
+Next Follow(Record& record, const Ending& ending, bool budget, bool time) {
+  const Verdict verdict = Judge(ending);
+  record.may_have_run = record.may_have_run || verdict != Verdict::kNotRun;
+  if (verdict == Verdict::kRan && MayPass(ending)) return Next::kPass;
+  const bool refusal = ending.how == Ending::How::kAnswered && ending.status >= 400 && ending.status < 500;
+  if (refusal && MayPass(ending)) return Next::kPass;  // the request itself is at fault
+  const bool allowed = record.repeatable || !record.may_have_run;
+  if (allowed && !record.bound && record.attempts < record.most_attempts && time &&
+      (budget || !Arrived(ending)))
+    return Next::kAgain;
+  if (MayPass(ending)) return Next::kPass;
+  return record.may_have_run ? Next::kFail : Next::kDecline;
+}
+
+Budget::Budget(Options options, bool fresh, TimePoint now) : options_(options), at_(now) {
+  if (fresh) level_ = Most();
+}
+
+double Budget::Most() const {
+  return std::max(1.0, kSafe * kSlackSaved * options_.slack / std::max(1, options_.gateways));
+}
+
+void Budget::SetGateways(int gateways) {
+  options_.gateways = std::max(1, gateways);
+  level_ = std::min(level_, Most());
+}
+
+// What comes back by time alone is, over a window, the rest of the slack.
+void Budget::Refill(TimePoint now) {
+  const double rate = kSafe * (1 - kSlackSaved) * options_.slack / std::max(1, options_.gateways) /
+                      std::max(0.001, Seconds(options_.window));
+  level_ = std::min(Most(), level_ + rate * std::max(0.0, Seconds(now - at_)));
+  at_ = now;
+}
+
+void Budget::OnRequest(TimePoint now) {
+  Refill(now);
+  level_ = std::min(Most(), level_ + kSafe * options_.ratio);
+}
+
+bool Budget::Covers(TimePoint now) {
+  Refill(now);
+  return level_ >= 1;
+}
+
+void Budget::Spend(TimePoint now) {
+  Refill(now);
+  level_ -= 1;
+}
+
+}  // namespace curlewdoor::trying
--- /dev/null
+++ b/tests/agreement/world.hpp
@@ -0,0 +1,374 @@
+// A few cores in virtual time, with everything that may go wrong; a broken promise is a text.
+#pragma once
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "agreement/codec.hpp"
+#include "agreement/core.hpp"
+
+namespace curlewdoor::agreement::test {
+
+using std::chrono::milliseconds;
+
+struct Machine {
+  std::string name, address;
+  std::map<std::string, std::string> disk;
+  std::uint64_t life = 0;
+  bool bootstrap = true, gone = false, refuses = false;
+  std::unique_ptr<Core> core;
+  std::uint64_t run = 0, committed = 0;  // `committed`: in this run
+  Time changed{}, hangs_until{};
+  Member member() const { return {{name, life}, address}; }
+};
+
+class World {
+ public:
+  World(std::uint64_t seed, Options options, std::size_t machines) : random_(seed), options_(options) {
+    options_.least_members = machines / 2 + 1;
+    if (seed % 2 == 1) {  // much changing
+      options_.dead_for = milliseconds(200);
+      options_.grow_after = milliseconds(300);
+      notice_ = milliseconds(100);
+    }
+    for (std::size_t i = 0; i < machines; ++i) Add(true);
+    for (std::size_t i = 0; i < machines; ++i) At(Below(300), [this, i] { StartUp(i); });
+    if (seed % 2 == 1) {
+      Add(false);
+      At(4000, [this, machines] { StartUp(machines); });
+    }
+    ScheduleViews();
+  }
+
+  // Empty: every promise was kept.
+  std::string Play(milliseconds trouble) {
+    Run(milliseconds(6000));
+    for (auto& m : machines_) {
+      if (m.core && (m.core->roster().epoch == 0 || !m.core->learned())) Break("no first roster");
+    }
+    troubled_ = true;
+    ScheduleFault();
+    ScheduleCall();
+    Run(trouble);
+    troubled_ = false;
+    cuts_.clear();
+    slow_.clear();
+    for (std::size_t i = 0; i < machines_.size(); ++i) {
+      machines_[i].refuses = false;
+      machines_[i].hangs_until = {};
+      if (!machines_[i].gone && !machines_[i].core) StartUp(i);
+    }
+    for (int tries = 0; tries < 15 && !last_acked_; ++tries) {
+      for (std::size_t i = 0; i < machines_.size(); ++i) Put(i, ++version_, true);
+      Run(milliseconds(200));
+    }
+    if (!last_acked_) Break("no Put is acknowledged within 3 s after the trouble");
+    Run(milliseconds(1500));
+    for (std::size_t i = 0; i < machines_.size(); ++i) {
+      const Core* core = machines_[i].core.get();
+      if (core && core->member() && core->committed().version < floor_) Break("a member has not learned");
+    }
+    return broken_;
+  }
+
+  std::uint64_t acked() const { return acked_; }
+  std::uint64_t epochs() const { return rosters_.empty() ? 0 : rosters_.rbegin()->first; }
+
+ private:
+  struct Op {
+    bool put = false, last = false;
+    std::uint64_t version = 0, floor = 0;
+  };
+
+  std::uint64_t Below(std::uint64_t n) { return random_() % n; }
+  bool Chance(int in) { return Below(static_cast<std::uint64_t>(in)) == 0; }
+  void Break(const std::string& what) {
+    if (broken_.empty()) broken_ = what + " at " + std::to_string((now_ - Time{}) / milliseconds(1)) + " ms";
+  }
+  void At(std::uint64_t ms, std::function<void()> what) {
+    events_.emplace(now_ + milliseconds(ms), std::move(what));
+  }
+  void Run(milliseconds span) {
+    Time end = now_ + span;
+    while (broken_.empty() && !events_.empty() && events_.begin()->first <= end) {
+      auto event = events_.extract(events_.begin());
+      now_ = event.key();
+      event.mapped()();
+    }
+    now_ = end;
+  }
+
+  void Add(bool bootstrap) {
+    std::size_t i = machines_.size();
+    Machine m;
+    m.name = "m" + std::to_string(i);
+    m.address = "10.0.0." + std::to_string(10 + i) + ":7101";
+    m.life = random_();
+    m.bootstrap = bootstrap;
+    machines_.push_back(std::move(m));
+  }
+  void StartUp(std::size_t i) {
+    Machine& m = machines_[i];
+    if (m.core || m.gone) return;
+    auto read = [&m](const char* key) -> std::optional<std::string> {
+      auto found = m.disk.find(key);
+      return found == m.disk.end() ? std::nullopt : std::optional(found->second);
+    };
+    auto state = DecodeState(read(kStateKey), read(kValueKey));
+    if (!state) return Break("a disk can't be read");
+    m.core = std::make_unique<Core>(m.member(), m.bootstrap, *state, options_, random_());
+    ++m.run;
+    m.committed = 0;
+    m.changed = now_;
+    ScheduleTick(i, m.run);
+  }
+  void ScheduleTick(std::size_t i, std::uint64_t run) {
+    At(45 + Below(10), [this, i, run] {
+      if (!machines_[i].core || machines_[i].run != run) return;
+      Feed(i, [&](Core& core, Out& out) { core.Tick(now_, out); });
+      ScheduleTick(i, run);
+    });
+  }
+  void Stop(std::size_t i) {
+    if (!machines_[i].core) return;
+    machines_[i].core.reset();
+    machines_[i].changed = now_;
+  }
+
+  template <typename Input>
+  void Feed(std::size_t i, Input input) {
+    if (!machines_[i].core) return;
+    Out out;
+    input(*machines_[i].core, out);
+    for (Sending& s : out.sends) Deliver(i, std::move(s));
+    for (Write& w : out.writes) Keep(i, std::move(w));
+    for (Done& d : out.done) End(d);
+    if (machines_[i].core == nullptr) return;
+    std::uint64_t committed = machines_[i].core->committed().version;
+    if (committed < machines_[i].committed) Break("committed() went back");
+    machines_[i].committed = committed;
+    floor_ = std::max(floor_, committed);
+  }
+
+  void Deliver(std::size_t from, Sending sending) {
+    std::size_t to = 0;
+    while (to < machines_.size() && machines_[to].address != sending.to.address) ++to;
+    if (to == machines_.size() || (troubled_ && Chance(20))) return;
+    int copies = troubled_ && Chance(20) ? 2 : 1;
+    for (int c = 0; c < copies; ++c) {
+      std::uint64_t delay = 1 + Below(troubled_ ? 30 : 8);
+      if (troubled_ && Chance(30)) delay += Below(2000);
+      if (slow_.contains({from, to})) delay += 100 + Below(400);
+      At(delay, [this, from, to, message = sending.message] {
+        if (cuts_.contains({std::min(from, to), std::max(from, to)})) return;
+        Feed(to, [&](Core& core, Out& out) { core.OnMessage(now_, message, out); });
+      });
+    }
+  }
+
+  void Keep(std::size_t i, Write write) {
+    At(2 + Below(troubled_ ? 40 : 10), [this, i, run = machines_[i].run, write = std::move(write)] {
+      Machine& m = machines_[i];
+      if (!m.core || m.run != run) return;  // lost with the process
+      if (now_ < m.hangs_until) return Keep(i, write);
+      bool ok = !m.refuses;
+      if (ok) {
+        for (const auto& [key, bytes] : write.records) m.disk[key] = bytes;
+        Check(m);
+      }
+      Feed(i, [&](Core& core, Out& out) { core.OnWritten(now_, write.id, ok, out); });
+    });
+  }
+  State OnDisk(const Machine& m) const {
+    auto found = m.disk.find(kStateKey);
+    if (found == m.disk.end()) return {};
+    return DecodeState(found->second, std::nullopt).value();
+  }
+  void Check(const Machine& m) {
+    Roster roster = OnDisk(m).roster;
+    if (roster.epoch == 0) return;
+    auto [known, is_new] = rosters_.try_emplace(roster.epoch, roster);
+    if (!is_new && known->second != roster) Break("two rosters of epoch " + std::to_string(roster.epoch));
+  }
+
+  // Machine `i` may lose its disk: in every epoch that may be in force or come, a majority keeps its own.
+  bool MayLose(std::size_t i) {
+    std::map<std::uint64_t, std::vector<Member>> epochs;
+    std::map<Life, std::uint64_t> reached;
+    for (const Machine& m : machines_) {
+      if (m.gone) continue;
+      State state = OnDisk(m);
+      reached[{m.name, m.life}] = state.roster.epoch;
+      epochs[state.roster.epoch] = state.roster.members;
+      if (state.accepted && !epochs.contains(state.roster.epoch + 1)) {
+        epochs[state.roster.epoch + 1] = state.accepted->members;
+      }
+    }
+    epochs.erase(0);
+    for (auto it = epochs.rbegin(); it != epochs.rend(); ++it) {
+      std::size_t kept = 0, in_force = 0;
+      for (const Member& member : it->second) {
+        auto found = reached.find(member.life);
+        if (found == reached.end()) continue;
+        if (found->second >= it->first) ++in_force;
+        if (member.life != machines_[i].member().life) ++kept;
+      }
+      if (2 * kept <= it->second.size()) return false;
+      if (2 * in_force > it->second.size()) return true;
+    }
+    return false;
+  }
+
+  void ScheduleFault() {
+    At(100 + Below(800), [this] {
+      if (!troubled_) return;
+      Fault();
+      ScheduleFault();
+    });
+  }
+  void Fault() {
+    std::size_t i = Below(machines_.size());
+    Machine& m = machines_[i];
+    if (m.gone) return;
+    std::uint64_t back = 50 + Below(Chance(4) ? 5000 : 800);
+    switch (Below(14)) {
+      case 11:
+      case 12:
+      case 13: {  // one way
+        std::pair<std::size_t, std::size_t> way{i, Below(machines_.size())};
+        slow_.insert(way);
+        At(2 * back, [this, way] { slow_.erase(way); });
+        break;
+      }
+      case 0:
+      case 1:
+        Stop(i);
+        At(back, [this, i] { StartUp(i); });
+        break;
+      case 2:
+        PowerLoss();
+        break;
+      case 3:
+        for (std::size_t k = 0; k < machines_.size(); ++k) {
+          if (k != i && !Chance(4)) Cut(i, k, back);
+        }
+        break;
+      case 4:
+        Cut(i, Below(machines_.size()), back);
+        break;
+      case 5:
+        m.hangs_until = now_ + milliseconds(back);
+        break;
+      case 6:
+        m.refuses = true;
+        At(back, [this, i] { machines_[i].refuses = false; });
+        break;
+      case 7:
+      case 10:  // the disk is lost
+        if (!MayLose(i)) break;
+        Stop(i);
+        m.disk.clear();
+        m.life = random_();
+        m.bootstrap = false;
+        At(back, [this, i] { StartUp(i); });
+        if (Chance(3)) PowerLoss();
+        break;
+      case 8:
+      case 9:  // lost for good; another comes
+        if (!MayLose(i) || machines_.size() > 12) break;
+        Stop(i);
+        m.gone = true;
+        Add(false);
+        At(back, [this, k = machines_.size() - 1] { StartUp(k); });
+        break;
+    }
+  }
+  void Cut(std::size_t a, std::size_t b, std::uint64_t ms) {
+    std::pair<std::size_t, std::size_t> pair{std::min(a, b), std::max(a, b)};
+    cuts_.insert(pair);
+    At(ms, [this, pair] { cuts_.erase(pair); });
+  }
+  void PowerLoss() {
+    for (std::size_t i = 0; i < machines_.size(); ++i) {
+      Stop(i);
+      At(100 + Below(800), [this, i] { StartUp(i); });
+    }
+  }
+
+  void ScheduleViews() {
+    At(100 + Below(100), [this] {
+      for (std::size_t i = 0; i < machines_.size(); ++i) {
+        std::vector<Seen> view;
+        for (std::size_t k = 0; k < machines_.size(); ++k) {
+          const Machine& m = machines_[k];
+          bool up = m.core != nullptr && !cuts_.contains({std::min(i, k), std::max(i, k)});
+          if (!up && now_ - m.changed < notice_) up = true;  // not noticed yet
+          if (troubled_ && Chance(100)) up = !up;
+          if (!m.gone && (m.core || m.run > 0)) view.push_back({m.member(), up});
+        }
+        Feed(i, [&](Core& core, Out& out) { core.OnView(now_, view, out); });
+      }
+      ScheduleViews();
+    });
+  }
+
+  void ScheduleCall() {
+    At(10 + Below(80), [this] {
+      if (!troubled_) return;
+      std::size_t i = Below(machines_.size());
+      if (Chance(2)) {
+        Put(i, Chance(8) ? 1 + Below(version_ + 1) : ++version_, false);
+      } else {
+        std::uint64_t call = ++call_;
+        ops_[call] = {false, false, 0, floor_};
+        Feed(i, [&](Core& core, Out& out) { core.Get(now_, call, out); });
+      }
+      ScheduleCall();
+    });
+  }
+  static std::string TextOf(std::uint64_t version) { return "text " + std::to_string(version); }
+  void Put(std::size_t i, std::uint64_t version, bool last) {
+    std::uint64_t call = ++call_;
+    version_ = std::max(version_, version);
+    ops_[call] = {true, last, version, floor_};
+    Feed(i, [&](Core& core, Out& out) { core.Put(now_, call, {version, TextOf(version)}, out); });
+  }
+  void End(const Done& done) {
+    auto found = ops_.find(done.call);
+    if (found == ops_.end()) return Break("a call ended twice");
+    Op op = found->second;
+    ops_.erase(found);
+    if (done.outcome != Outcome::kKept && done.outcome != Outcome::kOlder) return;
+    if (done.value.version != 0 && done.value.text != TextOf(done.value.version)) Break("another text");
+    if (op.put) {
+      if (done.value.version < op.version) Break("a Put ended with an older version");
+      floor_ = std::max(floor_, done.value.version);
+      ++acked_;
+      last_acked_ = last_acked_ || op.last;
+      if (troubled_ && Chance(12)) At(Below(3), [this] { PowerLoss(); });
+    } else if (done.value.version < op.floor) {
+      Break("acknowledged " + std::to_string(op.floor) + ", read " + std::to_string(done.value.version));
+    }
+  }
+
+  std::mt19937_64 random_;
+  Options options_;
+  Time now_ = Time{} + std::chrono::hours(1);
+  std::multimap<Time, std::function<void()>> events_;
+  std::vector<Machine> machines_;
+  std::set<std::pair<std::size_t, std::size_t>> cuts_, slow_;
+  std::map<std::uint64_t, Roster> rosters_;
+  std::map<std::uint64_t, Op> ops_;
+  std::uint64_t call_ = 0, version_ = 0, floor_ = 0, acked_ = 0;
+  milliseconds notice_{1000};  // a view is so old
+  bool troubled_ = false, last_acked_ = false;
+  std::string broken_;
+};
+
+}  // namespace curlewdoor::agreement::test
--- /dev/null
+++ b/tests/policy/policy_test.cpp
@@ -0,0 +1,342 @@
+#include "policy/policy.hpp"
+
+#include <array>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace curlewdoor::policy {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::string_view kDocument =
+    R"({"config_version":12,"services":[)"
+    R"({"name":"soup","health_check":"/well","max_connections":90,"protocol":"h1","tls_enabled":false},)"
+    R"({"name":"salad","health_check":"/well","max_connections":80,"protocol":"h1","tls_enabled":false},)"
+    R"({"name":"bread","health_check":"/fit","max_connections":70,"protocol":"h1","tls_enabled":true}],)"
+    R"("limits":{"max_header_bytes":8192,"max_body_bytes":1048576,"header_timeout_ms":2000,)"
+    R"("idle_timeout_ms":9000},)"
+    R"("tenants":[{"name":"anna","api_keys":["key-a1","key-a2"],"priority":1,"rate_per_s":150,"burst_size":30},)"
+    R"({"name":"berta","api_keys":["key-b1"]},{"name":"carla","api_keys":[]}],)"
+    R"("backend_hosts":[{"host":"kitchen.example","url_paths":[)"
+    R"({"name":"r-soup","path_prefix":"/menu/","route_type":"idempotent","timeout_ms":500,)"
+    R"("target_latency_ms":200,"priority":2,"traffic_split":[{"service":"soup","weight":90},)"
+    R"({"service":"salad","weight":10},{"service":"bread","weight":0}],"max_attempts":2,"public_access":false},)"
+    R"({"name":"r-deep","path_prefix":"/menu/deep/","route_type":"idempotent","timeout_ms":700,)"
+    R"("target_latency_ms":300,"priority":0,"service":"bread","max_attempts":3,"public_access":true}]},)"
+    R"({"host":"Bakery.Example","url_paths":[)"
+    R"({"name":"r-order","path_prefix":"/order/","route_type":"non_idempotent","timeout_ms":600,)"
+    R"("target_latency_ms":250,"priority":1,"service":"bread","max_attempts":1,"public_access":false}]}]})";
+
+std::string Changed(std::string_view from, std::string_view to) {
+  std::string text(kDocument);
+  const std::size_t at = text.find(from);
+  BOOST_REQUIRE_MESSAGE(at != std::string::npos, "the document has no " << from);
+  return text.replace(at, from.size(), to);
+}
+
+// What is wrong with the text; empty if nothing.
+std::string Fault(const std::string& text) {
+  try {
+    Policy::Read(text);
+  } catch (const PolicyError& error) {
+    return error.what();
+  }
+  return "";
+}
+
+struct Change {
+  std::string_view from;
+  std::string_view to;
+  std::string_view fault;  // part of what() has to say; empty: the document stays valid
+};
+
+void Check(const Change& change) {
+  const std::string fault = Fault(Changed(change.from, change.to));
+  const bool right = change.fault.empty() ? fault.empty() : fault.find(change.fault) != std::string::npos;
+  BOOST_CHECK_MESSAGE(
+      right, change.from << " -> " << change.to << ": \"" << fault << "\", not \"" << change.fault << "\"");
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(reads_the_whole_document) {
+  const auto policy = Policy::Read(std::string(kDocument));
+  BOOST_TEST(policy->text() == kDocument);
+  BOOST_TEST(policy->version() == 12u);
+  BOOST_TEST(policy->limits().max_header_bytes == 8192u);
+  BOOST_TEST(policy->limits().max_body_bytes == 1048576u);
+  BOOST_TEST((policy->limits().header_timeout == milliseconds(2000)));
+  BOOST_TEST((policy->limits().idle_timeout == milliseconds(9000)));
+  BOOST_REQUIRE(policy->services().size() == 3u);
+  BOOST_TEST(policy->services()[2].name == "bread");
+  BOOST_TEST(policy->services()[2].health_check == "/fit");
+  BOOST_TEST(policy->services()[2].max_connections == 70);
+  BOOST_TEST(policy->services()[2].protocol == "h1");
+  BOOST_TEST(policy->services()[2].tls_enabled);
+  BOOST_TEST(policy->FindService("salad").value() == 1u);
+  BOOST_TEST(!policy->FindService("Salad").has_value());
+  BOOST_REQUIRE(policy->routes().size() == 3u);
+  const Route& soup = policy->routes()[0];
+  BOOST_TEST(soup.name == "r-soup");
+  BOOST_TEST(soup.host == "kitchen.example");
+  BOOST_TEST(soup.prefix == "/menu/");
+  BOOST_TEST((soup.repeat == Repeat::kIdempotent));
+  BOOST_TEST((soup.timeout == milliseconds(500)));
+  BOOST_TEST((soup.target_latency == milliseconds(200)));
+  BOOST_TEST(soup.priority == 2);
+  BOOST_TEST(soup.max_attempts == 2);
+  BOOST_TEST(!soup.public_access);
+  BOOST_REQUIRE(soup.parts.size() == 3u);
+  BOOST_TEST(soup.parts[1].service == 1u);
+  BOOST_TEST(soup.parts[1].weight == 10);
+  BOOST_TEST(policy->routes()[1].public_access);
+  BOOST_TEST((policy->routes()[2].repeat == Repeat::kNonIdempotent));
+  BOOST_REQUIRE(policy->routes()[2].parts.size() == 1u);
+  BOOST_TEST(policy->routes()[2].PickService(77) == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(finds_keys) {
+  const auto policy = Policy::Read(std::string(kDocument));
+  BOOST_TEST(policy->has_tenants());
+  const Tenant* anna = policy->FindKey("key-a2");
+  BOOST_REQUIRE(anna);
+  BOOST_TEST(anna->name == "anna");
+  BOOST_TEST(anna->priority.value() == 1);
+  BOOST_TEST(anna->rate_per_s == 150);
+  BOOST_TEST(anna->burst_size == 30);
+  const Tenant* berta = policy->FindKey("key-b1");
+  BOOST_REQUIRE(berta);
+  BOOST_TEST(!berta->priority.has_value());
+  BOOST_TEST(berta->rate_per_s == 0);
+  for (std::string_view key : {"", "key-a", "key-a11", "KEY-A1", "anna"}) BOOST_TEST(!policy->FindKey(key));
+
+  const auto bare = Policy::Read(R"({"config_version":0,"services":[],"backend_hosts":[]})");
+  BOOST_TEST(!bare->has_tenants());
+  BOOST_TEST(bare->limits().max_header_bytes == 16384u);
+  BOOST_TEST((bare->limits().idle_timeout == milliseconds(15000)));
+  BOOST_TEST(!bare->FindRoute("kitchen.example", "/menu/"));
+  BOOST_TEST(
+      Policy::Read(R"({"config_version":0,"services":[],"backend_hosts":[],"tenants":[]})")->has_tenants());
+}
+
+BOOST_AUTO_TEST_CASE(finds_the_longest_prefix) {
+  const auto policy = Policy::Read(std::string(kDocument));
+  struct Case {
+    std::string_view host, target, route;  // an empty route: none
+  };
+  for (const Case& c : std::initializer_list<Case>{{"kitchen.example", "/menu/", "r-soup"},
+                                                   {"kitchen.example", "/menu/1?x=/deep/", "r-soup"},
+                                                   {"kitchen.example", "/menu/deep", "r-soup"},
+                                                   {"kitchen.example", "/menu/deep?/", "r-soup"},
+                                                   {"kitchen.example", "/menu/deep/", "r-deep"},
+                                                   {"kitchen.example", "/menu/deep/er/still", "r-deep"},
+                                                   {"KITCHEN.Example:8080", "/menu/deep/er", "r-deep"},
+                                                   {"kitchen.example:", "/menu/x", "r-soup"},
+                                                   {"bakery.example", "/order/9", "r-order"},
+                                                   {"BAKERY.EXAMPLE:1", "/order/9", "r-order"},
+                                                   {"kitchen.example", "/menu", ""},
+                                                   {"kitchen.example", "/menu?/menu/", ""},
+                                                   {"kitchen.example", "/Menu/", ""},
+                                                   {"kitchen.example", "/", ""},
+                                                   {"kitchen.example", "", ""},
+                                                   {"kitchen.example", "/order/9", ""},
+                                                   {"kitchen.example", "//menu/", ""},
+                                                   {"kitchen.example:80a", "/menu/", ""},
+                                                   {"kitchen.exampl", "/menu/", ""},
+                                                   {"other.example", "/menu/", ""},
+                                                   {"", "/menu/", ""},
+                                                   {":80", "/menu/", ""}}) {
+    const Route* route = policy->FindRoute(c.host, c.target);
+    BOOST_CHECK_MESSAGE((route ? route->name : "") == c.route, c.host << c.target);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(one_host_may_be_listed_twice) {
+  const auto policy = Policy::Read(Changed("Bakery.Example", "KITCHEN.example:80"));
+  BOOST_REQUIRE(policy->FindRoute("kitchen.example", "/order/9"));
+  BOOST_REQUIRE(policy->FindRoute("kitchen.example", "/menu/9"));
+}
+
+BOOST_AUTO_TEST_CASE(picks_by_weight) {
+  const auto policy = Policy::Read(std::string(kDocument));
+  const auto again = Policy::Read(std::string(kDocument));
+  std::array<int, 3> count{};
+  for (std::uint64_t hash = 0; hash < 10'000; ++hash) {
+    const std::size_t picked = policy->routes()[0].PickService(hash);
+    BOOST_REQUIRE(picked < count.size());
+    BOOST_REQUIRE(picked == again->routes()[0].PickService(hash));
+    ++count[picked];
+  }
+  BOOST_TEST(count[0] > 8'850);
+  BOOST_TEST(count[0] < 9'150);
+  BOOST_TEST(count[2] == 0);
+  for (std::uint64_t hash : {~0ull, ~0ull - 1, 1ull << 63}) {
+    BOOST_TEST(policy->routes()[0].PickService(hash) < 2u);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refuses_what_is_invalid) {
+  for (const Change& change : std::initializer_list<Change>{
+           // the document
+           {R"({"config_version")", R"([{"config_version")", "document: "},
+           {R"("config_version":12,)", "", "config_version: missing"},
+           {R"(:12,)", R"(:-1,)", "config_version: negative"},
+           {R"(:12,)", R"(:1.5,)", "config_version: not a whole number"},
+           {R"(:12,)", R"(:9007199254740993,)", "config_version: too large"},
+           {R"(:12,)", R"(:1e400,)", "config_version: too large"},
+           {R"(:12,)", R"(:"12",)", "config_version: not a number"},
+           {R"(:12,)", R"(:012,)", "document: not JSON at byte 19"},
+           {R"(:12,)", R"(:+12,)", "document: not JSON"},
+           {R"(:12,)", R"(:12,,)", "document: not JSON"},
+           {R"("soup")", R"("so\u0000up")", "document: a NUL in a string"},
+           {R"("soup")", R"("so\ud800up")", "document: not readable"},
+           {R"("soup")", "\"so\nup\"", "document: a control character"},
+           {R"("soup")", R"("so\xup")", "document: not JSON"},
+           // services
+           {R"("services":[)", R"("services_":[)", "services: missing"},
+           {R"("name":"soup",)", R"("name":"salad",)", "services[1].name: another service"},
+           {R"("name":"soup",)", "", "services[0].name: missing"},
+           {R"("name":"salad",)", R"("name":7,)", "services[1].name: not a string"},
+           {R"("max_connections":80)", R"("max_connections":"80")",
+            "services[1].max_connections: not a number"},
+           {R"("max_connections":80)", R"("max_connections":-1)", "services[1].max_connections: negative"},
+           {R"("/fit")", R"("/fit HTTP/1.1\r\n")", "services[2].health_check: "},
+           {R"("tls_enabled":true)", R"("tls_enabled":1)", "services[2].tls_enabled: "},
+           // limits
+           {R"("limits":{)", R"("limits":7,"x":{)", "limits: not an object"},
+           {R"(:8192)", R"(:"8192")", "limits.max_header_bytes: not a number"},
+           {R"(:8192)", R"(:0)", "limits.max_header_bytes: not above 0"},
+           {R"(:1048576)", R"(:-2)", "limits.max_body_bytes: negative"},
+           {R"(:2000)", R"(:0)", "limits.header_timeout_ms: not above 0"},
+           {R"(:9000)", R"(:null)", "limits.idle_timeout_ms: not a number"},
+           // tenants
+           {R"("tenants":[)", R"("tenants":{},"x":[)", "tenants: not a list"},
+           {R"("name":"berta")", R"("name":"anna")", "tenants[1].name: another tenant"},
+           {R"("name":"berta")", R"("name":"ber\r\nta")", "tenants[1].name: holds a control"},
+           {R"("name":"berta",)", "", "tenants[1].name: missing"},
+           {R"("key-b1")", R"("key-b1","key-a2")", "tenants[1].api_keys: its key 1"},
+           {R"("key-b1")", R"(5)", "tenants[1].api_keys[0]: not a string"},
+           {R"("key-b1")", R"("")", "tenants[1].api_keys[0]: empty"},
+           {R"(["key-b1"])", R"("key-b1")", "tenants[1].api_keys: not a list"},
+           {R"("rate_per_s":150)", R"("rate_per_s":-150)", "tenants[0].rate_per_s: negative"},
+           {R"("rate_per_s":150)", R"("rate_per_s":"150")", "tenants[0].rate_per_s: not a number"},
+           {R"("burst_size":30)", R"("burst_size":-0.5)", "tenants[0].burst_size: negative"},
+           {R"("priority":1,"rate)", R"("priority":1.5,"rate)", "tenants[0].priority: not a whole"},
+           // routes
+           {R"("backend_hosts")", R"("backends")", "backend_hosts: missing"},
+           {R"("host":"Bakery.Example",)", "", "backend_hosts[1].host: missing"},
+           {R"("host":"Bakery.Example",)", R"("host":":80",)", "backend_hosts[1].host: empty"},
+           {R"("Bakery.Example","url_paths")", R"("b","urls")", "backend_hosts[1].url_paths: missing"},
+           {R"("service":"bread","max_attempts":1)", R"("service":"x","max_attempts":1)",
+            R"(backend_hosts[1].url_paths[0].service: no service is named "x")"},
+           {R"("service":"salad")", R"("service":"x")",
+            R"(backend_hosts[0].url_paths[0].traffic_split[1].service: no service is named "x")"},
+           {R"("service":"salad",)", "", "backend_hosts[0].url_paths[0].traffic_split[1].service: missing"},
+           {R"("service":"bread","max_attempts":3)", R"("max_attempts":3)",
+            "backend_hosts[0].url_paths[1].service: missing"},
+           {R"("traffic_split")", R"("service":"soup","traffic_split")",
+            "backend_hosts[0].url_paths[0].traffic_split: stands beside"},
+           {R"("service":"bread","max_attempts":3)", R"("traffic_split":[],"max_attempts":3)",
+            "backend_hosts[0].url_paths[1].traffic_split: no part"},
+           {R"("service":"bread","max_attempts":3)",
+            R"("traffic_split":[{"service":"soup","weight":0}],"max_attempts":3)",
+            "backend_hosts[0].url_paths[1].traffic_split: no part"},
+           {R"("weight":90)", R"("weight":-90)", "url_paths[0].traffic_split[0].weight: negative"},
+           {R"(,"weight":90)", "", "url_paths[0].traffic_split[0].weight: missing"},
+           {R"("weight":90)", R"("weight":"90")", "url_paths[0].traffic_split[0].weight: not a number"},
+           {R"("target_latency_ms":200)", R"("target_latency_ms":60500)",
+            "backend_hosts[0].url_paths[0].target_latency_ms: exceeds"},
+           {R"("target_latency_ms":200)", R"("target_latency_ms":1e99)",
+            "backend_hosts[0].url_paths[0].target_latency_ms: exceeds"},
+           {R"("target_latency_ms":200)", R"("target_latency_ms":-1)", "target_latency_ms: negative"},
+           {R"("timeout_ms":600,)", "", "backend_hosts[1].url_paths[0].timeout_ms: missing"},
+           {R"("timeout_ms":600,)", R"("timeout_ms":0,)", "url_paths[0].timeout_ms: not above 0"},
+           {R"("timeout_ms":600,)", R"("timeout_ms":-1,)", "url_paths[0].timeout_ms: negative"},
+           {R"("timeout_ms":600,)", R"("timeout_ms":"600",)", "url_paths[0].timeout_ms: not a number"},
+           {R"("max_attempts":3)", R"("max_attempts":0)", "url_paths[1].max_attempts: below 1"},
+           {R"("max_attempts":3)", R"("max_attempts":-3)", "url_paths[1].max_attempts: below 1"},
+           {R"("max_attempts":3)", R"("max_attempts":1.5)", "url_paths[1].max_attempts: not a whole"},
+           {R"("max_attempts":3)", R"("max_attempts":"3")", "url_paths[1].max_attempts: not a number"},
+           {R"("max_attempts":3,)", "", "url_paths[1].max_attempts: missing"},
+           {R"("non_idempotent")", R"("Idempotent")", "backend_hosts[1].url_paths[0].route_type: no kind"},
+           {R"("route_type":"non_idempotent",)", "", "backend_hosts[1].url_paths[0].route_type: missing"},
+           {R"("/menu/deep/")", R"("/menu/")", "backend_hosts[0].url_paths[1].path_prefix: another route"},
+           {R"("/order/")", R"("/order")", "backend_hosts[1].url_paths[0].path_prefix: does not"},
+           {R"("/order/")", R"("order/")", "backend_hosts[1].url_paths[0].path_prefix: does not"},
+           {R"("/order/")", R"("")", "backend_hosts[1].url_paths[0].path_prefix: does not"},
+           {R"("public_access":true)", R"("public_access":"true")", "url_paths[1].public_access: "},
+           {R"("priority":2)", R"("priority":"2")", "url_paths[0].priority: not a number"},
+           {R"("name":"r-soup")", R"("name":[])", "url_paths[0].name: not a string"}}) {
+    Check(change);
+  }
+  std::string same_place(Changed("Bakery.Example", "Kitchen.EXAMPLE:80"));
+  same_place.replace(same_place.find("/order/"), 7, "/menu/");
+  BOOST_TEST(Fault(same_place).find("backend_hosts[1].url_paths[0].path_prefix: another") == 0u);
+}
+
+BOOST_AUTO_TEST_CASE(takes_what_is_unusual_but_valid) {
+  for (const Change& change : std::initializer_list<Change>{
+           {R"(:12,)", R"(:9007199254740991,)", ""},
+           {R"(:12,)", R"(:12,"not_known":{"a":[null,-1.5e-3,"\u00e9\"\\\/"]},)", ""},
+           {R"({"config_version")", " \t\r\n{ \"config_version\"", ""},
+           {R"("limits":{"max_header_bytes":8192,)", R"("limits":{)", ""},
+           {R"("target_latency_ms":200,)", "", ""},
+           {R"("target_latency_ms":200)", R"("target_latency_ms":60499)", ""},
+           {R"("/order/")", R"("/")", ""},
+           {R"("key-b1")", R"("key-b1","key-b1")", ""},
+           {R"("public_access":true)", R"("x":[])", ""}}) {
+    Check(change);
+  }
+  BOOST_TEST(Fault(std::string(kDocument) + "\r\n ") == "");
+}
+
+BOOST_AUTO_TEST_CASE(refuses_each_truncation_and_all_that_follows) {
+  const std::string text(kDocument);
+  for (std::size_t size = 0; size < text.size(); ++size) {
+    BOOST_CHECK_MESSAGE(Fault(text.substr(0, size)).starts_with("document: "), "cut to " << size);
+  }
+  for (const std::string& more : std::vector<std::string>{"x", "{}", ",", std::string(1, '\0'), text}) {
+    BOOST_TEST(Fault(text + more).starts_with("document: more text"));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(refuses_the_deep_and_the_long_quickly) {
+  const auto start = std::chrono::steady_clock::now();
+  const std::string lists(10'000, '[');
+  BOOST_TEST(Fault(lists).starts_with("document: nested too deep"));
+  BOOST_TEST(Fault(Changed(":12,", ":12,\"x\":" + lists + std::string(10'000, ']') + ","))
+                 .starts_with("document: nested too deep"));
+  BOOST_TEST(Fault(std::string(64 << 20, ' ')).starts_with("document: longer"));
+  BOOST_TEST(Fault(std::string(kMostText, '[')).starts_with("document: nested too deep"));
+  std::string many = "[0";
+  while (many.size() < kMostText - 3) many += ",0";
+  BOOST_TEST(Fault(many + "]").starts_with("document: too many values"));
+  BOOST_TEST((std::chrono::steady_clock::now() - start < std::chrono::seconds(2)));
+  // 63 lists within the document are the deepest; brackets in strings don't count.
+  const auto nested = [](std::size_t n) {
+    return Changed(":12,", ":12,\"y\":\"" + std::string(100, '[') + "\",\"x\":" + std::string(n, '[') +
+                               std::string(n, ']') + ",");
+  };
+  BOOST_TEST(Fault(nested(kMostDepth - 1)) == "");
+  BOOST_TEST(Fault(nested(kMostDepth)).starts_with("document: nested too deep"));
+}
+
+BOOST_AUTO_TEST_CASE(reads_many_routes) {
+  std::string text =
+      R"({"config_version":1,"services":[{"name":"s"}],"backend_hosts":[{"host":"h","url_paths":[)";
+  for (int i = 0; i < 20'000; ++i) {
+    text += (i ? ",{" : "{") + std::string(R"("path_prefix":"/p)") + std::to_string(i) +
+            R"(/","route_type":"idempotent","timeout_ms":500,"service":"s","max_attempts":1})";
+  }
+  const auto policy = Policy::Read(text + "]}]}");
+  const Route* route = policy->FindRoute("H", "/p19999/x");
+  BOOST_REQUIRE(route);
+  BOOST_TEST(route->prefix == "/p19999/");
+  BOOST_TEST((route->target_latency == milliseconds(500)));
+}
+
+}  // namespace curlewdoor::policy
