Hosts by aperture and expected delay: each gateway has its own part of its zone's hosts

Cause: a gateway sees only what it has out itself; with four gateways a zone on the same hosts of two slots that says little, and requests queued (live-count p99 280 ms); 40% of the requests crossed zones. Change: gateways and hosts of a zone in two rings, own part first; weight by expected delay to the sixth.

--- a/src/choosing/choosing.cpp
+++ b/src/choosing/choosing.cpp
@@ -13,13 +13,11 @@
 
 constexpr double kStep = 0.15;  // weight of one answer in a host's slowness
 constexpr double kMostSlow = 6, kLeastSlow = 0.2;
-constexpr double kSlowMemory = 10;    // seconds until what was learnt of a host not visited has faded
-constexpr double kSpeedWeight = 1.5;  // a fast host gets more than its even part: it answers sooner
-constexpr double kFailStep = 0.1;     // weight of one attempt in a host's rate of failure
-constexpr double kFailWeight = 4;     // slowness put on a host by its rate of failure
-constexpr double kColdWeight = 0.4;   // of a cold host's weight
-constexpr double kOutWeight = 1.0;    // turns that an attempt out takes from a host, by its slots
-constexpr double kMostCredit = 2;     // turns saved up or owed
+constexpr double kSlowMemory = 10;  // seconds until what was learnt of a host not visited has faded
+constexpr double kFailStep = 0.1;   // weight of one attempt in a host's rate of failure
+constexpr double kFailWeight = 4;   // slowness put on a host by its rate of failure
+constexpr double kColdDelay = 1;    // put on a cold host
+constexpr double kMostCredit = 2;   // turns saved up or owed
 constexpr Duration kRestFirst = milliseconds(250);  // a failing host is left alone, doubling ...
 constexpr Duration kRestLongest = seconds(4);       // ... up to this
 constexpr Duration kRestFull = milliseconds(30);    // one that is full, so long
@@ -50,14 +48,31 @@
   return slots;
 }
 
+std::vector<double> Aperture(std::size_t hosts, std::size_t index, std::size_t gateways) {
+  std::vector<double> own(hosts, 0);
+  if (hosts == 0 || gateways == 0) return own;
+  const auto count = static_cast<double>(hosts);
+  const double step = count / static_cast<double>(gateways);
+  const double width = std::min(count, std::max(1.0, step)), begin = static_cast<double>(index) * step;
+  for (std::size_t i = 0; i < hosts; ++i)
+    for (const double turn : {0.0, count}) {  // the part may go over the end of the ring
+      const double from = std::max(begin, static_cast<double>(i) + turn);
+      const double to = std::min(begin + width, static_cast<double>(i) + 1 + turn);
+      own[i] += std::max(0.0, to - from);
+    }
+  return own;
+}
+
 double Chooser::Weight(TimePoint now, const Known& known) const {
   const double faded = std::exp(-Seconds(now - known.slow_at) / kSlowMemory);
-  const double slowness = 1 + (known.slowness - 1) * faded + kFailWeight * known.fails * faded;
-  double weight = known.host.slots / std::pow(std::max(kLeastSlow, slowness), kSpeedWeight);
-  if (now < known.host.warm_at) weight *= kColdWeight;
-  const bool room = known.out < std::max(1.0, known.host.slots * options_.slots_part);
-  if (known.host.near && room) weight *= options_.near_weight;
-  return weight;
+  const double slowness =
+      std::max(kLeastSlow, 1 + (known.slowness - 1) * faded + kFailWeight * known.fails * faded);
+  const double slots = std::max(1, known.host.slots);
+  double delay = slowness * (1 + std::max(0.0, known.out + 1 - slots) / slots);
+  if (!known.host.near) delay += options_.far_delay;
+  delay += options_.others_delay * (1 - std::min(1.0, known.host.own));
+  if (now < known.host.warm_at) delay += kColdDelay;
+  return slots * std::pow(delay, -options_.power);
 }
 
 std::optional<HostId> Chooser::Choose(TimePoint now, std::span<const HostId> tried) {
@@ -78,8 +93,7 @@
       const bool rests = now < known.rest_until || known.host.silent;
       if (pass == 0 && rests) continue;
       const double part = Weight(now, known) / total;
-      const double load = kOutWeight * known.out / std::max(1, known.host.slots);
-      const double score = known.credit + part - load - (rests ? 1 : 0);
+      const double score = known.credit + part - (rests ? 1 : 0);
       if (best == nullptr || score > best_score) {
         best = &known;
         best_score = score;
--- a/src/choosing/choosing.hpp
+++ b/src/choosing/choosing.hpp
@@ -21,6 +21,7 @@
   HostId id;
   int slots = 1;
   bool near = false;  // in this gateway's zone
+  double own = 0;     // 0 to 1: how much of it is this gateway's part (Aperture)
   bool silent = false;
   TimePoint warm_at{};  // slow until then
 };
@@ -35,12 +36,19 @@
   kNothing     // called off, or the client left
 };
 
+// Delays are in times that a request takes on average.
 struct Options {
-  double near_weight = 3;    // times the weight of a host in another zone, while it has room
-  double spare_weight = 1;   // a second host in the own zone counts this much
-  double slots_part = 0.75;  // of a host's slots that one gateway fills before others go first
+  double far_delay = 0.3;     // put on a host in another zone: bytes between zones are paid
+  double others_delay = 0.4;  // put on one that is others' part: what they have out there isn't known here
+  double power = 6;           // of a delay in the weight of a host
 };
 
+// A gateway's part of the hosts of its zone: hosts and gateways stand in two rings of the same length, and a
+// gateway has the hosts beside it, at least one host long. All gateways together cover all hosts evenly; what
+// a gateway has out on its part is about all that is out there, so that it can see when a host is busy.
+// Gives, for each of `hosts` in their order, how much of it is the part of gateway `index` of `gateways`.
+std::vector<double> Aperture(std::size_t hosts, std::size_t index, std::size_t gateways);
+
 class Chooser {
  public:
   Chooser(Options options, std::uint64_t seed) : options_(options), rng_(seed) {}
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -88,7 +88,7 @@
                      for (const CountAnswered& answer : std::exchange(counted_, {})) OnCount(answer);
                    }),
       fresh_(settings.bootstrap) {
-  SetGateways(1);
+  SetGateways(1, 0, 1);
 }
 
 Front::~Front() = default;
@@ -151,9 +151,14 @@
         upstream_.CloseKeptTo(id);
         continue;
       }
-      usable.push_back({id, std::max(1, entry.slots), entry.zone == settings_.zone, entry.silent,
+      usable.push_back({id, std::max(1, entry.slots), entry.zone == settings_.zone, 0, entry.silent,
                         TimePoint(entry.warm_at.time_since_epoch())});
     }
+    const auto near = std::count_if(usable.begin(), usable.end(), [](const auto& host) { return host.near; });
+    const auto own = choosing::Aperture(static_cast<std::size_t>(near), index_, in_zone_);
+    std::size_t at = 0;
+    for (choosing::Host& host : usable)
+      if (host.near) host.own = own[at++];
     Service& service = ServiceOf(name);
     service.known = true;
     service.chooser.SetHosts(now, usable);
@@ -169,8 +174,10 @@
   ids_.swap(ids);
 }
 
-void Front::SetGateways(int gateways) {
+void Front::SetGateways(int gateways, std::size_t index, std::size_t in_zone) {
   gateways_ = std::max(1, gateways);
+  index_ = index;
+  in_zone_ = std::max<std::size_t>(1, in_zone);
   Leases::Options options;
   options.gateways = gateways_;
   options.wait = kCountWait;
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -40,7 +40,8 @@
   void SetPolicy(std::shared_ptr<const policy::Policy> policy);
   const std::shared_ptr<const policy::Policy>& policy() const { return policy_; }
   void SetHosts(const directory::ByService& hosts);
-  void SetGateways(int gateways);
+  // How many there are, and which this one is of those in its zone.
+  void SetGateways(int gateways, std::size_t index, std::size_t in_zone);
   // Of a tenant in force; nullptr: it isn't known.
   std::shared_ptr<const Plan> PlanOf(const std::string& tenant) const;
   void OnCount(const CountAnswered& answer);
@@ -165,6 +166,7 @@
   bool running_ = false;
   bool leaving_ = false;
   int gateways_ = 1;
+  std::size_t index_ = 0, in_zone_ = 1;
   const bool fresh_;
   net::ClientTimes times_;
   Figures figures_;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -115,7 +115,8 @@
   options.name = settings_.node_name;
   options.boot = BootNow();
   options.address = fleet_address_;
-  options.about = core_ ? "core:" + Hex(disk_) : "-";
+  options.about = (core_ ? "core:" + Hex(disk_) : "-") + " " + settings_.zone;
+  options.about.resize(std::min(options.about.size(), fleet::kMostAbout));
   options.probe = kProbe;
   for (const Address& seed_node : settings_.seed_nodes)
     options.seeds.push_back({seed_node.ip, fleet_address_.port});
@@ -215,7 +216,18 @@
   std::sort(targets.begin(), targets.end());
   targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   link_.SetTargets(targets);
-  front_.SetGateways(static_cast<int>(fleet_->alive()));
+  // Each zone's gateways in the order of their names: the same for all who see the same.
+  std::size_t index = 0, in_zone = 1;
+  const auto zone_of = [](const fleet::Record& record) {
+    return record.about.substr(record.about.find(' ') + 1);
+  };
+  for (const auto& [name, member] : fleet_->others()) {
+    if (!member.record.present() || zone_of(member.record) != zone_of(fleet_->self())) continue;
+    ++in_zone;
+    index += name < settings_.node_name;
+  }
+  front_.SetGateways(static_cast<int>(fleet_->alive()), index, in_zone);
+  front_.SetHosts(by_service_);
   if (!core_) return;
   agreement::Out out;
   core_->OnView(Now(), counted, out);
