--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -20,7 +20,9 @@
 using How = trying::Ending::How;
 
 constexpr Duration kCountWait = milliseconds(25);  // for a lease; then the measured share decides
-constexpr Duration kConnectTimeout = milliseconds(250);
+constexpr Duration kConnectTimeout =
+    milliseconds(120);  // within a region: some round trips and a slot's turn
+constexpr Duration kFarConnectTimeout = milliseconds(400);  // where hosts may be in another region
 constexpr Duration kKeepIdle = seconds(8);  // connections to hosts, unless they tell otherwise
 constexpr Duration kUnacknowledged = milliseconds(1500);
 constexpr Duration kExpiryMargin = milliseconds(20);  // a host's own answer at the deadline goes first
@@ -53,9 +55,11 @@
   return path == std::string_view::npos ? std::string_view("/") : target.substr(path);
 }
 
-curlewdoor::Settings UpstreamSettings() {
+curlewdoor::Settings UpstreamSettings(const settings::NodeSettings& node) {
   curlewdoor::Settings settings;
-  settings.limits.connect_timeout = kConnectTimeout;
+  const bool one_region = std::all_of(node.zones.begin(), node.zones.end(),
+                                      [&](const auto& zone) { return zone.second == node.region; });
+  settings.limits.connect_timeout = one_region ? kConnectTimeout : kFarConnectTimeout;
   settings.limits.connection_idle = 2 * kKeepIdle;  // half of it is used
   return settings;
 }
@@ -78,7 +82,7 @@
       add_(std::move(add)),
       offset_(std::move(offset)),
       rng_(seed),
-      upstream_settings_(UpstreamSettings()),
+      upstream_settings_(UpstreamSettings(settings)),
       upstream_(loop, upstream_settings_, descriptors, *this, *this),
       uploads_(*this, upstream_, *this),
       leases_(*this, rng_),
@@ -174,10 +178,12 @@
   ids_.swap(ids);
 }
 
-void Front::SetGateways(int gateways, std::size_t index, std::size_t in_zone) {
+bool Front::SetGateways(int gateways, std::size_t index, std::size_t in_zone) {
+  in_zone = std::max<std::size_t>(1, in_zone);
+  const bool moved = index_ != index || in_zone_ != in_zone;
   gateways_ = std::max(1, gateways);
   index_ = index;
-  in_zone_ = std::max<std::size_t>(1, in_zone);
+  in_zone_ = in_zone;
   Leases::Options options;
   options.gateways = gateways_;
   options.wait = kCountWait;
@@ -186,6 +192,7 @@
   options.share_part = kSharePart;
   leases_.Configure(Now(), options);
   for (auto& [name, service] : services_) service->budget.SetGateways(gateways_);
+  return moved;
 }
 
 // ---- Requests -----------------------------------------------------------------------------------------
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -41,7 +41,8 @@
   const std::shared_ptr<const policy::Policy>& policy() const { return policy_; }
   void SetHosts(const directory::ByService& hosts);
   // How many there are, and which this one is of those in its zone.
-  void SetGateways(int gateways, std::size_t index, std::size_t in_zone);
+  // Tells whether that is another part of the hosts than before.
+  bool SetGateways(int gateways, std::size_t index, std::size_t in_zone);
   // Of a tenant in force; nullptr: it isn't known.
   std::shared_ptr<const Plan> PlanOf(const std::string& tenant) const;
   void OnCount(const CountAnswered& answer);
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -37,6 +37,8 @@
 constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
 constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
 constexpr std::size_t kMostConfig = 8 * 1024 * 1024;
+constexpr char kHostsKey[] = "hosts";
+constexpr std::uint64_t kHostsWrite = ~std::uint64_t{0};  // never an id of the agreement's writes
 constexpr int kReserved = 300;  // descriptors: files, the loop's own, what the platform keeps
 
 std::int64_t StampOf(const std::string& path) {
@@ -138,6 +140,7 @@
   readiness_.StartAccepting();
   front_.StartAccepting();
   reap_.Start();
+  OnHostsChanged();
   house_timer_.StartIn(kTick, kTick);
   fleet::Out out;
   fleet_->Start(Now(), out);
@@ -213,6 +216,9 @@
   for (const auto& [name, member] : fleet_->others()) look(member.record);
   for (const CoreMember& member : members_)
     if (member.address != link_address_) targets.push_back(member.address);
+  if (targets.empty())  // nobody is known yet: a seed is of the core or knows it
+    for (const Address& seed : settings_.seed_nodes)
+      if (seed.ip != settings_.ip_address) targets.push_back({seed.ip, link_address_.port});
   std::sort(targets.begin(), targets.end());
   targets.erase(std::unique(targets.begin(), targets.end()), targets.end());
   link_.SetTargets(targets);
@@ -226,8 +232,7 @@
     ++in_zone;
     index += name < settings_.node_name;
   }
-  front_.SetGateways(static_cast<int>(fleet_->alive()), index, in_zone);
-  front_.SetHosts(by_service_);
+  if (front_.SetGateways(static_cast<int>(fleet_->alive()), index, in_zone)) front_.SetHosts(by_service_);
   if (!core_) return;
   agreement::Out out;
   core_->OnView(Now(), counted, out);
@@ -246,7 +251,7 @@
 void Node::ToCore(const Message& message) {
   const std::string frame = Encode(message);
   link_.ForEach([&](Link::Stream& stream) {
-    if (stream.dialled()) stream.Send(frame);
+    if (stream.dialled() && stream.counted) stream.Send(frame);
   });
 }
 
@@ -256,13 +261,20 @@
   Say(Event::kLinkUp, stream.to().ToText());
   stream.Send(
       Encode(Clock{std::chrono::duration_cast<std::chrono::microseconds>(Now().time_since_epoch()).count()}));
-  if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
 }
 
 // A stream that was dialled here wants all news from now on, and begins with all that there is.
 void Node::Take(Link::Stream& stream, Hello& message) {
   stream.name = message.name;
-  if (stream.dialled() || !core_) return;
+  stream.counted = message.counted;
+  if (stream.dialled()) {
+    if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+    return;
+  }
+  if (!core_) {  // a seed that isn't of the core knows who is
+    if (epoch_ > 0) stream.Send(Encode(MembersNow()));
+    return;
+  }
   stream.subscribed = true;
   if (epoch_ > 0) stream.Send(Encode(MembersNow()));
   if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
@@ -436,7 +448,7 @@
     return ReplyBeat(id);
   }
   bool reached = false;
-  link_.ForEach([&](Link::Stream& stream) { reached = reached || stream.dialled(); });
+  link_.ForEach([&](Link::Stream& stream) { reached = reached || (stream.dialled() && stream.counted); });
   if (!reached || tellings_.size() >= kMostTellings) return control_.Reply(id, 503);
   const std::uint64_t number = next_number_++;
   tellings_[number] = {id, Now() + kTellEnds};
@@ -566,6 +578,9 @@
         agreement::DecodeState(shelf_->Read(agreement::kStateKey), shelf_->Read(agreement::kValueKey));
     if (!read) throw std::runtime_error(directory + ": its state can't be read");
     state = *read;
+    if (const auto hosts = shelf_->Read(kHostsKey))
+      if (const auto entries = directory::Decode(*hosts, Now()))
+        for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
   } else {
     if (!settings_.bootstrap) Say(Event::kWipedDisk, directory);
     disk_ = rng_() | 1;
@@ -586,6 +601,10 @@
 void Node::OnShelf() {
   for (const shelf::Result& result : shelf_->Drain()) {
     if (!result.ok) Say(Event::kShelfFailed, result.error);
+    if (result.id == kHostsWrite) {
+      keeping_hosts_ = false;
+      continue;
+    }
     agreement::Out out;
     core_->OnWritten(Now(), result.id, result.ok, out);
     CarryCore(std::move(out));
@@ -637,6 +656,16 @@
   }
 }
 
+void Node::KeepHosts() {
+  if (!shelf_ || keeping_hosts_ || kept_hosts_ == directory_.version()) return;
+  std::vector<directory::Entry> entries;
+  for (directory::Entry& entry : directory_.All())
+    if (!entry.gone()) entries.push_back(std::move(entry));
+  if (!shelf_->Write(kHostsWrite, {{kHostsKey, directory::Encode(entries, Now())}})) return;
+  keeping_hosts_ = true;
+  kept_hosts_ = directory_.version();
+}
+
 void Node::LookAtMajority() {
   const bool majority = core_member() && core_->learned() && core_->majority(Now());
   if (majority == had_majority_) return;
@@ -768,6 +797,7 @@
     core_->Tick(now, out);
     CarryCore(std::move(out));
   }
+  if (core_ && ticks_ % 10 == 0) OnView();
   if (ticks_ % 2 == 0) front_.KeepHouse();
   if (ticks_ % 5 == 0) {
     control_.CheckTimes();
@@ -810,6 +840,7 @@
   if (ticks_ % kSecondTicks == 0) {
     directory_.Forget(now);
     OnHostsChanged();
+    KeepHosts();
     LookAtSettings();
     events::SayLeftOut();
     ToCore(Clock{std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count()});
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -121,6 +121,7 @@
   void SetInForce(std::uint64_t version, const std::string& text);
   void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
   void LookAtMajority();
+  void KeepHosts();  // on the disk: a core that comes back knows them before they beat again
   bool core_member() const { return core_ && core_->member(); }
   Message ConfigNow() const;
   Message MembersNow() const;
@@ -153,6 +154,8 @@
   std::uint64_t disk_ = 0;
   std::unique_ptr<net::IoWatcher> shelf_io_;
   bool had_majority_ = false;
+  std::uint64_t kept_hosts_ = 0;  // of the directory's journal
+  bool keeping_hosts_ = false;
 
   std::unique_ptr<fleet::Machine> fleet_;
   net::FleetLink fleet_link_;
