--- a/src/system/main.cpp
+++ b/src/system/main.cpp
@@ -39,14 +39,18 @@
     if (loop == nullptr) throw std::runtime_error("no event loop");
     std::random_device device;
     const std::uint64_t seed = std::uint64_t{device()} << 32 | device();
-    system::Node node(loop, settings::LoadSettings(path), path, seed);
-    ev_run(loop, 0);
+    {
+      system::Node node(loop, settings::LoadSettings(path), path, seed);
+      ev_run(loop, 0);
+    }
+    events::Say(events::Event::kEnded, "");
+    // Without the libraries' own ends: the log's pool of threads is waited for without end on some systems
+    // (docs/questions.md), and the platform's grace is over then.
+    std::_Exit(0);
   } catch (const std::exception& error) {
     events::Say(events::Event::kFailed, error.what());
     return 1;
   }
-  events::Say(events::Event::kEnded, "");
-  return 0;
 }
 
 int CheckConfig(const std::string& path) {
