--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -20,11 +20,14 @@
 using How = trying::Ending::How;
 
 constexpr Duration kCountWait = milliseconds(25);  // for a lease; then the measured share decides
-constexpr Duration kConnectTimeout = milliseconds(250);
+constexpr Duration kConnectTimeout =
+    milliseconds(120);  // within a region: some round trips and a slot's turn
+constexpr Duration kFarConnectTimeout = milliseconds(400);  // where hosts may be in another region
 constexpr Duration kKeepIdle = seconds(8);  // connections to hosts, unless they tell otherwise
 constexpr Duration kUnacknowledged = milliseconds(1500);
 constexpr Duration kExpiryMargin = milliseconds(20);  // a host's own answer at the deadline goes first
 constexpr std::size_t kMostAhead = 64 * 1024;         // bytes of one long body that are held
+constexpr std::size_t kMostPipelined = 8;             // requests of one client ahead of their turn
 constexpr std::size_t kMostRequests = 4096;           // open at once; more are declined
 constexpr double kMeanStep = 0.05;                    // weight of one answer in a route's mean
 constexpr double kLeastWindow = 0.5;                  // seconds: a burst below that is rounded up to it
@@ -52,9 +55,11 @@
   return path == std::string_view::npos ? std::string_view("/") : target.substr(path);
 }
 
-curlewdoor::Settings UpstreamSettings() {
+curlewdoor::Settings UpstreamSettings(const settings::NodeSettings& node) {
   curlewdoor::Settings settings;
-  settings.limits.connect_timeout = kConnectTimeout;
+  const bool one_region = std::all_of(node.zones.begin(), node.zones.end(),
+                                      [&](const auto& zone) { return zone.second == node.region; });
+  settings.limits.connect_timeout = one_region ? kConnectTimeout : kFarConnectTimeout;
   settings.limits.connection_idle = 2 * kKeepIdle;  // half of it is used
   return settings;
 }
@@ -77,7 +82,7 @@
       add_(std::move(add)),
       offset_(std::move(offset)),
       rng_(seed),
-      upstream_settings_(UpstreamSettings()),
+      upstream_settings_(UpstreamSettings(settings)),
       upstream_(loop, upstream_settings_, descriptors, *this, *this),
       uploads_(*this, upstream_, *this),
       leases_(*this, rng_),
@@ -87,7 +92,7 @@
                      for (const CountAnswered& answer : std::exchange(counted_, {})) OnCount(answer);
                    }),
       fresh_(settings.bootstrap) {
-  SetGateways(1);
+  SetGateways(1, 0, 1);
 }
 
 Front::~Front() = default;
@@ -150,9 +155,14 @@
         upstream_.CloseKeptTo(id);
         continue;
       }
-      usable.push_back({id, std::max(1, entry.slots), entry.zone == settings_.zone, entry.silent,
+      usable.push_back({id, std::max(1, entry.slots), entry.zone == settings_.zone, 0, entry.silent,
                         TimePoint(entry.warm_at.time_since_epoch())});
     }
+    const auto near = std::count_if(usable.begin(), usable.end(), [](const auto& host) { return host.near; });
+    const auto own = choosing::Aperture(static_cast<std::size_t>(near), index_, in_zone_);
+    std::size_t at = 0;
+    for (choosing::Host& host : usable)
+      if (host.near) host.own = own[at++];
     Service& service = ServiceOf(name);
     service.known = true;
     service.chooser.SetHosts(now, usable);
@@ -168,8 +178,12 @@
   ids_.swap(ids);
 }
 
-void Front::SetGateways(int gateways) {
+bool Front::SetGateways(int gateways, std::size_t index, std::size_t in_zone) {
+  in_zone = std::max<std::size_t>(1, in_zone);
+  const bool moved = index_ != index || in_zone_ != in_zone;
   gateways_ = std::max(1, gateways);
+  index_ = index;
+  in_zone_ = in_zone;
   Leases::Options options;
   options.gateways = gateways_;
   options.wait = kCountWait;
@@ -178,6 +192,7 @@
   options.share_part = kSharePart;
   leases_.Configure(Now(), options);
   for (auto& [name, service] : services_) service->budget.SetGateways(gateways_);
+  return moved;
 }
 
 // ---- Requests -----------------------------------------------------------------------------------------
@@ -237,6 +252,15 @@
   Post(RequestRead{std::move(came)});
 }
 
+std::size_t Front::pipelined() const { return kMostPipelined; }
+
+// What may run twice may also run for nobody.
+bool Front::MayGoAhead(const http::Message& message) const {
+  if (policy_ == nullptr || message.method() != HTTP_GET) return false;
+  const policy::Route* route = policy_->FindRoute(message.Find("Host"), OriginForm(message.target()));
+  return route != nullptr && route->repeat == policy::Repeat::kIdempotent;
+}
+
 void Front::Begin(RequestId id) {
   const auto it = requests_.find(id);
   if (it == requests_.end()) return;
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -40,7 +40,9 @@
   void SetPolicy(std::shared_ptr<const policy::Policy> policy);
   const std::shared_ptr<const policy::Policy>& policy() const { return policy_; }
   void SetHosts(const directory::ByService& hosts);
-  void SetGateways(int gateways);
+  // How many there are, and which this one is of those in its zone.
+  // Tells whether that is another part of the hosts than before.
+  bool SetGateways(int gateways, std::size_t index, std::size_t in_zone);
   // Of a tenant in force; nullptr: it isn't known.
   std::shared_ptr<const Plan> PlanOf(const std::string& tenant) const;
   void OnCount(const CountAnswered& answer);
@@ -96,6 +98,8 @@
   void OnRequest(net::Client& client) override;
   void OnLeft(RequestId id) override;
   net::ClientTimes times() const override { return times_; }
+  std::size_t pipelined() const override;
+  bool MayGoAhead(const http::Message& message) const override;
   // Inputs.
   void Post(Input input) override;
   TimePoint Now() override;
@@ -165,6 +169,7 @@
   bool running_ = false;
   bool leaving_ = false;
   int gateways_ = 1;
+  std::size_t index_ = 0, in_zone_ = 1;
   const bool fresh_;
   net::ClientTimes times_;
   Figures figures_;
