News of hosts once a tick, digests as repair; windows by the rule's span; a core that opens late

Cause: each news of a host went at once over every core member to every gateway (8 copies on the grown site). QUOTA by unit search: bursts of 2, 4 and 10 times the rate went to 1.2 of the bound (5 s touch one window more), gateways behind a cut divided by those they still saw (1.4). Change: changes published once a tick (50 ms), beats acknowledged with them; one core member is told, all tell; a digest every 2 s. Windows: so many in quota_window that one more is within the burst. Gateways are counted while they may be at work. The speaker isn't asked for more.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -145,10 +145,12 @@
 
 // One of those that were taken ahead has something to say.
 void Client::OnBehind() {
-  if (parent_->state_ == State::kBehind && &parent_->behind_.front() == this) parent_->ServeBehind();
+  if (parent_->state_ == State::kBehind && &parent_->behind_.front() == this) parent_->ServeBehind(this);
 }
 
-void Client::ServeBehind() {
+// Who speaks is in the middle of passing bytes on: it isn't asked for more from within (guards against bytes
+// of a streamed answer that are passed twice, or dropped).
+void Client::ServeBehind(const Client* speaker) {
   if (std::exchange(serving_, true)) return;
   while (state_ == State::kBehind && !behind_.empty()) {
     Client& next = behind_.front();
@@ -164,7 +166,8 @@
       }
     }
     if (!next.ended_) {
-      if (wrote && out_.empty() && next.state_ == State::kStreaming) owner_.OnAnswerRoom(next);
+      if (&next != speaker && wrote && out_.empty() && next.state_ == State::kStreaming)
+        owner_.OnAnswerRoom(next);
       if (state_ == State::kBehind && !behind_.empty() && &behind_.front() == &next && next.out_.empty() &&
           !next.ended_)
         break;
@@ -379,7 +382,7 @@
     head_at_ = TimePoint{};
     request_.Next();
     Enter(State::kBehind);
-    return ServeBehind();
+    return ServeBehind(nullptr);
   }
   if (close_after_) {
     // Closing with bytes unread would reset the connection and could take the answer with it.
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -130,7 +130,7 @@
   bool Last() const;
   void TakeAhead();
   void OnBehind();
-  void ServeBehind();
+  void ServeBehind(const Client* speaker);  // that has just said something, if it is that
   void CloseBehind();
   void Enter(State state);
   void WantEvents();
--- a/src/system/console.cpp
+++ b/src/system/console.cpp
@@ -622,8 +622,9 @@
       }
     }
     std::uint64_t disk = 0;
-    const bool hex = life && life->size() == 16 &&
-                     std::from_chars(life->data(), life->data() + 16, disk, 16).ptr == life->data() + 16;
+    const bool sized = life && (life->size() == 16 || (life->size() == 17 && life->back() == 'b'));
+    const bool hex =
+        sized && std::from_chars(life->data(), life->data() + 16, disk, 16).ptr == life->data() + 16;
     if (!hex) throw Ending{kRefused, directory + ": record life: " + (life ? "not a life" : "missing")};
     look.life = *life;
     const auto decoded = agreement::DecodeState(state, value);
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 #include "events/events.hpp"
 #include "net/request.hpp"
@@ -19,7 +20,7 @@
 using trying::Ending;
 using How = trying::Ending::How;
 
-constexpr Duration kCountWait = milliseconds(25);  // for a lease; then the measured share decides
+constexpr Duration kCountWait = milliseconds(50);  // for a lease; then the measured share decides
 constexpr Duration kConnectTimeout =
     milliseconds(120);  // within a region: some round trips and a slot's turn
 constexpr Duration kFarConnectTimeout = milliseconds(400);  // where hosts may be in another region
@@ -30,6 +31,7 @@
 constexpr std::size_t kMostPipelined = 8;             // requests of one client ahead of their turn
 constexpr std::size_t kMostRequests = 4096;           // open at once; more are declined
 constexpr double kMeanStep = 0.05;                    // weight of one answer in a route's mean
+constexpr double kNoBurstPart = 0.93;                 // of the rate, where no burst covers what is on its way
 constexpr double kLeastWindow = 0.5;                  // seconds: a burst below that is rounded up to it
 constexpr double kSharePrior = 1;                     // windows of a quota
 constexpr double kSharePart = 0.85;                   // shares are estimates, and their sum may be above one
@@ -64,11 +66,19 @@
   return settings;
 }
 
-std::shared_ptr<const Plan> MakePlan(const policy::Tenant& tenant) {
+// The windows of a tenant's count: so many in the rule's window that one more of them, which a span of that
+// length may touch, is no more than the burst. A tenant without a burst gets windows of half a second all the
+// same, and a little less than its rate.
+std::shared_ptr<const Plan> MakePlan(const policy::Tenant& tenant, Duration span) {
   auto plan = std::make_shared<Plan>();
   plan->name = tenant.name;
   plan->rate = tenant.rate_per_s;
-  plan->burst = std::max(tenant.burst_size, tenant.rate_per_s * kLeastWindow);
+  if (plan->rate <= 0) return plan;
+  const double whole = plan->rate * Seconds(span);
+  const double least = plan->rate * kLeastWindow;
+  const double windows = std::ceil(whole / std::max(tenant.burst_size, least) - 1e-9);
+  plan->window = FromSeconds(Seconds(span) / windows);
+  plan->burst = whole / windows * (tenant.burst_size < least ? kNoBurstPart : 1);
   return plan;
 }
 
@@ -106,7 +116,7 @@
   policy_ = std::move(policy);
   std::unordered_map<std::string, std::shared_ptr<const Plan>> plans;
   for (const policy::Tenant& tenant : policy_->tenants()) {
-    auto plan = MakePlan(tenant);
+    auto plan = MakePlan(tenant, settings_.bounds.quota_window);
     const auto known = plans_.find(tenant.name);
     plans[tenant.name] = known != plans_.end() && *known->second == *plan ? known->second : std::move(plan);
   }
--- a/src/system/link.hpp
+++ b/src/system/link.hpp
@@ -48,6 +48,7 @@
 
     std::string name;          // of the other side's machine, once it has said so
     bool counted = false;      // it is of the core, or may come to be
+    int strayed = 0;           // digests in a row that were not ours
     bool subscribed = false;   // wants news
     std::uint64_t number = 0;  // of this stream in this process
 
@@ -69,8 +70,8 @@
   };
 
   struct Options {
-    Duration beat = std::chrono::milliseconds(250);     // an idle stream says so often that it is there
-    Duration silent = std::chrono::milliseconds(1000);  // one that says nothing for so long is down
+    Duration beat = std::chrono::milliseconds(350);     // an idle stream says so often that it is there
+    Duration silent = std::chrono::milliseconds(1100);  // one that says nothing for so long is down
     Duration connect = std::chrono::milliseconds(300);
     Duration again_least = std::chrono::milliseconds(50), again_most = std::chrono::milliseconds(400);
     std::size_t most_streams = 1200;
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -1,5 +1,6 @@
 #include "system/message.hpp"
 
+#include <algorithm>
 #include <msgpack.hpp>
 
 namespace curlewdoor::system {
@@ -20,6 +21,8 @@
 auto Fields(AddUnits& m) { return std::tie(m.number, m.tenant, m.count, m.lifetime_us, m.amount); }
 auto Fields(Total& m) { return std::tie(m.number, m.counted, m.total); }
 auto Fields(CoreBytes& m) { return std::tie(m.bytes); }
+auto Fields(Digest& m) { return std::tie(m.hosts); }
+auto Fields(AskHosts& m) { return std::tie(m.number); }
 
 template <std::size_t kIndex>
 std::optional<Message> Read(std::size_t kind, const msgpack::object& body) {
@@ -58,7 +61,8 @@
 
 std::optional<Message> Decode(std::string_view bytes) {
   try {
-    const msgpack::unpack_limit limit(2 * kMostRefreshed, 16, bytes.size(), bytes.size(), 0, 8);
+    const msgpack::unpack_limit limit(std::min(2 * kMostRefreshed, bytes.size()), 16, bytes.size(),
+                                      bytes.size(), 0, 8);
     std::size_t at = 0;
     // What is text stays in `bytes` until it is converted.
     const msgpack::object_handle handle = msgpack::unpack(
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -73,8 +73,16 @@
   std::string bytes;
 };
 
+struct Digest {  // of all hosts that are here; whoever has another one asks
+  std::uint64_t hosts = 0;
+};
+struct AskHosts {  // owed: Hosts, all of them
+  std::uint64_t number = 0;
+};
+
+// In the order of their numbers on the wire: new ones come behind.
 using Message = std::variant<Hello, Clock, Hosts, Refreshed, Tell, Told, Put, Get, Done, Config, Members,
-                             AddUnits, Total, CoreBytes>;
+                             AddUnits, Total, CoreBytes, Digest, AskHosts>;
 
 std::string Encode(const Message& message);
 std::optional<Message> Decode(std::string_view bytes);
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
+#include <map>
 #include <stdexcept>
 #include <utility>
 
@@ -29,6 +31,8 @@
 constexpr milliseconds kCallEnds{900};   // operators and hosts go elsewhere after a second of silence
 constexpr milliseconds kPassAgain{300};  // then another core member is asked
 constexpr milliseconds kTellEnds{700};
+constexpr milliseconds kTellAgain{200};  // then all core members are told
+constexpr int kMostStrayed = 2;          // digests in a row: news may just be on its way
 constexpr milliseconds kAddEnds{400};
 constexpr std::size_t kMostPending = 256, kMostTellings = 1024, kMostAddings = 4096;
 constexpr double kSilentBeats = 3.5;  // a host that has missed so many is silent
@@ -36,7 +40,7 @@
     2600};                               // after SIGTERM: the platform has seen by then that we don't serve
 constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
 constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
-constexpr std::size_t kMostConfig = 8 * 1024 * 1024;
+constexpr std::size_t kMostConfig = 3 * 1024 * 1024;  // the shelf takes many times that: 64 MB are granted
 constexpr char kHostsKey[] = "hosts";
 constexpr std::uint64_t kHostsWrite = ~std::uint64_t{0};  // never an id of the agreement's writes
 constexpr int kReserved = 300;  // descriptors: files, the loop's own, what the platform keeps
@@ -111,7 +115,28 @@
     std::string error;
     if (!listen(error)) throw std::runtime_error(error);
   };
-  OpenCore();
+  TryOpenCore();
+  open([&](std::string& error) { return link_.Listen(link_address_, error); });
+  open([&](std::string& error) { return fleet_link_.Open(fleet_address_, error); });
+  const auto& listen = settings_.listen_addresses;
+  if (listen.control_plane)
+    open([&](std::string& error) { return control_.Listen(*listen.control_plane, error); });
+  if (listen.readiness) open([&](std::string& error) { return readiness_.Listen(*listen.readiness, error); });
+  if (listen.data_plane) open([&](std::string& error) { return front_.Listen(*listen.data_plane, error); });
+  control_.StartAccepting();
+  readiness_.StartAccepting();
+  front_.StartAccepting();
+  reap_.Start();
+  PublishHosts();
+  house_timer_.StartIn(kTick, kTick);
+  StartFleet();
+  Say(Event::kStarted, settings_.node_name + " zone " + settings_.zone + (core_ ? " core" : ""));
+}
+
+Node::~Node() = default;
+
+// Also anew, when the core could be opened late: the same name in a later life.
+void Node::StartFleet() {
   fleet::Options options;
   options.fleet = kFleetName;
   options.name = settings_.node_name;
@@ -128,28 +153,12 @@
       options.seeds.push_back({member.address.ip, fleet_address_.port});
   std::erase(options.seeds, fleet_address_);
   fleet_ = std::make_unique<fleet::Machine>(options, StableHash(options.name, options.boot));
-
-  open([&](std::string& error) { return link_.Listen(link_address_, error); });
-  open([&](std::string& error) { return fleet_link_.Open(fleet_address_, error); });
-  const auto& listen = settings_.listen_addresses;
-  if (listen.control_plane)
-    open([&](std::string& error) { return control_.Listen(*listen.control_plane, error); });
-  if (listen.readiness) open([&](std::string& error) { return readiness_.Listen(*listen.readiness, error); });
-  if (listen.data_plane) open([&](std::string& error) { return front_.Listen(*listen.data_plane, error); });
-  control_.StartAccepting();
-  readiness_.StartAccepting();
-  front_.StartAccepting();
-  reap_.Start();
-  OnHostsChanged();
-  house_timer_.StartIn(kTick, kTick);
+  seen_view_ = 0;
   fleet::Out out;
   fleet_->Start(Now(), out);
   Carry(std::move(out));
-  Say(Event::kStarted, settings_.node_name + " zone " + settings_.zone + (core_ ? " core" : ""));
 }
 
-Node::~Node() = default;
-
 // ---- Fleet --------------------------------------------------------------------------------------------
 
 void Node::OnDatagram(std::string_view bytes) {
@@ -232,7 +241,11 @@
     ++in_zone;
     index += name < settings_.node_name;
   }
-  if (front_.SetGateways(static_cast<int>(fleet_->alive()), index, in_zone)) front_.SetHosts(by_service_);
+  // Those that a cut hides are at work and spend their part: a gateway behind one doesn't take it for its
+  // own.
+  int gateways = 1;
+  for (const auto& [name, member] : fleet_->others()) gateways += MayBeAtWork(member);
+  if (front_.SetGateways(gateways, index, in_zone)) front_.SetHosts(by_service_);
   if (!core_) return;
   agreement::Out out;
   core_->OnView(Now(), counted, out);
@@ -316,16 +329,53 @@
     known = {offset, round_trip, now};
 }
 
-void Node::Take(Link::Stream&, Hosts& message) { MergeBatch(message.batch); }
+// What a core member tells it tells to all: it isn't told on once more.
+void Node::Take(Link::Stream& stream, Hosts& message) {
+  if (stream.dialled() && stream.counted && told_hosts_ != directory_.version()) PublishHosts();
+  MergeBatch(message.batch);
+  if (!stream.dialled() || !stream.counted) return;
+  told_hosts_ = directory_.version();
+  if (by_service_.Fold(directory_)) front_.SetHosts(by_service_);
+}
 
-void Node::Take(Link::Stream&, Refreshed& message) {
-  for (const auto& [id, sequence] : message.beats) directory_.Refresh(Now(), id, sequence);
-  OnHostsChanged();
+void Node::Take(Link::Stream& stream, Refreshed& message) {
+  for (auto& [id, sequence] : message.beats) {
+    directory_.Refresh(Now(), id, sequence);
+    // One core member hears of a beat and tells the others.
+    if (!stream.counted && refreshed_.size() < kMostRefreshed)
+      refreshed_.emplace_back(std::move(id), sequence);
+  }
 }
 
 void Node::Take(Link::Stream& stream, Tell& message) {
   MergeBatch(message.batch);
-  stream.Send(Encode(Told{message.number}));
+  owed_told_.emplace_back(stream.number, message.number);
+}
+
+void Node::Take(Link::Stream& stream, Digest& message) {
+  stream.strayed = message.hosts == HostsDigest() ? 0 : stream.strayed + 1;
+  if (stream.strayed < kMostStrayed) return;
+  stream.strayed = 0;
+  stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+  stream.Send(Encode(AskHosts{}));
+}
+
+void Node::Take(Link::Stream& stream, AskHosts&) {
+  stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+}
+
+Link::Stream* Node::NearCore() {
+  Link::Stream* best = nullptr;
+  Duration best_time = Duration::max();
+  link_.ForEach([&](Link::Stream& stream) {
+    if (!stream.dialled() || !stream.counted) return;
+    const auto known = offsets_.find(stream.name);
+    const Duration time = known != offsets_.end() ? known->second.round_trip : Duration(milliseconds(100));
+    if (best != nullptr && time >= best_time) return;
+    best = &stream;
+    best_time = time;
+  });
+  return best;
 }
 
 void Node::Take(Link::Stream&, Told& message) {
@@ -442,19 +492,16 @@
 
 // Acknowledged once a core member has passed it on: every gateway in touch has it on its way then.
 void Node::TellHost(RequestId id, const std::string& host) {
-  OnHostsChanged();
   const auto* entry = directory_.Find(host);
-  if (entry == nullptr) return control_.Reply(id, 503);
-  if (core_ && had_majority_) {  // it has told all that wait for news
-    ToCore(Hosts{directory::Encode({*entry}, Now())});
-    return ReplyBeat(id);
-  }
-  bool reached = false;
-  link_.ForEach([&](Link::Stream& stream) { reached = reached || (stream.dialled() && stream.counted); });
-  if (!reached || tellings_.size() >= kMostTellings) return control_.Reply(id, 503);
+  if (entry == nullptr || tellings_.size() + owed_beats_.size() >= kMostTellings)
+    return control_.Reply(id, 503);
+  if (core_ && had_majority_) return owed_beats_.push_back(id);
+  Link::Stream* near = NearCore();
+  if (near == nullptr) return control_.Reply(id, 503);
   const std::uint64_t number = next_number_++;
-  tellings_[number] = {id, Now() + kTellEnds};
-  ToCore(Tell{number, directory::Encode({*entry}, Now())});
+  Telling& telling = tellings_[number];
+  telling = {id, Now() + kTellEnds, Now() + kTellAgain, directory::Encode({*entry}, Now())};
+  near->Send(Encode(Tell{number, telling.batch}));
 }
 
 void Node::Run(RequestId id, directory::PutConfig& put) {
@@ -538,16 +585,24 @@
   const auto entries = directory::Decode(batch, Now());
   if (!entries) return Say(Event::kMessageRefused, "hosts");
   for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
-  OnHostsChanged();
 }
 
-void Node::OnHostsChanged() {
-  if (told_hosts_ == directory_.version()) return;
+std::uint64_t Node::HostsDigest() const {
+  std::uint64_t digest = 0;
+  for (const auto& [service, entries] : by_service_.all())
+    for (const directory::Entry& entry : entries)
+      digest +=
+          StableHash(entry.id, StableHash(service, entry.draining)) ^ StableHash(entry.address, entry.silent);
+  return digest;
+}
+
+void Node::PublishHosts() {
+  std::map<std::string, directory::Entry> latest;
   std::vector<directory::Entry> changed;
   if (const auto news = directory_.journal().Since(told_hosts_)) {
     for (const directory::Event& event : *news) {
       if (event.kind == directory::Event::Kind::kForgotten) continue;
-      changed.push_back(event.entry);
+      latest[event.entry.id] = event.entry;
       const auto& entry = event.entry;
       Say(entry.gone()     ? Event::kHostGone
           : entry.silent   ? Event::kHostSilent
@@ -558,44 +613,81 @@
   } else {
     changed = directory_.All();
   }
+  for (auto& [id, entry] : latest) changed.push_back(std::move(entry));
   told_hosts_ = directory_.version();
   if (core_ && !changed.empty()) Broadcast(Hosts{directory::Encode(changed, Now())});
   if (by_service_.Fold(directory_)) front_.SetHosts(by_service_);
+  for (const RequestId call : std::exchange(owed_beats_, {})) ReplyBeat(call);
+  if (owed_told_.empty()) return;
+  const auto owed = std::exchange(owed_told_, {});
+  link_.ForEach([&](Link::Stream& stream) {
+    for (const auto& [to, number] : owed)
+      if (stream.number == to) stream.Send(Encode(Told{number}));
+  });
 }
 
 // ---- Core ---------------------------------------------------------------------------------------------
 
-void Node::OpenCore() {
+void Node::TryOpenCore() {
+  open_again_ = false;
   if (!settings_.quorum_member) return;
-  const std::string directory =
-      (settings_.data_directory.empty() ? "/tmp/curlewdoor" : settings_.data_directory) + "/core";
+  try {
+    OpenCore();
+    if (fleet_ != nullptr) StartFleet();  // others are to see that it is of the core now
+  } catch (const std::exception& error) {
+    Say(Event::kShelfFailed, std::string(error.what()) + "; it is tried again, without a core meanwhile");
+    shelf_.reset();
+    open_again_ = true;
+  }
+}
+
+void Node::OpenCore() {
+  // Without a disk of its own a member's life ends with the process.
+  const std::string parent = settings_.data_directory.empty() ? "/tmp/curlewdoor" : settings_.data_directory;
+  const std::string directory = parent + "/core";
+  if (settings_.data_directory.empty()) std::filesystem::create_directories(parent);
   const bool empty = shelf::ShelfEmpty(directory);
   shelf_ = shelf::OpenShelf(directory);
   Say(Event::kShelfOpened, directory + (empty ? " (empty)" : ""));
   const auto life = shelf_->Read("life");
   agreement::State state;
-  if (life && life->size() == 16) {
-    disk_ = std::strtoull(life->c_str(), nullptr, 16);
-    const auto read =
-        agreement::DecodeState(shelf_->Read(agreement::kStateKey), shelf_->Read(agreement::kValueKey));
-    if (!read) throw std::runtime_error(directory + ": its state can't be read");
+  bool first = settings_.bootstrap;
+  // A life that began with the whole system may still found it, whatever the settings say by now.
+  const bool known = life && (life->size() == 16 || life->size() == 17);
+  const auto read =
+      known ? agreement::DecodeState(shelf_->Read(agreement::kStateKey), shelf_->Read(agreement::kValueKey))
+            : std::nullopt;
+  if (known && read) {
+    life_ = *life;
+    life_kept_ = true;
+    first = life_.size() == 17;
+    disk_ = std::strtoull(life_.substr(0, 16).c_str(), nullptr, 16);
     state = *read;
     if (const auto hosts = shelf_->Read(kHostsKey))
       if (const auto entries = directory::Decode(*hosts, Now()))
         for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
   } else {
-    if (!settings_.bootstrap) Say(Event::kWipedDisk, directory);
+    // What can't be read is forgotten: another life, that has promised nothing and must be taken in first.
+    if (known) Say(Event::kShelfDamaged, directory + ": its state can't be read; it begins another life");
+    if (known) first = false;
+    if (!first) Say(Event::kWipedDisk, directory);
     disk_ = rng_() | 1;
-    shelf_->Write(0, {{"life", Hex(disk_)}});
+    life_ = Hex(disk_) + (first ? "b" : "");
+    shelf_->Write(0, {{"life", life_},
+                      {agreement::kStateKey, agreement::EncodeState(state)},
+                      {agreement::kValueKey, agreement::EncodeValue(state.value)}});
   }
   agreement::Options options;
   options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
-  core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, settings_.bootstrap,
+  core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, first,
                 std::move(state), options, rng_());
-  for (const agreement::Member& member : core_->roster().members)
-    if (const auto address = ParseAddress(member.address))
-      members_.push_back({member.life.node, member.life.disk, *address});
-  epoch_ = core_->roster().epoch;
+  if (core_->roster().epoch > epoch_) {
+    epoch_ = core_->roster().epoch;
+    members_.clear();
+    for (const agreement::Member& member : core_->roster().members)
+      if (const auto address = ParseAddress(member.address))
+        members_.push_back({member.life.node, member.life.disk, *address});
+  }
   shelf_io_ = std::make_unique<net::IoWatcher>(loop_, [this](int) { OnShelf(); });
   shelf_io_->Want(shelf_->fd(), EV_READ);
 }
@@ -603,6 +695,7 @@
 void Node::OnShelf() {
   for (const shelf::Result& result : shelf_->Drain()) {
     if (!result.ok) Say(Event::kShelfFailed, result.error);
+    if (result.ok && result.id != kHostsWrite) life_kept_ = true;
     if (result.id == kHostsWrite) {
       keeping_hosts_ = false;
       continue;
@@ -616,6 +709,8 @@
 void Node::CarryCore(agreement::Out out) {
   for (const std::string& note : out.notes) Say(Event::kSuccessorProposed, note);
   for (agreement::Write& write : out.writes) {
+    // Where the first write was refused: nothing may be kept without the life that promised it.
+    if (!life_kept_) write.records.emplace_back("life", life_);
     if (shelf_->Write(write.id, std::move(write.records))) continue;
     agreement::Out failed;
     core_->OnWritten(Now(), write.id, false, failed);
@@ -632,6 +727,7 @@
       if (const auto address = ParseAddress(member.address))
         members.push_back({member.life.node, member.life.disk, *address});
     OnRoster(core_->roster().epoch, std::move(members));
+    OnView();
   }
   LookAtMajority();
   // Before any acknowledgement: what it acknowledges is then on its way to all.
@@ -691,7 +787,11 @@
 
 void Node::SetInForce(std::uint64_t version, const std::string& text) {
   const auto& now = front_.policy();
-  if (version == 0 || (now != nullptr && (version < now->version() || text == now->text()))) return;
+  if (version == 0) return;
+  // Two texts under one number: the same one goes before the other everywhere.
+  if (now != nullptr &&
+      agreement::RankOf({version, text}) <= agreement::RankOf({now->version(), now->text()}))
+    return;
   try {
     front_.SetPolicy(policy::Policy::Read(text));
     in_force_at_ = std::chrono::system_clock::now();
@@ -709,11 +809,8 @@
   std::string names;
   for (const CoreMember& member : members_) names += " " + member.name;
   Say(Event::kRosterInForce, "epoch " + std::to_string(epoch) + names);
-  if (core_ && had_majority_) {
-    // Tenants' counts may have moved here: nothing is known of what was added elsewhere.
-    counts_.Begin(Net(Now()));
-    Broadcast(MembersNow());
-  }
+  // Tenants' counts may have moved here, and nothing is known of what was added elsewhere: LookAtMajority()
+  // begins them anew once the core has learned what is kept.
   OnView();
 }
 
@@ -741,6 +838,12 @@
                      {tenant, gateway, name, lifetime, amount, plan != nullptr ? plan->burst : 0});
 }
 
+// It has not said that it leaves, and was there not long ago.
+bool Node::MayBeAtWork(const fleet::Member& member) {
+  if (member.record.present()) return true;
+  return member.record.state != fleet::State::kLeft && Now() - member.since <= kAwayFor;
+}
+
 // Gateways that were there not long ago and have not said that they leave, and that can't be heard here.
 void Node::LookWhoIsAway() {
   std::set<std::string> heard;
@@ -749,9 +852,7 @@
   });
   std::set<std::string> away;
   for (const auto& [name, member] : fleet_->others()) {
-    const bool gone = member.record.state == fleet::State::kLeft ||
-                      (!member.record.present() && Now() - member.since > kAwayFor);
-    if (!gone && !heard.contains(name)) away.insert(name);
+    if (MayBeAtWork(member) && !heard.contains(name)) away.insert(name);
   }
   counts_.SetAway(std::move(away), static_cast<int>(fleet_->others().size()) + 1);
 }
@@ -807,15 +908,18 @@
     readiness_.CheckTimes();
   }
   if (ticks_ % kRefreshTicks == 0 && !refreshed_.empty()) {
-    ToCore(Refreshed{std::move(refreshed_)});
-    refreshed_.clear();
+    const Message beats{Refreshed{std::exchange(refreshed_, {})}};
+    if (core_) {
+      ToCore(beats);
+    } else if (Link::Stream* near = NearCore()) {
+      near->Send(Encode(beats));
+    }
   }
   if (had_majority_ && ticks_ % 4 == 0) LookWhoIsAway();
   // Silence is said by who hears the core, and not before it has listened for long enough.
   const auto silent = std::chrono::duration_cast<directory::Duration>(settings_.heartbeat * kSilentBeats);
   if (had_majority_ && ticks_ % 4 == 0 && now - started_at_ > silent) {
     directory_.Silence(now, silent);
-    OnHostsChanged();
   }
   std::vector<std::uint64_t> over;
   for (auto& [number, pending] : pending_) {
@@ -827,8 +931,14 @@
   }
   for (const std::uint64_t number : over) Answer(number, 503, {});
   over.clear();
-  for (const auto& [number, telling] : tellings_)
-    if (now >= telling.ends) over.push_back(number);
+  for (auto& [number, telling] : tellings_) {
+    if (now >= telling.ends) {
+      over.push_back(number);
+    } else if (now >= telling.again) {  // the one that was told may be gone: to all
+      telling.again = telling.ends;
+      ToCore(Tell{number, telling.batch});
+    }
+  }
   for (const std::uint64_t number : over) {
     control_.Reply(tellings_.at(number).call, 503);
     tellings_.erase(number);
@@ -842,12 +952,14 @@
   for (const CountName name : unanswered) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
   if (ticks_ % kSecondTicks == 0) {
     directory_.Forget(now);
-    OnHostsChanged();
     KeepHosts();
+    if (open_again_) TryOpenCore();
+    if (had_majority_ && ticks_ % (2 * kSecondTicks) == 0) Broadcast(Digest{HostsDigest()});
     LookAtSettings();
     events::SayLeftOut();
     ToCore(Clock{std::chrono::duration_cast<std::chrono::microseconds>(now.time_since_epoch()).count()});
   }
+  if (told_hosts_ != directory_.version() || !owed_beats_.empty() || !owed_told_.empty()) PublishHosts();
   if (!leaving_) return;
   const auto since = now - term_at_;
   if (since >= kStopListening) front_.StopListening();
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -51,7 +51,8 @@
   };
   struct Telling {  // a beat that waits until it has been passed on
     RequestId call;
-    Steady ends;
+    Steady ends, again;
+    std::string batch;
   };
   struct Adding {
     CountName name;
@@ -96,6 +97,9 @@
   void Take(Link::Stream& stream, AddUnits& message);
   void Take(Link::Stream& stream, Total& message);
   void Take(Link::Stream& stream, CoreBytes& message);
+  void Take(Link::Stream& stream, Digest& message);
+  void Take(Link::Stream& stream, AskHosts& message);
+  Link::Stream* NearCore();                // the core member that is reached soonest; nullptr: none
   void Broadcast(const Message& message);  // to all that wait for news
   void ToCore(const Message& message);     // to all core members that are reached
 
@@ -120,10 +124,15 @@
 
   // Directory.
   void MergeBatch(const std::string& batch);
-  void OnHostsChanged();  // after each change: told on by the core, taken over by the front
+  // What has changed since the last time, at most once a tick: told on by the core, taken over by the front.
+  // Then those are answered that wait for it.
+  void PublishHosts();
+  std::uint64_t HostsDigest() const;
 
   // Core.
   void OpenCore();
+  void TryOpenCore();  // a disk in trouble leaves a gateway without a core, for now
+  void StartFleet();
   void CarryCore(agreement::Out out);
   void OnShelf();
   void SetInForce(std::uint64_t version, const std::string& text);
@@ -141,6 +150,7 @@
   std::optional<double> AddHere(const std::string& tenant, const std::string& gateway, CountName name,
                                 Duration lifetime, double amount);
   void LookWhoIsAway();
+  static bool MayBeAtWork(const fleet::Member& member);
 
   // Life.
   void KeepHouse();
@@ -160,6 +170,8 @@
   std::unique_ptr<shelf::Shelf> shelf_;
   std::optional<agreement::Core> core_;
   std::uint64_t disk_ = 0;
+  std::string life_;  // its record on the shelf
+  bool life_kept_ = false, open_again_ = false;
   std::unique_ptr<net::IoWatcher> shelf_io_;
   bool had_majority_ = false;
   std::uint64_t kept_hosts_ = 0;  // of the directory's journal
@@ -179,6 +191,8 @@
   directory::ByService by_service_;
   std::uint64_t told_hosts_ = 0;  // of the directory's journal
   std::vector<std::pair<std::string, std::uint64_t>> refreshed_;
+  std::vector<RequestId> owed_beats_;                               // answered with the next news
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> owed_told_;  // stream, number
 
   std::unordered_map<std::uint64_t, Pending> pending_;
   std::unordered_map<std::uint64_t, Telling> tellings_;
