Bodies and heads up to the configuration's limits; a small share gets its turn by chance

Cause: bodies over 40 MB got 413 whatever max_body_bytes said (45 MB, whole-path test's finding), heads over 16 KB 431; in a large fleet each idle gateway let in one request of a tenant a window whatever its share (unit search at 91 gateways: 1.12 of the bound). Change: largest body and head are parameters of Message, the old program's as before; one draw a window by tenant and gateway decides a part of a unit.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -35,6 +35,24 @@
 
 std::string_view ReasonPhrase(int status) { return http_status_str(static_cast<http_status>(status)); }
 
+namespace {
+
+void LimitHeads() {
+  static const bool limited = [] {
+    http_parser_set_max_header_size(kMostHead);
+    return true;
+  }();
+  static_cast<void>(limited);
+}
+
+}  // namespace
+
+void SetMostHead(std::size_t bytes) {
+  LimitHeads();
+  constexpr std::size_t kLargestHead = 1024 * 1024;
+  http_parser_set_max_header_size(static_cast<std::uint32_t>(std::clamp(bytes, kMostHead, kLargestHead)));
+}
+
 struct Message::Callbacks {
   static Message& Of(http_parser* parser) { return *static_cast<Message*>(parser->data); }
 
@@ -75,12 +93,9 @@
   }
 };
 
-Message::Message(Kind kind, Buffer& buffer, Bodies bodies) : buffer_(buffer), kind_(kind), bodies_(bodies) {
-  static const bool limited = [] {
-    http_parser_set_max_header_size(kMostHead);
-    return true;
-  }();
-  static_cast<void>(limited);
+Message::Message(Kind kind, Buffer& buffer, Bodies bodies, std::uint64_t largest)
+    : buffer_(buffer), kind_(kind), bodies_(bodies), largest_(largest) {
+  LimitHeads();
   Reset();
 }
 
@@ -157,7 +172,7 @@
   if (!CheckHead() || (kind_ == Kind::kResponse && parser_.status_code < 100)) return Fail(400);
   keep_alive_ = http_should_keep_alive(&parser_) != 0;
   if ((parser_.flags & F_CONTENTLENGTH) != 0) length_ = parser_.content_length;
-  const std::uint64_t most = bodies_ == Bodies::kStreamed ? kLargestBody : kMostBody;
+  const std::uint64_t most = bodies_ == Bodies::kStreamed ? largest_ : kMostBody;
   return length_ != kUnknown && length_ > most ? Fail(413) : 0;
 }
 
@@ -184,7 +199,7 @@
   const auto begin = static_cast<std::uint32_t>(at - buffer_.view().data());
   if (body_.size == 0) body_.begin = begin;
   body_bytes_ += size;
-  if (body_.size + size > kMostBody || body_bytes_ > kLargestBody) return Fail(413);
+  if (body_.size + size > kMostBody || body_bytes_ > largest_) return Fail(413);
   if (as_it_came_) {
     const bool goes_on = !chunks_.empty() && chunks_.back().begin + chunks_.back().size == begin;
     if (!goes_on) chunks_.push_back({begin, 0});
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -30,7 +30,8 @@
 class Message {
  public:
   // The message stands at the front of `buffer`, which must outlive it.
-  Message(Kind kind, Buffer& buffer, Bodies bodies = Bodies::kWhole);
+  // `largest`: bytes of a body that is taken in pieces.
+  Message(Kind kind, Buffer& buffer, Bodies bodies = Bodies::kWhole, std::uint64_t largest = kLargestBody);
   Message(const Message&) = delete;
   Message& operator=(const Message&) = delete;
 
@@ -99,6 +100,7 @@
   Buffer& buffer_;
   const Kind kind_;
   const Bodies bodies_;
+  const std::uint64_t largest_;
   std::uint64_t length_ = kUnknown, body_bytes_ = 0;
   http_parser parser_{};
   std::size_t parsed_ = 0;
@@ -115,6 +117,9 @@
   int error_status_ = 0;
 };
 
+// Heads of all messages from now on; kMostHead at the least.
+void SetMostHead(std::size_t bytes);
+
 // Whether two header names are the same.
 bool SameName(std::string_view a, std::string_view b);
 
--- a/src/logic/leases.cpp
+++ b/src/logic/leases.cpp
@@ -427,11 +427,11 @@
   if (Spend(claim)) return port_.Admit(claim);
   if (const auto over = OverCeiling(now_, claim)) return port_.Deny(claim, *over);
   const double share = options_.share_part * Share(c);
-  // Where a window gives its quota once, a gateway lets in no more of it than its share, what it had of the
-  // count included: that the counter fails in the middle of a window gives nothing out twice.
+  // Where a window gives its quota once, a gateway lets in no more than its share, leases included: nothing
+  // is given twice when the counter fails within a window. A small share still admits one.
   const double left = options_.whole_windows ? share * Burst(c) - c.own_spent : share * Level(c);
-  // A small share of a small quota still admits one.
-  const bool untouched = options_.whole_windows ? c.own_spent <= 0 : Level(c) >= Burst(c);
+  const bool untouched =
+      options_.whole_windows ? c.own_spent <= 0 && Chance(c) < share * Burst(c) : Level(c) >= Burst(c);
   if (left < claim.units && !untouched) {
     RefuseBeyondQuota(claim, left, Rate(c) * share);
   } else {
--- a/src/logic/leases.hpp
+++ b/src/logic/leases.hpp
@@ -19,6 +19,7 @@
 #include <vector>
 
 #include "logic.hpp"
+#include "util/hash.hpp"
 #include "util/lru_map.hpp"
 
 namespace curlewdoor {
@@ -66,7 +67,8 @@
     // Of a window's quota: how much use stands for one over the set when the share is measured. Guards
     // against a share of a few units read at the moment in which this gateway's own came.
     double share_prior = 0;
-    double share_part = 1;  // of what the share gives: what is let in while nothing is known of the others
+    std::uint64_t salt = 0;  // another one in each gateway: by it one request of a small share gets its turn
+    double share_part = 1;   // of what the share gives: what is let in while nothing is known of the others
   };
 
   // Called from within the calls below, and may call back only Return, OverCeiling and PassCeiling. After
@@ -172,6 +174,11 @@
   double RefillCeiling(Customer& c);
   bool Covers(const Customer& c, double total) const;
   void Say(std::string text);
+  // From 0 to 1, one in each window: so that of many gateways with a part of a unit each some have one.
+  double Chance(const Customer& c) const {
+    const auto window = static_cast<std::uint64_t>(c.window);
+    return static_cast<double>(StableHash(c.name, options_.salt ^ window) >> 11) * 0x1.0p-53;
+  }
   int Gateways() const { return std::max(1, options_.gateways); }
 
   Port& port_;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -51,6 +51,8 @@
     virtual std::size_t pipelined() const { return 0; }
     // Whether this one may be: it does no harm if it has run and its answer is never sent.
     virtual bool MayGoAhead(const http::Message&) const { return false; }
+    // Bytes of a request's body; one that is told or found to be longer gets a 413.
+    virtual std::uint64_t largest_body() const { return http::kLargestBody; }
   };
 
   Client(struct ev_loop* loop, Descriptor descriptor, Owner& owner);
@@ -146,7 +148,7 @@
   State state_ = State::kReading;
   TimePoint since_, last_discarded_;
   http::Buffer in_, out_;
-  http::Message request_{http::Kind::kRequest, in_, http::Bodies::kStreamed};
+  http::Message request_{http::Kind::kRequest, in_, http::Bodies::kStreamed, owner_.largest_body()};
   TimePoint head_at_;  // when the present request's head was whole
   Pace pace_;          // of a long body, or of who takes a long answer
   bool close_after_ = false, advancing_ = false, served_any_ = false, continued_ = false;
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -17,11 +17,11 @@
 
 }  // namespace
 
-Connection::Connection(struct ev_loop* loop, Owner& owner, http::Bodies bodies)
+Connection::Connection(struct ev_loop* loop, Owner& owner, http::Bodies bodies, std::uint64_t largest)
     : owner_(owner),
       io_(loop, [this](int events) { OnEvent(events); }),
       connect_timer_(loop, [this](int) { Break(); }),
-      answer_(http::Kind::kResponse, in_, bodies) {
+      answer_(http::Kind::kResponse, in_, bodies, largest) {
   // Answers go before new requests: that a host or the counter has closed a connection, or brought an answer,
   // is known before anything new is sent, even after a stall in which much has come.
   io_.GoFirst();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -36,7 +36,8 @@
     virtual void OnBroken(Connection& connection) = 0;
   };
 
-  Connection(struct ev_loop* loop, Owner& owner, http::Bodies bodies = http::Bodies::kWhole);
+  Connection(struct ev_loop* loop, Owner& owner, http::Bodies bodies = http::Bodies::kWhole,
+             std::uint64_t largest = http::kLargestBody);
 
   // Begins to connect; it ends in OnUp or, in `timeout` at the latest, in OnBroken. OnBroken is never called
   // from within: a connection that fails at once says so from the loop.
--- a/src/net/dialect.hpp
+++ b/src/net/dialect.hpp
@@ -31,6 +31,8 @@
   // After how long without an acknowledgement of what was sent a connection is taken as lost; zero: the
   // system's time.
   virtual Duration Unacknowledged() const { return {}; }
+  // Bytes of an answer's body; a longer one is no answer.
+  virtual std::uint64_t LargestBody() const { return http::kLargestBody; }
 };
 
 }  // namespace curlewdoor::net
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -79,7 +79,7 @@
 
   struct Link : Connection::Owner {
     Link(Upstream& owner, struct ev_loop* loop)
-        : upstream(owner), connection(loop, *this, http::Bodies::kStreamed) {}
+        : upstream(owner), connection(loop, *this, http::Bodies::kStreamed, owner.dialect_.LargestBody()) {}
     bool Streams() const override { return std::holds_alternative<AttemptId>(task); }
     void OnAnswerBegun(Connection&, const http::Message& answer) override { upstream.OnBegun(*this, answer); }
     void OnAnswerBytes(Connection&, std::string_view bytes) override { upstream.OnBytes(*this, bytes); }
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -82,6 +82,7 @@
                    [this](int) {
                      for (const CountAnswered& answer : std::exchange(counted_, {})) OnCount(answer);
                    }),
+      salt_(rng_()),
       fresh_(settings.bootstrap) {
   SetGateways(1, 0, 1);
 }
@@ -107,6 +108,7 @@
     const auto it = plans_.find(name);
     return it != plans_.end() ? it->second : nullptr;
   });
+  http::SetMostHead(policy_->limits().max_header_bytes);
   times_.slowest_request = policy_->limits().header_timeout;
   times_.longest_idle = policy_->limits().idle_timeout;
 }
@@ -182,6 +184,7 @@
   options.whole_windows = true;
   options.share_prior = kSharePrior;
   options.share_part = kSharePart;
+  options.salt = salt_;
   leases_.Configure(Now(), options);
   for (auto& [name, service] : services_) service->budget.SetGateways(gateways_);
   return moved;
@@ -402,8 +405,9 @@
       ++figures_.passed;
       Forget(request);
       if (upstream_.stream_begins()) {
-        upstream_.StreamTo(id);
-        return BeginDelivery(id, *answer);
+        BeginDelivery(id, *answer);
+        if (streams_.contains(id)) upstream_.StreamTo(id);  // else its client has just gone
+        return;
       }
       return Deliver(id, *answer);
     }
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -66,6 +66,9 @@
   std::vector<Leases::View> LookAtTenants() { return leases_.Look(Now()); }  // for operators
 
  private:
+  // What no configuration's limit goes beyond here; the limit in force is looked at with each request.
+  static constexpr std::uint64_t kLargestOfAll = std::uint64_t{1} << 30;
+
   struct Service {
     std::string name;
     choosing::Chooser chooser;
@@ -100,6 +103,8 @@
   net::ClientTimes times() const override { return times_; }
   std::size_t pipelined() const override;
   bool MayGoAhead(const http::Message& message) const override;
+  std::uint64_t largest_body() const override { return kLargestOfAll; }
+  std::uint64_t LargestBody() const override { return kLargestOfAll; }
   // Inputs.
   void Post(Input input) override;
   TimePoint Now() override;
@@ -170,6 +175,7 @@
   bool leaving_ = false;
   int gateways_ = 1;
   std::size_t index_ = 0, in_zone_ = 1;
+  const std::uint64_t salt_;
   const bool fresh_;
   net::ClientTimes times_;
   Figures figures_;
--- a/tests/counting/held_counts_test.cpp
+++ b/tests/counting/held_counts_test.cpp
@@ -359,37 +359,31 @@
     for (const double burst : bursts) Search({rate, burst * rate}, what);
 }
 
+// Messages of up to 30 ms each way, and of up to 5.
+void SearchFarAndNear(Case what) {
+  SearchAll({0}, what);
+  what.late = milliseconds(5);
+  SearchAll({0}, what);
+}
+
+const std::vector<double> kBursts{0.5, 1, 2, 3, 4, 10};
 constexpr Case kCalm{}, kSudden{.demand = Demand::kSudden}, kCut{.trouble = Trouble::kCut},
     kGone{.trouble = Trouble::kHolderGone};
 
-BOOST_AUTO_TEST_CASE(QuotaInCalm) { SearchAll({1, 3}, kCalm); }
-BOOST_AUTO_TEST_CASE(QuotaWhereDemandIsSudden) { SearchAll({1, 3}, kSudden); }
-BOOST_AUTO_TEST_CASE(QuotaWithThreeOfElevenCutOff) { SearchAll({1, 3}, kCut); }
-BOOST_AUTO_TEST_CASE(QuotaWithTheHolderGone) { SearchAll({1, 3}, kGone); }
+BOOST_AUTO_TEST_CASE(QuotaInCalm) { SearchAll(kBursts, kCalm); }
+BOOST_AUTO_TEST_CASE(QuotaWhereDemandIsSudden) { SearchAll(kBursts, kSudden); }
+// Those that are cut off go on counting all eleven, as the node does.
+BOOST_AUTO_TEST_CASE(QuotaWithThreeOfElevenCutOff) { SearchAll(kBursts, kCut); }
+BOOST_AUTO_TEST_CASE(QuotaWithTheHolderGone) { SearchAll(kBursts, kGone); }
 
 // Without a burst a window lasts half a second, and eleven of them fill the bound: only the slack is left.
-BOOST_AUTO_TEST_CASE(QuotaWithoutABurst) {
-  constexpr Duration kNear = milliseconds(5);
-  SearchAll({0}, {.late = kNear});
-  SearchAll({0}, {.demand = Demand::kSudden, .late = kNear});
-  SearchAll({0}, {.trouble = Trouble::kHolderGone, .late = kNear});
-}
+BOOST_AUTO_TEST_CASE(QuotaWithoutABurstInCalm) { SearchFarAndNear(kCalm); }
+BOOST_AUTO_TEST_CASE(QuotaWithoutABurstWhereDemandIsSudden) { SearchFarAndNear(kSudden); }
+BOOST_AUTO_TEST_CASE(QuotaWithoutABurstWithThreeOfElevenCutOff) { SearchFarAndNear(kCut); }
+BOOST_AUTO_TEST_CASE(QuotaWithoutABurstWithTheHolderGone) { SearchFarAndNear(kGone); }
 
-// What breaks the rule so far: `held_counts_test --run_test=Broken --log_level=message`.
+// What breaks the rule: `held_counts_test --run_test=Broken --log_level=message`.
 BOOST_AUTO_TEST_SUITE(Broken, *boost::unit_test::disabled())
-// Round trips of over 25 ms, after which requests are let in by share, though the count answers.
-// Without a burst a window lasts half a second, of which messages of up to 30 ms each way are a large part.
-BOOST_AUTO_TEST_CASE(WithoutABurstAndFarInCalm) { SearchAll({0}, kCalm); }
-BOOST_AUTO_TEST_CASE(WithoutABurstAndFarWhereDemandIsSudden) { SearchAll({0}, kSudden); }
-BOOST_AUTO_TEST_CASE(WithoutABurstAndFarWithThreeOfElevenCutOff) { SearchAll({0}, kCut); }
-BOOST_AUTO_TEST_CASE(WithoutABurstAndFarWithTheHolderGone) { SearchAll({0}, kGone); }
-BOOST_AUTO_TEST_CASE(WithoutABurstAndCutOff) {
-  SearchAll({0}, {.trouble = Trouble::kCut, .late = milliseconds(5)});
-}
-BOOST_AUTO_TEST_CASE(OtherBurstsCalm) { SearchAll({0.5, 2, 4, 10}, kCalm); }
-BOOST_AUTO_TEST_CASE(OtherBurstsSudden) { SearchAll({0.5, 2, 4, 10}, kSudden); }
-BOOST_AUTO_TEST_CASE(OtherBurstsCut) { SearchAll({0.5, 2, 4, 10}, kCut); }
-BOOST_AUTO_TEST_CASE(OtherBurstsGone) { SearchAll({0.5, 2, 4, 10}, kGone); }
 // Gateways that are cut off and divide the quota only by those that they still see.
 BOOST_AUTO_TEST_CASE(CutOffOnesThatSeeNobody) {
   SearchAll({0, 1, 2, 3, 4, 10}, {.trouble = Trouble::kCut, .views = Views::kShrunk});
--- a/tests/system/pipeline_test.cpp
+++ b/tests/system/pipeline_test.cpp
@@ -105,8 +105,8 @@
     if (const auto* answered = std::get_if<AttemptAnswered>(&input)) {
       const RequestId id = answered->attempt.request;
       if (!upstream_.stream_begins()) return Deliver(id, *upstream_.current_answer());
-      upstream_.StreamTo(id);
       BeginDelivery(id, *upstream_.current_answer());
+      if (streams_.contains(id)) upstream_.StreamTo(id);
     } else if (const auto* broken = std::get_if<AttemptBroken>(&input)) {
       Fail(broken->attempt.request);
     }
