--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -145,10 +145,12 @@
 
 // One of those that were taken ahead has something to say.
 void Client::OnBehind() {
-  if (parent_->state_ == State::kBehind && &parent_->behind_.front() == this) parent_->ServeBehind();
+  if (parent_->state_ == State::kBehind && &parent_->behind_.front() == this) parent_->ServeBehind(this);
 }
 
-void Client::ServeBehind() {
+// Who speaks is in the middle of passing bytes on: it isn't asked for more from within (guards against bytes
+// of a streamed answer that are passed twice, or dropped).
+void Client::ServeBehind(const Client* speaker) {
   if (std::exchange(serving_, true)) return;
   while (state_ == State::kBehind && !behind_.empty()) {
     Client& next = behind_.front();
@@ -164,7 +166,8 @@
       }
     }
     if (!next.ended_) {
-      if (wrote && out_.empty() && next.state_ == State::kStreaming) owner_.OnAnswerRoom(next);
+      if (&next != speaker && wrote && out_.empty() && next.state_ == State::kStreaming)
+        owner_.OnAnswerRoom(next);
       if (state_ == State::kBehind && !behind_.empty() && &behind_.front() == &next && next.out_.empty() &&
           !next.ended_)
         break;
@@ -325,11 +328,13 @@
   WantEvents();
 }
 
-// A cut answer must look cut: fewer bytes than its length, or no last chunk.
+// A cut answer must look cut: fewer bytes than its length, or no last chunk. One that waits for its turn
+// closes the connection only then: those before it still get theirs.
 void Client::EndAnswer(bool whole) {
   if (state_ != State::kStreaming) return;
-  if (!whole) return Close();
-  const iovec last = http::Piece(chunked_ ? "0\r\n\r\n" : "");
+  if (!whole && parent_ == nullptr) return Close();
+  close_after_ = close_after_ || !whole;
+  const iovec last = http::Piece(whole && chunked_ ? "0\r\n\r\n" : "");
   if (Put({&last, 1}).broken) return Close();
   stream_ended_ = ended_ = true;
   if (parent_ != nullptr) return OnBehind();
@@ -373,13 +378,16 @@
     pace_.Begin(owner_.Now());
     return Skip();
   }
+  // The end may have begun behind an answer that did not tell.
+  close_after_ = close_after_ || (owner_.closing() && behind_.empty() && request_.rest().empty());
   if (close_after_) CloseBehind();  // they count as not read
   if (!behind_.empty()) {
     uploading_ = continued_ = false;
     head_at_ = TimePoint{};
     request_.Next();
+    pace_.Begin(owner_.Now());
     Enter(State::kBehind);
-    return ServeBehind();
+    return ServeBehind(nullptr);
   }
   if (close_after_) {
     // Closing with bytes unread would reset the connection and could take the answer with it.
@@ -424,7 +432,8 @@
   // A long body's pace counts while its connection is read, a long answer's while some of it waits.
   if (state_ == State::kWaiting && uploading_ && pace_.TooSlow(now, !upload_full())) return Close();
   if (state_ == State::kSkipping && pace_.TooSlow(now, true)) return Close();
-  if (state_ == State::kStreaming && pace_.TooSlow(now, !out_.empty(), kSlowestAnswer)) return Close();
+  const bool paced = state_ == State::kStreaming || state_ == State::kBehind;
+  if (paced && pace_.TooSlow(now, !out_.empty(), kSlowestAnswer)) return Close();
   const bool over =
       (between_requests() && in_state > (served_any_ ? times.longest_idle : times.slowest_request)) ||
       (state_ == State::kWriting && in_state > kSlowestAnswer) ||
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "counting/quota_plan.hpp"
 #include "events/events.hpp"
 #include "net/request.hpp"
 #include "net/socket_io.hpp"
@@ -19,7 +20,6 @@
 using trying::Ending;
 using How = trying::Ending::How;
 
-constexpr Duration kCountWait = milliseconds(25);  // for a lease; then the measured share decides
 constexpr Duration kConnectTimeout =
     milliseconds(120);  // within a region: some round trips and a slot's turn
 constexpr Duration kFarConnectTimeout = milliseconds(400);  // where hosts may be in another region
@@ -30,7 +30,6 @@
 constexpr std::size_t kMostPipelined = 8;             // requests of one client ahead of their turn
 constexpr std::size_t kMostRequests = 4096;           // open at once; more are declined
 constexpr double kMeanStep = 0.05;                    // weight of one answer in a route's mean
-constexpr double kLeastWindow = 0.5;                  // seconds: a burst below that is rounded up to it
 constexpr double kSharePrior = 1;                     // windows of a quota
 constexpr double kSharePart = 0.85;                   // shares are estimates, and their sum may be above one
 constexpr double kFirstMean = 0.1;                    // seconds, until answers have told
@@ -64,14 +63,6 @@
   return settings;
 }
 
-std::shared_ptr<const Plan> MakePlan(const policy::Tenant& tenant) {
-  auto plan = std::make_shared<Plan>();
-  plan->name = tenant.name;
-  plan->rate = tenant.rate_per_s;
-  plan->burst = std::max(tenant.burst_size, tenant.rate_per_s * kLeastWindow);
-  return plan;
-}
-
 }  // namespace
 
 Front::Front(struct ev_loop* loop, const settings::NodeSettings& settings, net::Descriptors& descriptors,
@@ -91,6 +82,7 @@
                    [this](int) {
                      for (const CountAnswered& answer : std::exchange(counted_, {})) OnCount(answer);
                    }),
+      salt_(rng_()),
       fresh_(settings.bootstrap) {
   SetGateways(1, 0, 1);
 }
@@ -106,7 +98,8 @@
   policy_ = std::move(policy);
   std::unordered_map<std::string, std::shared_ptr<const Plan>> plans;
   for (const policy::Tenant& tenant : policy_->tenants()) {
-    auto plan = MakePlan(tenant);
+    auto plan = std::make_shared<const Plan>(
+        counting::MakePlan(tenant.name, tenant.rate_per_s, tenant.burst_size, settings_.bounds.quota_window));
     const auto known = plans_.find(tenant.name);
     plans[tenant.name] = known != plans_.end() && *known->second == *plan ? known->second : std::move(plan);
   }
@@ -115,6 +108,7 @@
     const auto it = plans_.find(name);
     return it != plans_.end() ? it->second : nullptr;
   });
+  http::SetMostHead(policy_->limits().max_header_bytes);
   times_.slowest_request = policy_->limits().header_timeout;
   times_.longest_idle = policy_->limits().idle_timeout;
 }
@@ -186,10 +180,11 @@
   in_zone_ = in_zone;
   Leases::Options options;
   options.gateways = gateways_;
-  options.wait = kCountWait;
+  options.wait = counting::kCountWait;
   options.whole_windows = true;
   options.share_prior = kSharePrior;
   options.share_part = kSharePart;
+  options.salt = salt_;
   leases_.Configure(Now(), options);
   for (auto& [name, service] : services_) service->budget.SetGateways(gateways_);
   return moved;
@@ -410,8 +405,9 @@
       ++figures_.passed;
       Forget(request);
       if (upstream_.stream_begins()) {
-        upstream_.StreamTo(id);
-        return BeginDelivery(id, *answer);
+        BeginDelivery(id, *answer);
+        if (streams_.contains(id)) upstream_.StreamTo(id);  // else its client has just gone
+        return;
       }
       return Deliver(id, *answer);
     }
