--- a/tests/system/pipeline_test.cpp
+++ b/tests/system/pipeline_test.cpp
@@ -1,11 +1,13 @@
 // Requests that a client sends before it has its answers: taken ahead, answered in their order. Client and
 // Door on loopback, with answers by hand and by a real Upstream.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <map>
 #include <memory>
+#include <numeric>
+#include <optional>
 #include <random>
-#include <set>
 
 #include "net/door.hpp"
 #include "net/upstream.hpp"
--- a/tests/system/stand_caller.hpp
+++ b/tests/system/stand_caller.hpp
@@ -1,13 +1,13 @@
 // A client on loopback for tests, which reads as fast as it is told, and what its bytes say.
 #pragma once
 
-#include <fcntl.h>
 #include <netinet/tcp.h>
 
 #include <algorithm>
 #include <cstdlib>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "http/message.hpp"
--- a/tests/system/stand_host.hpp
+++ b/tests/system/stand_host.hpp
@@ -2,14 +2,15 @@
 #pragma once
 
 #include <algorithm>
+#include <cerrno>
 #include <cstdlib>
-#include <deque>
 #include <functional>
 #include <list>
 #include <string>
 #include <string_view>
 #include <utility>
 
+#include "http/message.hpp"
 #include "loop.hpp"
 #include "net/socket_io.hpp"
 
