A long answer to nobody, a surplus one that is long: neither holds a connection

Cause (read in review, front_verdict_test's case for the system): StreamTo before BeginDelivery tied a host's connection to a client that was found gone; a surplus answer over 64 KB was passed over again with each read. Change: the old program and the system ask whether the delivery began; a foreign answer that isn't whole breaks its connection. Keep-Alive timeout=0 is half a second.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -116,8 +116,10 @@
   ++counts_.served;
   uploads_.Forget(effect.attempt.request);
   if (upstream_.stream_begins()) {
-    upstream_.StreamTo(effect.attempt.request);
-    return listener_.BeginDelivery(effect.attempt.request, *upstream_.current_answer());
+    listener_.BeginDelivery(effect.attempt.request, *upstream_.current_answer());
+    // Unless its client was found gone just now.
+    if (listener_.delivers(effect.attempt.request)) upstream_.StreamTo(effect.attempt.request);
+    return;
   }
   listener_.Deliver(effect.attempt.request, *upstream_.current_answer());
 }
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -49,6 +49,7 @@
   void TakeUpload(RequestId id);
   std::size_t uploads() const;
   std::size_t deliveries() const { return streams_.size(); }
+  bool delivers(RequestId id) const { return streams_.contains(id); }
 
   bool owes_anything() const { return owed() > 0; }
   std::size_t owed() const;  // connections that are not between requests
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -236,7 +236,10 @@
 }
 
 void Upstream::OnAnswer(Link& link, const http::Message& answer) {
-  if (Foreign(link, answer)) return;
+  if (Foreign(link, answer)) {
+    if (!answer.done()) OnBroken(link);  // a long one would be passed over again with each of its bytes
+    return;
+  }
   const Task task = EndTask(link);
   if (const auto* request = std::get_if<RequestId>(&task)) {
     inputs_.OnAnswerEnd(*request, true);
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -406,7 +406,7 @@
       Forget(request);
       if (upstream_.stream_begins()) {
         BeginDelivery(id, *answer);
-        if (streams_.contains(id)) upstream_.StreamTo(id);  // else its client has just gone
+        if (delivers(id)) upstream_.StreamTo(id);  // else its client has just gone
         return;
       }
       return Deliver(id, *answer);
@@ -572,6 +572,7 @@
   int told = 0;
   const std::string_view digits = value.substr(at + 8);
   std::from_chars(digits.data(), digits.data() + digits.size(), told);
+  if (told == 0) return milliseconds(500);  // less than a second
   return seconds(std::clamp(told, 0, 3600));
 }
 
