--- a/src/choosing/choosing.hpp
+++ b/src/choosing/choosing.hpp
@@ -40,7 +40,7 @@
 struct Options {
   double far_delay = 0.4;     // put on a host in another zone: bytes between zones are paid
   double others_delay = 0.3;  // put on one that is others' part: what they have out there isn't known here
-  double power = 10;           // of a delay in the weight of a host
+  double power = 10;          // of a delay in the weight of a host
 };
 
 // A gateway's part of the hosts of its zone: hosts and gateways stand in two rings of the same length, and a
