--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -676,7 +676,8 @@
   ASSERT_NO_FATAL_FAILURE(ReadConfig());
   Descriptors descriptors(128);
   const auto most = static_cast<std::size_t>(descriptors.most(Use::kHost));
-  Upstream upstream(loop_, config_->settings, descriptors, told);
+  const PlatformDialect dialect(config_->settings);
+  Upstream upstream(loop_, config_->settings, descriptors, told, dialect);
   http::Buffer buffer;
   http::Message request(http::Kind::kRequest, buffer);
   buffer.Append(Get("r1"));
