A core in memory where no machine has a disk; waits for counts in another region

Change: while the whole system starts, and where others are so already, the first nine machines by address hold the core in memory; streams are dialled anew when a core opens late. With most of these members killed at once nothing is left to begin from: docs/core.md.

--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -21,7 +21,8 @@
 using How = trying::Ending::How;
 
 constexpr Duration kConnectTimeout =
-    milliseconds(120);  // within a region: some round trips and a slot's turn
+    milliseconds(120);                                 // within a region: some round trips and a slot's turn
+constexpr Duration kFarCountWait = milliseconds(150);  // for a count that may stand in another region
 constexpr Duration kFarConnectTimeout = milliseconds(400);  // where hosts may be in another region
 constexpr Duration kKeepIdle = seconds(8);  // connections to hosts, unless they tell otherwise
 constexpr Duration kUnacknowledged = milliseconds(1500);
@@ -54,11 +55,14 @@
   return path == std::string_view::npos ? std::string_view("/") : target.substr(path);
 }
 
+bool OneRegion(const settings::NodeSettings& node) {
+  return std::all_of(node.zones.begin(), node.zones.end(),
+                     [&](const auto& zone) { return zone.second == node.region; });
+}
+
 curlewdoor::Settings UpstreamSettings(const settings::NodeSettings& node) {
   curlewdoor::Settings settings;
-  const bool one_region = std::all_of(node.zones.begin(), node.zones.end(),
-                                      [&](const auto& zone) { return zone.second == node.region; });
-  settings.limits.connect_timeout = one_region ? kConnectTimeout : kFarConnectTimeout;
+  settings.limits.connect_timeout = OneRegion(node) ? kConnectTimeout : kFarConnectTimeout;
   settings.limits.connection_idle = 2 * kKeepIdle;  // half of it is used
   return settings;
 }
@@ -180,7 +184,7 @@
   in_zone_ = in_zone;
   Leases::Options options;
   options.gateways = gateways_;
-  options.wait = counting::kCountWait;
+  options.wait = OneRegion(settings_) ? counting::kCountWait : kFarCountWait;
   options.whole_windows = true;
   options.share_prior = kSharePrior;
   options.share_part = kSharePart;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <csignal>
-#include <filesystem>
 #include <map>
 #include <stdexcept>
 #include <utility>
@@ -12,6 +11,7 @@
 #include "agreement/codec.hpp"
 #include "directory/codec.hpp"
 #include "events/events.hpp"
+#include "shelf/memory_shelf.hpp"
 #include "system/words.hpp"
 #include "util/hash.hpp"
 
@@ -24,6 +24,10 @@
 using std::chrono::seconds;
 
 constexpr char kFleetName[] = "curlewdoor";
+// What a member of the core says of itself in the fleet view, before its life.
+const std::string kOnDisk = "core:", kInMemory = "mem:";
+constexpr milliseconds kConsiderAfter{1200};  // until then a machine with a disk has been seen
+constexpr std::size_t kMostInMemory = 9;      // members of a core without disks
 constexpr milliseconds kTick{50};
 constexpr milliseconds kProbe{500};  // of the fleet's view
 constexpr int kRefreshTicks = 6;     // beats that say nothing new are told together
@@ -148,7 +152,7 @@
   options.name = settings_.node_name;
   options.boot = BootNow();
   options.address = fleet_address_;
-  options.about = (core_ ? "core:" + Hex(disk_) : "-") + " " + settings_.zone;
+  options.about = (core_ ? (in_memory_ ? kInMemory : kOnDisk) + Hex(disk_) : "-") + " " + settings_.zone;
   options.about.resize(std::min(options.about.size(), fleet::kMostAbout));
   options.probe = kProbe;
   for (const Address& seed_node : settings_.seed_nodes)
@@ -221,9 +225,9 @@
   std::vector<Address> targets;
   std::vector<agreement::Seen> counted;
   const auto look = [&](const fleet::Record& record) {
-    if (!record.about.starts_with("core:")) return;
+    if (!IsOfCore(record)) return;
     const Address address{record.address.ip, link_address_.port};
-    const std::uint64_t disk = std::strtoull(record.about.c_str() + 5, nullptr, 16);
+    const std::uint64_t disk = std::strtoull(record.about.c_str() + record.about.find(':') + 1, nullptr, 16);
     counted.push_back({{{record.name, disk}, address.ToText()}, record.present()});
     if (record.present() && address != link_address_) targets.push_back(address);
   };
@@ -258,6 +262,27 @@
   CarryCore(std::move(out));
 }
 
+bool Node::IsOfCore(const fleet::Record& record) {
+  return record.about.starts_with(kOnDisk) || record.about.starts_with(kInMemory);
+}
+
+// Where no machine has a disk that counts, the core is of those that serve control, in memory: the first ones
+// by address, while the whole system starts, or where others are so already.
+void Node::ConsiderCore() {
+  if (core_ || settings_.quorum_member || !settings_.listen_addresses.control_plane) return;
+  if (!fleet_->joined() || Now() - started_at_ < kConsiderAfter) return;
+  std::size_t before = 0, in_memory = 0;
+  for (const auto& [name, member] : fleet_->others()) {
+    if (member.record.about.starts_with(kOnDisk)) return;
+    if (!member.record.present()) continue;
+    in_memory += member.record.about.starts_with(kInMemory);
+    before += member.record.address < fleet_address_;
+  }
+  if (before >= kMostInMemory || (!settings_.bootstrap && in_memory == 0)) return;
+  volunteers_ = true;
+  TryOpenCore();
+}
+
 // ---- Link ---------------------------------------------------------------------------------------------
 
 void Node::Broadcast(const Message& message) {
@@ -646,10 +671,12 @@
 
 void Node::TryOpenCore() {
   open_again_ = false;
-  if (!settings_.quorum_member) return;
+  if (!settings_.quorum_member && !volunteers_) return;
   try {
     OpenCore();
-    if (fleet_ != nullptr) StartFleet();  // others are to see that it is of the core now
+    if (fleet_ == nullptr) return;
+    StartFleet();  // others are to see that it is of the core now, and to ask it for news
+    link_.ForEach([](Link::Stream& stream) { stream.Close(); });
   } catch (const std::exception& error) {
     Say(Event::kShelfFailed, std::string(error.what()) + "; it is tried again, without a core meanwhile");
     shelf_.reset();
@@ -659,11 +686,14 @@
 
 void Node::OpenCore() {
   // Without a disk of its own a member's life ends with the process.
-  const std::string parent = settings_.data_directory.empty() ? "/tmp/curlewdoor" : settings_.data_directory;
-  const std::string directory = parent + "/core";
-  if (settings_.data_directory.empty()) std::filesystem::create_directories(parent);
-  const bool empty = shelf::ShelfEmpty(directory);
-  shelf_ = shelf::OpenShelf(directory);
+  in_memory_ = settings_.data_directory.empty();
+  const std::string directory = in_memory_ ? "memory" : settings_.data_directory + "/core";
+  const bool empty = in_memory_ || shelf::ShelfEmpty(directory);
+  if (in_memory_) {
+    shelf_ = std::make_unique<shelf::MemoryShelf>();
+  } else {
+    shelf_ = shelf::OpenShelf(directory);
+  }
   Say(Event::kShelfOpened, directory + (empty ? " (empty)" : ""));
   const auto life = shelf_->Read("life");
   agreement::State state;
@@ -974,6 +1004,7 @@
     directory_.Forget(now);
     KeepHosts();
     if (open_again_) TryOpenCore();
+    ConsiderCore();
     if (had_majority_ && ticks_ % (2 * kSecondTicks) == 0) Broadcast(Digest{HostsDigest()});
     LookAtSettings();
     events::SayLeftOut();
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -78,6 +78,8 @@
   void OnExchangeEnd(const Address& with, std::string_view bytes) override;
   void Carry(fleet::Out out);
   void OnView();
+  static bool IsOfCore(const fleet::Record& record);
+  void ConsiderCore();
 
   // Link.
   void OnUp(Link::Stream& stream) override;
@@ -173,6 +175,7 @@
   std::uint64_t disk_ = 0;
   std::string life_;  // its record on the shelf
   bool life_kept_ = false, open_again_ = false;
+  bool in_memory_ = false, volunteers_ = false;  // a core without a disk
   std::unique_ptr<net::IoWatcher> shelf_io_;
   bool had_majority_ = false;
   std::uint64_t kept_hosts_ = 0;  // of the directory's journal
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -137,7 +137,8 @@
                        : known ? std::string(fleet::Word(seen->second.record.state))
                                : "unknown");
     // Of a machine that is there with another disk: its life is no longer in the roster.
-    each.Flag("life_seen", here || (known && seen->second.record.about == "core:" + LifeText(member.disk)));
+    each.Flag("life_seen", here || (known && seen->second.record.about.find(":" + LifeText(member.disk)) !=
+                                                 std::string::npos));
     each.Flag("linked", here || link_.To(member.address) != nullptr);
   }
   ReplyReport(id, answer.Print());
@@ -219,7 +220,7 @@
     Object each = AddTo(gateways);
     each.Text("name", record.name).Text("state", std::string(fleet::Word(record.state)));
     each.Text("address", record.address.ToText());
-    each.Flag("here", here).Flag("core", record.about.starts_with("core:"));
+    each.Flag("here", here).Flag("core", IsOfCore(record));
     each.Number("boot", static_cast<double>(record.boot)).Number("incarnation", record.incarnation);
     each.Number("since_s", since);
     if (!record.by.empty()) each.Text("by", record.by);
