--- a/tests/system/three.sh
+++ b/tests/system/three.sh
@@ -1,8 +1,10 @@
 #!/usr/bin/env bash
 # A system of three machines on loopback, with the program that an operators' build has made: it starts, takes a
-# configuration, gives it back and ends in order. Usage: three.sh PROGRAM
+# configuration, gives it back and ends in order. Usage: three.sh PROGRAM [--without-disks]
 set -euo pipefail
 program=$(realpath "$1")
+counted=true
+if [ "${2:-}" = --without-disks ]; then counted=false; fi  # the core is then held in memory
 folder=$(mktemp -d)
 pids=()
 finish() {
@@ -36,8 +38,8 @@
 internal_port_range: [$first, $last]
 seed_nodes: ["$net.1:$control", "$net.2:$control", "$net.3:$control"]
 bootstrap: true
-quorum_member: true
-data_directory: "$folder/disk-$m"
+quorum_member: $counted
+$(if [ $counted = true ]; then echo "data_directory: \"$folder/disk-$m\""; fi)
 heartbeat_ms: 1000
 fault_tolerance: {machine_failures: 1, zones: 0, region_failures: 0}
 bounds: {grace_s: 6}
