A core in memory waits until the view has settled

Cause (review): a gateway that had joined through a seed which didn't know the core yet might have volunteered beside machines with disks.

--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -270,7 +270,7 @@
 // by address, while the whole system starts, or where others are so already.
 void Node::ConsiderCore() {
   if (core_ || settings_.quorum_member || !settings_.listen_addresses.control_plane) return;
-  if (!fleet_->joined() || Now() - started_at_ < kConsiderAfter) return;
+  if (!fleet_->joined() || !fleet_->settled() || Now() - started_at_ < kConsiderAfter) return;
   std::size_t before = 0, in_memory = 0;
   for (const auto& [name, member] : fleet_->others()) {
     if (member.record.about.starts_with(kOnDisk)) return;
