--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -423,31 +423,35 @@
   ReplyBeat(call);
 }
 
+std::function<void(int, std::string)> Node::AnswerTo(const Link::Stream& stream, std::uint64_t number) {
+  return [this, number, from = stream.number](int status, const std::string& body) {
+    link_.ForEach([&](Link::Stream& each) {
+      if (each.number == from) each.Send(Encode(Done{number, status, body}));
+    });
+  };
+}
+
+std::function<void(int, std::string)> Node::AnswerCall(RequestId id) {
+  return [this, id](int status, const std::string& body) {
+    control_.Reply(id, status, body, "application/json");
+  };
+}
+
 void Node::Take(Link::Stream& stream, Put& message) {
-  const std::uint64_t number = message.number, from = stream.number;
   Pending pending;
   pending.is_put = true;
   pending.version = message.version;
   pending.text = std::move(message.text);
   pending.ends = Now() + kCallEnds;
-  pending.answer = [this, number, from](int status, std::string body) {
-    link_.ForEach([&](Link::Stream& each) {
-      if (each.number == from) each.Send(Encode(Done{number, status, body}));
-    });
-  };
+  pending.answer = AnswerTo(stream, message.number);
   if (!core_member()) return pending.answer(503, {});
   Ask(std::move(pending));
 }
 
 void Node::Take(Link::Stream& stream, Get& message) {
-  const std::uint64_t number = message.number, from = stream.number;
   Pending pending;
   pending.ends = Now() + kCallEnds;
-  pending.answer = [this, number, from](int status, std::string body) {
-    link_.ForEach([&](Link::Stream& each) {
-      if (each.number == from) each.Send(Encode(Done{number, status, body}));
-    });
-  };
+  pending.answer = AnswerTo(stream, message.number);
   if (!core_member()) return pending.answer(503, {});
   Ask(std::move(pending));
 }
@@ -558,18 +562,14 @@
   pending.is_put = true;
   pending.text = std::move(put.text);
   pending.ends = Now() + kCallEnds;
-  pending.answer = [this, id](int status, std::string body) {
-    control_.Reply(id, status, body, "application/json");
-  };
+  pending.answer = AnswerCall(id);
   Ask(std::move(pending));
 }
 
 void Node::Run(RequestId id, const directory::ReadConfig&) {
   Pending pending;
   pending.ends = Now() + kCallEnds;
-  pending.answer = [this, id](int status, std::string body) {
-    control_.Reply(id, status, body, "application/json");
-  };
+  pending.answer = AnswerCall(id);
   Ask(std::move(pending));
 }
 
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -121,6 +121,9 @@
   void ReplyReport(RequestId id, const std::string& json);
   void TellHost(RequestId id, const std::string& host);
   void ReplyBeat(RequestId id);
+  // Where the answer to a call goes that another gateway has passed on, or that came here.
+  std::function<void(int, std::string)> AnswerTo(const Link::Stream& stream, std::uint64_t number);
+  std::function<void(int, std::string)> AnswerCall(RequestId id);
   void Ask(Pending pending);
   void PassOn(std::uint64_t number, Pending& pending);
   void Answer(std::uint64_t number, int status, std::string body);
