--- a/src/system/console.cpp
+++ b/src/system/console.cpp
@@ -16,6 +16,7 @@
 #include <utility>
 
 #include "agreement/codec.hpp"
+#include "directory/codec.hpp"
 #include "events/events.hpp"
 #include "policy/policy.hpp"
 #include "settings/settings.hpp"
@@ -28,6 +29,8 @@
 namespace curlewdoor::system {
 namespace {
 
+constexpr std::string_view kHostsRecord = "hosts";  // Node::KeepHosts
+
 using json::AddText;
 using json::AddTo;
 using json::Document;
@@ -616,6 +619,9 @@
         state = bytes;
       } else if (key == agreement::kValueKey) {
         value = bytes;
+      } else if (key == kHostsRecord) {
+        if (!directory::Decode(bytes, std::chrono::steady_clock::now()))
+          throw Ending{kRefused, directory + ": record hosts: can't be read"};
       } else {
         throw Ending{kRefused, directory + ": a record that is none of ours, of " +
                                    std::to_string(key.size()) + " bytes of key"};
