What nobody read is gone from the front and the choice of hosts

Found on reading the change: Front::leaving_ was set and never read, so Leave() was Drain() under another name; SetHosts added up a credit that nothing used.

--- a/src/choosing/choosing.cpp
+++ b/src/choosing/choosing.cpp
@@ -28,8 +28,6 @@
 
 void Chooser::SetHosts(TimePoint, std::span<const Host> hosts) {
   std::map<HostId, Known> next;
-  double credit = 0;
-  for (const auto& [id, known] : hosts_) credit = std::min(credit, known.credit);
   for (const Host& host : hosts) {
     const auto found = hosts_.find(host.id);
     Known known = found != hosts_.end() ? found->second : Known{};
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -528,11 +528,6 @@
 
 void Front::Note(const Log& line) { events::Say(events::Event::kCounterSilent, line.text); }
 
-void Front::Leave() {
-  leaving_ = true;
-  Drain();
-}
-
 void Front::KeepHouse() {
   Run([this] {
     CheckTimes();
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -48,8 +48,6 @@
   void OnCount(const CountAnswered& answer);
   void CountLater(const CountAnswered& answer);  // the same from within AddToCount: from the loop
 
-  // Begins to end: answers close their connections, and no request is given up by us any more.
-  void Leave();
   // What is to be done now and then: times, idle connections.
   void KeepHouse();
   // Frees what was closed. Not from within an event of a connection.
@@ -172,7 +170,6 @@
   std::vector<CountAnswered> counted_;
   std::deque<Input> inputs_queue_;
   bool running_ = false;
-  bool leaving_ = false;
   int gateways_ = 1;
   std::size_t index_ = 0, in_zone_ = 1;
   const std::uint64_t salt_;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -1036,7 +1036,7 @@
   term_at_ = Now();
   Say(Event::kTermReceived, settings_.node_name);
   SetReady();
-  front_.Leave();
+  front_.Drain();
 }
 
 void Node::End() {
