--- a/src/agreement/codec.cpp
+++ b/src/agreement/codec.cpp
@@ -1,5 +1,6 @@
 #include "agreement/codec.hpp"
 
+#include <algorithm>
 #include <exception>
 #include <msgpack.hpp>
 #include <stdexcept>
@@ -8,7 +9,13 @@
 namespace curlewdoor::agreement {
 namespace {
 
-constexpr std::uint64_t kFormat = 1;
+// Of messages. 1: a register of the highest value; such a process and this one refuse each other's messages.
+constexpr std::uint64_t kMessageFormat = 2;
+// Of records on the disk. 1: without ballots and outcomes; still read.
+constexpr std::uint64_t kFirstFormat = 1, kFormat = 2;
+constexpr std::size_t kOutcomeBytes = 25;                        // of one outcome of an order
+constexpr std::uint64_t kMostSequence = std::uint64_t{1} << 60;  // no core lives so long
+constexpr std::uint64_t kPageSlots = kOutcomesKept / kOutcomesPerPage + 2;
 
 // Every struct is an array of its fields. Put() and Take() mirror each other. Fields of a later version stand
 // behind and are passed over; what may not be passed over, in a message or on the shelf, needs another
@@ -29,24 +36,51 @@
 template <typename... T>
 void PutAll(Packer& p, const T&... fields);
 
+void Put(Packer& p, const std::vector<OrderOutcome>& outcomes);
+
 void Put(Packer& p, const Life& v) { PutAll(p, v.node, v.disk); }
 void Put(Packer& p, const Member& v) { PutAll(p, v.life, v.address); }
 void Put(Packer& p, const Value& v) { PutAll(p, v.version, v.text); }
-void Put(Packer& p, const Rank& v) { PutAll(p, v.version, v.hash); }
 void Put(Packer& p, const Ballot& v) { PutAll(p, v.round, v.tag); }
+void Put(Packer& p, const Stamp& v) { PutAll(p, v.epoch, v.ballot); }
+void Put(Packer& p, const Ledger& v) { PutAll(p, v.first, v.forgotten_below, v.entries); }
+void Put(Packer& p, const Record& v) { PutAll(p, v.value, v.ledger); }
 void Put(Packer& p, const Accepting& v) { PutAll(p, v.ballot, v.members); }
 void Put(Packer& p, const Roster& v) { PutAll(p, v.epoch, v.members, v.first_size); }
 void Put(Packer& p, const Offer& v) { PutAll(p, v.members); }
 void Put(Packer& p, const OfferTaken& v) { PutAll(p, v.taken, v.never); }
-void Put(Packer& p, const Start& v) { PutAll(p, v.members, v.first_size, v.value); }
-void Put(Packer& p, const Store& v) { PutAll(p, v.value); }
-void Put(Packer& p, const Stored& v) { PutAll(p, v.taken, v.held); }
-void Put(Packer& p, const Ask& v) { PutAll(p, v.above, v.committed); }
-void Put(Packer& p, const Told& v) { PutAll(p, v.sealed, v.kept, v.committed, v.value); }
+void Put(Packer& p, const InstallEpoch& v) { PutAll(p, v.members, v.first_size, v.stamp, v.record); }
+void Put(Packer& p, const Query& v) { PutAll(p, v.committed); }
+void Put(Packer& p, const QueryReply& v) { PutAll(p, v.sealed, v.installed, v.held, v.committed); }
+void Put(Packer& p, const Fetch& v) { PutAll(p, v.stamp); }
+void Put(Packer& p, const Fetched& v) { PutAll(p, v.stamp, v.chosen, v.record); }
 void Put(Packer& p, const Prepare& v) { PutAll(p, v.ballot); }
-void Put(Packer& p, const Promised& v) { PutAll(p, v.ok, v.ballot, v.accepted); }
-void Put(Packer& p, const Accept& v) { PutAll(p, v.ballot, v.members, v.above); }
-void Put(Packer& p, const Accepted& v) { PutAll(p, v.ok, v.ballot, v.value); }
+void Put(Packer& p, const Promised& v) { PutAll(p, v.ok, v.promised, v.held); }
+void Put(Packer& p, const Accept& v) { PutAll(p, v.ballot, v.base, v.added, v.value, v.whole); }
+void Put(Packer& p, const Accepted& v) { PutAll(p, v.ok, v.needs_whole, v.promised); }
+void Put(Packer& p, const PrepareEpoch& v) { PutAll(p, v.ballot); }
+void Put(Packer& p, const EpochPromised& v) { PutAll(p, v.ok, v.ballot, v.accepted); }
+void Put(Packer& p, const AcceptEpoch& v) { PutAll(p, v.ballot, v.members); }
+void Put(Packer& p, const EpochAccepted& v) { PutAll(p, v.ok, v.ballot, v.held); }
+
+void PutWord(std::string& bytes, std::uint64_t word) {
+  for (int i = 0; i < 8; ++i) bytes.push_back(static_cast<char>(word >> (8 * i)));
+}
+// In one string: a ledger is of thousands.
+std::string BytesOf(const OrderOutcome* outcomes, std::size_t count) {
+  std::string bytes;
+  bytes.reserve(count * kOutcomeBytes);
+  for (const OrderOutcome* each = outcomes; each != outcomes + count; ++each) {
+    PutWord(bytes, each->version);
+    PutWord(bytes, each->digest.high);
+    PutWord(bytes, each->digest.low);
+    bytes.push_back(each->took_effect ? 1 : 0);
+  }
+  return bytes;
+}
+void Put(Packer& p, const std::vector<OrderOutcome>& outcomes) {
+  Put(p, BytesOf(outcomes.data(), outcomes.size()));
+}
 
 template <typename T>
 void Put(Packer& p, const std::vector<T>& items) {
@@ -98,6 +132,8 @@
 template <typename... T>
 void TakeAll(const Object& o, T&... fields);
 
+void Take(const Object& o, std::vector<OrderOutcome>& outcomes);
+
 void Take(const Object& o, Life& v) { TakeAll(o, v.node, v.disk); }
 void Take(const Object& o, Member& v) { TakeAll(o, v.life, v.address); }
 void Take(const Object& o, Value& v) {
@@ -105,21 +141,54 @@
   Take(o.via.array.ptr[0], v.version);
   Take(o.via.array.ptr[1], v.text, kMostText);
 }
-void Take(const Object& o, Rank& v) { TakeAll(o, v.version, v.hash); }
 void Take(const Object& o, Ballot& v) { TakeAll(o, v.round, v.tag); }
+void Take(const Object& o, Stamp& v) { TakeAll(o, v.epoch, v.ballot); }
+void Take(const Object& o, Ledger& v) {
+  TakeAll(o, v.first, v.forgotten_below, v.entries);
+  if (v.first > kMostSequence) throw Foreign();
+}
+void Take(const Object& o, Record& v) {
+  TakeAll(o, v.value, v.ledger);
+  v = RecordOf(std::move(v.value), std::move(v.ledger));
+}
 void Take(const Object& o, Accepting& v) { TakeAll(o, v.ballot, v.members); }
 void Take(const Object& o, Roster& v) { TakeAll(o, v.epoch, v.members, v.first_size); }
 void Take(const Object& o, Offer& v) { TakeAll(o, v.members); }
 void Take(const Object& o, OfferTaken& v) { TakeAll(o, v.taken, v.never); }
-void Take(const Object& o, Start& v) { TakeAll(o, v.members, v.first_size, v.value); }
-void Take(const Object& o, Store& v) { TakeAll(o, v.value); }
-void Take(const Object& o, Stored& v) { TakeAll(o, v.taken, v.held); }
-void Take(const Object& o, Ask& v) { TakeAll(o, v.above, v.committed); }
-void Take(const Object& o, Told& v) { TakeAll(o, v.sealed, v.kept, v.committed, v.value); }
+void Take(const Object& o, InstallEpoch& v) { TakeAll(o, v.members, v.first_size, v.stamp, v.record); }
+void Take(const Object& o, Query& v) { TakeAll(o, v.committed); }
+void Take(const Object& o, QueryReply& v) { TakeAll(o, v.sealed, v.installed, v.held, v.committed); }
+void Take(const Object& o, Fetch& v) { TakeAll(o, v.stamp); }
+void Take(const Object& o, Fetched& v) { TakeAll(o, v.stamp, v.chosen, v.record); }
 void Take(const Object& o, Prepare& v) { TakeAll(o, v.ballot); }
-void Take(const Object& o, Promised& v) { TakeAll(o, v.ok, v.ballot, v.accepted); }
-void Take(const Object& o, Accept& v) { TakeAll(o, v.ballot, v.members, v.above); }
-void Take(const Object& o, Accepted& v) { TakeAll(o, v.ok, v.ballot, v.value); }
+void Take(const Object& o, Promised& v) { TakeAll(o, v.ok, v.promised, v.held); }
+void Take(const Object& o, Accept& v) {
+  TakeAll(o, v.ballot, v.base, v.added, v.value, v.whole);
+  if (v.added.size() > kMostAdded) throw Foreign();
+}
+void Take(const Object& o, Accepted& v) { TakeAll(o, v.ok, v.needs_whole, v.promised); }
+void Take(const Object& o, PrepareEpoch& v) { TakeAll(o, v.ballot); }
+void Take(const Object& o, EpochPromised& v) { TakeAll(o, v.ok, v.ballot, v.accepted); }
+void Take(const Object& o, AcceptEpoch& v) { TakeAll(o, v.ballot, v.members); }
+void Take(const Object& o, EpochAccepted& v) { TakeAll(o, v.ok, v.ballot, v.held); }
+
+std::uint64_t WordAt(const char* bytes) {
+  std::uint64_t word = 0;
+  for (int i = 0; i < 8; ++i)
+    word |= static_cast<std::uint64_t>(static_cast<unsigned char>(bytes[i])) << (8 * i);
+  return word;
+}
+void Take(const Object& o, std::vector<OrderOutcome>& outcomes) {
+  if (o.type != msgpack::type::BIN || o.via.bin.size > kOutcomesKept * kOutcomeBytes) throw Foreign();
+  if (o.via.bin.size % kOutcomeBytes != 0) throw Foreign();
+  outcomes.resize(o.via.bin.size / kOutcomeBytes);
+  const char* at = o.via.bin.ptr;
+  for (OrderOutcome& each : outcomes) {
+    if (at[24] != 0 && at[24] != 1) throw Foreign();
+    each = {WordAt(at), {WordAt(at + 8), WordAt(at + 16)}, at[24] == 1};
+    at += kOutcomeBytes;
+  }
+}
 
 template <typename T>
 void Take(const Object& o, std::vector<T>& items) {
@@ -182,7 +251,7 @@
   msgpack::sbuffer buffer(256);
   Packer p(buffer);
   p.pack_array(6);
-  Put(p, kFormat);
+  Put(p, kMessageFormat);
   Put(p, message.from);
   Put(p, message.id);
   Put(p, message.epoch);
@@ -199,7 +268,7 @@
   std::uint64_t format = 0, kind = 0;
   Message message;
   Take(field[0], format);
-  if (format != kFormat) return std::nullopt;
+  if (format != kMessageFormat) return std::nullopt;
   Take(field[1], message.from);
   Take(field[2], message.id);
   Take(field[3], message.epoch);
@@ -210,37 +279,118 @@
   return std::nullopt;
 }
 
-std::string EncodeState(const State& state) {
+std::string EncodeState(const State& state, const Ledger& ledger) {
   msgpack::sbuffer buffer(256);
   Packer p(buffer);
-  PutAll(p, kFormat, state.roster, state.promised, state.accepted, state.bound);
+  const std::uint64_t end = ledger.end();
+  PutAll(p, kFormat, state.roster, state.promised, state.accepted, state.bound, state.register_promised,
+         state.stamp, ledger.first, end, ledger.forgotten_below);
   return Text(buffer);
 }
 
 std::string EncodeValue(const Value& value) {
   msgpack::sbuffer buffer(64 + value.text.size());
   Packer p(buffer);
-  PutAll(p, kFormat, value);
+  PutAll(p, kFirstFormat, value);  // as ever
   return Text(buffer);
 }
 
-std::optional<State> DecodeState(const std::optional<std::string>& state,
-                                 const std::optional<std::string>& value) try {
-  State result;
-  std::uint64_t format = kFormat;
-  if (state) {
-    auto handle = Unpack(*state);
-    TakeAll(handle.get(), format, result.roster, result.promised, result.accepted, result.bound);
-    if (format != kFormat) return std::nullopt;
+std::string PageKey(std::uint64_t page) { return kPageKeys + std::to_string(page % kPageSlots); }
+
+std::string EncodePage(const Ledger& ledger, std::uint64_t page) {
+  const std::uint64_t begin = std::max(ledger.first, page * kOutcomesPerPage);
+  const std::uint64_t end = std::min(ledger.end(), (page + 1) * kOutcomesPerPage);
+  msgpack::sbuffer buffer(64 + kOutcomesPerPage * kOutcomeBytes);
+  Packer p(buffer);
+  PutAll(p, kFirstFormat, begin, BytesOf(ledger.entries.data() + (begin - ledger.first), end - begin));
+  return Text(buffer);
+}
+
+std::vector<std::pair<std::string, std::string>> EncodePages(const Ledger& ledger, std::uint64_t from) {
+  std::vector<std::pair<std::string, std::string>> pages;
+  const std::uint64_t begin = std::max(from, ledger.first), end = ledger.end();
+  for (std::uint64_t page = begin / kOutcomesPerPage; page * kOutcomesPerPage < end; ++page)
+    pages.emplace_back(PageKey(page), EncodePage(ledger, page));
+  return pages;
+}
+
+std::vector<std::pair<std::string, std::string>> EncodeAll(const State& state) {
+  auto records = EncodePages(state.ledger, state.ledger.first);
+  records.emplace_back(kStateKey, EncodeState(state, state.ledger));
+  records.emplace_back(kValueKey, EncodeValue(state.value));
+  return records;
+}
+
+namespace {
+
+// What a page holds of the outcomes from `begin` to below `end`. It may hold some before `begin`: it was
+// written when they were still kept.
+void TakePage(std::string_view bytes, std::uint64_t begin, std::uint64_t end, Ledger& ledger) {
+  auto handle = Unpack(bytes);
+  std::uint64_t format = 0, first = 0;
+  std::vector<OrderOutcome> outcomes;
+  TakeAll(handle.get(), format, first, outcomes);
+  if (format != kFirstFormat || first > begin || first + outcomes.size() < end) throw Foreign();
+  for (std::uint64_t at = begin; at < end; ++at) ledger.entries.push_back(outcomes[at - first]);
+}
+
+void TakePages(const ReadRecord& read, std::uint64_t end, Ledger& ledger) {
+  if (ledger.first > kMostSequence || end < ledger.first || end - ledger.first > kOutcomesKept)
+    throw Foreign();
+  for (std::uint64_t at = ledger.first; at < end;) {
+    const std::uint64_t page = at / kOutcomesPerPage;
+    const std::uint64_t next = std::min(end, (page + 1) * kOutcomesPerPage);
+    const auto bytes = read(PageKey(page));
+    if (!bytes) throw Foreign();
+    TakePage(*bytes, at, next, ledger);
+    at = next;
   }
-  if (value) {
+}
+
+// A record of the time before ballots: what the value's number stands for is known, and of no lower one.
+void TakeFirstFormat(const Object& o, State& state) {
+  std::uint64_t format = 0;
+  TakeAll(o, format, state.roster, state.promised, state.accepted, state.bound);
+  state.stamp = LegacyStamp(state.value);
+  state.ledger.forgotten_below = state.value.version > 0 ? state.value.version - 1 : 0;
+}
+
+}  // namespace
+
+std::optional<State> DecodeState(const ReadRecord& read) try {
+  State state;
+  std::uint64_t format = 0;
+  if (const auto value = read(kValueKey)) {
     auto handle = Unpack(*value);
-    TakeAll(handle.get(), format, result.value);
-    if (format != kFormat) return std::nullopt;
+    TakeAll(handle.get(), format, state.value);
+    if (format != kFirstFormat) return std::nullopt;
+  }
+  const auto bytes = read(kStateKey);
+  if (!bytes) {
+    state.stamp = LegacyStamp(state.value);
+    return state;
   }
-  return result;
+  auto handle = Unpack(*bytes);
+  TakeAll(handle.get(), format);
+  if (format == kFirstFormat) {
+    TakeFirstFormat(handle.get(), state);
+    return state;
+  }
+  if (format != kFormat) return std::nullopt;
+  std::uint64_t end = 0;
+  TakeAll(handle.get(), format, state.roster, state.promised, state.accepted, state.bound,
+          state.register_promised, state.stamp, state.ledger.first, end, state.ledger.forgotten_below);
+  TakePages(read, end, state.ledger);
+  return state;
 } catch (const std::exception&) {
   return std::nullopt;
 }
 
+std::optional<State> DecodeState(const std::optional<std::string>& state,
+                                 const std::optional<std::string>& value) {
+  return DecodeState([&](const std::string& key) {
+    return key == kStateKey ? state : key == kValueKey ? value : std::nullopt;
+  });
+}
+
 }  // namespace curlewdoor::agreement
--- a/src/agreement/proposing.cpp
+++ b/src/agreement/membership.cpp
@@ -1,4 +1,4 @@
-// Rosters: the first one, and each one's successor.
+// Epochs: which voters come next, and how the present ones agree on them.
 #include <algorithm>
 #include <bit>
 
@@ -10,10 +10,10 @@
 
 namespace {
 
-constexpr auto kOfferTimeout = milliseconds(600);
 constexpr auto kProposalTimeout = milliseconds(1000);
 constexpr auto kSealedFor = milliseconds(400);   // then the successor is found again
 constexpr auto kNextInLine = milliseconds(700);  // each further member waits so much longer
+constexpr auto kLearnInTurn = milliseconds(30);  // ... with the first ballot of an epoch
 
 bool Holds(const std::vector<Member>& members, const Life& life) {
   return std::any_of(members.begin(), members.end(), [&life](const Member& m) { return m.life == life; });
@@ -21,140 +21,51 @@
 
 }  // namespace
 
-void Core::Adopt(Time now, std::uint64_t epoch, std::vector<Member> members, std::uint32_t first, Out& out) {
-  state_.roster = {epoch, std::move(members), first};
+// Where the own record is the higher one it was proposed in an earlier epoch, and holds all that was chosen.
+void Core::Adopt(Time now, Roster roster, RecordPtr record, const Stamp& stamp, Out& out) {
+  if (stamp > state_.stamp) Replace(std::move(record), stamp);
+  state_.roster = std::move(roster);
   state_.promised = {};
   state_.accepted.reset();
   state_.bound.clear();
+  const std::uint64_t epoch = state_.roster.epoch;
+  state_.register_promised = state_.stamp.epoch == epoch ? state_.stamp.ballot : Ballot{};
   Changed();
   learned_ = false;
-  learn_next_ = now;
+  learn_next_ = now + std::max(0, Index(self_.life)) * kLearnInTurn;
+  attempt_.reset();
   proposal_.reset();
   offering_.reset();
   sealed_since_.reset();
   wish_since_.reset();
   highest_round_ = 0;
+  register_round_ = state_.register_promised.round;
   out.roster_changed = true;
   out.notes.push_back("epoch " + std::to_string(epoch) + " of " +
                       std::to_string(state_.roster.members.size()) +
                       (member() ? " members" : " members, this one not among them"));
-  std::vector<std::uint64_t> requests;
-  for (const Call& call : calls_) requests.push_back(call.request);
-  for (std::uint64_t request : requests) {
+  std::vector<std::uint64_t> keys;
+  for (const Call& call : calls_) keys.push_back(call.key);
+  for (std::uint64_t key : keys) {
+    Call& call = *FindCall(key);
     if (member()) {
-      Restart(now, *FindCall(request), out);
+      Restart(now, call, out);
     } else {
-      Finish(request, Outcome::kNoMajority, {}, out);
+      Finish(key, call.put ? Outcome::kUncertain : Outcome::kNoMajority, out);
     }
   }
   Ping(now, out);
 }
 
-// ---- The first roster ----
-//
-// Epoch 1 starts with an offer that all in it have taken. Two offers that share a taker can't both start: who
-// has taken P's offer takes Q's only when P is in Q's list; so P has taken Q's, and had to drop its own
-// attempt for that (and one that has started doesn't take offers). Attempts are in memory: a proposer that
-// starts anew has none. Offers without a common taker are kept apart by least_members alone.
-
-std::vector<Member> Core::First() const {
-  std::vector<Member> members{self_};
-  for (const auto& [life, watch] : watch_) {
-    bool never = std::find(never_.begin(), never_.end(), life) != never_.end();
-    if (watch.alive && !never && members.size() < kMostMembers) members.push_back(watch.member);
-  }
-  std::sort(members.begin(), members.end(),
-            [](const Member& a, const Member& b) { return a.address < b.address; });
-  return members;
-}
-
-void Core::TickOffer(Time now, Out& out) {
-  if (state_.roster.epoch != 0 || !bootstrap_) return;
-  if (!first_seen_) first_seen_ = now;
-  if (offering_) {
-    if (now >= offering_->deadline) {
-      offering_.reset();
-    } else if (now >= offering_->next) {
-      offering_->next = now + options_.again;
-      for (const Member& m : offering_->members) Send(m, offering_->request, Offer{offering_->members}, out);
-    }
-    return;
-  }
-  std::vector<Member> members = First();
-  if (members != first_view_) {
-    first_view_ = members;
-    first_since_ = now;
-  }
-  const Duration waited = now - *first_seen_;
-  bool enough = members.size() >= options_.least_members || waited >= options_.least_wait;
-  if (!seeds_seen_ &&
-      waited < (members.size() >= options_.least_members ? options_.least_wait : options_.seeds_wait))
-    enough = false;
-  if (members.front().life != self_.life || !enough || now - first_since_ < options_.settle) return;
-  offering_ = Offering{next_id_++, members, 0, now + kOfferTimeout, now + options_.again};
-  for (const Member& m : offering_->members) Send(m, offering_->request, Offer{offering_->members}, out);
-}
-
-void Core::OnOffer(Time now, const Message& m, const Offer& offer, Out& out) {
-  if (state_.roster.epoch != 0) return;
-  if (!bootstrap_) return Send(m.from, m.id, OfferTaken{false, true}, out);
-  bool mine = m.from.life == self_.life;
-  if (mine && (!offering_ || offering_->request != m.id)) return;
-  // Last resort: a proposer that is gone for good would hold all that took its offer.
-  std::erase_if(state_.bound, [&](const Life& life) {
-    auto watch = watch_.find(life);
-    if (life == self_.life || life == m.from.life) return false;
-    if (watch == watch_.end()) return first_seen_ && now - *first_seen_ >= options_.unbound_after;
-    return !watch->second.alive && now - watch->second.since >= options_.unbound_after;
-  });
-  bool taken = Holds(offer.members, self_.life) &&
-               std::all_of(state_.bound.begin(), state_.bound.end(), [&](const Life& life) {
-                 return life == m.from.life || Holds(offer.members, life);
-               });
-  if (!taken) return Send(m.from, m.id, OfferTaken{false, false}, out);
-  if (!mine) offering_.reset();
-  if (std::find(state_.bound.begin(), state_.bound.end(), m.from.life) == state_.bound.end()) {
-    if (state_.bound.size() >= kMostMembers) return;
-    state_.bound.push_back(m.from.life);
-    Changed();
-  }
-  Reply(m, OfferTaken{true, false}, out);
-}
-
-void Core::OnOfferTaken(Time now, const Message& m, const OfferTaken& taken, Out& out) {
-  if (state_.roster.epoch != 0 || !offering_ || offering_->request != m.id) return;
-  if (taken.never) never_.push_back(m.from.life);
-  if (!taken.taken) {
-    offering_.reset();
-    return;
-  }
-  for (std::size_t i = 0; i < offering_->members.size(); ++i) {
-    if (offering_->members[i].life == m.from.life) offering_->votes |= 1u << i;
-  }
-  if (static_cast<std::size_t>(std::popcount(offering_->votes)) < offering_->members.size()) return;
-  auto members = offering_->members;
-  auto size = static_cast<std::uint32_t>(members.size());
-  Adopt(now, 1, members, size, out);
-  for (const Member& to : members) {
-    if (to.life != self_.life) Bring(now, to, out);  // waits for its own disk
-  }
-}
-
 // ---- The successor ----
 
 void Core::TickProposal(Time now, Out& out) {
   if (!member()) return;
   if (proposal_) {
     if (now >= proposal_->deadline) {
-      proposal_.reset();
-      propose_after_ = now + milliseconds(100 + random_() % 300);
+      FailProposal(now);
     } else if (now >= proposal_->next) {
-      proposal_->next = now + options_.again;
-      if (proposal_->accepting) {
-        SendAll(proposal_->request, Accept{proposal_->ballot, proposal_->members, rank_}, out);
-      } else {
-        SendAll(proposal_->request, Prepare{proposal_->ballot}, out);
-      }
+      SendProposal(now, out);
     }
     return;
   }
@@ -180,6 +91,19 @@
   if (now - *wish_since_ >= before * kNextInLine && now >= propose_after_) Propose(now, *wish, out);
 }
 
+void Core::SendProposal(Time now, Out& out) {
+  proposal_->next = now + options_.again;
+  if (proposal_->fetching) return Send(*proposal_->held_by, proposal_->request, Fetch{proposal_->held}, out);
+  Body body = PrepareEpoch{proposal_->ballot};
+  if (proposal_->accepting) body = AcceptEpoch{proposal_->ballot, proposal_->members};
+  SendAll(proposal_->request, body, out);
+}
+
+void Core::FailProposal(Time now) {
+  proposal_.reset();
+  propose_after_ = now + milliseconds(100 + random_() % 300);
+}
+
 bool Core::Answers(Time now, const Life& life) const {
   auto peer = peers_.find(life);
   return peer != peers_.end() && peer->second.epoch == state_.roster.epoch &&
@@ -188,7 +112,7 @@
 
 Forgetting Core::Forget(Time now, const std::string& node, bool forced, Out& out) {
   const auto& members = state_.roster.members;
-  if (!member() || sealed() || proposal_ || !majority(now)) return Forgetting::kNoMajority;
+  if (!member() || sealed() || proposal_ || !majority(now) || !Installed()) return Forgetting::kNoMajority;
   auto found = std::find_if(members.begin(), members.end(),
                             [&node](const Member& each) { return each.life.node == node; });
   if (found == members.end()) return Forgetting::kNoMember;
@@ -242,7 +166,7 @@
       dead_since = since;
     }
   }
-  if (!IsQuorum(here)) return std::nullopt;
+  if (!IsQuorum(here) || !Installed()) return std::nullopt;
 
   auto swapped = [&members](std::size_t out, const Member& in) {
     std::vector<Member> next = members;
@@ -253,6 +177,7 @@
   for (const auto& [life, watch] : watch_) {
     Time heard = HeardFrom(life);
     if (!watch.alive || Index(life) >= 0 || heard == Time{} || now - heard > 2 * options_.heard_for) continue;
+    if (!CaughtUp(life)) continue;  // first it learns what is chosen
     bool other = true;
     for (std::size_t i = 0; i < members.size(); ++i) {
       if (members[i].life.node != life.node && members[i].address != watch.member.address) continue;
@@ -284,82 +209,132 @@
   proposal.request = next_id_++;
   proposal.members = std::move(members);
   proposal.deadline = now + kProposalTimeout;
-  proposal.next = now + options_.again;
   proposal_ = std::move(proposal);
-  SendAll(proposal_->request, Prepare{proposal_->ballot}, out);
+  SendProposal(now, out);
 }
 
-void Core::OnPrepare(const Message& m, const Prepare& prepare, Out& out) {
+void Core::OnPrepareEpoch(const Message& m, const PrepareEpoch& prepare, Out& out) {
   highest_round_ = std::max(highest_round_, prepare.ballot.round);
-  bool ok = prepare.ballot >= state_.promised;
+  const bool ok = prepare.ballot >= state_.promised;
   if (prepare.ballot > state_.promised) {
     state_.promised = prepare.ballot;
-    if (options_.fault != Options::Fault::kBallotForgotten) Changed();
+    if (!Does(Options::Fault::kBallotForgotten)) Changed();
   }
-  Reply(m, Promised{ok, state_.promised, state_.accepted}, out);
+  Reply(m, EpochPromised{ok, state_.promised, state_.accepted}, out);
 }
 
-void Core::OnPromised(Time now, const Message& m, const Promised& promised, Out& out) {
+void Core::OnEpochPromised(Time now, const Message& m, const EpochPromised& promised, Out& out) {
   highest_round_ = std::max(highest_round_, promised.ballot.round);
   if (!proposal_ || proposal_->request != m.id || proposal_->accepting) return;
-  if (!promised.ok || promised.ballot != proposal_->ballot) {
-    proposal_.reset();
-    propose_after_ = now + milliseconds(100 + random_() % 300);
-    return;
-  }
+  if (!promised.ok || promised.ballot != proposal_->ballot) return FailProposal(now);
   proposal_->votes |= 1u << Index(m.from.life);
   if (promised.accepted && (!proposal_->best || promised.accepted->ballot > proposal_->best->ballot)) {
     proposal_->best = promised.accepted;
   }
-  bool alone = options_.fault == Options::Fault::kRosterAlone;
-  if (!alone && !IsQuorum(proposal_->votes)) return;
+  if (!Does(Options::Fault::kEpochAlone) && !IsQuorum(proposal_->votes)) return;
   if (proposal_->best) proposal_->members = proposal_->best->members;
   proposal_->accepting = true;
   proposal_->votes = 0;
   proposal_->request = next_id_++;
-  proposal_->next = now + options_.again;
-  SendAll(proposal_->request, Accept{proposal_->ballot, proposal_->members, rank_}, out);
+  SendProposal(now, out);
 }
 
-void Core::OnAccept(Time now, const Message& m, const Accept& accept, Out& out) {
+// From here on this epoch is sealed here: its register takes nothing more, so what is told stays the highest.
+void Core::OnAcceptEpoch(Time now, const Message& m, const AcceptEpoch& accept, Out& out) {
   highest_round_ = std::max(highest_round_, accept.ballot.round);
   if (accept.members.empty()) {
     ++dropped_;
     return;
   }
-  bool ok = accept.ballot >= state_.promised;
+  const bool ok = accept.ballot >= state_.promised;
   if (ok && (!state_.accepted || state_.accepted->ballot != accept.ballot)) {
     state_.promised = accept.ballot;
     state_.accepted = Accepting{accept.ballot, accept.members};
     sealed_since_ = now;
     Changed();
   }
-  Accepted accepted{ok, state_.promised, {}};
-  if (ok && rank_ > accept.above) accepted.value = state_.value;
-  Reply(m, std::move(accepted), out);
+  Reply(m, EpochAccepted{ok, state_.promised, state_.stamp}, out);
 }
 
-void Core::OnAccepted(Time now, const Message& m, const Accepted& accepted, Out& out) {
+void Core::OnEpochAccepted(Time now, const Message& m, const EpochAccepted& accepted, Out& out) {
   highest_round_ = std::max(highest_round_, accepted.ballot.round);
-  if (!proposal_ || proposal_->request != m.id || !proposal_->accepting) return;
-  if (!accepted.ok) {
-    proposal_.reset();
-    propose_after_ = now + milliseconds(100 + random_() % 300);
-    return;
-  }
-  if (accepted.value) TakeValue(*accepted.value, RankOf(*accepted.value));
+  if (!proposal_ || proposal_->request != m.id || !proposal_->accepting || proposal_->fetching) return;
+  if (!accepted.ok) return FailProposal(now);
   proposal_->votes |= 1u << Index(m.from.life);
-  bool alone = options_.fault == Options::Fault::kRosterAlone;
-  if (!alone && !IsQuorum(proposal_->votes)) return;
-  // Chosen. All of the new roster are told, and those that are out.
+  if (!proposal_->held_by || accepted.held > proposal_->held) {
+    proposal_->held = accepted.held;
+    proposal_->held_by = m.from;
+  }
+  if (!Does(Options::Fault::kEpochAlone) && !IsQuorum(proposal_->votes)) return;
+  if (proposal_->held <= committed_stamp_) return ChooseEpoch(now, committed_, committed_stamp_, out);
+  if (proposal_->held == state_.stamp) return ChooseEpoch(now, held_, state_.stamp, out);
+  proposal_->fetching = true;
+  proposal_->request = next_id_++;
+  SendProposal(now, out);
+}
+
+// The successor is chosen, and `record` is what it begins with. All of the new voters are told, and those
+// that are out.
+void Core::ChooseEpoch(Time now, RecordPtr record, const Stamp& stamp, Out& out) {
   std::vector<Member> next = proposal_->members, last = state_.roster.members;
-  Adopt(now, state_.roster.epoch + 1, next, state_.roster.first_size, out);
+  Adopt(now, {state_.roster.epoch + 1, next, state_.roster.first_size}, std::move(record), stamp, out);
   for (const Member& to : last) {
     if (!Holds(next, to.life)) next.push_back(to);
   }
   for (const Member& to : next) {
-    if (to.life != self_.life) Bring(now, to, out);
+    if (to.life != self_.life) Bring(now, to, out);  // waits for its own disk
+  }
+}
+
+// ---- Redundancy ----
+
+bool Core::CaughtUp(const Life& life) const {
+  const std::uint64_t epoch = state_.roster.epoch;
+  if (life == self_.life) return written_epoch_ == epoch && written_stamp_ >= committed_stamp_;
+  const auto holding = holdings_.find(life);
+  return holding != holdings_.end() && holding->second.epoch == epoch &&
+         holding->second.stamp >= committed_stamp_;
+}
+
+bool Core::Installed() const {
+  if (Does(Options::Fault::kChangeEarly)) return true;
+  std::uint32_t installed = 0;
+  for (std::size_t i = 0; i < state_.roster.members.size(); ++i) {
+    const Life& life = state_.roster.members[i].life;
+    const auto holding = holdings_.find(life);
+    const bool told = holding != holdings_.end() && holding->second.epoch == state_.roster.epoch;
+    const bool own = life == self_.life && written_epoch_ == state_.roster.epoch;
+    if (told || own) installed |= 1u << i;
+  }
+  return IsQuorum(installed);
+}
+
+bool Core::HandedOver(Time now) const {
+  if (!member() || state_.roster.members.size() == 1 || Does(Options::Fault::kLeaveEarly)) return true;
+  std::size_t holders = 0;
+  for (const Member& m : state_.roster.members) {
+    if (m.life == self_.life) continue;
+    if (CaughtUp(m.life)) {
+      ++holders;
+    } else if (Answers(now, m.life)) {
+      return false;
+    }
+  }
+  return holders > 0 && !attempt_;
+}
+
+CoreStatus Core::Status(Time now) const {
+  CoreStatus status;
+  status.epoch = state_.roster.epoch;
+  int caught_up = 0;
+  for (const Member& m : state_.roster.members) {
+    const bool answers = m.life == self_.life || Answers(now, m.life);
+    const bool holds = CaughtUp(m.life);
+    status.voters.push_back({m, answers, holds});
+    caught_up += answers && holds ? 1 : 0;
   }
+  status.further_losses = caught_up - static_cast<int>(state_.roster.members.size() / 2 + 1);
+  return status;
 }
 
 }  // namespace curlewdoor::agreement
--- a/src/agreement/message.hpp
+++ b/src/agreement/message.hpp
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "agreement/ledger.hpp"
 #include "util/hash.hpp"
 
 namespace curlewdoor::agreement {
@@ -16,6 +17,7 @@
 constexpr std::size_t kMostMembers = 31;
 constexpr std::size_t kMostText = 8u << 20;  // bytes of a value
 constexpr std::size_t kMostName = 255;       // bytes of a node's name and of an address
+constexpr std::size_t kMostAdded = 64;       // outcomes that one ballot adds
 
 // A member's identity: its machine's name and the life of its disk, a random number made on an empty disk.
 struct Life {
@@ -30,6 +32,7 @@
   bool operator==(const Member&) const = default;
 };
 
+// The voters of an epoch.
 struct Roster {
   std::uint64_t epoch = 0;  // 0: none yet
   std::vector<Member> members;
@@ -37,28 +40,23 @@
   bool operator==(const Roster&) const = default;
 };
 
-// The configuration. Version 0: none.
-struct Value {
-  std::uint64_t version = 0;
-  std::string text;
-  bool operator==(const Value&) const = default;
-};
-
-// The order of values: by version; two texts under one number are put in some order that all share.
-struct Rank {
-  std::uint64_t version = 0, hash = 0;
-  auto operator<=>(const Rank&) const = default;
-};
-inline Rank RankOf(const Value& value) {
-  return value.version == 0 ? Rank{} : Rank{value.version, StableHash(value.text)};
-}
-
-// One attempt at a successor; the tag is random, so that no two attempts share a ballot.
+// One attempt at a successor, or at the register; the tag is random, so that no two attempts share a ballot.
 struct Ballot {
   std::uint64_t round = 0, tag = 0;
   auto operator<=>(const Ballot&) const = default;
 };
 
+// Names a record: the epoch and the ballot under which it was proposed. Two records of one stamp are equal.
+// Epoch 0: a value from before there were ballots, in their order (LegacyStamp).
+struct Stamp {
+  std::uint64_t epoch = 0;
+  Ballot ballot;
+  auto operator<=>(const Stamp&) const = default;
+};
+inline Stamp LegacyStamp(const Value& value) {
+  return value.version == 0 ? Stamp{} : Stamp{0, {value.version, StableHash(value.text)}};
+}
+
 struct Accepting {
   Ballot ballot;
   std::vector<Member> members;
@@ -68,10 +66,13 @@
 // All that a member has promised. Synced before anything is said that rests on it.
 struct State {
   Roster roster;                      // the newest known; in force here when the own life is in it
-  Value value;                        // the highest seen
   Ballot promised;                    // for the successor of `roster`
   std::optional<Accepting> accepted;  // ... and then the epoch is sealed here
   std::vector<Life> bound;            // epoch 0: proposers whose offers were taken
+  Ballot register_promised;           // in the roster's epoch
+  Stamp stamp;                        // of the record that was accepted last
+  Value value;                        // the record
+  Ledger ledger;
   bool operator==(const State&) const = default;
 };
 
@@ -85,58 +86,93 @@
   bool never = false;  // this one doesn't take part in a first start
   bool operator==(const OfferTaken&) const = default;
 };
-// The header's epoch has this roster. Also brings up who is behind.
-struct Start {
+
+// The header's epoch has these voters and begins with this record. Also brings up who is behind.
+struct InstallEpoch {
   std::vector<Member> members;
   std::uint32_t first_size = 0;
-  Value value;
-  bool operator==(const Start&) const = default;
+  Stamp stamp;
+  std::optional<Record> record;  // none: the receiver has said that it holds the one of this stamp
+  bool operator==(const InstallEpoch&) const = default;
 };
-struct Store {
-  Value value;
-  bool operator==(const Store&) const = default;
+
+// What the receiver holds, and whether it answers at all.
+struct Query {
+  Stamp committed;  // the newest that the sender knows to be chosen
+  bool operator==(const Query&) const = default;
 };
-struct Stored {
-  bool taken = false;  // false: sealed
-  Rank held;
-  bool operator==(const Stored&) const = default;
+struct QueryReply {
+  bool sealed = false;
+  std::uint64_t installed = 0;  // epoch of the roster on the disk, synced
+  Stamp held;                   // on the disk, synced
+  Stamp committed;
+  bool operator==(const QueryReply&) const = default;
 };
-struct Ask {
-  Rank above;      // the value is told when it is above this
-  Rank committed;  // the highest that the sender knows to be committed
-  bool operator==(const Ask&) const = default;
+
+// A whole record, by its stamp.
+struct Fetch {
+  Stamp stamp;
+  bool operator==(const Fetch&) const = default;
 };
-struct Told {
-  bool sealed = false;
-  Rank kept;  // on the disk, synced
-  Rank committed;
-  std::optional<Value> value;
-  bool operator==(const Told&) const = default;
+struct Fetched {
+  Stamp stamp;
+  bool chosen = false;  // known to be chosen
+  Record record;
+  bool operator==(const Fetched&) const = default;
 };
+
+// The ballots of the register.
 struct Prepare {
   Ballot ballot;
   bool operator==(const Prepare&) const = default;
 };
 struct Promised {
   bool ok = false;
-  Ballot ballot;  // the one promised here
-  std::optional<Accepting> accepted;
+  Ballot promised;  // here
+  Stamp held;
   bool operator==(const Promised&) const = default;
 };
 struct Accept {
   Ballot ballot;
-  std::vector<Member> members;
-  Rank above;
+  Stamp base;                       // the record that this one changes
+  std::vector<OrderOutcome> added;  // ... by these outcomes
+  std::optional<Value> value;       // ... and this value, where it changes
+  std::optional<Record> whole;      // all of it, to one that doesn't hold the base
   bool operator==(const Accept&) const = default;
 };
 struct Accepted {
   bool ok = false;
-  Ballot ballot;
-  std::optional<Value> value;  // the held one, when it is above what was asked
+  bool needs_whole = false;  // the base isn't held here
+  Ballot promised;
   bool operator==(const Accepted&) const = default;
 };
+
+// The ballots for an epoch's successor.
+struct PrepareEpoch {
+  Ballot ballot;
+  bool operator==(const PrepareEpoch&) const = default;
+};
+struct EpochPromised {
+  bool ok = false;
+  Ballot ballot;  // the one promised here
+  std::optional<Accepting> accepted;
+  bool operator==(const EpochPromised&) const = default;
+};
+struct AcceptEpoch {
+  Ballot ballot;
+  std::vector<Member> members;
+  bool operator==(const AcceptEpoch&) const = default;
+};
+struct EpochAccepted {
+  bool ok = false;
+  Ballot ballot;
+  Stamp held;  // the epoch is sealed here with this record
+  bool operator==(const EpochAccepted&) const = default;
+};
+
 using Body =
-    std::variant<Offer, OfferTaken, Start, Store, Stored, Ask, Told, Prepare, Promised, Accept, Accepted>;
+    std::variant<Offer, OfferTaken, InstallEpoch, Query, QueryReply, Fetch, Fetched, Prepare, Promised,
+                 Accept, Accepted, PrepareEpoch, EpochPromised, AcceptEpoch, EpochAccepted>;
 
 struct Message {
   Member from;
--- a/src/agreement/package.cmake
+++ b/src/agreement/package.cmake
@@ -1,5 +1,7 @@
 # The core: epochs of members and the configuration that they keep. Pure.
-add_library(curlewdoor_agreement STATIC src/agreement/codec.cpp src/agreement/core.cpp src/agreement/proposing.cpp)
+add_library(curlewdoor_agreement STATIC
+  src/agreement/bootstrap.cpp src/agreement/codec.cpp src/agreement/core.cpp src/agreement/ledger.cpp
+  src/agreement/membership.cpp src/agreement/reads.cpp src/agreement/register.cpp src/agreement/snapshots.cpp)
 target_include_directories(curlewdoor_agreement PUBLIC src)
 target_include_directories(curlewdoor_agreement SYSTEM PRIVATE ${MSGPACK})
 system_test(agreement_test tests/agreement/agreement_test.cpp curlewdoor_agreement)
--- a/src/system/console.cpp
+++ b/src/system/console.cpp
@@ -644,6 +644,7 @@
       throw Ending{kRefused, error.what()};
     }
     std::optional<std::string> life, state, value;
+    std::map<std::string, std::string> pages;
     for (const auto& [key, bytes] : look.records) {
       if (key == "life") {
         life = bytes;
@@ -651,6 +652,8 @@
         state = bytes;
       } else if (key == agreement::kValueKey) {
         value = bytes;
+      } else if (key.starts_with(agreement::kPageKeys)) {
+        pages[key] = bytes;
       } else if (key == kHostsRecord) {
         if (!directory::Decode(bytes, std::chrono::steady_clock::now()))
           throw Ending{kRefused, directory + ": record hosts: can't be read"};
@@ -668,7 +671,12 @@
         sized && std::from_chars(life->data(), life->data() + 16, disk, 16).ptr == life->data() + 16;
     if (!hex) throw Ending{kRefused, directory + ": record life: " + (life ? "not a life" : "missing")};
     look.life = *life;
-    const auto decoded = agreement::DecodeState(state, value);
+    const auto decoded = agreement::DecodeState([&](const std::string& key) -> std::optional<std::string> {
+      if (key == agreement::kStateKey) return state;
+      if (key == agreement::kValueKey) return value;
+      const auto page = pages.find(key);
+      return page == pages.end() ? std::nullopt : std::optional(page->second);
+    });
     if (!decoded) throw Ending{kRefused, directory + ": record state or value: can't be read"};
     look.state = *decoded;
     for (const agreement::Member& member : look.state.roster.members)
