The node's source is split by job into seven files of at most 240 lines

Cause: src/system/node.cpp held 1,104 lines of six jobs, and every change of the control side met in it. Ruled out: splitting the class in the same step; its parts become classes of their own as they change (feed, calls, core), each with its test. Change: moved text only; shared bounds and conversions stand in node_limits.hpp. No behaviour changes.

--- /dev/null
+++ b/src/system/node_core.cpp
@@ -0,0 +1,215 @@
+// Node: the agreement core, its storage, and the configuration in force.
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+#include "agreement/codec.hpp"
+#include "directory/codec.hpp"
+#include "shelf/memory_shelf.hpp"
+#include "system/node.hpp"
+#include "system/node_limits.hpp"
+
+namespace curlewdoor::system {
+
+void Node::TryOpenCore() {
+  open_again_ = false;
+  if (!settings_.quorum_member && !volunteers_) return;
+  try {
+    OpenCore();
+    if (fleet_ == nullptr) return;
+    StartFleet();  // others are to see that it is of the core now, and to ask it for news
+    link_.ForEach([](Link::Stream& stream) { stream.Close(); });
+  } catch (const std::exception& error) {
+    Say(Event::kShelfFailed, std::string(error.what()) + "; it is tried again, without a core meanwhile");
+    shelf_.reset();
+    open_again_ = true;
+  }
+}
+
+void Node::OpenCore() {
+  // Without a disk of its own a member's life ends with the process.
+  in_memory_ = settings_.data_directory.empty();
+  const std::string directory = in_memory_ ? "memory" : settings_.data_directory + "/core";
+  const bool empty = in_memory_ || shelf::ShelfEmpty(directory);
+  if (in_memory_) {
+    shelf_ = std::make_unique<shelf::MemoryShelf>();
+  } else {
+    shelf_ = shelf::OpenShelf(directory);
+  }
+  Say(Event::kShelfOpened, directory + (empty ? " (empty)" : ""));
+  const auto life = shelf_->Read("life");
+  agreement::State state;
+  bool first = settings_.bootstrap;
+  // A life that began with the whole system may still found it, whatever the settings say by now.
+  const bool known = life && (life->size() == 16 || life->size() == 17);
+  const auto read =
+      known ? agreement::DecodeState(shelf_->Read(agreement::kStateKey), shelf_->Read(agreement::kValueKey))
+            : std::nullopt;
+  if (known && read) {
+    life_ = *life;
+    life_kept_ = true;
+    first = life_.size() == 17;
+    disk_ = std::strtoull(life_.substr(0, 16).c_str(), nullptr, 16);
+    state = *read;
+    if (const auto gateways = shelf_->Read(kGatewaysKey))
+      least_gateways_ = std::clamp(std::atoi(gateways->c_str()), 0, kMostGateways);
+    if (const auto hosts = shelf_->Read(kHostsKey))
+      if (const auto entries = directory::Decode(*hosts, Now()))
+        for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
+  } else {
+    // What can't be read is forgotten: another life, that has promised nothing and must be taken in first.
+    if (known) Say(Event::kShelfDamaged, directory + ": its state can't be read; it begins another life");
+    if (known) first = false;
+    if (!first) Say(Event::kWipedDisk, directory);
+    disk_ = in_memory_ ? FirstLife(BootNow()) + rng_() % kLivesAtOnce : rng_() | 1;
+    life_ = Hex(disk_) + (first ? "b" : "");
+    // A member without a disk may be the last one that knows what was acknowledged.
+    if (const auto& policy = front_.policy(); in_memory_ && policy != nullptr)
+      state.value = {policy->version(), policy->text()};
+    shelf_->Write(0, {{"life", life_},
+                      {agreement::kStateKey, agreement::EncodeState(state)},
+                      {agreement::kValueKey, agreement::EncodeValue(state.value)}});
+  }
+  agreement::Options options;
+  options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
+  options.lives_end = in_memory_;
+  core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, first,
+                std::move(state), options, rng_());
+  if (core_->roster().epoch > epoch_) {
+    epoch_ = core_->roster().epoch;
+    members_.clear();
+    for (const agreement::Member& member : core_->roster().members)
+      if (const auto address = ParseAddress(member.address))
+        members_.push_back({member.life.node, member.life.disk, *address});
+  }
+  shelf_io_ = std::make_unique<net::IoWatcher>(loop_, [this](int) { OnShelf(); });
+  shelf_io_->Want(shelf_->fd(), EV_READ);
+}
+
+void Node::OnShelf() {
+  for (const shelf::Result& result : shelf_->Drain()) {
+    if (!result.ok) Say(Event::kShelfFailed, result.error);
+    if (result.ok && result.id != kHostsWrite) life_kept_ = true;
+    if (result.id == kHostsWrite) {
+      keeping_hosts_ = false;
+      continue;
+    }
+    agreement::Out out;
+    core_->OnWritten(Now(), result.id, result.ok, out);
+    CarryCore(std::move(out));
+  }
+}
+
+void Node::CarryCore(agreement::Out out) {
+  for (const std::string& note : out.notes) Say(Event::kSuccessorProposed, note);
+  for (agreement::Write& write : out.writes) {
+    // Where the first write was refused: nothing may be kept without the life that promised it.
+    if (!life_kept_) write.records.emplace_back("life", life_);
+    if (shelf_->Write(write.id, std::move(write.records))) continue;
+    agreement::Out failed;
+    core_->OnWritten(Now(), write.id, false, failed);
+    CarryCore(std::move(failed));
+  }
+  for (const agreement::Sending& sending : out.sends) {
+    const auto address = ParseAddress(sending.to.address);
+    Link::Stream* stream = address ? link_.To(*address) : nullptr;
+    if (stream != nullptr) stream->Send(Encode(CoreBytes{agreement::Encode(sending.message)}));
+  }
+  if (out.roster_changed) {
+    std::vector<CoreMember> members;
+    for (const agreement::Member& member : core_->roster().members)
+      if (const auto address = ParseAddress(member.address))
+        members.push_back({member.life.node, member.life.disk, *address});
+    OnRoster(core_->roster().epoch, std::move(members));
+    OnView();
+  }
+  LookAtMajority();
+  // Before any acknowledgement: what it acknowledges is then on its way to all.
+  if (out.committed_changed) {
+    SetInForce(core_->committed().version, core_->committed().text);
+    if (had_majority_) Broadcast(ConfigNow());
+  }
+  for (agreement::Done& done : out.done) {
+    const auto it = pending_.find(done.call);
+    if (it == pending_.end()) continue;
+    const bool put = it->second.is_put;
+    const bool good = done.outcome == agreement::Outcome::kKept || done.outcome == agreement::Outcome::kOlder;
+    if (!good) {
+      Answer(done.call, 503, {});
+    } else if (put) {
+      if (done.outcome == agreement::Outcome::kOlder)
+        Say(Event::kConfigOvertaken, "by " + std::to_string(done.value.version));
+      Answer(done.call, 200, "{}");
+    } else if (done.value.version == 0) {
+      Answer(done.call, 404, "{}");
+    } else {
+      Answer(done.call, 200, std::move(done.value.text));
+    }
+  }
+}
+
+void Node::KeepHosts() {
+  if (!shelf_ || keeping_hosts_ || (kept_hosts_ == directory_.version() && kept_gateways_ == gateways_))
+    return;
+  std::vector<directory::Entry> entries;
+  for (directory::Entry& entry : directory_.All())
+    if (!entry.gone()) entries.push_back(std::move(entry));
+  if (!shelf_->Write(kHostsWrite, {{kHostsKey, directory::Encode(entries, Now())},
+                                   {kGatewaysKey, std::to_string(gateways_)}}))
+    return;
+  keeping_hosts_ = true;
+  kept_hosts_ = directory_.version();
+  kept_gateways_ = gateways_;
+}
+
+void Node::LookAtMajority() {
+  const bool majority = core_member() && core_->learned() && core_->majority(Now());
+  if (majority == had_majority_) return;
+  had_majority_ = majority;
+  Say(majority ? Event::kMajorityBack : Event::kNoMajority, "epoch " + std::to_string(epoch_));
+  if (!majority) return counts_.Stop();
+  counts_.Begin(Net(Now()));
+  Say(Event::kCountBegun, "epoch " + std::to_string(epoch_));
+  Broadcast(MembersNow());
+  if (core_->committed().version > 0) Broadcast(ConfigNow());
+}
+
+Message Node::ConfigNow() const { return Config{core_->committed().version, core_->committed().text}; }
+
+Message Node::MembersNow() const {
+  Members message{epoch_, {}, static_cast<std::uint32_t>(gateways_)};
+  for (const CoreMember& member : members_)
+    message.members.emplace_back(member.name, member.disk, member.address.ToText());
+  return message;
+}
+
+void Node::SetInForce(std::uint64_t version, const std::string& text) {
+  const auto& now = front_.policy();
+  if (version == 0) return;
+  // Two texts under one number: the same one goes before the other everywhere.
+  if (now != nullptr &&
+      agreement::RankOf({version, text}) <= agreement::RankOf({now->version(), now->text()}))
+    return;
+  try {
+    front_.SetPolicy(policy::Policy::Read(text));
+    in_force_at_ = std::chrono::system_clock::now();
+    Say(Event::kConfigInForce, "version " + std::to_string(version));
+  } catch (const policy::PolicyError& error) {
+    Say(Event::kConfigRefused, std::string("kept by the core: ") + error.what());
+  }
+  SetReady();
+}
+
+void Node::OnRoster(std::uint64_t epoch, std::vector<CoreMember> members) {
+  if (epoch <= epoch_) return;
+  epoch_ = epoch;
+  members_ = std::move(members);
+  std::string names;
+  for (const CoreMember& member : members_) names += " " + member.name;
+  Say(Event::kRosterInForce, "epoch " + std::to_string(epoch) + names);
+  // Tenants' counts may have moved here, and nothing is known of what was added elsewhere: LookAtMajority()
+  // begins them anew once the core has learned what is kept.
+  OnView();
+}
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/node_count.cpp
@@ -0,0 +1,82 @@
+// Node: counts of tenants, kept by core members and added to by all gateways.
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "system/node.hpp"
+#include "system/node_limits.hpp"
+#include "util/hash.hpp"
+
+namespace curlewdoor::system {
+
+const Node::CoreMember* Node::Holder(const std::string& tenant) const {
+  const CoreMember* best = nullptr;
+  std::uint64_t best_rank = 0;
+  for (const CoreMember& member : members_) {
+    const std::uint64_t rank = StableHash(tenant, StableHash(member.name, member.disk));
+    if (best != nullptr && rank <= best_rank) continue;
+    best = &member;
+    best_rank = rank;
+  }
+  return best;
+}
+
+std::optional<double> Node::AddHere(const std::string& tenant, const std::string& gateway, CountName name,
+                                    Duration lifetime, double amount) {
+  const CoreMember* holder = Holder(tenant);
+  const bool here = holder != nullptr && holder->name == settings_.node_name && holder->disk == disk_;
+  if (!here || !had_majority_) return std::nullopt;
+  const auto plan = front_.PlanOf(tenant);
+  return counts_.Add(Net(Now()), {tenant, gateway, name, lifetime, amount, plan != nullptr ? plan->burst : 0,
+                                  plan != nullptr && plan->tight});
+}
+
+// It has not said that it leaves, and was there not long ago.
+bool Node::MayBeAtWork(const fleet::Member& member) {
+  if (member.record.present()) return true;
+  return member.record.state != fleet::State::kLeft && Now() - member.since <= kAwayFor;
+}
+
+// Gateways that were there not long ago and have not said that they leave, and that can't be heard here.
+void Node::LookWhoIsAway() {
+  std::set<std::string> heard;
+  link_.ForEach([&](Link::Stream& stream) {
+    if (stream.subscribed) heard.insert(stream.name);
+  });
+  std::set<std::string> away, all{settings_.node_name};
+  for (const auto& [name, member] : fleet_->others()) {
+    if (!MayBeAtWork(member)) continue;
+    all.insert(name);
+    if (!heard.contains(name)) away.insert(name);
+  }
+  counts_.SetAway(Net(Now()), away, std::move(all));
+}
+
+void Node::AddToCount(const std::string& tenant, const AddCount& call) {
+  const CoreMember* holder = Holder(tenant);
+  Link::Stream* stream = nullptr;
+  const bool here = holder != nullptr && holder->name == settings_.node_name;
+  if (holder != nullptr && !here) stream = link_.To(holder->address);
+  const auto offset = holder != nullptr ? offsets_.find(holder->name) : offsets_.end();
+  if (stream != nullptr && offset != offsets_.end() && addings_.size() < kMostAddings) {
+    const std::uint64_t number = next_number_++;
+    addings_[number] = {call.name, stream->number, Now() + kAddEnds};
+    const auto lifetime = std::chrono::duration_cast<std::chrono::microseconds>(call.lifetime).count();
+    return stream->Send(Encode(AddUnits{number, tenant, call.name.value, lifetime, call.amount,
+                                        Microseconds(Now() + offset->second.offset)}));
+  }
+  // Answered from the loop, never from within.
+  const auto total =
+      here ? AddHere(tenant, settings_.node_name, call.name, call.lifetime, call.amount) : std::nullopt;
+  front_.CountLater(
+      {call.name, total ? Outcome::kOk : Outcome::kConnectFailed, total.value_or(0), Duration{}});
+}
+
+Duration Node::ClockOffset(const std::string& tenant) const {
+  const CoreMember* holder = Holder(tenant);
+  if (holder == nullptr || holder->name == settings_.node_name) return {};
+  const auto it = offsets_.find(holder->name);
+  return it != offsets_.end() ? it->second.offset : Duration{};
+}
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/node_limits.hpp
@@ -0,0 +1,82 @@
+// Bounds, periods and small conversions that the files of Node share (node.cpp, node_*.cpp).
+#pragma once
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <string>
+
+#include "events/events.hpp"
+#include "settings/settings.hpp"
+
+namespace curlewdoor::system {
+
+using events::Event;
+using events::Say;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+inline constexpr char kFleetName[] = "curlewdoor";
+// What a member of the core says of itself in the fleet view, before its life.
+inline const std::string kOnDisk = "core:", kInMemory = "mem:";
+inline constexpr milliseconds kConsiderAfter{1200};  // until then a machine with a disk has been seen
+inline constexpr std::size_t kMostInMemory = 9;      // members of a core without disks
+inline constexpr milliseconds kTick{50};
+inline constexpr milliseconds kProbe{500};  // of the fleet's view
+inline constexpr int kRefreshTicks = 6;     // beats that say nothing new are told together
+inline constexpr int kSecondTicks = 20;
+inline constexpr milliseconds kCallEnds{900};   // operators and hosts go elsewhere after a second of silence
+inline constexpr milliseconds kPassAgain{300};  // then another core member is asked
+inline constexpr milliseconds kTellEnds{700};
+inline constexpr milliseconds kTellAgain{200};  // then all core members are told
+inline constexpr int kMostStrayed = 2;          // digests in a row: news may just be on its way
+inline constexpr milliseconds kAddEnds{400};
+inline constexpr milliseconds kMostAstray{
+    200};  // of a gateway's idea of a holder's clock, its message's way included
+inline constexpr std::size_t kMostPending = 256, kMostTellings = 1024, kMostAddings = 4096;
+inline constexpr double kSilentBeats = 3.5;  // a host that has missed so many is silent
+inline constexpr milliseconds kStopListening{
+    2600};  // after SIGTERM: the platform has seen by then that we don't serve
+inline constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
+inline constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
+inline constexpr std::size_t kMostConfig =
+    3 * 1024 * 1024;  // the shelf takes many times that: 64 MB are granted
+inline constexpr char kHostsKey[] = "hosts", kGatewaysKey[] = "gateways";
+inline constexpr seconds kGatherAtMost{10};  // by then a view is as whole as it gets
+inline constexpr int kMostGateways = 10'000;
+inline constexpr std::uint64_t kHostsWrite = ~std::uint64_t{0};  // never an id of the agreement's writes
+inline constexpr int kReserved = 300;  // descriptors: files, the loop's own, what the platform keeps
+
+inline std::int64_t StampOf(const std::string& path) {
+  struct stat st {};
+  if (::stat(path.c_str(), &st) != 0) return 0;
+  return st.st_mtim.tv_sec * 1'000'000'000LL + st.st_mtim.tv_nsec;
+}
+
+inline std::uint64_t BootNow() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(since).count());
+}
+
+// Of members without disks: numbered by the time when they began, so a later one's is higher.
+inline constexpr std::uint64_t kLivesAtOnce = 1u << 20;
+inline std::uint64_t FirstLife(std::uint64_t boot) { return boot * kLivesAtOnce; }
+
+inline std::string Hex(std::uint64_t value) {
+  char text[20];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(value));
+  return text;
+}
+
+inline std::int64_t Microseconds(std::chrono::steady_clock::time_point at) {
+  return std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count();
+}
+
+inline int Descriptors(const settings::NodeSettings& settings) {
+  return std::max(256, static_cast<int>(settings.limits.fd_limit) - kReserved);
+}
+
+}  // namespace curlewdoor::system
--- /dev/null
+++ b/src/system/node_messages.cpp
@@ -0,0 +1,240 @@
+// Node: messages of the peer connections.
+#include <algorithm>
+#include <utility>
+
+#include "agreement/codec.hpp"
+#include "directory/codec.hpp"
+#include "system/node.hpp"
+#include "system/node_limits.hpp"
+
+namespace curlewdoor::system {
+
+void Node::Broadcast(const Message& message) {
+  const std::string frame = Encode(message);
+  link_.ForEach([&](Link::Stream& stream) {
+    if (stream.subscribed) stream.Send(frame);
+  });
+}
+
+void Node::ToCore(const Message& message) {
+  const std::string frame = Encode(message);
+  link_.ForEach([&](Link::Stream& stream) {
+    if (stream.dialled() && stream.counted) stream.Send(frame);
+  });
+}
+
+void Node::OnUp(Link::Stream& stream) {
+  stream.Send(Encode(Hello{settings_.node_name, core_.has_value()}));
+  if (!stream.dialled()) return;
+  Say(Event::kLinkUp, stream.to().ToText());
+  stream.Send(
+      Encode(Clock{std::chrono::duration_cast<std::chrono::microseconds>(Now().time_since_epoch()).count()}));
+}
+
+// A stream that was dialled here wants all news from now on, and begins with all that there is.
+void Node::Take(Link::Stream& stream, Hello& message) {
+  stream.name = message.name;
+  stream.counted = message.counted;
+  if (stream.dialled()) {
+    offsets_.erase(stream.name);
+    AskClock(stream);
+    if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+    return;
+  }
+  if (!core_) {  // a seed that isn't of the core knows who is
+    if (epoch_ > 0) stream.Send(Encode(MembersNow()));
+    return;
+  }
+  stream.subscribed = true;
+  if (epoch_ > 0) stream.Send(Encode(MembersNow()));
+  if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+  if (had_majority_ && core_->committed().version > 0) stream.Send(Encode(ConfigNow()));
+}
+
+void Node::OnDown(Link::Stream& stream) {
+  if (stream.dialled()) Say(Event::kLinkDown, stream.to().ToText() + " " + stream.name);
+  std::vector<CountName> lost;
+  for (auto it = addings_.begin(); it != addings_.end();) {
+    const bool of_it = it->second.stream == stream.number;
+    if (of_it) lost.push_back(it->second.name);
+    it = of_it ? addings_.erase(it) : std::next(it);
+  }
+  for (const CountName name : lost) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
+  for (auto& [number, pending] : pending_)
+    if (pending.stream == stream.number) pending.next = Now();
+}
+
+void Node::OnFrame(Link::Stream& stream, std::string_view frame) {
+  auto message = Decode(frame);
+  if (!message && IsOfLaterKind(frame)) {  // in the middle of an upgrade; once of each stream is enough
+    if (!std::exchange(stream.told_later, true))
+      Say(Event::kMessageRefused,
+          "from " + stream.to().ToText() + " of a kind that a later version has; passed over");
+    return;
+  }
+  if (!message) {
+    Say(Event::kMessageRefused,
+        "from " + stream.to().ToText() + " " + std::to_string(frame.size()) + " bytes");
+    return stream.Close();
+  }
+  std::visit([&](auto& each) { Take(stream, each); }, *message);
+}
+
+void Node::AskClock(Link::Stream& stream) { stream.Send(Encode(Clock{Microseconds(Now())})); }
+
+void Node::Take(Link::Stream& stream, Clock& message) {
+  const auto now = Now();
+  const std::int64_t now_us = Microseconds(now);
+  if (message.told_us < 0) return stream.Send(Encode(Clock{message.asked_us, now_us}));
+  const Duration round_trip = std::chrono::microseconds(now_us - message.asked_us);
+  const Duration offset = std::chrono::microseconds(message.told_us - (now_us + message.asked_us) / 2);
+  Offset& known = offsets_[stream.name];
+  // The quickest of late is the most exact; clocks drift, so it doesn't count for ever. One that differs by
+  // more than both may be wrong is of another clock: the machine began anew.
+  const bool other = std::chrono::abs(offset - known.offset) > round_trip + known.round_trip;
+  if (known.at == Steady{} || other || round_trip <= known.round_trip || now - known.at > seconds(20))
+    known = {offset, round_trip, now};
+}
+
+// What a core member tells it tells to all: it isn't told on once more.
+void Node::Take(Link::Stream& stream, Hosts& message) {
+  if (stream.dialled() && stream.counted && told_hosts_ != directory_.version()) PublishHosts();
+  MergeBatch(message.batch);
+  if (!stream.dialled() || !stream.counted) return;
+  told_hosts_ = directory_.version();
+  if (by_service_.Fold(directory_)) front_.SetHosts(by_service_);
+}
+
+void Node::Take(Link::Stream& stream, Refreshed& message) {
+  for (auto& [id, sequence] : message.beats) {
+    directory_.Refresh(Now(), id, sequence);
+    // One core member hears of a beat and tells the others.
+    if (!stream.counted && refreshed_.size() < kMostRefreshed)
+      refreshed_.emplace_back(std::move(id), sequence);
+  }
+}
+
+void Node::Take(Link::Stream& stream, Tell& message) {
+  MergeBatch(message.batch);
+  owed_told_.emplace_back(stream.number, message.number);
+}
+
+void Node::Take(Link::Stream& stream, Digest& message) {
+  stream.strayed = message.hosts == HostsDigest() ? 0 : stream.strayed + 1;
+  if (stream.strayed < kMostStrayed) return;
+  stream.strayed = 0;
+  stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+  stream.Send(Encode(AskHosts{}));
+}
+
+void Node::Take(Link::Stream& stream, AskHosts&) {
+  stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
+}
+
+Link::Stream* Node::NearCore() {
+  Link::Stream* best = nullptr;
+  Duration best_time = Duration::max();
+  link_.ForEach([&](Link::Stream& stream) {
+    if (!stream.dialled() || !stream.counted) return;
+    const auto known = offsets_.find(stream.name);
+    const Duration time = known != offsets_.end() ? known->second.round_trip : Duration(milliseconds(100));
+    if (best != nullptr && time >= best_time) return;
+    best = &stream;
+    best_time = time;
+  });
+  return best;
+}
+
+void Node::Take(Link::Stream&, Told& message) {
+  const auto it = tellings_.find(message.number);
+  if (it == tellings_.end()) return;
+  const RequestId call = it->second.call;
+  tellings_.erase(it);
+  ReplyBeat(call);
+}
+
+std::function<void(int, std::string)> Node::AnswerTo(const Link::Stream& stream, std::uint64_t number) {
+  return [this, number, from = stream.number](int status, const std::string& body) {
+    link_.ForEach([&](Link::Stream& each) {
+      if (each.number == from) each.Send(Encode(Done{number, status, body}));
+    });
+  };
+}
+
+std::function<void(int, std::string)> Node::AnswerCall(RequestId id) {
+  return [this, id](int status, const std::string& body) {
+    control_.Reply(id, status, body, "application/json");
+  };
+}
+
+void Node::Take(Link::Stream& stream, Put& message) {
+  Pending pending;
+  pending.is_put = true;
+  pending.version = message.version;
+  pending.text = std::move(message.text);
+  pending.ends = Now() + kCallEnds;
+  pending.answer = AnswerTo(stream, message.number);
+  if (!core_member()) return pending.answer(503, {});
+  Ask(std::move(pending));
+}
+
+void Node::Take(Link::Stream& stream, Get& message) {
+  Pending pending;
+  pending.ends = Now() + kCallEnds;
+  pending.answer = AnswerTo(stream, message.number);
+  if (!core_member()) return pending.answer(503, {});
+  Ask(std::move(pending));
+}
+
+void Node::Take(Link::Stream& stream, Done& message) {
+  const auto it = pending_.find(message.number);
+  if (it == pending_.end()) return;
+  if (message.status == 503) {  // another member may do better
+    if (it->second.stream == stream.number) PassOn(it->first, it->second);
+    return;
+  }
+  Answer(message.number, message.status, std::move(message.body));
+}
+
+void Node::Take(Link::Stream&, Config& message) { SetInForce(message.version, message.text); }
+
+void Node::Take(Link::Stream&, Members& message) {
+  std::vector<CoreMember> members;
+  for (const auto& [name, disk, text] : message.members)
+    if (const auto address = ParseAddress(text)) members.push_back({name, disk, *address});
+  least_gateways_ =
+      std::max(least_gateways_, static_cast<int>(std::min<std::uint32_t>(kMostGateways, message.gateways)));
+  OnRoster(message.epoch, std::move(members));
+  if (!gathered_ && least_gateways_ > gateways_) OnView();
+}
+
+void Node::Take(Link::Stream& stream, AddUnits& message) {
+  // Whoever goes by another clock goes by other windows: its units would be counted apart from all others'.
+  const bool in_step =
+      std::abs(message.clock_us - Microseconds(Now())) <= kMostAstray / std::chrono::microseconds(1);
+  const auto total = !in_step ? std::nullopt
+                              : AddHere(message.tenant, stream.name, CountName{message.count},
+                                        std::chrono::microseconds(message.lifetime_us), message.amount);
+  stream.Send(Encode(Total{message.number, total.has_value(), total.value_or(0)}));
+}
+
+void Node::Take(Link::Stream&, Total& message) {
+  const auto it = addings_.find(message.number);
+  if (it == addings_.end()) return;
+  const Adding adding = it->second;
+  addings_.erase(it);
+  const Duration latency = Now() - (adding.ends - kAddEnds);
+  front_.OnCount(
+      {adding.name, message.counted ? Outcome::kOk : Outcome::kConnectFailed, message.total, latency});
+}
+
+void Node::Take(Link::Stream&, CoreBytes& message) {
+  if (!core_) return;
+  const auto decoded = agreement::DecodeMessage(message.bytes);
+  if (!decoded) return Say(Event::kMessageRefused, "of the core");
+  agreement::Out out;
+  core_->OnMessage(Now(), *decoded, out);
+  CarryCore(std::move(out));
+}
+
+}  // namespace curlewdoor::system
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -1,7 +1,10 @@
 # The whole gateway: one node, and its program.
 add_library(curlewdoor_node STATIC src/counting/held_counts.cpp src/counting/pressure.cpp src/counting/quota_plan.cpp
                                    src/system/call_door.cpp src/system/command.cpp src/system/front.cpp
-                                   src/system/link.cpp src/system/message.cpp src/system/node.cpp
+                                   src/system/link.cpp src/system/message.cpp src/system/node.cpp src/system/node_calls.cpp
+                                   src/system/node_core.cpp src/system/node_count.cpp
+                                   src/system/node_directory.cpp src/system/node_membership.cpp
+                                   src/system/node_messages.cpp
                                    src/system/report.cpp)
 target_include_directories(curlewdoor_node SYSTEM PRIVATE ${MSGPACK})
 target_compile_definitions(curlewdoor_node PRIVATE MSGPACK_NO_BOOST)
