--- a/src/agreement/core.cpp
+++ b/src/agreement/core.cpp
@@ -15,6 +15,7 @@
 constexpr auto kTellAgain = milliseconds(50);    // "I am behind", to one that is ahead
 constexpr std::size_t kMostWaiting = 512;        // replies that wait for the disk
 constexpr std::size_t kPingsKept = 8;
+constexpr std::size_t kSamples = 8;
 
 }  // namespace
 
@@ -29,13 +30,21 @@
       next_id_(random_()) {
   state_.value = {};
   state_.ledger = {};
-  if (state_.stamp == Stamp{}) state_.stamp = LegacyStamp(held_->value);
+  if (state_.stamp == Stamp{} && held_->value.version > 0) BeginWithValue();
   writing_stamp_ = written_stamp_ = state_.stamp;
   writing_epoch_ = written_epoch_ = state_.roster.epoch;
   highest_round_ = state_.promised.round;
   register_round_ = state_.register_promised.round;
 }
 
+// A value that no ballot has decided: what became of lower numbers isn't known.
+void Core::BeginWithValue() {
+  Record record = *held_;
+  record.ledger.forgotten_below = std::max(record.ledger.forgotten_below, record.value.version - 1);
+  state_.stamp = LegacyStamp(record.value);
+  held_ = std::make_shared<Record>(std::move(record));
+}
+
 int Core::Index(const Life& life) const {
   const auto& members = state_.roster.members;
   for (std::size_t i = 0; i < members.size(); ++i) {
@@ -173,12 +182,23 @@
 void Core::Tick(Time now, Out& out) {
   TickCalls(now, out);
   if (now >= ping_next_) Ping(now, out);
+  Sample(now);
   TickAttempt(now, out);
   TickOffer(now, out);
   TickProposal(now, out);
   Settle(now, out);
 }
 
+// What was chosen a moment ago: who is asked now and then may have told that it holds it.
+void Core::Sample(Time now) {
+  if (now >= sample_next_) {
+    sample_next_ = now + options_.ping;
+    committed_before_.push_back(committed_stamp_);
+    if (committed_before_.size() > kSamples) committed_before_.pop_front();
+  }
+  if (leaving_ && HandedOver(now, committed_before_.front())) retired_ = true;
+}
+
 // What it says to itself is taken in, a ballot begins where calls wait for one, and the disk is given what
 // has changed.
 void Core::Settle(Time now, Out& out) {
@@ -272,7 +292,8 @@
     for (const Member& m : state_.roster.members) {
       if (m.life != self_.life) Send(m, id, query, out);
     }
-    if (++pings_sent_ % 4 != 0 && majority(now)) return;
+    if (now < spares_next_ && majority(now)) return;
+    spares_next_ = now + 4 * options_.ping;
   }
   // To hear of a newer roster: all of this one may be gone. And to be heard: who isn't a member takes the
   // place of one only while it says something.
--- a/src/agreement/core.hpp
+++ b/src/agreement/core.hpp
@@ -182,8 +182,12 @@
   bool majority(Time now) const;
   const Member& self() const { return self_; }
   bool sealed() const { return state_.accepted.has_value(); }
-  // Whoever leaves may go: every voter that answers holds the newest chosen record, synced, and one does.
+  // Whoever leaves may go: every other voter that answers holds the newest chosen record, synced, and so many
+  // do that the rest bear what the core bears.
   bool HandedOver(Time now) const;
+  // It is going to, for good or not. It votes until the others have nearly what it holds, and takes no more
+  // ballots from then on, so that HandedOver() soon holds.
+  void Leave() { leaving_ = true; }
   CoreStatus Status(Time now) const;
   std::uint64_t dropped() const { return dropped_; }  // messages of nobody's that is known, and unusable ones
 
@@ -253,6 +257,7 @@
   };
 
   // Sending and the disk (core.cpp).
+  void BeginWithValue();
   void Send(const Member& to, std::uint64_t id, Body body, Out& out);
   void SendAll(std::uint64_t id, const Body& body, Out& out);
   void Reply(const Message& to, Body body, Out& out);  // once the disk holds the state as it is now
@@ -261,6 +266,7 @@
   void Changed() { ++state_version_; }
   void Settle(Time now, Out& out);
   void StartWrite(Out& out);
+  void Sample(Time now);
   void Hold(RecordPtr record, const Stamp& stamp, std::uint64_t unchanged_below, bool value_changed);
 
   // Messages (core.cpp).
@@ -322,7 +328,11 @@
   void FailProposal(Time now);
   void Propose(Time now, std::vector<Member> members, Out& out);
   bool Answers(Time now, const Life& life) const;  // in this epoch, of late
-  bool CaughtUp(const Life& life) const;
+  bool HasTold(const Life& life,
+               const Stamp& stamp) const;  // that it holds this or a later one in this epoch, synced
+  bool CaughtUp(const Life& life) const;   // ... what was chosen a moment ago
+  bool HandedOver(Time now, const Stamp& stamp) const;
+  void NoteHolding(const Life& life, const Stamp& stamp);
   bool Installed() const;  // a majority of the roster holds this epoch, synced
   std::optional<std::vector<Member>> WithoutForgotten(Time now) const;
   std::optional<std::vector<Member>> Wish(Time now) const;
@@ -368,10 +378,11 @@
 
   RecordPtr committed_;
   Stamp committed_stamp_;
-  bool learned_ = false;
+  std::deque<Stamp> committed_before_;  // oldest first, some two seconds
+  bool learned_ = false, leaving_ = false, retired_ = false;
   Time learn_next_{}, ping_next_{};
   std::deque<std::pair<std::uint64_t, Time>> pings_;
-  std::uint64_t pings_sent_ = 0;
+  Time spares_next_{}, sample_next_{};
   std::vector<Call> calls_;
   std::uint64_t next_id_;
 
--- a/src/agreement/membership.cpp
+++ b/src/agreement/membership.cpp
@@ -32,6 +32,7 @@
   state_.register_promised = state_.stamp.epoch == epoch ? state_.stamp.ballot : Ballot{};
   Changed();
   learned_ = false;
+  committed_before_.assign(1, state_.stamp);
   learn_next_ = now + std::max(0, Index(self_.life)) * kLearnInTurn;
   attempt_.reset();
   proposal_.reset();
@@ -288,12 +289,24 @@
 
 // ---- Redundancy ----
 
-bool Core::CaughtUp(const Life& life) const {
+bool Core::HasTold(const Life& life, const Stamp& stamp) const {
   const std::uint64_t epoch = state_.roster.epoch;
-  if (life == self_.life) return written_epoch_ == epoch && written_stamp_ >= committed_stamp_;
+  if (life == self_.life) return written_epoch_ == epoch && written_stamp_ >= stamp;
   const auto holding = holdings_.find(life);
-  return holding != holdings_.end() && holding->second.epoch == epoch &&
-         holding->second.stamp >= committed_stamp_;
+  return holding != holdings_.end() && holding->second.epoch == epoch && holding->second.stamp >= stamp;
+}
+
+// Changes may come faster than what is told of them. A successor's InstallEpoch brings the rest.
+bool Core::CaughtUp(const Life& life) const {
+  return HasTold(life, committed_before_.empty() ? committed_stamp_ : committed_before_.front());
+}
+
+// Told in this epoch, synced. Answers may be late: what is held only rises.
+void Core::NoteHolding(const Life& life, const Stamp& stamp) {
+  if (life == self_.life) return;
+  Holding& holding = holdings_[life];
+  if (holding.epoch != state_.roster.epoch) holding = {state_.roster.epoch, stamp};
+  holding.stamp = std::max(holding.stamp, stamp);
 }
 
 bool Core::Installed() const {
@@ -309,18 +322,24 @@
   return IsQuorum(installed);
 }
 
-bool Core::HandedOver(Time now) const {
-  if (!member() || state_.roster.members.size() == 1 || Does(Options::Fault::kLeaveEarly)) return true;
+// What was accepted here may be chosen, whether this one has heard of it or not. As many others hold it as
+// make a majority without this one (all of them, of two): what the core bears, it bears then. Who has told
+// that it holds it may be lost by now, so fewer won't do.
+bool Core::HandedOver(Time now) const { return HandedOver(now, state_.stamp); }
+
+bool Core::HandedOver(Time now, const Stamp& stamp) const {
+  if (!member() || Does(Options::Fault::kLeaveEarly)) return true;
+  const std::size_t size = state_.roster.members.size();
   std::size_t holders = 0;
   for (const Member& m : state_.roster.members) {
     if (m.life == self_.life) continue;
-    if (CaughtUp(m.life)) {
+    if (HasTold(m.life, stamp)) {
       ++holders;
     } else if (Answers(now, m.life)) {
       return false;
     }
   }
-  return holders > 0 && !attempt_;
+  return holders >= std::min(size / 2 + 1, size - 1) && !attempt_;
 }
 
 CoreStatus Core::Status(Time now) const {
--- a/src/agreement/reads.cpp
+++ b/src/agreement/reads.cpp
@@ -29,7 +29,8 @@
   }
   for (std::uint64_t key : due) AskAgain(now, *FindCall(key), out);
   const bool learns = std::any_of(calls_.begin(), calls_.end(), [](const Call& c) { return c.internal; });
-  if (!member() || learned_ || learns || now < learn_next_) return;
+  const bool owes = !learned_ || (leaving_ && state_.stamp > committed_stamp_);
+  if (!member() || !owes || learns || now < learn_next_) return;
   Call call;
   call.internal = true;
   Begin(now, std::move(call), out);
@@ -133,7 +134,7 @@
 
 void Core::OnQueryReply(Time now, const Message& m, const QueryReply& reply, Out& out) {
   Note(now, m.from, reply.committed, out);
-  if (m.from.life != self_.life) holdings_[m.from.life] = {reply.installed, reply.held};
+  if (reply.installed == state_.roster.epoch) NoteHolding(m.from.life, reply.held);
   for (const auto& [id, sent] : pings_) {
     if (id != m.id) continue;
     if (Peer* peer = FindPeer(m.from.life)) peer->answered = std::max(peer->answered, sent);
--- a/src/agreement/register.cpp
+++ b/src/agreement/register.cpp
@@ -14,7 +14,7 @@
 
 // One at a time, for all calls that wait: orders are worked out together once a majority has promised.
 bool Core::StartAttempt(Time now, Out& out) {
-  if (!member() || sealed() || attempt_ || now < attempt_after_) return false;
+  if (!member() || sealed() || retired_ || attempt_ || now < attempt_after_) return false;
   Attempt attempt;
   bool wanted = false;
   for (const Call& call : calls_) {
@@ -62,6 +62,7 @@
 
 void Core::OnPromised(Time now, const Message& m, const Promised& promised, Out& out) {
   register_round_ = std::max(register_round_, promised.promised.round);
+  if (promised.ok) NoteHolding(m.from.life, promised.held);
   if (!attempt_ || attempt_->request != m.id || attempt_->phase != Phase::kQuery) return;
   if (!promised.ok) {
     if (promised.promised > attempt_->ballot) FailAttempt(now);
@@ -102,6 +103,7 @@
 
 void Core::OnAccepted(Time now, const Message& m, const Accepted& accepted, Out& out) {
   register_round_ = std::max(register_round_, accepted.promised.round);
+  if (accepted.ok) NoteHolding(m.from.life, {state_.roster.epoch, accepted.promised});
   if (!attempt_ || attempt_->request != m.id || attempt_->phase != Phase::kBallot) return;
   if (accepted.needs_whole) {
     Accept accept{attempt_->ballot, attempt_->best, {}, {}, *Snapshot(attempt_->next)};
@@ -133,6 +135,7 @@
 // ---- The acceptor ----
 
 void Core::OnPrepare(const Message& m, const Prepare& prepare, Out& out) {
+  if (retired_) return;
   register_round_ = std::max(register_round_, prepare.ballot.round);
   if (sealed() || prepare.ballot < state_.register_promised)
     return Send(m.from, m.id, Promised{false, state_.register_promised, {}}, out);
@@ -144,6 +147,7 @@
 }
 
 void Core::OnAccept(const Message& m, const Accept& accept, Out& out) {
+  if (retired_) return;
   register_round_ = std::max(register_round_, accept.ballot.round);
   const bool closed = sealed() && !Does(Options::Fault::kAcceptWhileSealed);
   if (closed || accept.ballot < state_.register_promised)
--- a/src/system/console.cpp
+++ b/src/system/console.cpp
@@ -332,6 +332,18 @@
            (text.empty() ? "" : ": " + text);
   }
 
+  std::string Conflict(const CallAnswer& answer) const {
+    const json::Owned body(cJSON_ParseWithLength(answer.body.data(), answer.body.size()));
+    const cJSON* message =
+        body != nullptr ? cJSON_GetObjectItemCaseSensitive(body.get(), "message") : nullptr;
+    if (!cJSON_IsString(message)) return Refusal(answer);
+    const cJSON* digest = cJSON_GetObjectItemCaseSensitive(body.get(), "digest_in_force");
+    return what_ + ": conflict: " + message->valuestring +
+           (cJSON_IsString(digest)
+                ? std::string(" (the one in force has the digest ") + digest->valuestring + ")"
+                : "");
+  }
+
   CallAnswer Get(const std::string& path) const {
     CallAnswer answer = MakeCaller().Get(path);
     if (answer.status != 200) throw Ending{kRefused, Refusal(answer)};
@@ -521,6 +533,7 @@
     const auto policy = ReadPolicy(what_);
     const Caller caller = MakeCaller();
     const CallAnswer answer = caller.Post(kReplacePath, policy->text());
+    if (answer.status == 409) throw Ending{kRefused, Conflict(answer)};
     if (answer.status != 200) throw Ending{kRefused, Refusal(answer)};
     // The answer is the same for one that changes nothing: what is kept tells.
     std::string kept = "not read back";
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -184,8 +184,11 @@
   if (!leaving_) return;
   const auto since = now - term_at_;
   if (since >= kStopListening) front_.StopListening();
-  if ((since >= kStopListening && !front_.owes_anything()) || since >= settings_.bounds.grace - kEndMargin)
-    End();
+  // A member goes on voting until the others hold what it holds.
+  const bool drained = since >= kStopListening && !front_.owes_anything();
+  if (drained && core_) core_->Leave();
+  const bool ended = drained && (!core_ || core_->HandedOver(now));
+  if (ended || since >= settings_.bounds.grace - kEndMargin) End();
 }
 
 void Node::LookAtSettings() {
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -143,6 +143,8 @@
   void TryOpenCore();  // a disk in trouble leaves a gateway without a core, for now
   void StartFleet();
   void CarryCore(agreement::Out out);
+  void AnswerDone(agreement::Done& done);
+  static std::string ConflictText(std::uint64_t sent, const agreement::Done& done);
   void OnShelf();
   void SetInForce(std::uint64_t version, const std::string& text);
   void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -6,6 +6,7 @@
 #include "agreement/codec.hpp"
 #include "directory/codec.hpp"
 #include "shelf/memory_shelf.hpp"
+#include "system/json.hpp"
 #include "system/node.hpp"
 #include "system/node_limits.hpp"
 
@@ -42,9 +43,9 @@
   bool first = settings_.bootstrap;
   // A life that began with the whole system may still found it, whatever the settings say by now.
   const bool known = life && (life->size() == 16 || life->size() == 17);
-  const auto read =
-      known ? agreement::DecodeState(shelf_->Read(agreement::kStateKey), shelf_->Read(agreement::kValueKey))
-            : std::nullopt;
+  const auto read = known
+                        ? agreement::DecodeState([this](const std::string& key) { return shelf_->Read(key); })
+                        : std::nullopt;
   if (known && read) {
     life_ = *life;
     life_kept_ = true;
@@ -66,9 +67,9 @@
     // A member without a disk may be the last one that knows what was acknowledged.
     if (const auto& policy = front_.policy(); in_memory_ && policy != nullptr)
       state.value = {policy->version(), policy->text()};
-    shelf_->Write(0, {{"life", life_},
-                      {agreement::kStateKey, agreement::EncodeState(state)},
-                      {agreement::kValueKey, agreement::EncodeValue(state.value)}});
+    shelf::Records records = agreement::EncodeAll(state);
+    records.emplace_back("life", life_);
+    shelf_->Write(0, std::move(records));
   }
   agreement::Options options;
   options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
@@ -129,23 +130,38 @@
     SetInForce(core_->committed().version, core_->committed().text);
     if (had_majority_) Broadcast(ConfigNow());
   }
-  for (agreement::Done& done : out.done) {
-    const auto it = pending_.find(done.call);
-    if (it == pending_.end()) continue;
-    const bool put = it->second.is_put;
-    const bool good = done.outcome == agreement::Outcome::kKept || done.outcome == agreement::Outcome::kOlder;
-    if (!good) {
-      Answer(done.call, 503, {});
-    } else if (put) {
-      if (done.outcome == agreement::Outcome::kOlder)
-        Say(Event::kConfigOvertaken, "by " + std::to_string(done.value.version));
-      Answer(done.call, 200, "{}");
-    } else if (done.value.version == 0) {
-      Answer(done.call, 404, "{}");
-    } else {
-      Answer(done.call, 200, std::move(done.value.text));
-    }
+  for (agreement::Done& done : out.done) AnswerDone(done);
+}
+
+void Node::AnswerDone(agreement::Done& done) {
+  using agreement::Outcome;
+  const auto it = pending_.find(done.call);
+  if (it == pending_.end()) return;
+  const Pending& pending = it->second;
+  if (done.outcome == Outcome::kConflict) {
+    Say(Event::kConfigConflict, "version " + std::to_string(pending.version));
+    return Answer(done.call, 409, ConflictText(pending.version, done));
+  }
+  if (done.outcome != Outcome::kKept && done.outcome != Outcome::kOlder) return Answer(done.call, 503, {});
+  if (pending.is_put) {
+    if (done.outcome == Outcome::kOlder)
+      Say(Event::kConfigOvertaken, "by " + std::to_string(done.value.version));
+    return Answer(done.call, 200, "{}");
   }
+  if (done.value.version == 0) return Answer(done.call, 404, "{}");
+  Answer(done.call, 200, std::move(done.value.text));
+}
+
+// The number belongs to another content for good, so the same order would be refused for ever.
+std::string Node::ConflictText(std::uint64_t sent, const agreement::Done& done) {
+  json::Document body;
+  body.Text("error", "conflict").Number("version_sent", static_cast<double>(sent));
+  body.Number("version_in_force", static_cast<double>(done.value.version));
+  body.Text("digest_in_force", ToText(done.digest));
+  body.Text("message", "version " + std::to_string(sent) +
+                           " belongs to another content; send the change under a number above " +
+                           std::to_string(done.value.version));
+  return body.Print();
 }
 
 void Node::KeepHosts() {
@@ -186,10 +202,7 @@
 void Node::SetInForce(std::uint64_t version, const std::string& text) {
   const auto& now = front_.policy();
   if (version == 0) return;
-  // Two texts under one number: the same one goes before the other everywhere.
-  if (now != nullptr &&
-      agreement::RankOf({version, text}) <= agreement::RankOf({now->version(), now->text()}))
-    return;
+  if (now != nullptr && version <= now->version()) return;  // one number has one content
   try {
     front_.SetPolicy(policy::Policy::Read(text));
     in_force_at_ = std::chrono::system_clock::now();
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -64,6 +64,13 @@
   return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+bool IsCaughtUp(const agreement::CoreStatus& status, const std::string& name, std::uint64_t disk) {
+  return std::any_of(status.voters.begin(), status.voters.end(), [&](const auto& voter) {
+    return voter.member.life.node == name && voter.member.life.disk == disk && voter.caught_up &&
+           voter.answers;
+  });
+}
+
 // Figures in the text format that is scraped.
 class Page {
  public:
@@ -126,9 +133,14 @@
   } else {
     answer.None("committed_version");
   }
+  const bool told = core_member();
+  const agreement::CoreStatus status = told ? core_->Status(Now()) : agreement::CoreStatus{};
+  // Of those that are caught up: how many more may be lost with a majority left. Below 0: there is none.
+  told ? answer.Number("further_losses", status.further_losses) : answer.None("further_losses");
   cJSON* members = answer.List("members");
   for (const CoreMember& member : members_) {
     Object each = AddTo(members);
+    if (told) each.Flag("caught_up", IsCaughtUp(status, member.name, member.disk));
     const bool here = member.name == settings_.node_name && member.disk == disk_;
     const auto seen = fleet_->others().find(member.name);
     const bool known = seen != fleet_->others().end();
