Package shelf is storage, words.hpp is headers.hpp: the field's names

Bytes on the disk are as they were (golden_test, whose labels of the recorded samples stay). Operators' commands are `storage verify` and `storage dump`; `shelf verify` and `shelf dump` still work (console_test plays both). Events 307 to 309 keep their numbers, their names begin with storage.

--- a/fuzz/agreement.cpp
+++ b/fuzz/agreement.cpp
@@ -1,4 +1,4 @@
-// Messages of the core's members, and what a member keeps on its shelf. The first byte tells which.
+// Messages of the core's members, and what a member keeps in its storage. The first byte tells which.
 #include <algorithm>
 #include <optional>
 #include <string>
--- a/fuzz/hosts_batch.cpp
+++ b/fuzz/hosts_batch.cpp
@@ -1,4 +1,4 @@
-// Entries of the directory as they pass between gateways and lie on the shelf.
+// Entries of the directory as they pass between gateways and lie in storage.
 #include <chrono>
 #include <string>
 
--- a/src/agreement/codec.cpp
+++ b/src/agreement/codec.cpp
@@ -11,7 +11,7 @@
 constexpr std::uint64_t kFormat = 1;
 
 // Every struct is an array of its fields. Put() and Take() mirror each other. Fields of a later version stand
-// behind and are passed over; what may not be passed over, in a message or on the shelf, needs another
+// behind and are passed over; what may not be passed over, in a message or in storage, needs another
 // kFormat.
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
--- a/src/agreement/codec.hpp
+++ b/src/agreement/codec.hpp
@@ -14,7 +14,7 @@
 // a small multiple of the bytes given.
 std::optional<Message> DecodeMessage(std::string_view bytes);
 
-// The state is two records on the shelf, written together: all but the value, and the value.
+// The state is two records in storage, written together: all but the value, and the value.
 inline constexpr char kStateKey[] = "state", kValueKey[] = "value";
 std::string EncodeState(const State& state);
 std::string EncodeValue(const Value& value);
--- a/src/shelf/look.cpp
+++ b/src/storage/inspect.cpp
@@ -1,4 +1,4 @@
-#include "shelf/look.hpp"
+#include "storage/inspect.hpp"
 
 #include <fcntl.h>
 #include <leveldb/db.h>
@@ -9,12 +9,12 @@
 #include <cstdlib>
 #include <filesystem>
 
-namespace curlewdoor::shelf {
+namespace curlewdoor::storage {
 namespace {
 
 namespace fs = std::filesystem;
 
-constexpr std::uintmax_t kMostBytes = 1u << 30;  // a shelf holds some megabytes
+constexpr std::uintmax_t kMostBytes = 1u << 30;  // a core member holds some megabytes
 constexpr int kMostFiles = 10'000;
 
 class Quiet : public leveldb::Logger {
@@ -25,7 +25,7 @@
 struct TemporaryDirectory {
   TemporaryDirectory() {
     std::string name = (fs::temp_directory_path() / "curlewdoor-look-XXXXXX").string();
-    if (::mkdtemp(name.data()) == nullptr) throw ShelfError(name + ": no temporary directory");
+    if (::mkdtemp(name.data()) == nullptr) throw StorageError(name + ": no temporary directory");
     path = name;
   }
   ~TemporaryDirectory() {
@@ -47,8 +47,8 @@
   const bool used = ::fcntl(fd, F_GETLK, &lock) == 0 && lock.l_type != F_UNLCK;
   ::close(fd);
   if (used)
-    throw ShelfError(directory.string() + ": in use by process " + std::to_string(lock.l_pid) +
-                     "; stop it first");
+    throw StorageError(directory.string() + ": in use by process " + std::to_string(lock.l_pid) +
+                       "; stop it first");
 }
 
 void Copy(const fs::path& from, const fs::path& to) {
@@ -58,7 +58,7 @@
     if (!entry.is_regular_file() || entry.path().filename() == "LOCK") continue;
     bytes += entry.file_size();
     if (++files > kMostFiles || bytes > kMostBytes)
-      throw ShelfError(from.string() + ": too large for a shelf");
+      throw StorageError(from.string() + ": too large for a core member");
     fs::copy_file(entry.path(), to / entry.path().filename());
   }
 }
@@ -71,7 +71,7 @@
   options.info_log = &quiet;
   leveldb::DB* opened = nullptr;
   leveldb::Status status = leveldb::DB::Open(options, directory.string(), &opened);
-  if (!status.ok()) throw ShelfError(status.ToString());
+  if (!status.ok()) throw StorageError(status.ToString());
   const std::unique_ptr<leveldb::DB> db(opened);
   leveldb::ReadOptions read;
   read.verify_checksums = true;
@@ -79,7 +79,7 @@
   Records records;
   for (it->SeekToFirst(); it->Valid(); it->Next())
     records.emplace_back(it->key().ToString(), it->value().ToString());
-  if (!it->status().ok()) throw ShelfError(it->status().ToString());
+  if (!it->status().ok()) throw StorageError(it->status().ToString());
   return records;
 }
 
@@ -87,24 +87,24 @@
 
 Records ReadStopped(const std::string& directory) {
   try {
-    if (!fs::is_directory(directory)) throw ShelfError(directory + ": no such directory");
-    if (ShelfEmpty(directory)) throw ShelfError(directory + ": no shelf there (no file CURRENT)");
+    if (!fs::is_directory(directory)) throw StorageError(directory + ": no such directory");
+    if (StorageEmpty(directory)) throw StorageError(directory + ": no storage there (no file CURRENT)");
     RefuseIfUsed(directory);
     const TemporaryDirectory copy;
     Copy(directory, copy.path);
     RefuseIfUsed(directory);  // it may have been started meanwhile
     try {
       return ReadAll(copy.path);
-    } catch (const ShelfError& error) {
+    } catch (const StorageError& error) {
       std::string text = error.what();  // names the copy, which nobody can look at
       const std::string name = copy.path.string();
       for (auto at = text.find(name); at != std::string::npos; at = text.find(name, at))
         text.replace(at, name.size(), directory);
-      throw ShelfError(text.find(directory) != std::string::npos ? text : directory + ": " + text);
+      throw StorageError(text.find(directory) != std::string::npos ? text : directory + ": " + text);
     }
   } catch (const fs::filesystem_error& error) {
-    throw ShelfError(error.what());
+    throw StorageError(error.what());
   }
 }
 
-}  // namespace curlewdoor::shelf
+}  // namespace curlewdoor::storage
--- a/src/shelf/leveldb_shelf.cpp
+++ b/src/storage/leveldb_storage.cpp
@@ -12,9 +12,9 @@
 #include <deque>
 #include <mutex>
 
-#include "shelf/shelf.hpp"
+#include "storage/storage.hpp"
 
-namespace curlewdoor::shelf {
+namespace curlewdoor::storage {
 namespace {
 
 constexpr std::size_t kStack = 128 << 10;
@@ -66,21 +66,22 @@
   return synced;
 }
 
-class LevelDbShelf : public Shelf {
+class LevelDbStorage : public Storage {
  public:
-  LevelDbShelf(const std::string& directory, leveldb::Env& env, std::function<bool()> sync_folder)
+  LevelDbStorage(const std::string& directory, leveldb::Env& env, std::function<bool()> sync_folder)
       : env_(env, directory, std::move(sync_folder)),
         cache_(leveldb::NewLRUCache(kBlockCache)),
         directory_(directory) {
-    if (leveldb::Status status = Open(); !status.ok()) throw ShelfError(directory + ": " + status.ToString());
-    if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) throw ShelfError(directory + ": no pipe");
+    if (leveldb::Status status = Open(); !status.ok())
+      throw StorageError(directory + ": " + status.ToString());
+    if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) throw StorageError(directory + ": no pipe");
     if (!StartThread()) {
       ClosePipe();
-      throw ShelfError(directory + ": no thread");
+      throw StorageError(directory + ": no thread");
     }
   }
 
-  ~LevelDbShelf() override {
+  ~LevelDbStorage() override {
     {
       std::lock_guard lock(mutex_);
       stop_ = true;
@@ -91,13 +92,13 @@
   }
 
   std::optional<std::string> Read(const std::string& key) override {
-    if (!db_) throw ShelfError(directory_ + ": closed after a failed write");
+    if (!db_) throw StorageError(directory_ + ": closed after a failed write");
     std::string bytes;
     leveldb::ReadOptions options;
     options.verify_checksums = true;
     leveldb::Status status = db_->Get(options, key, &bytes);
     if (status.IsNotFound()) return std::nullopt;
-    if (!status.ok()) throw ShelfError(directory_ + ": " + status.ToString());
+    if (!status.ok()) throw StorageError(directory_ + ": " + status.ToString());
     return bytes;
   }
 
@@ -165,7 +166,7 @@
     int error = pthread_create(
         &thread_, &attributes,
         [](void* self) -> void* {
-          static_cast<LevelDbShelf*>(self)->Work();
+          static_cast<LevelDbStorage*>(self)->Work();
           return nullptr;
         },
         this);
@@ -212,15 +213,17 @@
 
 }  // namespace
 
-std::unique_ptr<Shelf> OpenShelf(const std::string& directory) {
-  return OpenShelf(directory, *leveldb::Env::Default(), [directory] { return SyncFolder(directory); });
+std::unique_ptr<Storage> OpenStorage(const std::string& directory) {
+  return OpenStorage(directory, *leveldb::Env::Default(), [directory] { return SyncFolder(directory); });
 }
 
-std::unique_ptr<Shelf> OpenShelf(const std::string& directory, leveldb::Env& env,
-                                 std::function<bool()> sync_folder) {
-  return std::make_unique<LevelDbShelf>(directory, env, std::move(sync_folder));
+std::unique_ptr<Storage> OpenStorage(const std::string& directory, leveldb::Env& env,
+                                     std::function<bool()> sync_folder) {
+  return std::make_unique<LevelDbStorage>(directory, env, std::move(sync_folder));
 }
 
-bool ShelfEmpty(const std::string& directory) { return access((directory + "/CURRENT").c_str(), F_OK) != 0; }
+bool StorageEmpty(const std::string& directory) {
+  return access((directory + "/CURRENT").c_str(), F_OK) != 0;
+}
 
-}  // namespace curlewdoor::shelf
+}  // namespace curlewdoor::storage
--- a/src/shelf/memory_shelf.cpp
+++ b/src/storage/memory_storage.cpp
@@ -1,33 +1,33 @@
-#include "shelf/memory_shelf.hpp"
+#include "storage/memory_storage.hpp"
 
 #include <fcntl.h>
 #include <unistd.h>
 
-namespace curlewdoor::shelf {
+namespace curlewdoor::storage {
 
-MemoryShelf::MemoryShelf() {
-  if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) throw ShelfError("no pipe for a memory shelf");
+MemoryStorage::MemoryStorage() {
+  if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0) throw StorageError("no pipe for a memory storage");
 }
 
-MemoryShelf::~MemoryShelf() {
+MemoryStorage::~MemoryStorage() {
   close(pipe_[0]);
   close(pipe_[1]);
 }
 
-std::optional<std::string> MemoryShelf::Read(const std::string& key) {
+std::optional<std::string> MemoryStorage::Read(const std::string& key) {
   auto found = records_.find(key);
   if (found == records_.end()) return std::nullopt;
   return found->second;
 }
 
-bool MemoryShelf::Write(std::uint64_t id, Records records) {
+bool MemoryStorage::Write(std::uint64_t id, Records records) {
   if (waiting_.size() + results_.size() >= kMostWaiting) return false;
   waiting_.emplace_back(id, std::move(records));
   Work();
   return true;
 }
 
-void MemoryShelf::Work() {
+void MemoryStorage::Work() {
   while (!hang_ && !waiting_.empty()) {
     auto [id, records] = std::move(waiting_.front());
     waiting_.pop_front();
@@ -39,19 +39,19 @@
   }
 }
 
-std::vector<Result> MemoryShelf::Drain() {
+std::vector<Result> MemoryStorage::Drain() {
   char bytes[kMostWaiting];
   while (read(pipe_[0], bytes, sizeof bytes) > 0) {
   }
   return std::exchange(results_, {});
 }
 
-void MemoryShelf::Hang(bool hang) {
+void MemoryStorage::Hang(bool hang) {
   hang_ = hang;
   Work();
 }
 
-void MemoryShelf::Crash(bool keep) {
+void MemoryStorage::Crash(bool keep) {
   for (auto& [id, records] : waiting_) {
     for (auto& [key, bytes] : records) {
       if (keep) records_[key] = std::move(bytes);
@@ -62,4 +62,4 @@
   hang_ = refuse_ = false;
 }
 
-}  // namespace curlewdoor::shelf
+}  // namespace curlewdoor::storage
--- a/src/shelf/memory_shelf.hpp
+++ b/src/storage/memory_storage.hpp
@@ -1,19 +1,19 @@
-// A shelf without a disk, for tests: it fails, hangs and crashes when told.
+// Storage without a disk, for tests: it fails, hangs and crashes when told.
 #pragma once
 
 #include <deque>
 #include <map>
 
-#include "shelf/shelf.hpp"
+#include "storage/storage.hpp"
 
-namespace curlewdoor::shelf {
+namespace curlewdoor::storage {
 
-class MemoryShelf : public Shelf {
+class MemoryStorage : public Storage {
  public:
-  MemoryShelf();
-  ~MemoryShelf() override;
-  MemoryShelf(const MemoryShelf&) = delete;
-  MemoryShelf& operator=(const MemoryShelf&) = delete;
+  MemoryStorage();
+  ~MemoryStorage() override;
+  MemoryStorage(const MemoryStorage&) = delete;
+  MemoryStorage& operator=(const MemoryStorage&) = delete;
 
   std::optional<std::string> Read(const std::string& key) override;
   bool Write(std::uint64_t id, Records records) override;
@@ -35,4 +35,4 @@
   int pipe_[2] = {-1, -1};
 };
 
-}  // namespace curlewdoor::shelf
+}  // namespace curlewdoor::storage
--- /dev/null
+++ b/src/storage/package.cmake
@@ -0,0 +1,9 @@
+# What the core has promised, synced to the disk.
+find_package(Threads REQUIRED)
+add_library(curlewdoor_storage STATIC src/storage/leveldb_storage.cpp src/storage/inspect.cpp
+                                    src/storage/memory_storage.cpp)
+target_include_directories(curlewdoor_storage PUBLIC src)
+target_link_libraries(curlewdoor_storage PRIVATE ${LEVELDB} Threads::Threads)
+system_test(storage_test tests/storage/storage_test.cpp curlewdoor_storage)
+system_test(storage_crash_test tests/storage/crash_test.cpp curlewdoor_storage curlewdoor_agreement ${LEVELDB})
+system_test(storage_trouble_test tests/storage/trouble_test.cpp curlewdoor_storage curlewdoor_agreement)
--- a/src/shelf/shelf.hpp
+++ b/src/storage/storage.hpp
@@ -15,10 +15,10 @@
 class Env;
 }
 
-namespace curlewdoor::shelf {
+namespace curlewdoor::storage {
 
 // The directory can't be opened, or holds what can't be read. The text names it.
-struct ShelfError : std::runtime_error {
+struct StorageError : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
 
@@ -31,12 +31,12 @@
 };
 
 // Used by one thread, the owner's.
-class Shelf {
+class Storage {
  public:
   static constexpr std::size_t kMostWaiting = 64;
-  virtual ~Shelf() = default;
+  virtual ~Storage() = default;
 
-  // Throws ShelfError when the disk can't give it. Blocks: for the start alone, before the first
+  // Throws StorageError when the disk can't give it. Blocks: for the start alone, before the first
   // Write().
   virtual std::optional<std::string> Read(const std::string& key) = 0;
   // Begins to write; a Result with this id comes once all of it is synced. False: kMostWaiting are under way
@@ -47,13 +47,13 @@
   virtual int fd() const = 0;
 };
 
-// LevelDB in `directory`, which is made if it isn't there (its parent must be). Throws ShelfError. The end of
-// a Shelf waits for the write at work, and drops those behind it.
-std::unique_ptr<Shelf> OpenShelf(const std::string& directory);
+// LevelDB in `directory`, which is made if it isn't there (its parent must be). Throws StorageError. The end
+// of a Storage waits for the write at work, and drops those behind it.
+std::unique_ptr<Storage> OpenStorage(const std::string& directory);
 // For tests: on other files than the machine's. `sync_folder` makes the directory's names last.
-std::unique_ptr<Shelf> OpenShelf(const std::string& directory, leveldb::Env& env,
-                                 std::function<bool()> sync_folder);
+std::unique_ptr<Storage> OpenStorage(const std::string& directory, leveldb::Env& env,
+                                     std::function<bool()> sync_folder);
 // Nothing has been kept there yet, or the directory isn't there.
-bool ShelfEmpty(const std::string& directory);
+bool StorageEmpty(const std::string& directory);
 
-}  // namespace curlewdoor::shelf
+}  // namespace curlewdoor::storage
--- a/src/system/console.cpp
+++ b/src/system/console.cpp
@@ -21,7 +21,7 @@
 #include "events/events.hpp"
 #include "policy/policy.hpp"
 #include "settings/settings.hpp"
-#include "shelf/look.hpp"
+#include "storage/inspect.hpp"
 #include "system/caller.hpp"
 #include "system/command.hpp"
 #include "system/json.hpp"
@@ -285,8 +285,10 @@
         {"config", "push", 1, 1, [](Console& c) { c.PushConfig(); }},
         {"config", "diff", 1, 1, [](Console& c) { c.DiffConfig(); }},
         {"events", "", 0, 1, [](Console& c) { c.ShowEvents(); }},
-        {"shelf", "verify", 1, 1, [](Console& c) { c.LookAtShelf(false); }},
-        {"shelf", "dump", 1, 1, [](Console& c) { c.LookAtShelf(true); }},
+        {"storage", "verify", 1, 1, [](Console& c) { c.LookAtStorage(false); }},
+        {"storage", "dump", 1, 1, [](Console& c) { c.LookAtStorage(true); }},
+        {"shelf", "verify", 1, 1, [](Console& c) { c.LookAtStorage(false); }},  // the names until 0.3
+        {"shelf", "dump", 1, 1, [](Console& c) { c.LookAtStorage(true); }},
         {"check-settings", "", 0, 1, [](Console& c) { c.CheckSettings(); }},
         {"check-config", "", 1, 1, [](Console& c) { c.CheckConfig(); }},
         {"version", "", 0, 0, [](Console& c) { c.ShowVersion(); }}};
@@ -624,23 +626,23 @@
     options_.json ? static_cast<void>(out_ << document.Print(true)) : table.Print(out_);
   }
 
-  // ---- A shelf ----
+  // ---- A storage ----
 
-  struct ShelfLook {
+  struct StorageLook {
     std::string directory, life;
-    shelf::Records records;
+    storage::Records records;
     agreement::State state;
     bool member = false;
   };
 
-  static ShelfLook ReadShelf(std::string directory) {
-    const auto there = [](const std::string& path) { return !shelf::ShelfEmpty(path); };
+  static StorageLook ReadStorage(std::string directory) {
+    const auto there = [](const std::string& path) { return !storage::StorageEmpty(path); };
     if (!there(directory) && there(directory + "/core")) directory += "/core";  // the data directory
-    ShelfLook look;
+    StorageLook look;
     look.directory = directory;
     try {
-      look.records = shelf::ReadStopped(directory);
-    } catch (const shelf::ShelfError& error) {
+      look.records = storage::ReadStopped(directory);
+    } catch (const storage::StorageError& error) {
       throw Ending{kRefused, error.what()};
     }
     std::optional<std::string> life, state, value;
@@ -684,15 +686,15 @@
     return look;
   }
 
-  void LookAtShelf(bool dump) {
-    const ShelfLook look = ReadShelf(what_);
+  void LookAtStorage(bool dump) {
+    const StorageLook look = ReadStorage(what_);
     const agreement::State& state = look.state;
     if (dump && options_.json && options_.keys) {
       if (state.value.version == 0) throw Ending{kRefused, look.directory + ": holds no configuration"};
       out_ << state.value.text;
       return;
     }
-    if (options_.json) return PrintShelfJson(look, dump);
+    if (options_.json) return PrintStorageJson(look, dump);
     out_ << look.directory << ": good, " << look.records.size() << " records\n";
     out_ << "life " << look.life << ", epoch " << state.roster.epoch << ", member "
          << (look.member ? "yes" : "no") << ", sealed " << (state.accepted ? "yes" : "no") << ", version "
@@ -713,7 +715,7 @@
     records.Print(out_);
   }
 
-  void PrintShelfJson(const ShelfLook& look, bool dump) {
+  void PrintStorageJson(const StorageLook& look, bool dump) {
     const agreement::State& state = look.state;
     Document document;
     document.Text("directory", look.directory).Text("life", look.life).Flag("member", look.member);
--- a/src/system/console.hpp
+++ b/src/system/console.hpp
@@ -14,7 +14,7 @@
   std::vector<std::string> addresses;  // of control, "ip:port"; none: those that the settings file names
   std::string settings;                // that file
   bool json = false;
-  bool keys = false;   // `config show --json`, `shelf dump --json`: the document itself
+  bool keys = false;   // `config show --json`, `storage dump --json`: the document itself
   bool force = false;  // `core forget`
   double timeout_s = 5;
 };
@@ -22,7 +22,7 @@
 inline constexpr char kConsoleCommands[] =
     "core show | core forget NAME | hosts show | tenant show NAME | gateways show | figures | config show | "
     "config status | "
-    "config push FILE | config diff FILE | events [NUMBER] | shelf verify DIR | shelf dump DIR | "
+    "config push FILE | config diff FILE | events [NUMBER] | storage verify DIR | storage dump DIR | "
     "check-settings [FILE] | "
     "check-config FILE | version";
 
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -7,7 +7,7 @@
 #include "events/events.hpp"
 #include "net/request.hpp"
 #include "net/socket_io.hpp"
-#include "system/words.hpp"
+#include "system/headers.hpp"
 #include "util/hash.hpp"
 #include "util/number.hpp"
 #include "util/seconds.hpp"
--- a/src/system/main.cpp
+++ b/src/system/main.cpp
@@ -65,9 +65,9 @@
   TCLAP::MultiArg<std::string> addresses(
       "a", "address", "a control address to ask, in place of the settings'", false, "IP:PORT", line);
   TCLAP::SwitchArg json("j", "json", "print JSON", line);
-  TCLAP::SwitchArg keys("k", "keys",
-                        "with --json of config show and shelf dump: the document itself, with tenants' keys",
-                        line);
+  TCLAP::SwitchArg keys(
+      "k", "keys", "with --json of config show and storage dump: the document itself, with tenants' keys",
+      line);
   TCLAP::SwitchArg force("f", "force",
                          "of core forget: also where the rest bears less, or another one is away", line);
   TCLAP::ValueArg<double> timeout("t", "timeout", "to wait for an answer", false, 5, "SECONDS", line);
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -12,8 +12,8 @@
 #include "agreement/codec.hpp"
 #include "directory/codec.hpp"
 #include "events/events.hpp"
-#include "shelf/memory_shelf.hpp"
-#include "system/words.hpp"
+#include "storage/memory_storage.hpp"
+#include "system/headers.hpp"
 #include "util/hash.hpp"
 
 namespace curlewdoor::system {
@@ -722,7 +722,7 @@
     StartFleet();  // others are to see that it is of the core now, and to ask it for news
     link_.ForEach([](Link::Stream& stream) { stream.Close(); });
   } catch (const std::exception& error) {
-    Say(Event::kShelfFailed, std::string(error.what()) + "; it is tried again, without a core meanwhile");
+    Say(Event::kStorageFailed, std::string(error.what()) + "; it is tried again, without a core meanwhile");
     shelf_.reset();
     open_again_ = true;
   }
@@ -732,13 +732,13 @@
   // Without a disk of its own a member's life ends with the process.
   in_memory_ = settings_.data_directory.empty();
   const std::string directory = in_memory_ ? "memory" : settings_.data_directory + "/core";
-  const bool empty = in_memory_ || shelf::ShelfEmpty(directory);
+  const bool empty = in_memory_ || storage::StorageEmpty(directory);
   if (in_memory_) {
-    shelf_ = std::make_unique<shelf::MemoryShelf>();
+    shelf_ = std::make_unique<storage::MemoryStorage>();
   } else {
-    shelf_ = shelf::OpenShelf(directory);
+    shelf_ = storage::OpenStorage(directory);
   }
-  Say(Event::kShelfOpened, directory + (empty ? " (empty)" : ""));
+  Say(Event::kStorageOpened, directory + (empty ? " (empty)" : ""));
   const auto life = shelf_->Read("life");
   agreement::State state;
   bool first = settings_.bootstrap;
@@ -760,7 +760,7 @@
         for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
   } else {
     // What can't be read is forgotten: another life, that has promised nothing and must be taken in first.
-    if (known) Say(Event::kShelfDamaged, directory + ": its state can't be read; it begins another life");
+    if (known) Say(Event::kStorageDamaged, directory + ": its state can't be read; it begins another life");
     if (known) first = false;
     if (!first) Say(Event::kWipedDisk, directory);
     disk_ = in_memory_ ? FirstLife(BootNow()) + rng_() % kLivesAtOnce : rng_() | 1;
@@ -789,8 +789,8 @@
 }
 
 void Node::OnShelf() {
-  for (const shelf::Result& result : shelf_->Drain()) {
-    if (!result.ok) Say(Event::kShelfFailed, result.error);
+  for (const storage::Result& result : shelf_->Drain()) {
+    if (!result.ok) Say(Event::kStorageFailed, result.error);
     if (result.ok && result.id != kHostsWrite) life_kept_ = true;
     if (result.id == kHostsWrite) {
       keeping_hosts_ = false;
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -21,7 +21,7 @@
 #include "fleet/machine.hpp"
 #include "net/fleet_link.hpp"
 #include "settings/settings.hpp"
-#include "shelf/shelf.hpp"
+#include "storage/storage.hpp"
 #include "system/call_door.hpp"
 #include "system/command.hpp"
 #include "system/front.hpp"
@@ -176,7 +176,7 @@
   const Address fleet_address_, link_address_;
   net::Descriptors front_descriptors_, link_descriptors_;
 
-  std::unique_ptr<shelf::Shelf> shelf_;
+  std::unique_ptr<storage::Storage> shelf_;
   std::optional<agreement::Core> core_;
   std::uint64_t disk_ = 0;
   std::string life_;  // its record on the shelf
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -31,7 +31,7 @@
   return static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(time).count()) / 1000;
 }
 
-// A disk's life, as on its shelf and in the fleet's view.
+// A disk's life, as in its storage and in the fleet's view.
 std::string LifeText(std::uint64_t life) {
   char text[20];
   std::snprintf(text, sizeof text, "%016" PRIx64, life);
--- a/tests/events/events_test.cpp
+++ b/tests/events/events_test.cpp
@@ -112,13 +112,13 @@
   const auto lines = Written([] {
     Say(Event::kReady, "edge\r\nnext");
     Say(Event::kNoRoute, "below the level");
-    Say(Event::kShelfFailed, std::string(5000, 'x'));
+    Say(Event::kStorageFailed, std::string(5000, 'x'));
     for (int i = 0; i < 9; ++i) Say(Event::kLinkDown, "to " + std::to_string(i));
     SayLeftOut(std::chrono::steady_clock::now() + 1s);
   });
   BOOST_REQUIRE_EQUAL(lines.size(), 8u);
   BOOST_TEST(Ends(lines[0], "Z INFO 104 ready edge  next"), lines[0]);
-  BOOST_TEST(Ends(lines[1], "Z ERROR 308 shelf-failed " + std::string(1000, 'x')), lines[1]);
+  BOOST_TEST(Ends(lines[1], "Z ERROR 308 storage-failed " + std::string(1000, 'x')), lines[1]);
   BOOST_TEST(Ends(lines[6], "Z WARN 203 link-down to 4"), lines[6]);
   BOOST_TEST(Ends(lines[7], "Z WARN 203 link-down left out: 4"), lines[7]);
   BOOST_TEST(!Heard(Event::kNoRoute));
--- a/tests/shelf/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -1,6 +1,6 @@
-// The shelf on a disk that dies at every one of its operations: what was reported as written is there when it
-// is opened again, whatever became of what wasn't synced; and on a disk that refuses some and goes on.
-// A part of the runs; all: CURLEWDOOR_CRASHES=<torn positions a place>, e.g. 40.
+// The storage on a disk that dies at every one of its operations: what was reported as written is there when
+// it is opened again, whatever became of what wasn't synced; and on a disk that refuses some and goes on. A
+// part of the runs; all: CURLEWDOOR_CRASHES=<torn positions a place>, e.g. 40.
 #include <leveldb/env.h>
 #include <poll.h>
 
@@ -12,9 +12,9 @@
 #include <random>
 
 #include "agreement/codec.hpp"
-#include "shelf/shelf.hpp"
+#include "storage/storage.hpp"
 
-namespace curlewdoor::shelf {
+namespace curlewdoor::storage {
 namespace {
 
 using leveldb::Slice;
@@ -300,8 +300,8 @@
 
 // ---- A run ----
 
-std::unique_ptr<Shelf> Open(Disk& disk) {
-  return OpenShelf(kFolder, disk, [&disk] { return disk.SyncFolder(); });
+std::unique_ptr<Storage> Open(Disk& disk) {
+  return OpenStorage(kFolder, disk, [&disk] { return disk.SyncFolder(); });
 }
 
 std::string TextOf(std::uint64_t version) {
@@ -312,17 +312,17 @@
 struct Writer {
   std::uint64_t attempted = 0, reported = 0, value = 0;
 
-  bool Write(Shelf& shelf) {
+  bool Write(Storage& storage) {
     std::uint64_t id = ++attempted, version = id - id % 2;
     agreement::State state;
     state.promised.round = id;
     Records records{{agreement::kStateKey, agreement::EncodeState(state)}};
     if (version != value)
       records.emplace_back(agreement::kValueKey, agreement::EncodeValue({version, TextOf(version)}));
-    BOOST_REQUIRE(shelf.Write(id, std::move(records)));
-    pollfd wait{shelf.fd(), POLLIN, 0};
+    BOOST_REQUIRE(storage.Write(id, std::move(records)));
+    pollfd wait{storage.fd(), POLLIN, 0};
     BOOST_REQUIRE(poll(&wait, 1, 10000) == 1);
-    auto results = shelf.Drain();
+    auto results = storage.Drain();
     BOOST_REQUIRE((results.size() == 1 && results[0].id == id));
     if (results[0].ok) {
       reported = id;
@@ -332,8 +332,9 @@
   }
 
   // Empty: all that was reported is there.
-  std::string Check(Shelf& shelf) {
-    auto state = agreement::DecodeState(shelf.Read(agreement::kStateKey), shelf.Read(agreement::kValueKey));
+  std::string Check(Storage& storage) {
+    auto state =
+        agreement::DecodeState(storage.Read(agreement::kStateKey), storage.Read(agreement::kValueKey));
     if (!state) return "it can't be decoded";
     std::uint64_t round = state->promised.round, version = state->value.version;
     std::string found = "reported " + std::to_string(reported) + " of " + std::to_string(attempted) +
@@ -350,11 +351,11 @@
 
 std::string Reopen(Disk& disk, Writer& writer) {
   try {
-    auto shelf = Open(disk);
-    if (std::string wrong = writer.Check(*shelf); !wrong.empty()) return wrong;
-    if (!writer.Write(*shelf)) return "it takes nothing more";
+    auto storage = Open(disk);
+    if (std::string wrong = writer.Check(*storage); !wrong.empty()) return wrong;
+    if (!writer.Write(*storage)) return "it takes nothing more";
     return {};
-  } catch (const ShelfError& error) {
+  } catch (const StorageError& error) {
     return std::string("it can't be opened: ") + error.what();
   }
 }
@@ -368,22 +369,22 @@
   Writer writer;
   disk.FailAt(from, to);
   try {
-    auto shelf = Open(disk);
+    auto storage = Open(disk);
     for (int i = 0; i < kWrites; ++i) {
-      if (!writer.Write(*shelf) && to == ~0ull) break;
+      if (!writer.Write(*storage) && to == ~0ull) break;
     }
-  } catch (const ShelfError&) {
+  } catch (const StorageError&) {
   }
   if (length) *length = disk.operations();
   disk.Crash(loss, random);
   if (again != ~0ull) {
     disk.FailAt(again, ~0ull);
     try {
-      auto shelf = Open(disk);
-      if (std::string wrong = writer.Check(*shelf); !wrong.empty()) return wrong;
-      for (int i = 0; i < 4 && writer.Write(*shelf); ++i) {
+      auto storage = Open(disk);
+      if (std::string wrong = writer.Check(*storage); !wrong.empty()) return wrong;
+      for (int i = 0; i < 4 && writer.Write(*storage); ++i) {
       }
-    } catch (const ShelfError&) {
+    } catch (const StorageError&) {
     }
     disk.Crash(loss, random);
   }
@@ -451,14 +452,14 @@
   Disk disk;
   disk.Bound(400'000);
   Writer writer;
-  auto shelf = Open(disk);
-  while (writer.attempted < 100 && writer.Write(*shelf)) {
+  auto storage = Open(disk);
+  while (writer.attempted < 100 && writer.Write(*storage)) {
   }
   BOOST_TEST(writer.attempted < 100u);
-  for (int i = 0; i < 20; ++i) BOOST_TEST((writer.Write(*shelf) || writer.reported < writer.attempted));
+  for (int i = 0; i < 20; ++i) BOOST_TEST((writer.Write(*storage) || writer.reported < writer.attempted));
   disk.Bound(4'000'000);
-  BOOST_TEST(writer.Write(*shelf));
-  shelf.reset();
+  BOOST_TEST(writer.Write(*storage));
+  storage.reset();
   disk.Crash(Loss::kAll, random);
   BOOST_TEST(Reopen(disk, writer) == "");
 }
@@ -467,12 +468,12 @@
 BOOST_AUTO_TEST_CASE(old_values_leave_the_disk) {
   for (std::size_t size : {300'000u, 2'000'000u}) {
     Disk disk;
-    auto shelf = Open(disk);
+    auto storage = Open(disk);
     for (std::uint64_t id = 1; id <= 60; ++id) {
-      shelf->Write(id, {{"value", std::string(size, static_cast<char>('a' + id % 26))}});
-      pollfd wait{shelf->fd(), POLLIN, 0};
+      storage->Write(id, {{"value", std::string(size, static_cast<char>('a' + id % 26))}});
+      pollfd wait{storage->fd(), POLLIN, 0};
       BOOST_REQUIRE(poll(&wait, 1, 10000) == 1);
-      BOOST_TEST(shelf->Drain().at(0).ok);
+      BOOST_TEST(storage->Drain().at(0).ok);
     }
     BOOST_TEST_MESSAGE("60 values of " << size << " bytes: " << disk.most_bytes() << " at most");
     BOOST_TEST(disk.most_bytes() < 20 * size);
@@ -480,4 +481,4 @@
 }
 
 }  // namespace
-}  // namespace curlewdoor::shelf
+}  // namespace curlewdoor::storage
--- a/tests/shelf/trouble_test.cpp
+++ b/tests/storage/trouble_test.cpp
@@ -1,12 +1,12 @@
-// Three members on shelves that hang or refuse, carried as src/system/node.cpp does it.
+// Three members on storages that hang or refuse, carried as src/system/node.cpp does it.
 #include <boost/test/unit_test.hpp>
 #include <deque>
 
 #include "agreement/codec.hpp"
 #include "agreement/core.hpp"
-#include "shelf/memory_shelf.hpp"
+#include "storage/memory_storage.hpp"
 
-namespace curlewdoor::shelf {
+namespace curlewdoor::storage {
 namespace {
 
 using agreement::Core;
@@ -52,16 +52,16 @@
     }
   }
   Core& core(std::size_t i) { return *cores_[i]; }
-  MemoryShelf& shelf(std::size_t i) { return shelves_[i]; }
+  MemoryStorage& storage(std::size_t i) { return storages_[i]; }
 
   std::map<std::uint64_t, Outcome> done;  // by version
   std::map<std::size_t, int> promises;    // what each said that rests on its disk
-  int refused = 0, full = 0;              // writes; and those that the shelf didn't take
+  int refused = 0, full = 0;              // writes; and those that the storage didn't take
 
  private:
   void Carry(std::size_t i, Out out) {
     for (agreement::Write& write : out.writes) {
-      if (shelves_[i].Write(write.id, std::move(write.records))) continue;
+      if (storages_[i].Write(write.id, std::move(write.records))) continue;
       ++full;
       Out failed;
       cores_[i]->OnWritten(now_, write.id, false, failed);
@@ -90,7 +90,7 @@
         Carry(to, std::move(out));
       }
       for (std::size_t i = 0; i < 3; ++i) {
-        for (const Result& result : shelves_[i].Drain()) {
+        for (const Result& result : storages_[i].Drain()) {
           more = true;
           refused += result.ok ? 0 : 1;
           Out out;
@@ -103,13 +103,15 @@
 
   agreement::Time now_ = agreement::Time{} + std::chrono::hours(1);
   std::optional<Core> cores_[3];
-  MemoryShelf shelves_[3];
+  MemoryStorage storages_[3];
   std::deque<std::pair<std::size_t, agreement::Message>> mail_;
 };
 
 void TroubleAtOne(bool hangs) {
   Trio trio;
-  auto trouble = [&](std::size_t i, bool on) { hangs ? trio.shelf(i).Hang(on) : trio.shelf(i).Refuse(on); };
+  auto trouble = [&](std::size_t i, bool on) {
+    hangs ? trio.storage(i).Hang(on) : trio.storage(i).Refuse(on);
+  };
   trouble(2, true);
   for (std::uint64_t version = 1; version <= 200; ++version) {
     trio.Put(version % 3, version);  // at the one in trouble too: the others keep it
@@ -133,8 +135,8 @@
   BOOST_TEST((trio.done[202] == Outcome::kKept));
   BOOST_TEST(trio.promises[2] > 0);
   for (std::size_t i = 0; i < 3; ++i) {
-    auto state = agreement::DecodeState(trio.shelf(i).Read(agreement::kStateKey),
-                                        trio.shelf(i).Read(agreement::kValueKey));
+    auto state = agreement::DecodeState(trio.storage(i).Read(agreement::kStateKey),
+                                        trio.storage(i).Read(agreement::kValueKey));
     BOOST_TEST(state.value().value.version == 202u);
   }
 }
@@ -147,4 +149,4 @@
 }
 
 }  // namespace
-}  // namespace curlewdoor::shelf
+}  // namespace curlewdoor::storage
--- a/tests/system/console_test.cpp
+++ b/tests/system/console_test.cpp
@@ -21,7 +21,7 @@
 #include "agreement/codec.hpp"
 #include "events/events.hpp"
 #include "settings/settings.hpp"
-#include "shelf/look.hpp"
+#include "storage/inspect.hpp"
 #include "system/caller.hpp"
 #include "system/command.hpp"
 #include "system/message.hpp"
@@ -280,8 +280,8 @@
   const auto before = FilesOf(place.folder.path / "data" / "core");
   RunExamples(place, "examples: stopped");
   BOOST_TEST((FilesOf(place.folder.path / "data" / "core") == before), "a look has written");
-  BOOST_TEST(place.Console("shelf verify data").code == kDone);  // finds core/ in it
-  BOOST_TEST(IsJson(place.Console("shelf dump data --json").text));
+  BOOST_TEST(place.Console("storage verify data").code == kDone);  // finds core/ in it
+  BOOST_TEST(IsJson(place.Console("storage dump data --json").text));
 }
 
 // A connection to a gateway's link, as another gateway has it.
@@ -372,7 +372,7 @@
                             "events x",
                             "events 1",
                             "events 100 200",
-                            "shelf verify",
+                            "storage verify",
                             "check-config",
                             "version 2",
                             "core show --address here",
@@ -405,12 +405,12 @@
   BOOST_TEST(place.Console("core show --timeout 0.5").code == kNobody);
 }
 
-// ---- Shelves ------------------------------------------------------------------------------------------
+// ---- Storage -------------------------------------------------------------------------------------------
 
 constexpr char kLife[] = "00c0ffee00c0ffee";
 
-void MakeShelf(const fs::path& directory, shelf::Records records) {
-  const auto made = shelf::OpenShelf(directory.string());
+void MakeStorage(const fs::path& directory, storage::Records records) {
+  const auto made = storage::OpenStorage(directory.string());
   BOOST_REQUIRE(made->Write(1, std::move(records)));
   for (;;) {
     pollfd wait{made->fd(), POLLIN, 0};
@@ -422,7 +422,7 @@
   }
 }
 
-shelf::Records GoodRecords() {
+storage::Records GoodRecords() {
   agreement::State state;
   agreement::Member member;
   member.life.node = "lund-1";
@@ -437,7 +437,7 @@
           {agreement::kValueKey, agreement::EncodeValue(state.value)}};
 }
 
-BOOST_AUTO_TEST_CASE(a_shelf_is_judged_and_never_written) {
+BOOST_AUTO_TEST_CASE(storage_of_a_stopped_member_is_judged_and_never_written) {
   Place place;
   const fs::path& here = place.folder.path;
   const auto says = [&](const std::string& words, int code, const std::string& part) {
@@ -445,16 +445,18 @@
     BOOST_CHECK_MESSAGE(outcome.code == code && outcome.text.find(part) != std::string::npos,
                         words << ": " << outcome.code << " " << outcome.text);
   };
-  MakeShelf(here / "good", GoodRecords());
+  MakeStorage(here / "good", GoodRecords());
   const auto before = FilesOf(here / "good");
-  says("shelf verify good", kDone, "epoch 3, member yes, sealed no, version 7");
+  says("storage verify good", kDone, "epoch 3, member yes, sealed no, version 7");
+  says("storage dump good", kDone, "lund-1  00c0ffee00c0ffee  10.8.0.31:7201");
+  says("shelf verify good", kDone, "epoch 3, member yes, sealed no, version 7");  // the names until 0.3
   says("shelf dump good", kDone, "lund-1  00c0ffee00c0ffee  10.8.0.31:7201");
   BOOST_TEST((FilesOf(here / "good") == before));
 
-  says("shelf verify missing", kRefused, "no such directory");
+  says("storage verify missing", kRefused, "no such directory");
   BOOST_TEST(!fs::exists(here / "missing"));
   fs::create_directory(here / "empty");
-  says("shelf dump empty", kRefused, "no shelf there");
+  says("storage dump empty", kRefused, "no storage there");
   BOOST_TEST(fs::is_empty(here / "empty"));
 
   // One byte in the middle of the log, which opening for use would leave out without a word.
@@ -468,31 +470,31 @@
     ++flipped;
   }
   BOOST_REQUIRE(flipped == 1);
-  says("shelf verify flipped", kRefused, "flipped: ");
+  says("storage verify flipped", kRefused, "flipped: ");
   fs::copy(here / "good", here / "renamed");
   std::ofstream(here / "renamed" / "CURRENT") << "MANIFEST-999999\n";
-  says("shelf verify renamed", kRefused, "renamed");
+  says("storage verify renamed", kRefused, "renamed");
 
   auto records = GoodRecords();
   records[1].second = "no state";
-  MakeShelf(here / "garbled", records);
-  says("shelf verify garbled", kRefused, "record state or value");
+  MakeStorage(here / "garbled", records);
+  says("storage verify garbled", kRefused, "record state or value");
   records = GoodRecords();
   records.erase(records.begin());
-  MakeShelf(here / "lifeless", records);
-  says("shelf verify lifeless", kRefused, "record life: missing");
+  MakeStorage(here / "lifeless", records);
+  says("storage verify lifeless", kRefused, "record life: missing");
   records = GoodRecords();
   records.emplace_back("other", "x");
-  MakeShelf(here / "foreign", records);
-  says("shelf verify foreign", kRefused, "none of ours");
+  MakeStorage(here / "foreign", records);
+  says("storage verify foreign", kRefused, "none of ours");
   records = GoodRecords();
   records[2].second = agreement::EncodeValue({9, BlockOf("file: site.json")});
-  MakeShelf(here / "unlike", records);
-  says("shelf verify unlike", kRefused, "another version");
+  MakeStorage(here / "unlike", records);
+  says("storage verify unlike", kRefused, "another version");
 
-  const auto open = shelf::OpenShelf((here / "good").string());
+  const auto open = storage::OpenStorage((here / "good").string());
   // The lock is of this process, and a process doesn't see its own: another one is asked.
-  says("shelf verify good", kRefused, "in use by process " + std::to_string(getpid()));
+  says("storage verify good", kRefused, "in use by process " + std::to_string(getpid()));
 }
 
 // ---- Calls --------------------------------------------------------------------------------------------
--- a/tests/system/core_loss_test.cpp
+++ b/tests/system/core_loss_test.cpp
@@ -1,5 +1,5 @@
 // What the core has acknowledged survives, played by real processes on loopback. `Kill` stands for a loss of
-// power, where files keep what was written; what the disk itself may lose is tests/shelf/crash_test.cpp's.
+// power, where files keep what was written; what the disk itself may lose is tests/storage/crash_test.cpp's.
 #include "core_scene.hpp"
 
 namespace curlewdoor::systemkit {
--- a/tests/system/golden_test.cpp
+++ b/tests/system/golden_test.cpp
@@ -1,6 +1,6 @@
-// An upgrade goes node by node, so old and new processes talk, and a new one reads the old one's shelf: bytes
-// that an earlier version has written (golden/VERSION.txt, a name and hex a line) are read as what they were,
-// and those of a later version, with fields behind ours, as what we know of them.
+// An upgrade goes node by node, so old and new processes talk, and a new one reads the old one's storage:
+// bytes that an earlier version has written (golden/VERSION.txt, a name and hex a line) are read as what they
+// were, and those of a later version, with fields behind ours, as what we know of them.
 //
 // To record the bytes of this version for the next one: CURLEWDOOR_RECORD=FILE golden_test.
 #include <boost/test/unit_test.hpp>
