--- a/src/system/console.hpp
+++ b/src/console/console.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-namespace curlewdoor::system {
+namespace curlewdoor::console {
 
 enum ExitCode : int { kDone = 0, kRefused = 1, kUsage = 2, kNobody = 3 };
 
@@ -29,4 +29,4 @@
 // Runs one; gives an ExitCode.
 int RunConsole(const ConsoleOptions& options, std::ostream& out, std::ostream& err);
 
-}  // namespace curlewdoor::system
+}  // namespace curlewdoor::console
--- /dev/null
+++ b/src/console/session.hpp
@@ -0,0 +1,45 @@
+// What one command works with: its options, the word behind it, its output, and the gateways that it asks.
+#pragma once
+
+#include <chrono>
+#include <functional>
+#include <iosfwd>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "console/console.hpp"
+#include "console/json_view.hpp"
+#include "system/caller.hpp"
+
+namespace curlewdoor::console {
+
+class Session {
+ public:
+  Session(const ConsoleOptions& options, std::string argument, std::ostream& out)
+      : options_(options), argument_(std::move(argument)), out_(out) {}
+
+  const ConsoleOptions& options() const { return options_; }
+  const std::string& argument() const { return argument_; }
+  std::ostream& out() { return out_; }
+
+  std::chrono::milliseconds timeout() const;
+  // Asks those named on the command line, or else by the settings file.
+  system::Caller MakeCaller() const;
+  // Throws CommandError for any answer but 200.
+  system::CallAnswer Get(const std::string& path) const;
+  // The report under `path`, as it came with --json, or else as `show` prints it.
+  void Report(const std::string& path, const std::function<void(const JsonView&)>& show);
+
+ private:
+  std::vector<Address> Addresses() const;
+
+  const ConsoleOptions& options_;
+  const std::string argument_;
+  std::ostream& out_;
+};
+
+// An answer that refuses, in words.
+std::string Refusal(const system::CallAnswer& answer);
+
+}  // namespace curlewdoor::console
--- a/src/system/main.cpp
+++ b/src/system/main.cpp
@@ -9,9 +9,9 @@
 #include <random>
 #include <string>
 
+#include "console/console.hpp"
 #include "events/events.hpp"
 #include "settings/settings.hpp"
-#include "system/console.hpp"
 #include "system/node.hpp"
 
 namespace {
@@ -57,7 +57,7 @@
                       ' ', CURLEWDOOR_VERSION);
   line.setExceptionHandling(false);
   TCLAP::UnlabeledMultiArg<std::string> words(
-      "command", std::string("run gateway | ") + system::kConsoleCommands, true, "COMMAND", line);
+      "command", std::string("run gateway | ") + console::kConsoleCommands, true, "COMMAND", line);
   TCLAP::ValueArg<std::string> settings("s", "settings", "the settings file", false, SettingsPath(), "FILE",
                                         line);
   TCLAP::ValueArg<std::string> level("l", "log-level", "debug, info, warn or error", false, "info", "LEVEL",
@@ -75,9 +75,9 @@
   const std::vector<std::string>& command = words.getValue();
   if (command == std::vector<std::string>{"run", "gateway"})
     return RunGateway(settings.getValue(), level.getValue());
-  return system::RunConsole({command, addresses.getValue(), settings.getValue(), json.getValue(),
-                             keys.getValue(), force.getValue(), timeout.getValue()},
-                            std::cout, std::cerr);
+  return console::RunConsole({command, addresses.getValue(), settings.getValue(), json.getValue(),
+                              keys.getValue(), force.getValue(), timeout.getValue()},
+                             std::cout, std::cerr);
 }
 
 }  // namespace
@@ -92,5 +92,5 @@
   } catch (const std::exception& error) {
     std::cerr << "curlewdoor-system: " << error.what() << "\n";
   }
-  return system::kUsage;
+  return console::kUsage;
 }
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -13,20 +13,12 @@
                                              curlewdoor_choosing curlewdoor_trying curlewdoor_fleet
                                       PRIVATE ${CJSON})
 
-# The command line's other commands.
-add_library(curlewdoor_console STATIC src/system/caller.cpp src/system/console.cpp)
-target_compile_definitions(curlewdoor_console PRIVATE CURLEWDOOR_VERSION="${PROJECT_VERSION}")
-target_link_libraries(curlewdoor_console PUBLIC curlewdoor_node PRIVATE ${CJSON})
+include(${CMAKE_SOURCE_DIR}/src/console/package.cmake)
 
 add_executable(curlewdoor-system src/system/main.cpp)
 target_link_libraries(curlewdoor-system PRIVATE curlewdoor_console curlewdoor_node)
 target_include_directories(curlewdoor-system SYSTEM PRIVATE ${TCLAP})
 target_compile_definitions(curlewdoor-system PRIVATE CURLEWDOOR_VERSION="${PROJECT_VERSION}")
-system_test(console_test tests/system/console_test.cpp curlewdoor_console ${CJSON})
-if(CURLEWDOOR_TESTS)
-  target_compile_definitions(console_test PRIVATE CURLEWDOOR_PROGRAM="$<TARGET_FILE:curlewdoor-system>")
-  add_dependencies(console_test curlewdoor-system)
-endif()
 system_test(pressure_test tests/counting/pressure_test.cpp curlewdoor_node)
 system_test(held_counts_test tests/counting/held_counts_test.cpp curlewdoor_node)
 if(NOT CURLEWDOOR_SANITIZE)  # searches of many seeds and states: too many for a sanitized build
--- a/tests/system/console_test.cpp
+++ b/tests/console/console_test.cpp
@@ -1,5 +1,5 @@
 // The command line against one running gateway, by the examples of docs/operators/system.md, and without one.
-#include "system/console.hpp"
+#include "console/console.hpp"
 
 #include <cjson/cJSON.h>
 #include <poll.h>
@@ -26,9 +26,11 @@
 #include "system/command.hpp"
 #include "system/message.hpp"
 
-namespace curlewdoor::system {
+namespace curlewdoor::console {
 namespace {
 
+using namespace curlewdoor::system;
+
 namespace fs = std::filesystem;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
@@ -623,4 +625,4 @@
 }
 
 }  // namespace
-}  // namespace curlewdoor::system
+}  // namespace curlewdoor::console
