Internal ports may be bound elsewhere than announced; relays; a judge of histories

Cause: links between real gateways could not be cut from outside: each listens where it is announced. Ruled out: a list of addresses whose messages the process itself drops (a fault inside the program that is judged); preloaded sockets (not in sanitized builds); namespaces (privileges). Change: internal_bind_address, as behind a translation of addresses: bound there, announced at ip_address; relays of the test kit own the announced address and cut by pair and direction. Shown by: register_history_test, link_test, settings_test.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -207,6 +207,8 @@
   root.At("machine_class").Into(node.machine_class);
   for (const Field& role : root.At("served_roles").Items()) node.served_roles.push_back(role.Text());
   node.ip_address = root.At("ip_address").Ip();
+  if (const Field bind = root.At("internal_bind_address"); bind.present())
+    node.internal_bind_address = bind.Ip();
   node.zone = root.At("zone").Text();
   root.At("region").Into(node.region);
   for (const auto& [zone, region] : root.At("zones").Members()) node.zones[zone] = region.Text();
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -82,7 +82,10 @@
   std::string machine_class;
   std::vector<std::string> served_roles;
   std::uint32_t ip_address = 0;  // required; IPv4, host order, as in Address
-  std::string zone;              // required
+  // Where the internal ports are bound, and what peer connections come from, if others reach this machine
+  // at `ip_address` only through a translation or a relay. 0: at `ip_address` itself.
+  std::uint32_t internal_bind_address = 0;
+  std::string zone;  // required
   std::string region;
   std::map<std::string, std::string> zones;  // zone -> region
   ListenAddresses listen_addresses;          // required; each address in it is optional
@@ -102,6 +105,9 @@
 
   bool operator==(const NodeSettings&) const = default;
 
+  std::uint32_t InternalBindIp() const {
+    return internal_bind_address != 0 ? internal_bind_address : ip_address;
+  }
   bool Serves(std::string_view who) const;         // "edge", "control"
   bool Active(const std::string& contract) const;  // "drain", "quota", ...
 };
--- a/src/system/link.cpp
+++ b/src/system/link.cpp
@@ -185,6 +185,10 @@
   descriptor->Set(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const sockaddr_in address = to.ToSocket();
   if (!descriptor->open()) return;
+  const sockaddr_in from = Address{options_.from_ip, 0}.ToSocket();
+  if (options_.from_ip != 0 &&
+      ::bind(descriptor->fd(), reinterpret_cast<const sockaddr*>(&from), sizeof from) != 0)
+    return;
   if (::connect(descriptor->fd(), reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 &&
       errno != EINPROGRESS)
     return;
--- a/src/system/link.hpp
+++ b/src/system/link.hpp
@@ -76,6 +76,7 @@
     Duration connect = std::chrono::milliseconds(300);
     Duration again_least = std::chrono::milliseconds(50), again_most = std::chrono::milliseconds(400);
     std::size_t most_streams = 1200;
+    std::uint32_t from_ip = 0;  // that connections come from; 0: the system chooses
   };
 
   Link(struct ev_loop* loop, net::Descriptors& descriptors, Owner& owner, Options options,
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -12,6 +12,15 @@
 #include "util/hash.hpp"
 
 namespace curlewdoor::system {
+namespace {
+
+Link::Options LinkOptions(const settings::NodeSettings& settings) {
+  Link::Options options;
+  options.from_ip = settings.internal_bind_address;
+  return options;
+}
+
+}  // namespace
 
 Node::Node(struct ev_loop* loop, settings::NodeSettings settings, std::string settings_path,
            std::uint64_t seed)
@@ -31,7 +40,7 @@
                      fleet_->Tick(Now(), out);
                      Carry(std::move(out));
                    }),
-      link_(loop, link_descriptors_, *this, {}, seed),
+      link_(loop, link_descriptors_, *this, LinkOptions(settings_), seed),
       front_(
           loop, settings_, front_descriptors_, rng_(),
           [this](const std::string& tenant, const AddCount& call) { AddToCount(tenant, call); },
@@ -61,8 +70,9 @@
     if (!listen(error)) throw std::runtime_error(error);
   };
   TryOpenCore();
-  open([&](std::string& error) { return link_.Listen(link_address_, error); });
-  open([&](std::string& error) { return fleet_link_.Open(fleet_address_, error); });
+  const std::uint32_t bind_ip = settings_.InternalBindIp();
+  open([&](std::string& error) { return link_.Listen({bind_ip, link_address_.port}, error); });
+  open([&](std::string& error) { return fleet_link_.Open({bind_ip, fleet_address_.port}, error); });
   const auto& listen = settings_.listen_addresses;
   if (listen.control_plane)
     open([&](std::string& error) { return control_.Listen(*listen.control_plane, error); });
--- a/src/systemkit/machines.cpp
+++ b/src/systemkit/machines.cpp
@@ -15,9 +15,9 @@
 namespace curlewdoor::systemkit {
 namespace {
 
-constexpr int kDoors = 3;
-constexpr int kInternal = 16;  // ports of internal_port_range
-constexpr int kPlaces = 40;    // port ranges that are looked at
+constexpr int kInternal = 16;               // ports of internal_port_range
+constexpr int kPlaces = 40;                 // port ranges that are looked at
+constexpr std::uint32_t kFirstBound = 201;  // last part of the addresses behind relays
 
 std::string IpText(std::uint32_t ip) {
   const std::string text = Address{ip, 1}.ToText();
@@ -61,6 +61,16 @@
   return {network_ + 1 + static_cast<std::uint32_t>(machine), static_cast<std::uint16_t>(first_port_ + port)};
 }
 
+std::uint32_t Machines::BoundIp(int machine) const {
+  return network_ + kFirstBound + static_cast<std::uint32_t>(machine);
+}
+
+std::vector<Relays::Ends> Machines::ends() const {
+  std::vector<Relays::Ends> ends;
+  for (int m = 0; m < count(); ++m) ends.push_back({At(m, 0).ip, BoundIp(m)});
+  return ends;
+}
+
 std::string Machines::DiskOf(int machine) const { return fmt::format("{}/disk-{}", folder_.path(), machine); }
 
 int Machines::exit_code(int machine) const {
@@ -86,6 +96,7 @@
       own.name, IpText(At(machine, 0).ip), data_plane(machine).ToText(), readiness(machine).ToText(),
       control(machine).ToText(), first_port_ + kDoors, first_port_ + kDoors + kInternal - 1);
   for (const Address& seed : seeds_) text += fmt::format("  - \"{}\"\n", seed.ToText());
+  if (options_.relayed) text += fmt::format("internal_bind_address: \"{}\"\n", IpText(BoundIp(machine)));
   text += fmt::format("bootstrap: {}\nquorum_member: {}\n", bootstrap, own.disk);
   if (own.disk) text += fmt::format("data_directory: \"{}\"\n", DiskOf(machine));
   text += fmt::format(
--- a/src/systemkit/machines.hpp
+++ b/src/systemkit/machines.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "playing/process.hpp"
+#include "systemkit/relays.hpp"
 #include "util/address.hpp"
 
 namespace curlewdoor::systemkit {
@@ -23,6 +24,7 @@
     double quota_window_s = 1;
     int heartbeat_ms = 400;
     int grace_s = 6;
+    bool relayed = false;  // reached through relays: ends()
   };
 
   explicit Machines(const Options& options);  // throws std::runtime_error
@@ -43,6 +45,9 @@
   Address data_plane(int machine) const { return At(machine, 0); }
   Address readiness(int machine) const { return At(machine, 1); }
   Address control(int machine) const { return At(machine, 2); }
+  // What relays stand between: each machine's two addresses, and the first of the internal ports.
+  std::vector<Relays::Ends> ends() const;
+  std::uint16_t internal_port() const { return At(0, kDoors).port; }
   // An address of this run for something else, from 0 to 99.
   std::uint32_t StandInIp(int which) const { return network_ + 101 + static_cast<std::uint32_t>(which); }
   const std::string& name(int machine) const { return machines_.at(static_cast<std::size_t>(machine)).name; }
@@ -50,6 +55,8 @@
   std::string Logs(std::size_t lines = 40) const;
 
  private:
+  static constexpr int kDoors = 3;  // ports before the internal ones
+
   struct Machine {
     std::string name;
     bool disk = false;
@@ -57,6 +64,7 @@
     playing::Process process;
   };
   Address At(int machine, int port) const;
+  std::uint32_t BoundIp(int machine) const;
   std::string SettingsOf(int machine, bool bootstrap) const;
   std::string DiskOf(int machine) const;
 
--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -3,8 +3,9 @@
 if(CURLEWDOOR_KIT)
   add_library(curlewdoor_systemkit STATIC EXCLUDE_FROM_ALL
     src/systemkit/calls.cpp src/systemkit/clients.cpp src/systemkit/host.cpp src/systemkit/machines.cpp
-    src/systemkit/operator.cpp src/systemkit/sightings.cpp src/systemkit/world.cpp)
+    src/systemkit/operator.cpp src/systemkit/relays.cpp src/systemkit/register_history.cpp src/systemkit/sightings.cpp src/systemkit/world.cpp)
   target_link_libraries(curlewdoor_systemkit PUBLIC curlewdoor_playing nlohmann_json::nlohmann_json)
+  system_test(register_history_test tests/system/register_history_test.cpp curlewdoor_systemkit)
   foreach(name whole_path_test quota_path_test)
     system_test(${name} tests/system/${name}.cpp curlewdoor_systemkit)
     if(CURLEWDOOR_TESTS)
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -133,6 +133,10 @@
   want.bounds = {4s,     2500ms, 3100ms, 4100ms, 5s,  2100ms, 7s, 210500us, 2200ms, 260ms,
                  5100ms, true,   5200ms, 0.25,   11s, 63,     6s, 0.15,     21,     16s};
   want.config_mode = "other";
+  BOOST_TEST(want.InternalBindIp() == want.ip_address);
+  const NodeSettings bound = Read(kWhole + "internal_bind_address: 10.8.1.31\n");
+  BOOST_TEST(bound.InternalBindIp() == At("10.8.1.31:1").ip);
+  BOOST_TEST(bound.ip_address == want.ip_address);
   const NodeSettings read = Read(kWhole);
   BOOST_TEST((read == want));
   BOOST_TEST(read.Serves("control"));
@@ -175,6 +179,8 @@
       {"node_name: \"edge-lund-2\"", "name: x", "1: node_name: a text expected, found nothing"},
       {"\"10.8.0.31\"", "\"10.8.0.310\"", "7: ip_address: an IPv4 address expected, found \"10.8.0.310\""},
       {"zone: \"lund\"", "zone: [lund]", "8: zone: a text expected, found a list"},
+      {"zone: \"lund\"", "internal_bind_address: here",
+       "8: internal_bind_address: an IPv4 address expected, found \"here\""},
       {"visby: \"gotland\"", "visby: {}", "12: zones.visby: a text expected, found a map"},
       {"10.8.0.31:8145", "10.8.0.31:0",
        "14: listen_addresses.data_plane: an IPv4 address with a port expected, found \"10.8.0.31:0\""},
--- a/tests/system/link_test.cpp
+++ b/tests/system/link_test.cpp
@@ -32,6 +32,7 @@
   void OnUp(Link::Stream& stream) override {
     ++ups;
     last = &stream;
+    last_from = stream.to().ip;
   }
   void OnFrame(Link::Stream& stream, std::string_view frame) override {
     frames.emplace_back(frame);
@@ -45,6 +46,7 @@
   net::Descriptors descriptors{256};
   const Address address{kHere, FreePort()};
   int ups = 0, downs = 0;
+  std::uint32_t last_from = 0;
   Link::Stream* last = nullptr;  // that came up
   std::vector<std::string> frames;
   bool closes_on_frame = false;
@@ -218,6 +220,14 @@
   BOOST_TEST(pair.Until([&] { return pair.a.link.To(pair.b.address) != nullptr; }));
 }
 
+// A relay between gateways tells by it who dials.
+BOOST_AUTO_TEST_CASE(DialsFromTheAddressThatIsGiven) {
+  Link::Options options;
+  options.from_ip = kHere + 6;
+  Pair pair(options);
+  BOOST_TEST(pair.b.last_from == kHere + 6);
+}
+
 // One that was closed is dialled again, by itself.
 BOOST_AUTO_TEST_CASE(ALostStreamComesBack) {
   Pair pair;
