One attempt as a state machine: what is half written may have run; answers need their id

Cause: an attempt whose connection broke before its last byte was given to the system counted as not run, also with its head and half of its body on their way: what may not be repeated went to a second host, or its client was promised that it hadn't run. Answers without X-Attempt-Id counted as the attempt's own.

Change: src/trying/attempt: states, events, transitions and all attempts of one try as a pure module, in place of the front's flags (out, written, record). An answer that lacks the request's id ends the attempt and its connection (Dialect::Belongs); the platform's dialect is as before.

--- a/src/net/dialect.hpp
+++ b/src/net/dialect.hpp
@@ -11,6 +11,13 @@
 
 namespace curlewdoor::net {
 
+// Whose an answer is that stands on an attempt's connection.
+enum class Whose {
+  kAttempt,
+  kAnother,  // it came late: it is passed over, and the one that is owed is still to come
+  kNobody,   // nothing on this connection can be told apart any more
+};
+
 class Dialect {
  public:
   virtual ~Dialect() = default;
@@ -18,8 +25,7 @@
   virtual std::initializer_list<std::string_view> Dropped() const = 0;
   // Appends whole header lines of this attempt alone; `left` until it expires, as its request is written.
   virtual void AppendLines(const AttemptId& attempt, Duration left, std::string& out) const = 0;
-  // Whether an answer belongs to this attempt; one that doesn't is passed over.
-  virtual bool Belongs(const AttemptId&, const http::Message&) const { return true; }
+  virtual Whose Belongs(const AttemptId&, const http::Message&) const { return Whose::kAttempt; }
   // The host says that it did not run the request.
   virtual bool NotRun(const http::Message& answer) const = 0;
   // The host's load, where answers tell it.
--- a/src/net/inputs.hpp
+++ b/src/net/inputs.hpp
@@ -17,6 +17,9 @@
   // or was busy.
   virtual Duration Unseen(int socket) = 0;
 
+  // The first bytes of an attempt were given to the system. Within Upstream, before anything that follows.
+  virtual void OnBytesSent(const AttemptId&) {}
+
   // Bodies in pieces: docs/streaming.md. Of a request: more of its body has come or it has ended, or its
   // attempt's connection has written all that it was given.
   virtual void OnUpload(RequestId) {}
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -73,7 +73,7 @@
     return nullptr;
   }
   link->task = task;
-  link->written = false;
+  link->begun = link->written = false;
   if (const auto* attempt = std::get_if<AttemptId>(&task)) by_attempt_[*attempt] = link;
   if (const auto* probe = std::get_if<ProbeId>(&task)) by_probe_[*probe] = link;
   return link;
@@ -140,7 +140,7 @@
     pieces.push_back(http::Piece("\r\n\r\n"));
   }
   pieces.push_back(http::Piece(body));
-  link.task_end = link.connection.queued();
+  link.task_begin = link.task_end = link.connection.queued();
   for (const iovec& piece : pieces) link.task_end += piece.iov_len;
   if (link.feeding) link.task_end = kNotYet;
   link.moved_at = inputs_.Now();
@@ -184,6 +184,10 @@
 void Upstream::OnWritten(Link& link) {
   link.moved_at = inputs_.Now();
   const auto* feeds = std::get_if<AttemptId>(&link.task);
+  if (feeds != nullptr && !link.begun && link.connection.written() > link.task_begin) {
+    link.begun = true;
+    inputs_.OnBytesSent(*feeds);
+  }
   if (feeds != nullptr && link.feeding && link.connection.all_written()) inputs_.OnUpload(feeds->request);
   if (link.written || link.connection.written() < link.task_end) return;
   link.written = true;
@@ -197,7 +201,7 @@
 // The head of a long answer is here. For the module the attempt has ended well; its bytes go on as the client
 // takes them.
 void Upstream::OnBegun(Link& link, const http::Message& answer) {
-  if (Foreign(link, answer)) return OnBroken(link);
+  if (BelongsTo(link, answer) != Whose::kAttempt) return OnBroken(link);
   const Task task = EndTask(link);
   const auto* attempt = std::get_if<AttemptId>(&task);
   if (attempt == nullptr) return Retire(link);
@@ -229,15 +233,15 @@
 
 void Upstream::DropStream(RequestId request) { DropTask(request); }
 
-// An answer that came late to another request; the one that is owed is still to come.
-bool Upstream::Foreign(const Link& link, const http::Message& answer) const {
+Whose Upstream::BelongsTo(const Link& link, const http::Message& answer) const {
   const auto* attempt = std::get_if<AttemptId>(&link.task);
-  return attempt != nullptr && !dialect_.Belongs(*attempt, answer);
+  return attempt != nullptr ? dialect_.Belongs(*attempt, answer) : Whose::kAttempt;
 }
 
 void Upstream::OnAnswer(Link& link, const http::Message& answer) {
-  if (Foreign(link, answer)) {
-    if (!answer.done()) OnBroken(link);  // a long one would be passed over again with each of its bytes
+  if (const Whose whose = BelongsTo(link, answer); whose != Whose::kAttempt) {
+    // A long one would be passed over again with each of its bytes.
+    if (whose == Whose::kNobody || !answer.done()) OnBroken(link);
     return;
   }
   const Task task = EndTask(link);
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -97,10 +97,11 @@
     Address address;
     Task task;
     TimePoint expires;
-    std::string head, body;      // what waits for the connection to come up
-    std::uint64_t length = 0;    // of its request's body, unless that is chunked
-    std::uint64_t task_end = 0;  // of the connection's bytes: where the task's last one stands
-    bool written = false;
+    std::string head, body;    // what waits for the connection to come up
+    std::uint64_t length = 0;  // of its request's body, unless that is chunked
+    // Of the connection's bytes: where the task's first one stands, and behind its last one.
+    std::uint64_t task_begin = 0, task_end = 0;
+    bool begun = false, written = false;
     bool feeding = false, chunked = false;  // its request's body comes in pieces
     TimePoint moved_at;                     // when bytes of a streamed body or answer passed last
     TimePoint kept_since, written_at;
@@ -116,7 +117,7 @@
   void OnUp(Link& link);
   void OnWritten(Link& link);
   void OnAnswer(Link& link, const http::Message& answer);
-  bool Foreign(const Link& link, const http::Message& answer) const;
+  Whose BelongsTo(const Link& link, const http::Message& answer) const;
   bool Stale(const Link& link) const;
   void OnBroken(Link& link);
   void OnBegun(Link& link, const http::Message& answer);
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -239,8 +239,7 @@
           ? Duration(route->timeout)
           : std::min<Duration>(route->timeout, milliseconds(std::min<std::uint64_t>(deadline, 86'400'000)));
   request.expires = request.arrived + left;
-  request.record.repeatable = route->repeat == policy::Repeat::kIdempotent;
-  request.record.most_attempts = route->max_attempts;
+  request.course = trying::Course(route->repeat == policy::Repeat::kIdempotent, route->max_attempts);
   request.rank =
       static_cast<int>(std::lower_bound(ranks_.begin(), ranks_.end(), route->priority) - ranks_.begin());
   if (!told.empty()) request.spent = pressure_.Spent(request.arrived, route->name, milliseconds(deadline));
@@ -318,17 +317,15 @@
   const auto host = request.service->chooser.Choose(now, request.tried);
   if (!host) {
     events::Say(events::Event::kNoHost, request.service->name);
-    return Conclude(request, !request.record.may_have_run, ComeBack(request), 502);
+    return Conclude(request, ComeBack(request), 502);
   }
   const HostInfo& info = hosts_.at(*host);
   request.host = *host;
   request.instance = info.instance;
-  request.out = true;
-  request.written = false;
   request.sent = now;
   request.tried.push_back(*host);
   request.service->chooser.Started(*host);
-  const AttemptId attempt{request.id, request.record.attempts++};
+  const AttemptId attempt{request.id, request.course.Begin()};
   if (!uploads_.Start({attempt, *host, info.address, request.expires})) Post(AttemptBroken{attempt});
 }
 
@@ -356,40 +353,55 @@
 }
 
 void Front::Handle(const Input& input) {
+  using Kind = trying::AttemptEvent::Kind;
   if (const auto* read = std::get_if<RequestRead>(&input)) return Begin(read->request.id);
-  const auto find = [&](const AttemptId& attempt) -> Request* {
-    const auto it = requests_.find(attempt.request);
-    if (it == requests_.end() || !it->second.out || it->second.record.attempts - 1 != attempt.number)
-      return nullptr;
-    return &it->second;
-  };
-  if (const auto* written = std::get_if<AttemptWritten>(&input)) {
-    if (Request* request = find(written->attempt)) request->written = true;
-  } else if (const auto* broken = std::get_if<AttemptBroken>(&input)) {
-    Request* request = find(broken->attempt);
-    if (request == nullptr) return;
-    EndAttempt(*request,
-               {.how = request->written ? How::kBroken : How::kNoConnect, .written = request->written},
-               nullptr);
-  } else if (const auto* answered = std::get_if<AttemptAnswered>(&input)) {
-    Request* request = find(answered->attempt);
-    const http::Message* answer = upstream_.current_answer();
-    if (request == nullptr || answer == nullptr) return;
-    Ending ending{.how = How::kAnswered, .written = request->written, .status = answered->status};
-    ending.not_run = answered->not_processed;
-    // An answer that ends with its connection may have been cut; one that was coded is not the host's.
-    const bool framed = answer->length() || answer->Has("Transfer-Encoding") || answered->status == 204;
-    ending.whole = framed && (answer->done() || upstream_.stream_begins());
-    ending.sealed = !answer->Find(kSealHeader).empty() && !answer->Has("Content-Encoding") &&
-                    answer->Find(kAttemptIdHeader) == request->wire_id;
-    EndAttempt(*request, ending, answer);
-  }
+  if (const auto* written = std::get_if<AttemptWritten>(&input))
+    return Hear(written->attempt, Kind::kAllSent);
+  if (const auto* broken = std::get_if<AttemptBroken>(&input)) return Hear(broken->attempt, Kind::kBroken);
+  if (const auto* answered = std::get_if<AttemptAnswered>(&input)) return HearAnswer(*answered);
+}
+
+Front::Request* Front::Find(RequestId id) {
+  const auto it = requests_.find(id);
+  return it != requests_.end() ? &it->second : nullptr;
+}
+
+// Not by way of Post(): nothing that ends the attempt may be judged before this is known.
+void Front::OnBytesSent(const AttemptId& attempt) { Hear(attempt, trying::AttemptEvent::Kind::kBytesSent); }
+
+void Front::Hear(const AttemptId& attempt, trying::AttemptEvent::Kind kind) {
+  Request* request = Find(attempt.request);
+  if (request == nullptr) return;
+  const auto ending = request->course.Take({kind, attempt.number, {}});
+  if (ending) EndAttempt(*request, *ending, nullptr);
+}
+
+void Front::HearAnswer(const AttemptAnswered& answered) {
+  Request* request = Find(answered.attempt.request);
+  const http::Message* message = upstream_.current_answer();
+  if (request == nullptr || message == nullptr) return;
+  trying::HostAnswer answer{.status = answered.status, .not_run = answered.not_processed};
+  answer.bound = message->Find(kAttemptIdHeader) == request->wire_id;
+  // An answer that ends with its connection may have been cut; one that was coded is not the host's.
+  const bool framed = message->length() || message->Has("Transfer-Encoding") || answered.status == 204;
+  answer.whole = framed && (message->done() || upstream_.stream_begins());
+  answer.sealed = !message->Find(kSealHeader).empty() && !message->Has("Content-Encoding");
+  const auto ending =
+      request->course.Take({trying::AttemptEvent::Kind::kAnswered, answered.attempt.number, answer});
+  if (ending) EndAttempt(*request, *ending, message);
+}
+
+// The attempt that is out, if one is: its connection is closed, so that a late answer reaches nobody.
+void Front::GiveUp(Request& request, choosing::End end) {
+  const AttemptId attempt{request.id, request.course.attempt()};
+  if (!request.course.Take({trying::AttemptEvent::Kind::kGivenUp, attempt.number, {}})) return;
+  request.service->chooser.Ended(Now(), request.host, end, 0);
+  upstream_.Drop(attempt);
 }
 
 void Front::EndAttempt(Request& request, const Ending& ending, const http::Message* answer) {
   const TimePoint now = Now();
   Service& service = *request.service;
-  request.out = false;
   const double latency = Seconds(now - request.sent), mean = Mean(request);
   using choosing::End;
   End end = End::kFailed;
@@ -410,12 +422,13 @@
     if (!first) it->second += kMeanStep * (latency - it->second);
   }
   if (end != End::kAnswered && events::Heard(events::Event::kAttemptFailed))
-    events::Say(events::Event::kAttemptFailed, service.name + " host " + request.instance + " how " +
-                                                   std::to_string(static_cast<int>(ending.how)) + " status " +
-                                                   std::to_string(ending.status) +
-                                                   (ending.written ? " written" : " not written"));
+    events::Say(events::Event::kAttemptFailed,
+                service.name + " host " + request.instance + " how " +
+                    std::to_string(static_cast<int>(ending.how)) + " status " +
+                    std::to_string(ending.status) +
+                    (ending.sent == trying::Sent::kAll ? " written" : " not written"));
   const bool time = now + FromSeconds(mean / 2) < request.expires;
-  switch (trying::Follow(request.record, ending, service.budget.Covers(now), time)) {
+  switch (request.course.Follow(ending, service.budget.Covers(now), time)) {
     case trying::Next::kPass: {
       const RequestId id = request.id;
       ++figures_.passed;
@@ -432,9 +445,8 @@
       if (trying::Arrived(ending)) service.budget.Spend(now);
       return Dispatch(request);
     case trying::Next::kDecline:
-      return Conclude(request, true, ComeBack(request), 503);
     case trying::Next::kFail:
-      return Conclude(request, false, {}, 502);
+      return Conclude(request, ComeBack(request), 502);
   }
 }
 
@@ -442,15 +454,12 @@
   return FromSeconds(std::clamp(Mean(request), 0.02, 1.0) * (0.3 + Random()));
 }
 
-// The one place of our own final answers to requests that were taken in.
-void Front::Conclude(Request& request, bool decline, Duration retry_after, int status) {
+// The one place of our own final answers to requests that were taken in: a promise where it is true, else
+// this status.
+void Front::Conclude(Request& request, Duration retry_after, int status) {
   const RequestId id = request.id;
-  const bool promise = decline && !request.record.may_have_run && !request.out;
+  const bool promise = request.course.MayPromise();
   if (promise && request.claim.customer != nullptr) leases_.Return(Now(), request.claim);
-  if (request.out) {
-    request.service->chooser.Ended(Now(), request.host, choosing::End::kNothing, 0);
-    upstream_.Drop({id, request.record.attempts - 1});
-  }
   Forget(request);
   if (promise) {
     ++figures_.declined;
@@ -474,15 +483,12 @@
   Request& request = it->second;
   ++figures_.left;
   if (request.claim.customer != nullptr && !request.held_open) leases_.OnGone(request.claim);
-  if (request.out) {
-    request.service->chooser.Ended(Now(), request.host, choosing::End::kNothing, 0);
-    upstream_.Drop({id, request.record.attempts - 1});
-  }
+  GiveUp(request, choosing::End::kNothing);
   Forget(request);
 }
 
 void Front::OnBound(const AttemptId& attempt) {
-  if (const auto it = requests_.find(attempt.request); it != requests_.end()) it->second.record.bound = true;
+  if (const auto it = requests_.find(attempt.request); it != requests_.end()) it->second.course.Bind();
 }
 
 // ---- Times --------------------------------------------------------------------------------------------
@@ -516,13 +522,8 @@
       ++figures_.expired;
       Request& request = it->second;
       if (request.claim.customer != nullptr && !request.held_open) leases_.OnGone(request.claim);
-      if (request.out && request.written) request.record.may_have_run = true;
-      if (request.out) {
-        request.out = false;
-        request.service->chooser.Ended(now, request.host, choosing::End::kFailed, 0);
-        upstream_.Drop({request.id, request.record.attempts - 1});
-      }
-      Conclude(request, true, milliseconds(50), 504);
+      GiveUp(request, choosing::End::kFailed);
+      Conclude(request, milliseconds(50), 504);
     }
   });
   ArmTimer();
@@ -567,10 +568,12 @@
   if (!request.tenant.empty()) line(kTenantHeader, request.tenant);
 }
 
-bool Front::Belongs(const AttemptId& attempt, const http::Message& answer) const {
+// Answers carry the id of their request; one without it can't be told from another's.
+net::Whose Front::Belongs(const AttemptId& attempt, const http::Message& answer) const {
   const auto it = requests_.find(attempt.request);
   const std::string_view id = answer.Find(kAttemptIdHeader);
-  return it == requests_.end() || id.empty() || id == it->second.wire_id;
+  if (it == requests_.end() || id == it->second.wire_id) return net::Whose::kAttempt;
+  return id.empty() ? net::Whose::kNobody : net::Whose::kAnother;
 }
 
 bool Front::NotRun(const http::Message& answer) const { return answer.Has(kNotRunHeader); }
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -23,7 +23,7 @@
 #include "net/upstream.hpp"
 #include "policy/policy.hpp"
 #include "settings/settings.hpp"
-#include "trying/trying.hpp"
+#include "trying/attempt.hpp"
 #include "util/hash.hpp"
 
 namespace curlewdoor::system {
@@ -82,7 +82,7 @@
     const policy::Route* route = nullptr;
     Service* service = nullptr;
     std::string tenant, wire_id;
-    trying::Record record;
+    trying::Course course;  // of its attempts at hosts
     Leases::Claim claim;
     bool held_open = false;  // its customer's `open` counts it
     Duration spent{};        // that its client has waited already
@@ -90,9 +90,8 @@
     int steps = 0;           // behind what goes first where its tenant is beyond its quota
     TimePoint arrived, expires;
     std::vector<HostId> tried;
-    HostId host;  // of the attempt that is out
+    HostId host;  // of the latest attempt
     std::string instance;
-    bool out = false, written = false;
     TimePoint sent;
   };
   struct HostInfo {
@@ -120,13 +119,14 @@
   bool WantsAnswer(RequestId request) override { return WantsBytes(request); }
   void OnAnswerBytes(RequestId request, std::string_view bytes) override { DeliverBytes(request, bytes); }
   void OnAnswerEnd(RequestId request, bool whole) override { EndDelivery(request, whole); }
+  void OnBytesSent(const AttemptId& attempt) override;
   // Uploads.
   void OnWhole(RequestId) override {}
   void OnBound(const AttemptId& attempt) override;
   // Dialect.
   std::initializer_list<std::string_view> Dropped() const override;
   void AppendLines(const AttemptId& attempt, Duration left, std::string& out) const override;
-  bool Belongs(const AttemptId& attempt, const http::Message& answer) const override;
+  net::Whose Belongs(const AttemptId& attempt, const http::Message& answer) const override;
   bool NotRun(const http::Message& answer) const override;
   std::string_view ProbeHead(bool) const override { return {}; }
   Duration KeepAlive(const http::Message& answer) const override;
@@ -142,10 +142,14 @@
   template <typename Do>
   void Run(Do&& act);  // and all that is posted meanwhile
   void Handle(const Input& input);
+  Request* Find(RequestId id);
+  void Hear(const AttemptId& attempt, trying::AttemptEvent::Kind kind);
+  void HearAnswer(const AttemptAnswered& answered);
+  void GiveUp(Request& request, choosing::End end);
   void Begin(RequestId id);
   void Dispatch(Request& request);
   void EndAttempt(Request& request, const trying::Ending& ending, const http::Message* answer);
-  void Conclude(Request& request, bool decline, Duration retry_after, int status);
+  void Conclude(Request& request, Duration retry_after, int status);
   Duration ComeBack(const Request& request);
   void Forget(Request& request);
   void Refuse(Request& request, Duration retry_after);  // beyond its tenant's quota
--- a/src/trying/trying.cpp
+++ b/src/trying/trying.cpp
@@ -19,10 +19,9 @@
 Verdict Judge(const Ending& ending) {
   switch (ending.how) {
     case Ending::How::kNoConnect:
-      return Verdict::kNotRun;
     case Ending::How::kBroken:
     case Ending::How::kTimedOut:
-      return ending.written ? Verdict::kMayHaveRun : Verdict::kNotRun;
+      return ending.sent == Sent::kNothing ? Verdict::kNotRun : Verdict::kMayHaveRun;
     case Ending::How::kAnswered:
       break;
   }
@@ -30,7 +29,9 @@
   return ending.status >= 200 && ending.status < 300 && ending.sealed ? Verdict::kRan : Verdict::kMayHaveRun;
 }
 
-bool Arrived(const Ending& ending) { return ending.written || ending.how == Ending::How::kAnswered; }
+bool Arrived(const Ending& ending) {
+  return ending.sent != Sent::kNothing || ending.how == Ending::How::kAnswered;
+}
 
 bool MayPass(const Ending& ending) {
   if (ending.how != Ending::How::kAnswered || !ending.whole) return false;
--- a/src/trying/trying.hpp
+++ b/src/trying/trying.hpp
@@ -12,10 +12,13 @@
 
 enum class Verdict { kNotRun, kMayHaveRun, kRan };
 
+// How much of an attempt's request was given to the system, which may bring it to the host at any time.
+enum class Sent { kNothing, kPart, kAll };
+
 // How an attempt ended, as seen on its connection.
 struct Ending {
   enum class How { kNoConnect, kBroken, kAnswered, kTimedOut } how = How::kBroken;
-  bool written = false;  // the request was given to the system to its last byte
+  Sent sent = Sent::kNothing;
   int status = 0;        // kAnswered
   bool not_run = false;  // kAnswered: the host says that it did not run it
   bool sealed = false;   // kAnswered: with the host's seal
@@ -23,7 +26,7 @@
 };
 
 Verdict Judge(const Ending& ending);
-// Whether it came to the host, which counts against the budget of further tries.
+// Whether it may have come to the host, which counts against the budget of further tries.
 bool Arrived(const Ending& ending);
 // Whether an answer may go to the client as it is: a success needs its seal, and a promise must be true.
 bool MayPass(const Ending& ending);
@@ -37,6 +40,7 @@
   int attempts = 0;
   bool bound = false;         // part of its body is held no longer: no other attempt can be made
   bool may_have_run = false;  // by any attempt that has ended
+  auto operator<=>(const Record&) const = default;
 };
 
 // What follows the end of an attempt, where `budget` says whether a further one is covered and `time` whether
--- a/tests/trying/trying_test.cpp
+++ b/tests/trying/trying_test.cpp
@@ -24,20 +24,21 @@
   std::vector<Ending> all;
   for (const How how : {How::kNoConnect, How::kBroken, How::kAnswered, How::kTimedOut})
     for (const int status : {200, 204, 299, 301, 400, 404, 408, 413, 421, 429, 500, 502, 503, 504})
-      for (int flags = 0; flags < 16; ++flags)
-        all.push_back({.how = how,
-                       .written = (flags & 1) != 0,
-                       .status = status,
-                       .not_run = (flags & 2) != 0,
-                       .sealed = (flags & 4) != 0,
-                       .whole = (flags & 8) != 0});
+      for (const Sent sent : {Sent::kNothing, Sent::kPart, Sent::kAll})
+        for (int flags = 0; flags < 8; ++flags)
+          all.push_back({.how = how,
+                         .sent = sent,
+                         .status = status,
+                         .not_run = (flags & 1) != 0,
+                         .sealed = (flags & 2) != 0,
+                         .whole = (flags & 4) != 0});
   return all;
 }
 
 // Said apart from the code under test: only these show that a host has not run the request.
 bool SurelyNotRun(const Ending& ending) {
   if (ending.how == How::kAnswered) return ending.not_run || ending.status == 421;
-  return ending.how == How::kNoConnect || !ending.written;
+  return ending.sent == Sent::kNothing;
 }
 
 template <typename Do>
@@ -60,8 +61,8 @@
   WalkAll([](Record record, const Ending& ending, bool budget, bool time) {
     const bool may_have_run = record.may_have_run || !SurelyNotRun(ending);
     const Next next = Follow(record, ending, budget, time);
-    BOOST_TEST_CONTEXT("how " << static_cast<int>(ending.how) << " status " << ending.status << " written "
-                              << ending.written << " not_run " << ending.not_run << " sealed "
+    BOOST_TEST_CONTEXT("how " << static_cast<int>(ending.how) << " status " << ending.status << " sent "
+                              << static_cast<int>(ending.sent) << " not_run " << ending.not_run << " sealed "
                               << ending.sealed << " whole " << ending.whole) {
       BOOST_REQUIRE_EQUAL(record.may_have_run, may_have_run);
       if (next == Next::kAgain) {
@@ -96,7 +97,7 @@
 
 BOOST_AUTO_TEST_CASE(EachArrivalCountsAgainstTheBudget) {
   for (const Ending& ending : AllEndings())
-    if (ending.how == How::kAnswered || ending.written) BOOST_REQUIRE(Arrived(ending));
+    if (ending.how == How::kAnswered || ending.sent != Sent::kNothing) BOOST_REQUIRE(Arrived(ending));
 }
 
 // ---- Budget -------------------------------------------------------------------------------------------
