Answers of gateways count only on the stream that the question went out on

Cause: Done, Told and Total were taken from any peer connection by their number alone, and the numbers began at 1 in each life: an answer that a former process or another peer was owed could confirm an operator's order, a host's heartbeat or a count.

Change: calls that are passed on, heartbeats that are told and units that are added keep the streams (connections to one process each) that they went out on, and an answer on another one changes nothing; numbers begin at a random one. On the wire nothing changes. A door that doesn't listen accepts nothing: a gateway without a data plane or readiness address ended with libev's assertion at its start.

--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -44,6 +44,7 @@
 }
 
 void Door::StartAccepting() {
+  if (fd_ < 0) return;  // a gateway needn't serve here
   accepting_ = true;
   io_.Want(fd_, EV_READ);
 }
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -157,7 +157,8 @@
       over.push_back(number);
     } else if (now >= telling.again) {  // the one that was told may be gone: to all
       telling.again = telling.ends;
-      ToCore(Tell{number, telling.batch});
+      const auto streams = ToCore(Tell{number, telling.batch});
+      telling.streams.insert(telling.streams.end(), streams.begin(), streams.end());
     }
   }
   for (const std::uint64_t number : over) {
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -39,7 +39,9 @@
  private:
   using Steady = std::chrono::steady_clock::time_point;
 
-  // An operator's call, or one that another gateway passes on, until it is answered.
+  // An operator's call, or one that another gateway passes on, until it is answered. Of this and what
+  // follows: an answer counts only on a stream that the question went out on. A stream is one connection to
+  // one process, so that no number of an earlier life, or of another peer, can answer it.
   struct Pending {
     std::function<void(int status, std::string body)> answer;
     bool is_put = false;
@@ -47,12 +49,14 @@
     std::string text;
     Steady ends, next;
     std::vector<Address> asked;
-    std::uint64_t stream = 0;  // that it was passed to; 0: none
+    std::uint64_t stream = 0;            // that it was passed to last; 0: none
+    std::vector<std::uint64_t> streams;  // all that it was passed to
   };
   struct Telling {  // a beat that waits until it has been passed on
     RequestId call;
     Steady ends, again;
     std::string batch;
+    std::vector<std::uint64_t> streams;  // that it was told on
   };
   struct Adding {
     CountName name;
@@ -106,7 +110,8 @@
   void Take(Link::Stream& stream, AskHosts& message);
   Link::Stream* NearCore();                // the core member that is reached soonest; nullptr: none
   void Broadcast(const Message& message);  // to all that wait for news
-  void ToCore(const Message& message);     // to all core members that are reached
+  // To all core members that are reached; the streams.
+  std::vector<std::uint64_t> ToCore(const Message& message);
 
   // Calls from outside.
   void OnCall(CallDoor::Call call);
@@ -210,7 +215,7 @@
   std::unordered_map<std::uint64_t, Pending> pending_;
   std::unordered_map<std::uint64_t, Telling> tellings_;
   std::unordered_map<std::uint64_t, Adding> addings_;
-  std::uint64_t next_number_ = 1;
+  std::uint64_t next_number_ = rng_();  // no two processes begin alike
   counting::HeldCounts counts_{settings_.bounds.quota_slack};
 
   Message config_message_{Config{}};
--- a/src/system/node_calls.cpp
+++ b/src/system/node_calls.cpp
@@ -47,7 +47,7 @@
   if (near == nullptr) return control_.Reply(id, 503);
   const std::uint64_t number = next_number_++;
   Telling& telling = tellings_[number];
-  telling = {id, Now() + kTellEnds, Now() + kTellAgain, directory::Encode({*entry}, Now())};
+  telling = {id, Now() + kTellEnds, Now() + kTellAgain, directory::Encode({*entry}, Now()), {near->number}};
   near->Send(Encode(Tell{number, telling.batch}));
 }
 
@@ -111,6 +111,7 @@
   }
   pending.asked.push_back(next->to());
   pending.stream = next->number;
+  pending.streams.push_back(next->number);
   next->Send(pending.is_put ? Encode(Put{number, pending.version, pending.text}) : Encode(Get{number}));
 }
 
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -9,6 +9,14 @@
 
 namespace curlewdoor::system {
 
+namespace {
+
+bool WentOn(const std::vector<std::uint64_t>& streams, const Link::Stream& stream) {
+  return std::find(streams.begin(), streams.end(), stream.number) != streams.end();
+}
+
+}  // namespace
+
 void Node::Broadcast(const Message& message) {
   const std::string frame = Encode(message);
   link_.ForEach([&](Link::Stream& stream) {
@@ -16,11 +24,15 @@
   });
 }
 
-void Node::ToCore(const Message& message) {
+std::vector<std::uint64_t> Node::ToCore(const Message& message) {
   const std::string frame = Encode(message);
+  std::vector<std::uint64_t> streams;
   link_.ForEach([&](Link::Stream& stream) {
-    if (stream.dialled() && stream.counted) stream.Send(frame);
+    if (!stream.dialled() || !stream.counted) return;
+    stream.Send(frame);
+    streams.push_back(stream.number);
   });
+  return streams;
 }
 
 void Node::OnUp(Link::Stream& stream) {
@@ -145,9 +157,9 @@
   return best;
 }
 
-void Node::Take(Link::Stream&, Told& message) {
+void Node::Take(Link::Stream& stream, Told& message) {
   const auto it = tellings_.find(message.number);
-  if (it == tellings_.end()) return;
+  if (it == tellings_.end() || !WentOn(it->second.streams, stream)) return;
   const RequestId call = it->second.call;
   tellings_.erase(it);
   ReplyBeat(call);
@@ -188,7 +200,7 @@
 
 void Node::Take(Link::Stream& stream, Done& message) {
   const auto it = pending_.find(message.number);
-  if (it == pending_.end()) return;
+  if (it == pending_.end() || !WentOn(it->second.streams, stream)) return;
   if (message.status == 503) {  // another member may do better
     if (it->second.stream == stream.number) PassOn(it->first, it->second);
     return;
@@ -218,9 +230,9 @@
   stream.Send(Encode(Total{message.number, total.has_value(), total.value_or(0)}));
 }
 
-void Node::Take(Link::Stream&, Total& message) {
+void Node::Take(Link::Stream& stream, Total& message) {
   const auto it = addings_.find(message.number);
-  if (it == addings_.end()) return;
+  if (it == addings_.end() || it->second.stream != stream.number) return;
   const Adding adding = it->second;
   addings_.erase(it);
   const Duration latency = Now() - (adding.ends - kAddEnds);
