The first start as a pure part: the seeds choose the members of epoch 1

Today a view that stands still, or two fallbacks by time (unbound_after, seeds_wait), may found two cores under long cuts of the first start. src/agreement/founding is single-decree Paxos whose acceptors are the seeds of the settings file and whose value is the list of members: a list counts once more than half of the seeds have accepted it. Acceptors with a disk answer after the sync; those without only in the process that began with the whole system. Views and pauses say who proposes, when, and how many.

Not yet carried by any process.

--- a/src/agreement/codec.cpp
+++ b/src/agreement/codec.cpp
@@ -47,6 +47,11 @@
 void Put(Packer& p, const Promised& v) { PutAll(p, v.ok, v.ballot, v.accepted); }
 void Put(Packer& p, const Accept& v) { PutAll(p, v.ballot, v.members, v.above); }
 void Put(Packer& p, const Accepted& v) { PutAll(p, v.ok, v.ballot, v.value); }
+void Put(Packer& p, const founding::Prepare& v) { PutAll(p, v.ballot); }
+void Put(Packer& p, const founding::Promise& v) { PutAll(p, v.seed, v.asked, v.promised, v.accepted); }
+void Put(Packer& p, const founding::Accept& v) { PutAll(p, v.ballot, v.members); }
+void Put(Packer& p, const founding::Accepted& v) { PutAll(p, v.seed, v.asked, v.promised); }
+void Put(Packer& p, const founding::Chosen& v) { PutAll(p, v.members); }
 
 template <typename T>
 void Put(Packer& p, const std::vector<T>& items) {
@@ -120,6 +125,11 @@
 void Take(const Object& o, Promised& v) { TakeAll(o, v.ok, v.ballot, v.accepted); }
 void Take(const Object& o, Accept& v) { TakeAll(o, v.ballot, v.members, v.above); }
 void Take(const Object& o, Accepted& v) { TakeAll(o, v.ok, v.ballot, v.value); }
+void Take(const Object& o, founding::Prepare& v) { TakeAll(o, v.ballot); }
+void Take(const Object& o, founding::Promise& v) { TakeAll(o, v.seed, v.asked, v.promised, v.accepted); }
+void Take(const Object& o, founding::Accept& v) { TakeAll(o, v.ballot, v.members); }
+void Take(const Object& o, founding::Accepted& v) { TakeAll(o, v.seed, v.asked, v.promised); }
+void Take(const Object& o, founding::Chosen& v) { TakeAll(o, v.members); }
 
 template <typename T>
 void Take(const Object& o, std::vector<T>& items) {
@@ -142,9 +152,9 @@
   (Take(*next++, fields), ...);
 }
 
-template <std::size_t... I>
-void TakeBody(const Object& o, std::uint64_t kind, Body& body, std::index_sequence<I...>) {
-  bool known = ((kind == I && (Take(o, body.emplace<I>()), true)) || ...);
+template <typename AnyBody, std::size_t... I>
+void TakeBody(const Object& o, std::uint64_t kind, AnyBody& body, std::index_sequence<I...>) {
+  bool known = ((kind == I && (Take(o, body.template emplace<I>()), true)) || ...);
   if (!known) throw Foreign();
 }
 
@@ -243,4 +253,51 @@
   return std::nullopt;
 }
 
+std::string Encode(const founding::Message& message) {
+  msgpack::sbuffer buffer(256);
+  Packer p(buffer);
+  p.pack_array(4);
+  Put(p, kFormat);
+  Put(p, message.electorate);
+  Put(p, static_cast<std::uint64_t>(message.body.index()));
+  std::visit([&p](const auto& body) { Put(p, body); }, message.body);
+  return Text(buffer);
+}
+
+std::optional<founding::Message> DecodeFounding(std::string_view bytes) try {
+  auto handle = Unpack(bytes);
+  const Object& o = handle.get();
+  if (o.type != msgpack::type::ARRAY || o.via.array.size < 4) return std::nullopt;
+  const Object* field = o.via.array.ptr;
+  std::uint64_t format = 0, kind = 0;
+  founding::Message message;
+  Take(field[0], format);
+  if (format != kFormat) return std::nullopt;
+  Take(field[1], message.electorate);
+  Take(field[2], kind);
+  constexpr auto kKinds = std::variant_size_v<founding::Body>;
+  TakeBody(field[3], kind, message.body, std::make_index_sequence<kKinds>());
+  return message;
+} catch (const std::exception&) {
+  return std::nullopt;
+}
+
+std::string EncodeFoundingState(const founding::State& state) {
+  msgpack::sbuffer buffer(256);
+  Packer p(buffer);
+  PutAll(p, kFormat, state.electorate, state.promised, state.accepted);
+  return Text(buffer);
+}
+
+std::optional<founding::State> DecodeFoundingState(std::string_view bytes) try {
+  founding::State state;
+  std::uint64_t format = kFormat;
+  auto handle = Unpack(bytes);
+  TakeAll(handle.get(), format, state.electorate, state.promised, state.accepted);
+  if (format != kFormat) return std::nullopt;
+  return state;
+} catch (const std::exception&) {
+  return std::nullopt;
+}
+
 }  // namespace curlewdoor::agreement
--- a/src/agreement/codec.hpp
+++ b/src/agreement/codec.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <string_view>
 
+#include "agreement/founding_message.hpp"
 #include "agreement/message.hpp"
 
 namespace curlewdoor::agreement {
@@ -22,4 +23,11 @@
 std::optional<State> DecodeState(const std::optional<std::string>& state,
                                  const std::optional<std::string>& value);
 
+/// The first start's messages, and the record that an acceptor with a disk keeps beside the two above.
+inline constexpr char kFoundingKey[] = "founding";
+std::string Encode(const founding::Message& message);
+std::optional<founding::Message> DecodeFounding(std::string_view bytes);
+std::string EncodeFoundingState(const founding::State& state);
+std::optional<founding::State> DecodeFoundingState(std::string_view bytes);
+
 }  // namespace curlewdoor::agreement
