--- a/src/agreement/package.cmake
+++ b/src/agreement/package.cmake
@@ -4,6 +4,7 @@
 target_include_directories(curlewdoor_agreement PUBLIC src)
 target_include_directories(curlewdoor_agreement SYSTEM PRIVATE ${MSGPACK})
 system_test(agreement_test tests/agreement/agreement_test.cpp curlewdoor_agreement)
+system_test(founding_test tests/agreement/founding_test.cpp curlewdoor_agreement)
 system_test(memory_core_test tests/agreement/memory_core_test.cpp curlewdoor_agreement)
 if(NOT CURLEWDOOR_SANITIZE)  # millions of states: too many for a sanitized build
   system_test(founding_model_check_test tests/agreement/founding_model_check_test.cpp curlewdoor_agreement)
