Processes found their core by agreement of the seeds, never by time

Cause: a core could be founded without the seeds after 60 s, with a smaller view after 15 s, and by a proposer that was only cut off after 10 s (docs/core.md, 'The first roster', a to d). Tried with five real processes of which two of three seeds stand still from the start: the program of before founds a core of the other three and acknowledges 75 versions within 18 s.

FoundingHost carries agreement/founding: the seeds' acceptors answer over the link (FoundingBytes, kind 16, behind the others), on the disk beside the core's records where there is one that counts, else from the process that began with the whole system; the seeds of then are kept with the promise, whatever the settings say later. A chosen list goes to Core::Found(). The core's own offers are no longer made nor taken.

Tests: two scenes of real processes (a seed that is away; two of three frozen for 18 s: no core, then one), three.sh with and without disks, all core_loss scenes, golden samples of the new kinds, fuzz of both records.

--- a/fuzz/agreement.cpp
+++ b/fuzz/agreement.cpp
@@ -36,6 +36,20 @@
   FUZZ_REQUIRE(DecodeState(EncodeState(*read), EncodeValue(read->value)) == read);
 }
 
+void CheckFounding(std::string_view bytes) {
+  const auto message = DecodeFounding(bytes);
+  if (!message) return;
+  FUZZ_REQUIRE(message->electorate.size() <= founding::kMostSeeds);
+  if (const auto* accept = std::get_if<founding::Accept>(&message->body)) CheckMembers(accept->members);
+  if (const auto* chosen = std::get_if<founding::Chosen>(&message->body)) CheckMembers(chosen->members);
+  FUZZ_REQUIRE(DecodeFounding(Encode(*message)) == message);
+}
+
+void CheckFoundingState(std::string_view bytes) {
+  const auto state = DecodeFoundingState(bytes);
+  if (state) FUZZ_REQUIRE(DecodeFoundingState(EncodeFoundingState(*state)) == state);
+}
+
 }  // namespace
 
 void Check(std::string_view bytes) {
@@ -48,6 +62,10 @@
       return CheckRecords(rest, std::nullopt);
     case 'v':
       return CheckRecords(std::nullopt, rest);
+    case 'f':
+      return CheckFounding(rest);
+    case 'g':
+      return CheckFoundingState(rest);
     default:
       return;
   }
--- a/src/agreement/core.hpp
+++ b/src/agreement/core.hpp
@@ -118,6 +118,8 @@
   // Whether more than half of the seeds stand in the view. All have the same ones at the first start, so of
   // two sides of a cut one at most sees them, and only that one founds a core while it may be a cut.
   void OnSeeds(bool seen) { seeds_seen_ = seen; }
+  // Epoch 1 has these voters: the same ones at all, decided outside. Nothing where an epoch is known already.
+  void Found(Time now, std::vector<Member> members, Out& out);
   void OnMessage(Time now, const Message& message, Out& out);
   // The disk has synced this write, or has refused it; it is tried again.
   void OnWritten(Time now, std::uint64_t write, bool ok, Out& out);
--- a/src/agreement/founding.hpp
+++ b/src/agreement/founding.hpp
@@ -86,6 +86,7 @@
   /// The core has an epoch: nothing is proposed any more. What was promised is still told.
   void StopProposing();
 
+  bool proposes() const { return proposes_; }
   bool is_acceptor() const { return SeedBit(ip_) != 0; }
   const State& state() const { return state_; }
   std::uint64_t dropped() const { return dropped_; }  // messages of another electorate, and unusable ones
--- a/src/agreement/proposing.cpp
+++ b/src/agreement/proposing.cpp
@@ -50,6 +50,13 @@
   Ping(now, out);
 }
 
+void Core::Found(Time now, std::vector<Member> members, Out& out) {
+  if (state_.roster.epoch != 0 || members.empty() || members.size() > kMostMembers) return;
+  const auto size = static_cast<std::uint32_t>(members.size());
+  Adopt(now, 1, std::move(members), size, out);
+  Settle(now, out);
+}
+
 // ---- The first roster ----
 //
 // Epoch 1 starts with an offer that all in it have taken. Two offers that share a taker can't both start: who
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -25,6 +25,7 @@
 auto Fields(CoreBytes& m) { return std::tie(m.bytes); }
 auto Fields(Digest& m) { return std::tie(m.hosts); }
 auto Fields(AskHosts& m) { return std::tie(m.number); }
+auto Fields(FoundingBytes& m) { return std::tie(m.bytes); }
 
 // Fields that an earlier version doesn't send: they keep what they begin with.
 template <typename Message>
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -87,9 +87,13 @@
   std::uint64_t number = 0;
 };
 
+struct FoundingBytes {  // of the first start (agreement/founding.hpp)
+  std::string bytes;
+};
+
 // In the order of their numbers on the wire: new ones come behind.
 using Message = std::variant<Hello, Clock, Hosts, Refreshed, Tell, Told, Put, Get, Done, Config, Members,
-                             AddUnits, Total, CoreBytes, Digest, AskHosts>;
+                             AddUnits, Total, CoreBytes, Digest, AskHosts, FoundingBytes>;
 
 std::string Encode(const Message& message);
 std::optional<Message> Decode(std::string_view bytes);
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -19,6 +19,7 @@
       settings_(std::move(settings)),
       settings_path_(std::move(settings_path)),
       settings_stamp_(StampOf(settings_path_)),
+      bootstrap_(settings_.bootstrap),
       rng_(seed),
       fleet_address_{settings_.ip_address, settings_.internal_ports.first},
       link_address_{settings_.ip_address, static_cast<std::uint16_t>(settings_.internal_ports.first + 1)},
@@ -60,6 +61,9 @@
     std::string error;
     if (!listen(error)) throw std::runtime_error(error);
   };
+  // A seed answers from its memory where it has no disk that counts.
+  if (bootstrap_ && (!settings_.quorum_member || settings_.data_directory.empty()))
+    founding_ = MakeFounding(FoundingHost::FirstState(settings_), false);
   TryOpenCore();
   open([&](std::string& error) { return link_.Listen(link_address_, error); });
   open([&](std::string& error) { return fleet_link_.Open(fleet_address_, error); });
@@ -121,6 +125,7 @@
     core_->Tick(now, out);
     CarryCore(std::move(out));
   }
+  if (founding_) founding_->Tick();
   if (core_ && ticks_ % 10 == 0) OnView();
   if (ticks_ % 2 == 0) front_.KeepHouse();
   if (ticks_ % 5 == 0) {
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -24,13 +24,14 @@
 #include "shelf/shelf.hpp"
 #include "system/call_door.hpp"
 #include "system/command.hpp"
+#include "system/founding_host.hpp"
 #include "system/front.hpp"
 #include "system/link.hpp"
 #include "system/message.hpp"
 
 namespace curlewdoor::system {
 
-class Node : net::FleetLink::Owner, Link::Owner {
+class Node : net::FleetLink::Owner, Link::Owner, FoundingHost::Owner {
  public:
   // Throws std::runtime_error where it can't begin. `settings_path` is looked at again now and then.
   Node(struct ev_loop* loop, settings::NodeSettings settings, std::string settings_path, std::uint64_t seed);
@@ -78,7 +79,6 @@
   void OnExchangeEnd(const Address& with, std::string_view bytes) override;
   void Carry(fleet::Out out);
   void OnView();
-  bool SeesSeeds() const;
   static bool IsOfCore(const fleet::Record& record);
   int AtLeast(int gateways);
   void ConsiderCore();
@@ -104,6 +104,7 @@
   void Take(Link::Stream& stream, CoreBytes& message);
   void Take(Link::Stream& stream, Digest& message);
   void Take(Link::Stream& stream, AskHosts& message);
+  void Take(Link::Stream& stream, FoundingBytes& message);
   Link::Stream* NearCore();                // the core member that is reached soonest; nullptr: none
   void Broadcast(const Message& message);  // to all that wait for news
   void ToCore(const Message& message);     // to all core members that are reached
@@ -143,6 +144,10 @@
   void TryOpenCore();  // a disk in trouble leaves a gateway without a core, for now
   void StartFleet();
   void CarryCore(agreement::Out out);
+  std::unique_ptr<FoundingHost> MakeFounding(agreement::founding::State state, bool durable);
+  void OpenFounding(std::optional<agreement::founding::State> kept);
+  bool KeepFounding(std::string state) override;
+  void OnFounded(std::vector<agreement::Member> members) override;
   void OnShelf();
   void SetInForce(std::uint64_t version, const std::string& text);
   void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
@@ -172,6 +177,7 @@
   settings::NodeSettings settings_;
   const std::string settings_path_;
   std::int64_t settings_stamp_ = 0;
+  const bool bootstrap_;  // this process began with the whole system
   std::mt19937_64 rng_;
   const Address fleet_address_, link_address_;
   net::Descriptors front_descriptors_, link_descriptors_;
@@ -196,7 +202,8 @@
   std::uint64_t seen_view_ = 0;
 
   Link link_;
-  std::map<std::string, Offset> offsets_;  // by machine
+  std::map<std::string, Offset> offsets_;   // by machine
+  std::unique_ptr<FoundingHost> founding_;  // of a process that began with the whole system
   std::uint64_t epoch_ = 0;
   std::vector<CoreMember> members_;  // of the core, in `epoch_`
 
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -39,7 +39,8 @@
   Say(Event::kShelfOpened, directory + (empty ? " (empty)" : ""));
   const auto life = shelf_->Read("life");
   agreement::State state;
-  bool first = settings_.bootstrap;
+  std::optional<agreement::founding::State> founding;
+  bool first = bootstrap_;
   // A life that began with the whole system may still found it, whatever the settings say by now.
   const bool known = life && (life->size() == 16 || life->size() == 17);
   const auto read =
@@ -51,6 +52,8 @@
     first = life_.size() == 17;
     disk_ = std::strtoull(life_.substr(0, 16).c_str(), nullptr, 16);
     state = *read;
+    if (const auto kept = shelf_->Read(agreement::kFoundingKey); kept && first)
+      founding = agreement::DecodeFoundingState(*kept);
     if (const auto gateways = shelf_->Read(kGatewaysKey))
       least_gateways_ = std::clamp(std::atoi(gateways->c_str()), 0, kMostGateways);
     if (const auto hosts = shelf_->Read(kHostsKey))
@@ -59,21 +62,26 @@
   } else {
     // What can't be read is forgotten: another life, that has promised nothing and must be taken in first.
     if (known) Say(Event::kShelfDamaged, directory + ": its state can't be read; it begins another life");
-    if (known) first = false;
+    if (known || shelf_->Read(agreement::kFoundingKey)) first = false;
     if (!first) Say(Event::kWipedDisk, directory);
     disk_ = in_memory_ ? FirstLife(BootNow()) + rng_() % kLivesAtOnce : rng_() | 1;
     life_ = Hex(disk_) + (first ? "b" : "");
     // A member without a disk may be the last one that knows what was acknowledged.
     if (const auto& policy = front_.policy(); in_memory_ && policy != nullptr)
       state.value = {policy->version(), policy->text()};
-    shelf_->Write(0, {{"life", life_},
-                      {agreement::kStateKey, agreement::EncodeState(state)},
-                      {agreement::kValueKey, agreement::EncodeValue(state.value)}});
+    shelf::Records records{{"life", life_},
+                           {agreement::kStateKey, agreement::EncodeState(state)},
+                           {agreement::kValueKey, agreement::EncodeValue(state.value)}};
+    if (first && !founding_) {
+      founding = FoundingHost::FirstState(settings_);
+      records.emplace_back(agreement::kFoundingKey, agreement::EncodeFoundingState(*founding));
+    }
+    shelf_->Write(0, std::move(records));
   }
   agreement::Options options;
   options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
   options.lives_end = in_memory_;
-  core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, first,
+  core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, false,
                 std::move(state), options, rng_());
   if (core_->roster().epoch > epoch_) {
     epoch_ = core_->roster().epoch;
@@ -84,6 +92,33 @@
   }
   shelf_io_ = std::make_unique<net::IoWatcher>(loop_, [this](int) { OnShelf(); });
   shelf_io_->Want(shelf_->fd(), EV_READ);
+  OpenFounding(std::move(founding));
+}
+
+// A process that has answered from its memory goes on to do so.
+void Node::OpenFounding(std::optional<agreement::founding::State> kept) {
+  if (!founding_ && kept) founding_ = MakeFounding(std::move(*kept), true);
+  if (founding_ && epoch_ == 0) founding_->SetCandidate(core_->self());
+}
+
+std::unique_ptr<FoundingHost> Node::MakeFounding(agreement::founding::State state, bool durable) {
+  const auto least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
+  FoundingHost::Owner& owner = *this;
+  return std::make_unique<FoundingHost>(link_, owner, link_address_, std::move(state), durable, least_members,
+                                        rng_());
+}
+
+bool Node::KeepFounding(std::string state) {
+  shelf::Records records{{agreement::kFoundingKey, std::move(state)}};
+  if (!life_kept_) records.emplace_back("life", life_);
+  return shelf_->Write(kFoundingWrite, std::move(records));
+}
+
+void Node::OnFounded(std::vector<agreement::Member> members) {
+  if (!core_) return;
+  agreement::Out out;
+  core_->Found(Now(), std::move(members), out);
+  CarryCore(std::move(out));
 }
 
 void Node::OnShelf() {
@@ -94,6 +129,10 @@
       keeping_hosts_ = false;
       continue;
     }
+    if (result.id == kFoundingWrite) {
+      founding_->OnWritten(result.ok);
+      continue;
+    }
     agreement::Out out;
     core_->OnWritten(Now(), result.id, result.ok, out);
     CarryCore(std::move(out));
@@ -204,6 +243,7 @@
   if (epoch <= epoch_) return;
   epoch_ = epoch;
   members_ = std::move(members);
+  if (founding_) founding_->StopProposing();
   std::string names;
   for (const CoreMember& member : members_) names += " " + member.name;
   Say(Event::kRosterInForce, "epoch " + std::to_string(epoch) + names);
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -48,6 +48,7 @@
 inline constexpr seconds kGatherAtMost{10};  // by then a view is as whole as it gets
 inline constexpr int kMostGateways = 10'000;
 inline constexpr std::uint64_t kHostsWrite = ~std::uint64_t{0};  // never an id of the agreement's writes
+inline constexpr std::uint64_t kFoundingWrite = kHostsWrite - 1;
 inline constexpr int kReserved = 300;  // descriptors: files, the loop's own, what the platform keeps
 
 inline std::int64_t StampOf(const std::string& path) {
--- a/src/system/node_membership.cpp
+++ b/src/system/node_membership.cpp
@@ -78,6 +78,7 @@
   for (const auto& [name, member] : fleet_->others()) look(member.record);
   for (const CoreMember& member : members_)
     if (member.address != link_address_) targets.push_back(member.address);
+  if (founding_) founding_->AddTargets(targets);
   if (targets.empty())  // nobody is known yet: a seed is of the core or knows it
     for (const Address& seed : settings_.seed_nodes)
       if (seed.ip != settings_.ip_address) targets.push_back({seed.ip, link_address_.port});
@@ -101,7 +102,7 @@
   gateways_ = AtLeast(gateways);
   if (front_.SetGateways(gateways_, index, in_zone)) front_.SetHosts(by_service_);
   if (!core_) return;
-  core_->OnSeeds(SeesSeeds());
+  if (founding_) founding_->OnView(counted);
   agreement::Out out;
   core_->OnView(Now(), counted, out);
   CarryCore(std::move(out));
@@ -114,17 +115,6 @@
   return gathered_ ? gateways : std::max(gateways, least_gateways_);
 }
 
-// More than half of them, itself among them where it is one.
-bool Node::SeesSeeds() const {
-  std::set<std::uint32_t> seeds, seen;
-  for (const Address& seed : settings_.seed_nodes) seeds.insert(seed.ip);
-  if (seeds.contains(settings_.ip_address)) seen.insert(settings_.ip_address);
-  for (const auto& [name, member] : fleet_->others())
-    if (member.record.present() && seeds.contains(member.record.address.ip))
-      seen.insert(member.record.address.ip);
-  return 2 * seen.size() > seeds.size() || seeds.empty();
-}
-
 bool Node::IsOfCore(const fleet::Record& record) {
   return record.about.starts_with(kOnDisk) || record.about.starts_with(kInMemory);
 }
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -237,4 +237,8 @@
   CarryCore(std::move(out));
 }
 
+void Node::Take(Link::Stream& stream, FoundingBytes& message) {
+  if (founding_) founding_->OnBytes(stream, message.bytes);
+}
+
 }  // namespace curlewdoor::system
--- a/tests/system/core_loss_test.cpp
+++ b/tests/system/core_loss_test.cpp
@@ -209,6 +209,35 @@
   scene.Judge();
 }
 
+// Two of three seeds are enough, and the third one comes when there is a core already.
+BOOST_AUTO_TEST_CASE(first_start_without_a_seed) {
+  CoreScene scene(Of(4));
+  scene.Begin({1, 2, 3});
+  BOOST_REQUIRE(scene.Acknowledges(3));
+  BOOST_TEST(scene.All([&](int m) { return scene.Epoch(m) >= 1; }));
+  scene.machines.Start(0, true);
+  BOOST_TEST(scene.Until([&] { return scene.Epoch(0) >= 1 && scene.Lists(0, 0); }));
+  scene.Judge();
+}
+
+// One of three isn't, however long it lasts and however many machines are there: no clock makes a core.
+BOOST_AUTO_TEST_CASE(first_start_with_most_seeds_frozen) {
+  Machines::Options options = Of(5);
+  options.machine_failures = 1;
+  CoreScene scene(options);
+  scene.Begin(scene.machines.all());
+  scene.Freeze(0);
+  scene.Freeze(1);
+  scene.Last(18);
+  BOOST_TEST(scene.acknowledged() == 0u);
+  for (const int m : {2, 3, 4}) BOOST_TEST(scene.Epoch(m) == 0u);
+  scene.Thaw(0);
+  scene.Thaw(1);
+  BOOST_TEST(scene.Acknowledges(3));
+  BOOST_TEST(scene.All([&](int m) { return scene.Epoch(m) >= 1 && scene.IsMember(m); }));
+  scene.Judge();
+}
+
 void PlaySize(int core, int others) {
   CoreScene scene(Of(core, others));
   BOOST_REQUIRE(scene.Begin());
--- a/tests/system/core_scene.hpp
+++ b/tests/system/core_scene.hpp
@@ -56,10 +56,14 @@
 
   // All start for the first time; then versions come, one after the other.
   bool Begin() {
-    for (const int m : machines.all()) machines.Start(m, true);
-    asking_ = true;
+    Begin(machines.all());
     return Acknowledges(3) && All([this](int m) { return InForce(m) > 0; });
   }
+  // These start for the first time, and versions come; without a word on what becomes of it.
+  void Begin(const std::vector<int>& first) {
+    for (const int m : first) machines.Start(m, true);
+    asking_ = true;
+  }
   // So many more acknowledgements, of calls sent from now on.
   bool Acknowledges(int more, double within_s = kSoon) {
     const std::uint64_t above = version_;
--- a/tests/system/golden_test.cpp
+++ b/tests/system/golden_test.cpp
@@ -56,7 +56,8 @@
                                       Total{5, true, 99.5},
                                       CoreBytes{"core"},
                                       Digest{1234567},
-                                      AskHosts{7}};
+                                      AskHosts{7},
+                                      FoundingBytes{"founding"}};
   const Rewrite rewrite = [](const std::string& bytes) -> std::optional<std::string> {
     const auto message = Decode(bytes);
     return message ? std::optional(Encode(*message)) : std::nullopt;
@@ -93,6 +94,26 @@
     message.body = body;
     samples.push_back({"core-" + std::to_string(body.index()), Encode(message), rewrite, {{}, {1}, {5}}});
   }
+  const founding::Electorate electorate{0x0a08001f, 0x0a080020};
+  const Rewrite rewrite_founding = [](const std::string& bytes) -> std::optional<std::string> {
+    const auto message = DecodeFounding(bytes);
+    return message ? std::optional(Encode(*message)) : std::nullopt;
+  };
+  for (const founding::Body& body : std::vector<founding::Body>{
+           founding::Prepare{{5, 6}}, founding::Promise{0x0a08001f, {5, 6}, {7, 8}, accepting},
+           founding::Accept{{5, 6}, members}, founding::Accepted{0x0a08001f, {5, 6}, {7, 8}},
+           founding::Chosen{members}})
+    samples.push_back({"founding-" + std::to_string(body.index()),
+                       Encode(founding::Message{electorate, body}),
+                       rewrite_founding,
+                       {{}, {3}}});
+  samples.push_back({"shelf-founding",
+                     EncodeFoundingState({electorate, {7, 8}, accepting}),
+                     [](const std::string& bytes) -> std::optional<std::string> {
+                       const auto read = DecodeFoundingState(bytes);
+                       return read ? std::optional(EncodeFoundingState(*read)) : std::nullopt;
+                     },
+                     {{}, {3}}});
   State state;
   state.roster.epoch = 4;
   state.roster.members = members;
--- a/tests/system/message_test.cpp
+++ b/tests/system/message_test.cpp
@@ -43,7 +43,8 @@
           Total{6, true, 99.5},
           CoreBytes{kBytes},
           Digest{kMost},
-          AskHosts{7}};
+          AskHosts{7},
+          FoundingBytes{kBytes}};
 }
 
 // Of 24 bytes each: what arrays may claim before it is there, one within the other.
