--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # Such as -DCURLEWDOOR_STRICT=ON.
 CMAKE_FLAGS ?=
 
-.PHONY: build kit test lint run rehearse
+.PHONY: build kit test lint tidy run rehearse
 
 build:
 	cmake -B $(BUILD) -DCMAKE_BUILD_TYPE=Release $(CMAKE_FLAGS)
@@ -29,6 +29,12 @@
 lint:
 	git ls-files '*.cpp' '*.hpp' | xargs clang-format --dry-run -Werror
 	tests/check_module.sh
+	tests/check_lengths.sh
+
+# clang-tidy over the whole gateway; nothing is built for it.
+tidy:
+	cmake -B build-tidy -DCMAKE_BUILD_TYPE=Release -DCURLEWDOOR_SYSTEM=ON
+	tests/tidy.sh build-tidy
 
 run: build
 	$(BUILD)/curlewdoor serve $(if $(CONFIG),--config $(CONFIG))
--- a/src/console/config_commands.cpp
+++ b/src/console/config_commands.cpp
@@ -26,7 +26,7 @@
 
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  std::string text{std::istreambuf_iterator<char>(file), {}};
   if (!file || file.bad()) throw CommandError(kUsage, path + ": can't be read");
   return text;
 }
--- a/src/directory/command.cpp
+++ b/src/directory/command.cpp
@@ -69,7 +69,7 @@
     const cJSON* found = Get(name, needed);
     if (!found) return {};
     if (!cJSON_IsString(found)) Bad(Path(name) + ": not a string");
-    const std::string text = found->valuestring;
+    std::string text = found->valuestring;
     if (needed && text.empty()) Bad(Path(name) + ": empty");
     if (text.size() > kMostName) Bad(Path(name) + ": too long");
     if (std::any_of(text.begin(), text.end(), [](unsigned char c) { return c < 0x20 || c == 0x7f; })) {
--- a/src/directory/journal.hpp
+++ b/src/directory/journal.hpp
@@ -5,7 +5,6 @@
 #include <cstdint>
 #include <deque>
 #include <optional>
-#include <ranges>
 #include <utility>
 
 namespace curlewdoor::directory {
@@ -13,7 +12,20 @@
 template <class Event>
 class Journal {
  public:
-  using Events = std::ranges::subrange<typename std::deque<Event>::const_iterator>;
+  // A run of events, oldest first.
+  class Events {
+   public:
+    using Iterator = typename std::deque<Event>::const_iterator;
+    Events(Iterator begin, Iterator end) : begin_(begin), end_(end) {}
+    Iterator begin() const { return begin_; }
+    Iterator end() const { return end_; }
+    bool empty() const { return begin_ == end_; }
+    std::size_t size() const { return static_cast<std::size_t>(end_ - begin_); }
+    const Event& front() const { return *begin_; }
+
+   private:
+    Iterator begin_, end_;
+  };
 
   // `most`: events kept, 1 at least.
   explicit Journal(std::size_t most) : most_(most) {}
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -38,7 +38,7 @@
                    [this](int) {
                      fleet::Out out;
                      fleet_->Tick(Now(), out);
-                     Carry(std::move(out));
+                     Carry(out);
                    }),
       link_(loop, link_descriptors_, *this, LinkOptions(settings_), seed),
       front_(
@@ -49,7 +49,7 @@
           loop, link_descriptors_, [this](CallDoor::Call call) { OnCall(std::move(call)); }, kMostConfig),
       readiness_(
           loop, link_descriptors_,
-          [this](CallDoor::Call call) {
+          [this](const CallDoor::Call& call) {
             const bool asked = call.path == kReadinessPath;
             readiness_.Reply(call.id, !asked ? 404 : ready_ && !leaving_ ? 200 : 503);
           },
@@ -111,7 +111,7 @@
   seen_view_ = 0;
   fleet::Out out;
   fleet_->Start(Now(), out);
-  Carry(std::move(out));
+  Carry(out);
 }
 
 void Node::SetReady() {
@@ -223,7 +223,7 @@
 void Node::End() {
   fleet::Out out;
   fleet_->Leave(Now(), out);
-  Carry(std::move(out));
+  Carry(out);
   Say(front_.owes_anything() ? Event::kDrainCutShort : Event::kDrained, settings_.node_name);
   ev_break(loop_, EVBREAK_ALL);
 }
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -80,7 +80,7 @@
   void OnDatagram(std::string_view bytes) override;
   std::string OnExchange(std::string_view bytes) override;
   void OnExchangeEnd(const Address& with, std::string_view bytes) override;
-  void Carry(fleet::Out out);
+  void Carry(const fleet::Out& out);
   void OnView();
   bool SeesSeeds() const;
   static bool IsOfCore(const fleet::Record& record);
--- a/src/system/node_membership.cpp
+++ b/src/system/node_membership.cpp
@@ -15,17 +15,17 @@
     return;
   fleet::Out out;
   fleet_->OnMessage(Now(), *message, out);
-  Carry(std::move(out));
+  Carry(out);
 }
 
 std::string Node::OnExchange(std::string_view bytes) {
   auto why = fleet::Drop::kNone;
   const auto message = fleet::Decode(bytes, kFleetName, why);
   if (!message || message->kind != fleet::Kind::kExchange) return {};
-  const std::string answer = fleet::Encode(fleet_->Full(fleet::Kind::kExchangeReply), kFleetName);
+  std::string answer = fleet::Encode(fleet_->Full(fleet::Kind::kExchangeReply), kFleetName);
   fleet::Out out;
   fleet_->OnMessage(Now(), *message, out);
-  Carry(std::move(out));
+  Carry(out);
   return answer;
 }
 
@@ -38,10 +38,10 @@
   } else {
     fleet_->OnExchangeFailed(Now(), with, out);
   }
-  Carry(std::move(out));
+  Carry(out);
 }
 
-void Node::Carry(fleet::Out out) {
+void Node::Carry(const fleet::Out& out) {
   for (const auto& [to, message] : out.datagrams) fleet_link_.Send(to, fleet::Encode(message, kFleetName));
   for (const auto& [with, message] : out.exchanges)
     fleet_link_.Exchange(with, fleet::Encode(message, kFleetName));
