--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -70,8 +70,8 @@
     if (const auto& policy = front_.policy(); in_memory_ && policy != nullptr)
       state.value = {policy->version(), policy->text()};
     storage::Records records{{"life", life_},
-                           {agreement::kStateKey, agreement::EncodeState(state)},
-                           {agreement::kValueKey, agreement::EncodeValue(state.value)}};
+                             {agreement::kStateKey, agreement::EncodeState(state)},
+                             {agreement::kValueKey, agreement::EncodeValue(state.value)}};
     if (first && !founding_) {
       founding = FoundingHost::FirstState(settings_);
       records.emplace_back(agreement::kFoundingKey, agreement::EncodeFoundingState(*founding));
