--- a/tests/system/stand_host.hpp
+++ b/tests/system/stand_host.hpp
@@ -83,6 +83,7 @@
       const ssize_t count = ::recv(fd_, bytes, sizeof bytes, MSG_DONTWAIT);
       if (count == 0 || (count < 0 && errno != EAGAIN)) return End();
       if (count > 0) in_.append(bytes, static_cast<std::size_t>(count));
+      if (host_.came) host_.came(*this, in_.size());
       Request request;
       while (open() && !paused_ && TakeRequest(request)) host_.handle(*this, request);
     }
@@ -158,6 +159,7 @@
 
   std::function<void(Link&, const Request&)> handle;
   std::function<void(Link&)> accepted;
+  std::function<void(Link&, std::size_t)> came;  // so many bytes of a request that may not be whole
 
  private:
   void Accept() {
