--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -43,7 +43,7 @@
 inline constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
 inline constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
 inline constexpr std::size_t kMostConfig =
-    3 * 1024 * 1024;  // the shelf takes many times that: 64 MB are granted
+    3 * 1024 * 1024;  // storage takes many times that: 64 MB are granted
 inline constexpr char kHostsKey[] = "hosts", kGatewaysKey[] = "gateways";
 inline constexpr seconds kGatherAtMost{10};  // by then a view is as whole as it gets
 inline constexpr int kMostGateways = 10'000;
