max_body_bytes holds for chunked bodies; orders that wait are bounded in bytes

Cause: a request whose length isn't told was passed on up to 1 GiB whatever the configuration allows: only Content-Length was looked at. 256 orders could wait at once, each of 3 MiB.

Change: a body is refused with 413 once more of it has come than the configuration it came under allows; its attempt is given up, and no host has seen it whole. Orders that wait hold 32 MiB together at the most, then 503.

--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -68,6 +68,7 @@
   std::string_view target() const { return At(target_); }
   // Also of what is to be taken in pieces: after kFull, where a length is told, or once it is gathered.
   std::string_view body() const { return At(body_); }
+  std::uint64_t body_bytes() const { return body_bytes_; }  // that have come, also those taken already
   void GatherBody();
   bool keep_alive() const { return keep_alive_; }
   // The value of a header. Empty if it is absent; `twice` is set if it stands more than once.
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -33,6 +33,7 @@
 constexpr double kMeanStep = 0.05;                    // weight of one answer in a route's mean
 constexpr double kFirstMean = 0.1;                    // seconds, until answers have told
 
+constexpr std::string_view kBodyTooLarge = "too large\n";
 constexpr std::initializer_list<std::string_view> kDropped{kDeadlineHeader, kTenantHeader, kInstanceHeader,
                                                            kKeyHeader};
 
@@ -222,7 +223,8 @@
     }
   }
   if (message.method() == HTTP_HEAD || message.method() == HTTP_CONNECT) return reject(405, "not carried\n");
-  if (message.length().value_or(0) > policy_->limits().max_body_bytes) return reject(413, "too large\n");
+  const std::uint64_t body = std::max(message.length().value_or(0), message.body_bytes());
+  if (body > policy_->limits().max_body_bytes) return reject(413, kBodyTooLarge);
   std::uint64_t deadline = 0;
   const std::string_view told = message.Find(kDeadlineHeader);
   if (!told.empty() && !ParseNumber(told, deadline)) return reject(400, "X-Deadline-Remaining: a number\n");
@@ -487,6 +489,25 @@
   Forget(request);
 }
 
+// A length that isn't told is known as the body comes.
+void Front::OnUpload(RequestId id) {
+  Request* request = Find(id);
+  const http::Message* message = RequestOf(id);
+  if (request != nullptr && message != nullptr &&
+      message->body_bytes() > request->policy->limits().max_body_bytes)
+    return RefuseBody(*request);
+  uploads_.Pump(id);
+}
+
+void Front::RefuseBody(Request& request) {
+  const RequestId id = request.id;
+  ++counts_.rejected;
+  if (request.claim.customer != nullptr && !request.held_open) leases_.OnGone(request.claim);
+  GiveUp(request, choosing::End::kNothing);
+  Forget(request);
+  Decline(id, 413, {}, kBodyTooLarge);
+}
+
 void Front::OnBound(const AttemptId& attempt) {
   if (const auto it = requests_.find(attempt.request); it != requests_.end()) it->second.course.Bind();
 }
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -113,7 +113,7 @@
   Duration Unseen(int) override { return {}; }
   using Door::OnAnswerRoom;
   using Door::OnUpload;
-  void OnUpload(RequestId request) override { uploads_.Pump(request); }
+  void OnUpload(RequestId id) override;
   void OnAnswerRoom(RequestId request) override { upstream_.ReadOn(request); }
   void OnAnswerLost(RequestId request) override { upstream_.DropStream(request); }
   bool WantsAnswer(RequestId request) override { return WantsBytes(request); }
@@ -146,6 +146,7 @@
   void Hear(const AttemptId& attempt, trying::AttemptEvent::Kind kind);
   void HearAnswer(const AttemptAnswered& answered);
   void GiveUp(Request& request, choosing::End end);
+  void RefuseBody(Request& request);  // longer than its configuration allows
   void Begin(RequestId id);
   void Dispatch(Request& request);
   void EndAttempt(Request& request, const trying::Ending& ending, const http::Message* answer);
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -48,6 +48,7 @@
     bool is_put = false;
     std::uint64_t version = 0;
     std::string text;
+    std::size_t size = 0;  // of its text, which the core may have by now
     Steady ends, next;
     std::vector<Address> asked;
     std::uint64_t stream = 0;            // that it was passed to last; 0: none
--- a/src/system/node_calls.cpp
+++ b/src/system/node_calls.cpp
@@ -76,7 +76,10 @@
 }
 
 void Node::Ask(Pending pending) {
-  if (pending_.size() >= kMostPending) return pending.answer(503, {});
+  pending.size = pending.text.size();
+  std::size_t held = pending.size;
+  for (const auto& [number, other] : pending_) held += other.size;
+  if (pending_.size() >= kMostPending || held > kMostPendingText) return pending.answer(503, {});
   const std::uint64_t number = next_number_++;
   Pending& kept = pending_[number] = std::move(pending);
   if (core_member()) {
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -37,7 +37,8 @@
 inline constexpr milliseconds kMostAstray{
     200};  // of a gateway's idea of a holder's clock, its message's way included
 inline constexpr std::size_t kMostPending = 256, kMostTellings = 1024, kMostAddings = 4096;
-inline constexpr double kSilentBeats = 3.5;  // a host that has missed so many is silent
+inline constexpr std::size_t kMostPendingText = 32 * 1024 * 1024;  // of all orders that wait
+inline constexpr double kSilentBeats = 3.5;                        // a host that has missed so many is silent
 inline constexpr milliseconds kStopListening{
     2600};  // after SIGTERM: the platform has seen by then that we don't serve
 inline constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
--- a/tests/system/attempt_path_test.cpp
+++ b/tests/system/attempt_path_test.cpp
@@ -166,6 +166,33 @@
   }
 }
 
+// `max_body_bytes` holds for a length that is told and for one that isn't; hosts never see a whole one
+// beyond.
+BOOST_AUTO_TEST_CASE(BodiesBeyondTheLimitAre413) {
+  for (const std::size_t limit : {1'000ul, 200'000ul})
+    for (const std::size_t size : {limit, limit + 1, 4 * limit})
+      for (const bool chunked : {false, true}) {
+        BOOST_TEST_CONTEXT("limit " << limit << " size " << size << " chunked " << chunked) {
+          Kitchen kitchen;
+          std::string policy(kPolicy);
+          policy.replace(policy.find("67108864"), 8, std::to_string(limit));
+          policy.replace(policy.find("\"config_version\":1"), 18, "\"config_version\":2");
+          kitchen.front->SetPolicy(policy::Policy::Read(policy));
+          const std::string body = Text(size, 1);
+          std::string bytes = body;
+          if (chunked) bytes = http::ChunkLine(size) + body + "\r\n0\r\n\r\n";
+          const std::string framing =
+              chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(size) + "\r\n";
+          const Answers answers =
+              kitchen.Call(Kitchen::Ask("/write/x", "a", framing, "key-a1", "POST") + bytes);
+          BOOST_REQUIRE_EQUAL(answers.whole.size(), 1u);
+          BOOST_TEST(answers.whole[0].status == (size > limit ? 413 : 200));
+          BOOST_TEST(kitchen.seen.size() == (size > limit ? 0u : 1u));
+          BOOST_TEST(kitchen.front->open_requests() == 0u);
+        }
+      }
+}
+
 // ---- Clients' connections -----------------------------------------------------------------------------
 
 // A door whose time is told, with the least that answers.
