--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -423,8 +423,9 @@
 // which lost each other wholly, as in a restart of all seeds, find together.
 void Machine::Join(Time now, Out& out) {
   const Duration longest = options_.probe * (joined_ ? kSeedsEvery : kLongestBackoff);
+  const bool grows = !joined_ || options_.seeks_seeds;
   const Duration wait =
-      joined_ ? longest : std::min(longest, options_.probe * (1 << std::min(join_backoff_++, 8)));
+      grows ? std::min(longest, options_.probe * (1 << std::min(join_backoff_++, 8))) : longest;
   join_due_ = now + Jittered(wait);
   if (rival_until_) return;
   std::set<Address> held{self_.address};
@@ -446,7 +447,8 @@
 void Machine::Joined(Time now, Out& out) {
   rival_until_.reset();
   if (std::exchange(joined_, true)) return;
-  join_due_ = now + Jittered(options_.probe * kSeedsEvery);
+  join_backoff_ = 0;
+  join_due_ = now + Jittered(options_.probe * (options_.seeks_seeds ? 1 : kSeedsEvery));
   period_due_ = now;
   changed_at_ = now;
   Speak();
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -29,7 +29,10 @@
   std::string about;           // kMostAbout bytes at the most
   std::vector<Address> seeds;  // asked at the start, and again while none of the view stands there
   Duration probe = std::chrono::milliseconds(500);  // the period; 20 ms to 60 s
-  bool lifeguard = true;                            // false: plain SWIM, the baseline of the measurements
+  // Seeds that aren't in the view are asked soon after the join, then ever less often: where all start at
+  // once, those that joined by different seeds are islands until one asks another's seed.
+  bool seeks_seeds = false;
+  bool lifeguard = true;  // false: plain SWIM, the baseline of the measurements
 };
 
 struct Sending {
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -94,6 +94,7 @@
   options.about = (core_ ? (in_memory_ ? kInMemory : kOnDisk) + Hex(disk_) : "-") + " " + settings_.zone;
   options.about.resize(std::min(options.about.size(), fleet::kMostAbout));
   options.probe = kProbe;
+  options.seeks_seeds = true;
   for (const Address& seed_node : settings_.seed_nodes)
     options.seeds.push_back({seed_node.ip, fleet_address_.port});
   // A core member that comes back knows its companions, wherever the seeds have gone meanwhile.
--- a/tests/fleet/view_test.cpp
+++ b/tests/fleet/view_test.cpp
@@ -131,6 +131,31 @@
   EXPECT_EQ(alone.machine.alive(), 1u);
 }
 
+// Whoever was joined before it reached a seed looks for that soon where it is told to, then ever less often.
+TEST(FleetMachine, SeedsThatAreNotInTheViewAreSoughtSoon) {
+  for (const bool seeks : {false, true}) {
+    Options options;
+    options.seeds = {Someone(1).address};
+    options.seeks_seeds = seeks;
+    Alone alone(options);
+    alone.machine.OnExchangeFailed(alone.now, options.seeds[0], alone.out);
+    alone.Hear(Someone(2), {}, Kind::kExchangeReply);
+    ASSERT_TRUE(alone.machine.joined());
+    const auto asked = [&](Duration within) {
+      alone.out = {};
+      alone.Pass(within);
+      return alone.out.exchanges.size();
+    };
+    EXPECT_EQ(asked(options.probe * 3 / 2), seeks ? 1u : 0u);
+    EXPECT_LE(asked(std::chrono::seconds(20)), 8u);
+    Alone other(options);
+    other.Hear(Someone(1), {}, Kind::kExchangeReply);
+    other.out = {};
+    other.Pass(options.probe * 3 / 2);
+    EXPECT_TRUE(other.out.exchanges.empty());  // it is there
+  }
+}
+
 TEST(FleetMachine, AFullViewTakesNobodyMore) {
   Alone alone;
   for (std::uint64_t i = 0; i < 2 * kMostMembers; ++i) alone.Hear(Someone(i), {});
