Scale of control: whole gateways without traffic, many in a process, beside real core members

Cause: nothing showed what a core member carries with hundreds of gateways, hosts and changes.

Change: bench/scale.sh plays series of curlewdoor-scale: 3 to 8 core processes and up to 900 hollow gateways (each a whole system::Node) in processes of 150, each run under 60 s and ending by itself; rows of bytes, processor, memory, and the time from a confirmation to the last gateway. systemkit::Machines takes the limit of descriptors.

Ruled out: asking 900 gateways each 20 ms for their version, which loaded what was measured; reading while links were still being dialled (162 to 405 KB/s a member at 900 gateways, 25 KB/s once all stood).

Found: with fd_limit 4100 a member takes some 550 gateways' links; 520 came up, 600 did not.

--- a/src/systemkit/machines.hpp
+++ b/src/systemkit/machines.hpp
@@ -23,6 +23,7 @@
     double quota_window_s = 1;
     int heartbeat_ms = 400;
     int grace_s = 6;
+    int fd_limit = 4100;
   };
 
   explicit Machines(const Options& options);  // throws std::runtime_error
--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -28,4 +28,9 @@
       set_tests_properties(core_loss_${scenario} PROPERTIES TIMEOUT 120 PROCESSORS 1)
     endforeach()
   endif()
+
+  # How control grows with gateways, hosts and changes: bench/scale.sh, by hand. Whole gateways, many in a process.
+  add_executable(curlewdoor-scale EXCLUDE_FROM_ALL bench/scale.cpp src/systemkit/hollow.cpp)
+  target_link_libraries(curlewdoor-scale PRIVATE curlewdoor_systemkit curlewdoor_node)
+  add_dependencies(curlewdoor-scale curlewdoor-system)
 endif()
