Configurations are announced, fetched from one member and sent as differences

Cause: every core member sent each configuration whole to every gateway. On the grown deployments 200 changes in 24 s filled links of 2 Mbit/s: requests came late, while processor time hardly rose. A member also told what it held without asking a majority.

Change: a member in contact announces version and digest (at most every 200 ms); a gateway fetches the newest from one near member, one question at a time, 250 ms at least after the last one came into force, and takes a difference to the text it holds, checked by digest. An answer waits for a read of the core that began after the fetch came; a member without contact says "not now" at once, and the gateway asks another. Versions without the capability in Hello are sent Config whole, as before.

--- a/src/system/link.hpp
+++ b/src/system/link.hpp
@@ -45,11 +45,13 @@
     const Address& to() const { return to_; }  // where it was dialled to, or came from
     TimePoint heard() const { return heard_; }
     std::size_t unwritten() const { return out_.size(); }
+    bool receiving() const { return !in_.view().empty(); }  // a part of a frame is here
 
     std::string name;          // of the other side's machine, once it has said so
     bool counted = false;      // it is of the core, or may come to be
     int strayed = 0;           // digests in a row that were not ours
     bool subscribed = false;   // wants news
+    bool fetches = false;      // knows Announce, Fetch and Fetched
     bool told_later = false;   // said that it sends kinds of a later version
     std::uint64_t number = 0;  // of this stream in this process
 
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // The fields of each message, in the order on the wire.
-auto Fields(Hello& m) { return std::tie(m.name, m.counted); }
+auto Fields(Hello& m) { return std::tie(m.name, m.counted, m.fetches); }
 auto Fields(Clock& m) { return std::tie(m.asked_us, m.told_us); }
 auto Fields(Hosts& m) { return std::tie(m.batch); }
 auto Fields(Refreshed& m) { return std::tie(m.beats); }
@@ -25,11 +25,20 @@
 auto Fields(CoreBytes& m) { return std::tie(m.bytes); }
 auto Fields(Digest& m) { return std::tie(m.hosts); }
 auto Fields(AskHosts& m) { return std::tie(m.number); }
+auto Fields(Announce& m) { return std::tie(m.epoch, m.version, m.digest); }
+auto Fields(Fetch& m) {
+  return std::tie(m.number, m.epoch, m.base_version, m.base_digest, m.version, m.digest, m.offset);
+}
+auto Fields(Fetched& m) {
+  return std::tie(m.number, m.outcome, m.version, m.digest, m.size, m.offset, m.bytes);
+}
 
 // Fields that an earlier version doesn't send: they keep what they begin with.
 template <typename Message>
 constexpr std::size_t kLater = 0;
 template <>
+constexpr std::size_t kLater<Hello> = 1;
+template <>
 constexpr std::size_t kLater<Members> = 1;
 
 template <typename T>
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -24,6 +24,7 @@
 struct Hello {  // the first on each stream, both ways
   std::string name;
   bool counted = false;  // a member of the core, or one that may become one
+  bool fetches = false;  // takes Announce and fetches; else it is sent Config whole (versions before 0.5)
 };
 struct Clock {  // a question, and its answer with the other side's time
   std::int64_t asked_us = 0;
@@ -87,9 +88,33 @@
   std::uint64_t number = 0;
 };
 
+// A configuration is named by its version and the digest of its text (StableHash).
+struct Announce {  // by a member in contact with a majority: this one is chosen
+  std::uint64_t epoch = 0, version = 0, digest = 0;
+};
+struct Fetch {                          // the newest configuration, or the next piece of one; owed: a Fetched
+  std::uint64_t number = 0, epoch = 0;  // the asker's epoch: owed Members too, if it is an old one
+  std::uint64_t base_version = 0, base_digest = 0;  // a difference to this text will do; 0: to none
+  std::uint64_t version = 0, digest = 0;            // 0: the newest; else that of the earlier pieces
+  std::uint64_t offset = 0;                         // bytes of it that were taken already
+};
+enum class FetchOutcome : std::uint8_t {
+  kNotNow,   // not of the core, or no majority has answered: another member may do better
+  kCurrent,  // the base is the newest
+  kDelta,    // bytes of a difference to the base (util/text_delta.hpp)
+  kWhole     // bytes of the text
+};
+struct Fetched {
+  std::uint64_t number = 0;
+  std::uint8_t outcome = 0;  // of FetchOutcome; a later version may have more
+  std::uint64_t version = 0, digest = 0;
+  std::uint64_t size = 0, offset = 0;  // of all bytes that the outcome names, and where these begin
+  std::string bytes;
+};
+
 // In the order of their numbers on the wire: new ones come behind.
 using Message = std::variant<Hello, Clock, Hosts, Refreshed, Tell, Told, Put, Get, Done, Config, Members,
-                             AddUnits, Total, CoreBytes, Digest, AskHosts>;
+                             AddUnits, Total, CoreBytes, Digest, AskHosts, Announce, Fetch, Fetched>;
 
 std::string Encode(const Message& message);
 std::optional<Message> Decode(std::string_view bytes);
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -32,6 +32,7 @@
                      Carry(std::move(out));
                    }),
       link_(loop, link_descriptors_, *this, {}, seed),
+      feed_(FeedOptions(settings_)),
       front_(
           loop, settings_, front_descriptors_, rng_(),
           [this](const std::string& tenant, const AddCount& call) { AddToCount(tenant, call); },
@@ -135,6 +136,9 @@
       near->Send(Encode(beats));
     }
   }
+  AnnounceConfig();
+  ApplyCommitted();
+  FetchConfig();
   if (ticks_ % 4 == 0) ConsiderCore();
   if (had_majority_ && ticks_ % 4 == 0) LookWhoIsAway();
   // Silence is said by who hears the core, and not before it has listened for long enough.
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -24,6 +24,8 @@
 #include "shelf/shelf.hpp"
 #include "system/call_door.hpp"
 #include "system/command.hpp"
+#include "system/config_feed.hpp"
+#include "system/config_source.hpp"
 #include "system/front.hpp"
 #include "system/link.hpp"
 #include "system/message.hpp"
@@ -144,14 +146,29 @@
   void StartFleet();
   void CarryCore(agreement::Out out);
   void OnShelf();
-  void SetInForce(std::uint64_t version, const std::string& text);
   void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
   void LookAtMajority();
   void KeepHosts();  // on the disk: a core that comes back knows them before they beat again
   bool core_member() const { return core_ && core_->member(); }
-  Message ConfigNow() const;
   Message MembersNow() const;
 
+  // Feed of configurations (node_feed.cpp).
+  void Take(Link::Stream& stream, Announce& message);
+  void Take(Link::Stream& stream, Fetch& message);
+  void Take(Link::Stream& stream, Fetched& message);
+  void OnCommitted();
+  void ApplyCommitted();  // in force here too, at most once in kApplyPause
+  void AnnounceConfig();  // to all that want news, at most once in kAnnouncePause
+  void TellConfig(Link::Stream& stream);
+  void ReadForFeed();
+  void OnFeedRead(const agreement::Done& done);
+  void FetchConfig();
+  std::vector<ConfigFeed::Candidate> FeedCandidates();
+  void SetInForce(ConfigId id, std::string text);
+  // The age of the last proof that a majority of the core is reached; nullopt: there was none yet.
+  std::optional<Duration> ContactAge() const;
+  bool InContact() const;
+
   // Count.
   const CoreMember* Holder(const std::string& tenant) const;
   void AddToCount(const std::string& tenant, const AddCount& call);
@@ -213,8 +230,12 @@
   std::uint64_t next_number_ = 1;
   counting::HeldCounts counts_{settings_.bounds.quota_slack};
 
-  Message config_message_{Config{}};
   std::chrono::system_clock::time_point in_force_at_{};
+  ConfigId in_force_, announced_;  // announced: to all streams that want news
+  Steady applied_at_{}, announced_at_{};
+  ConfigFeed feed_;
+  ConfigSource source_;
+  std::uint64_t feed_read_ = 0;  // the core's read that fetches wait for; 0: none
   Front front_;
   CallDoor control_, readiness_;
   bool ready_ = false, leaving_ = false;
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -125,11 +125,12 @@
   }
   LookAtMajority();
   // Before any acknowledgement: what it acknowledges is then on its way to all.
-  if (out.committed_changed) {
-    SetInForce(core_->committed().version, core_->committed().text);
-    if (had_majority_) Broadcast(ConfigNow());
-  }
+  if (out.committed_changed) OnCommitted();
   for (agreement::Done& done : out.done) {
+    if (done.call == feed_read_) {
+      OnFeedRead(done);
+      continue;
+    }
     const auto it = pending_.find(done.call);
     if (it == pending_.end()) continue;
     const bool put = it->second.is_put;
@@ -171,11 +172,10 @@
   counts_.Begin(Net(Now()));
   Say(Event::kCountBegun, "epoch " + std::to_string(epoch_));
   Broadcast(MembersNow());
-  if (core_->committed().version > 0) Broadcast(ConfigNow());
+  announced_ = {};
+  AnnounceConfig();
 }
 
-Message Node::ConfigNow() const { return Config{core_->committed().version, core_->committed().text}; }
-
 Message Node::MembersNow() const {
   Members message{epoch_, {}, static_cast<std::uint32_t>(gateways_)};
   for (const CoreMember& member : members_)
@@ -183,23 +183,6 @@
   return message;
 }
 
-void Node::SetInForce(std::uint64_t version, const std::string& text) {
-  const auto& now = front_.policy();
-  if (version == 0) return;
-  // Two texts under one number: the same one goes before the other everywhere.
-  if (now != nullptr &&
-      agreement::RankOf({version, text}) <= agreement::RankOf({now->version(), now->text()}))
-    return;
-  try {
-    front_.SetPolicy(policy::Policy::Read(text));
-    in_force_at_ = std::chrono::system_clock::now();
-    Say(Event::kConfigInForce, "version " + std::to_string(version));
-  } catch (const policy::PolicyError& error) {
-    Say(Event::kConfigRefused, std::string("kept by the core: ") + error.what());
-  }
-  SetReady();
-}
-
 void Node::OnRoster(std::uint64_t epoch, std::vector<CoreMember> members) {
   if (epoch <= epoch_) return;
   epoch_ = epoch;
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -11,6 +11,8 @@
 
 #include "events/events.hpp"
 #include "settings/settings.hpp"
+#include "system/config_feed.hpp"
+#include "util/hash.hpp"
 
 namespace curlewdoor::system {
 
@@ -44,6 +46,9 @@
 inline constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
 inline constexpr std::size_t kMostConfig =
     3 * 1024 * 1024;  // the shelf takes many times that: 64 MB are granted
+inline constexpr milliseconds kAnnouncePause{200}, kApplyPause{250};
+inline constexpr seconds kContactFresh{3};      // a gateway without proof for so long looks further
+inline constexpr double kFeedLinkShare = 0.25;  // of a gateway's link, for configurations
 inline constexpr char kHostsKey[] = "hosts", kGatewaysKey[] = "gateways";
 inline constexpr seconds kGatherAtMost{10};  // by then a view is as whole as it gets
 inline constexpr int kMostGateways = 10'000;
@@ -75,6 +80,14 @@
   return std::chrono::duration_cast<std::chrono::microseconds>(at.time_since_epoch()).count();
 }
 
+inline ConfigFeed::Options FeedOptions(const settings::NodeSettings& settings) {
+  constexpr double kBytesOfMegabit = 1e6 / 8;
+  ConfigFeed::Options options;
+  options.bytes_per_s = std::max(1.0, settings.limits.link_mbps) * kBytesOfMegabit * kFeedLinkShare;
+  options.salt = StableHash(settings.node_name);
+  return options;
+}
+
 inline int Descriptors(const settings::NodeSettings& settings) {
   return std::max(256, static_cast<int>(settings.limits.fd_limit) - kReserved);
 }
--- a/src/system/node_membership.cpp
+++ b/src/system/node_membership.cpp
@@ -78,7 +78,8 @@
   for (const auto& [name, member] : fleet_->others()) look(member.record);
   for (const CoreMember& member : members_)
     if (member.address != link_address_) targets.push_back(member.address);
-  if (targets.empty())  // nobody is known yet: a seed is of the core or knows it
+  // Nobody is known yet, or none of them has been in contact: a seed is of the core or knows it.
+  if (targets.empty() || (!InContact() && Now() - started_at_ > kContactFresh))
     for (const Address& seed : settings_.seed_nodes)
       if (seed.ip != settings_.ip_address) targets.push_back({seed.ip, link_address_.port});
   std::sort(targets.begin(), targets.end());
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -24,7 +24,7 @@
 }
 
 void Node::OnUp(Link::Stream& stream) {
-  stream.Send(Encode(Hello{settings_.node_name, core_.has_value()}));
+  stream.Send(Encode(Hello{settings_.node_name, core_.has_value(), true}));
   if (!stream.dialled()) return;
   Say(Event::kLinkUp, stream.to().ToText());
   stream.Send(
@@ -35,23 +35,29 @@
 void Node::Take(Link::Stream& stream, Hello& message) {
   stream.name = message.name;
   stream.counted = message.counted;
+  stream.fetches = message.fetches;
   if (stream.dialled()) {
     offsets_.erase(stream.name);
     AskClock(stream);
+    if (stream.counted) feed_.OnMember(Now());
+    FetchConfig();
     if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
     return;
   }
   if (!core_) {  // a seed that isn't of the core knows who is
-    if (epoch_ > 0) stream.Send(Encode(MembersNow()));
+    if (epoch_ > 0 && InContact()) stream.Send(Encode(MembersNow()));
     return;
   }
   stream.subscribed = true;
-  if (epoch_ > 0) stream.Send(Encode(MembersNow()));
+  // Whoever fetches is told the members once its fetch was confirmed.
+  if (epoch_ > 0 && !stream.fetches) stream.Send(Encode(MembersNow()));
   if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
-  if (had_majority_ && core_->committed().version > 0) stream.Send(Encode(ConfigNow()));
+  if (had_majority_) TellConfig(stream);
 }
 
 void Node::OnDown(Link::Stream& stream) {
+  source_.OnDown(stream.number);
+  if (stream.dialled()) feed_.OnDown(Now(), stream.name);
   if (stream.dialled()) Say(Event::kLinkDown, stream.to().ToText() + " " + stream.name);
   std::vector<CountName> lost;
   for (auto it = addings_.begin(); it != addings_.end();) {
@@ -196,7 +202,9 @@
   Answer(message.number, message.status, std::move(message.body));
 }
 
-void Node::Take(Link::Stream&, Config& message) { SetInForce(message.version, message.text); }
+void Node::Take(Link::Stream&, Config& message) {
+  SetInForce(IdOf(message.version, message.text), std::move(message.text));
+}
 
 void Node::Take(Link::Stream&, Members& message) {
   std::vector<CoreMember> members;
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -1,11 +1,13 @@
 # The whole gateway: one node, and its program.
 add_library(curlewdoor_node STATIC src/counting/held_counts.cpp src/counting/pressure.cpp src/counting/quota_plan.cpp
-                                   src/system/call_door.cpp src/system/command.cpp src/system/front.cpp
+                                   src/system/call_door.cpp src/system/command.cpp src/system/config_feed.cpp
+                                   src/system/config_source.cpp src/system/front.cpp
                                    src/system/link.cpp src/system/message.cpp src/system/node.cpp src/system/node_calls.cpp
                                    src/system/node_core.cpp src/system/node_count.cpp
-                                   src/system/node_directory.cpp src/system/node_membership.cpp
+                                   src/system/node_directory.cpp src/system/node_feed.cpp
+                                   src/system/node_membership.cpp
                                    src/system/node_messages.cpp
-                                   src/system/report.cpp)
+                                   src/system/report.cpp src/util/text_delta.cpp)
 target_include_directories(curlewdoor_node SYSTEM PRIVATE ${MSGPACK})
 target_compile_definitions(curlewdoor_node PRIVATE MSGPACK_NO_BOOST)
 target_link_libraries(curlewdoor_node PUBLIC curlewdoor_net curlewdoor_settings curlewdoor_events curlewdoor_policy
@@ -39,6 +41,12 @@
   target_include_directories(golden_test SYSTEM PRIVATE ${MSGPACK})
   target_compile_definitions(golden_test PRIVATE MSGPACK_NO_BOOST)
 endif()
+system_test(text_delta_test tests/util/text_delta_test.cpp curlewdoor_node)
+system_test(config_feed_test tests/system/config_feed_test.cpp curlewdoor_node)
+system_test(config_source_test tests/system/config_source_test.cpp curlewdoor_node)
+if(NOT CURLEWDOOR_SANITIZE)
+  system_test(feed_model_check_test tests/system/feed_model_check_test.cpp curlewdoor_node)
+endif()
 system_test(link_test tests/system/link_test.cpp curlewdoor_node)
 system_test(call_door_test tests/system/call_door_test.cpp curlewdoor_node)
 system_test(pipeline_test tests/system/pipeline_test.cpp curlewdoor_node)
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -91,6 +91,10 @@
   std::string name_, text_;
 };
 
+std::uint64_t WholeSeconds(Duration time) {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(time).count());
+}
+
 void AddDescriptors(Page& page, const char* pool, const net::Descriptors& descriptors) {
   constexpr std::string_view kNames[net::kUses] = {"client",    "host",  "counter",
                                                    "discovery", "admin", "fleet"};
@@ -275,6 +279,11 @@
   } else {
     answer.None("version_committed");  // what the core has is told by its members
   }
+  if (const auto age = ContactAge()) {
+    answer.Number("contact_age_s", std::chrono::duration<double>(*age).count());
+  } else {
+    answer.None("contact_age_s");  // no member in contact with a majority has answered since the start
+  }
   answer.Flag("ready", ready_ && !leaving_);
   ReplyReport(id, answer.Print());
 }
@@ -307,6 +316,18 @@
   const auto& policy = front_.policy();
   page.Gauge("config_version", policy != nullptr ? policy->version() : 0,
              "Version of the configuration in force here; 0: none.");
+  const Duration age = ContactAge().value_or(Now() - started_at_);
+  page.Gauge(
+      "config_contact_age_seconds", WholeSeconds(age),
+      "Since a majority of the core last proved here what is newest; since the start if it never did.");
+  const ConfigFeed::Figures& feed = feed_.figures();
+  page.Counter("config_questions_total", feed.questions, "Questions for the newest configuration.");
+  page.Counter("config_not_now_total", feed.not_now, "... that a member without contact declined.");
+  page.Counter("config_silent_total", feed.silent, "... that had no answer in time.");
+  page.Counter("config_deltas_total", feed.deltas, "Configurations taken as a difference.");
+  page.Counter("config_wholes_total", feed.wholes, "Configurations taken whole.");
+  page.Counter("config_bytes_total", feed.bytes, "Bytes of both.");
+  page.Counter("config_unusable_total", feed.unusable, "Answers that made no text of their digest.");
   page.Gauge("epoch", epoch_, "Epoch of the core's roster, as known here.");
   page.Gauge("core_member", core_member() ? 1 : 0, "Whether this gateway is in that roster.");
   page.Gauge("majority", had_majority_ ? 1 : 0, "Whether this member hears a majority; 0 where it is none.");
--- a/tests/system/golden_test.cpp
+++ b/tests/system/golden_test.cpp
@@ -56,7 +56,10 @@
                                       Total{5, true, 99.5},
                                       CoreBytes{"core"},
                                       Digest{1234567},
-                                      AskHosts{7}};
+                                      AskHosts{7},
+                                      Announce{3, 8, 77},
+                                      Fetch{7, 3, 8, 77, 9, 78, 1024},
+                                      Fetched{7, 2, 9, 78, 2048, 1024, "delta"}};
   const Rewrite rewrite = [](const std::string& bytes) -> std::optional<std::string> {
     const auto message = Decode(bytes);
     return message ? std::optional(Encode(*message)) : std::nullopt;
--- a/tests/system/message_test.cpp
+++ b/tests/system/message_test.cpp
@@ -26,7 +26,7 @@
 
 std::vector<Message> Examples() {
   constexpr auto kMost = std::numeric_limits<std::uint64_t>::max();
-  return {Hello{"edge-a-3", true},
+  return {Hello{"edge-a-3", true, true},
           Hello{},
           Clock{-5, -kMostMicros},
           Hosts{kBytes},
@@ -43,7 +43,10 @@
           Total{6, true, 99.5},
           CoreBytes{kBytes},
           Digest{kMost},
-          AskHosts{7}};
+          AskHosts{7},
+          Announce{3, 9, kMost},
+          Fetch{1, 2, 3, kMost, 5, kMost, 32'768},
+          Fetched{8, 2, 9, kMost, 70'000, 32'768, kBytes}};
 }
 
 // Of 24 bytes each: what arrays may claim before it is there, one within the other.
@@ -98,6 +101,19 @@
   BOOST_TEST(std::get<Members>(*back).gateways == 0u);
 }
 
+BOOST_AUTO_TEST_CASE(AHelloOfAnEarlierVersionFetchesNothing) {
+  const Hello hello{"edge-a-3", true, true};
+  BOOST_TEST(std::get<Hello>(*Decode(Encode(hello))).fetches);
+  std::string earlier = Encode(hello);
+  BOOST_REQUIRE(earlier.at(3) == '\x93');
+  earlier[3] = '\x92';
+  earlier.pop_back();
+  const auto back = Decode(earlier);
+  BOOST_REQUIRE(back);
+  BOOST_TEST(std::get<Hello>(*back).counted);
+  BOOST_TEST(!std::get<Hello>(*back).fetches);
+}
+
 BOOST_AUTO_TEST_CASE(AsManyBeatsAsAMessageMayCarryComeBack) {
   Refreshed refreshed;
   for (std::size_t i = 0; i < kMostRefreshed; ++i) refreshed.beats.emplace_back("i-" + std::to_string(i), i);
