--- a/src/system/main.cpp
+++ b/src/system/main.cpp
@@ -9,9 +9,9 @@
 #include <random>
 #include <string>
 
+#include "console/console.hpp"
 #include "events/events.hpp"
 #include "settings/settings.hpp"
-#include "system/console.hpp"
 #include "system/node.hpp"
 
 namespace {
@@ -57,7 +57,7 @@
                       ' ', CURLEWDOOR_VERSION);
   line.setExceptionHandling(false);
   TCLAP::UnlabeledMultiArg<std::string> words(
-      "command", std::string("run gateway | ") + system::kConsoleCommands, true, "COMMAND", line);
+      "command", std::string("run gateway | ") + console::kConsoleCommands, true, "COMMAND", line);
   TCLAP::ValueArg<std::string> settings("s", "settings", "the settings file", false, SettingsPath(), "FILE",
                                         line);
   TCLAP::ValueArg<std::string> level("l", "log-level", "debug, info, warn or error", false, "info", "LEVEL",
@@ -65,9 +65,9 @@
   TCLAP::MultiArg<std::string> addresses(
       "a", "address", "a control address to ask, in place of the settings'", false, "IP:PORT", line);
   TCLAP::SwitchArg json("j", "json", "print JSON", line);
-  TCLAP::SwitchArg keys("k", "keys",
-                        "with --json of config show and shelf dump: the document itself, with tenants' keys",
-                        line);
+  TCLAP::SwitchArg keys(
+      "k", "keys", "with --json of config show and storage dump: the document itself, with tenants' keys",
+      line);
   TCLAP::SwitchArg force("f", "force",
                          "of core forget: also where the rest bears less, or another one is away", line);
   TCLAP::ValueArg<double> timeout("t", "timeout", "to wait for an answer", false, 5, "SECONDS", line);
@@ -75,9 +75,9 @@
   const std::vector<std::string>& command = words.getValue();
   if (command == std::vector<std::string>{"run", "gateway"})
     return RunGateway(settings.getValue(), level.getValue());
-  return system::RunConsole({command, addresses.getValue(), settings.getValue(), json.getValue(),
-                             keys.getValue(), force.getValue(), timeout.getValue()},
-                            std::cout, std::cerr);
+  return console::RunConsole({command, addresses.getValue(), settings.getValue(), json.getValue(),
+                              keys.getValue(), force.getValue(), timeout.getValue()},
+                             std::cout, std::cerr);
 }
 
 }  // namespace
@@ -92,5 +92,5 @@
   } catch (const std::exception& error) {
     std::cerr << "curlewdoor-system: " << error.what() << "\n";
   }
-  return system::kUsage;
+  return console::kUsage;
 }
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -25,6 +25,7 @@
 auto Fields(CoreBytes& m) { return std::tie(m.bytes); }
 auto Fields(Digest& m) { return std::tie(m.hosts); }
 auto Fields(AskHosts& m) { return std::tie(m.number); }
+auto Fields(FoundingBytes& m) { return std::tie(m.bytes); }
 auto Fields(Announce& m) { return std::tie(m.epoch, m.version, m.digest); }
 auto Fields(Fetch& m) {
   return std::tie(m.number, m.epoch, m.base_version, m.base_digest, m.version, m.digest, m.offset);
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -88,6 +88,10 @@
   std::uint64_t number = 0;
 };
 
+struct FoundingBytes {  // of the first start (agreement/founding.hpp)
+  std::string bytes;
+};
+
 // A configuration is named by its version and the digest of its text (StableHash).
 struct Announce {  // by a member in contact with a majority: this one is chosen
   std::uint64_t epoch = 0, version = 0, digest = 0;
@@ -114,7 +118,8 @@
 
 // In the order of their numbers on the wire: new ones come behind.
 using Message = std::variant<Hello, Clock, Hosts, Refreshed, Tell, Told, Put, Get, Done, Config, Members,
-                             AddUnits, Total, CoreBytes, Digest, AskHosts, Announce, Fetch, Fetched>;
+                             AddUnits, Total, CoreBytes, Digest, AskHosts, FoundingBytes, Announce, Fetch,
+                             Fetched>;
 
 std::string Encode(const Message& message);
 std::optional<Message> Decode(std::string_view bytes);
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -45,7 +45,7 @@
 inline constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
 inline constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
 inline constexpr std::size_t kMostConfig =
-    3 * 1024 * 1024;  // the shelf takes many times that: 64 MB are granted
+    3 * 1024 * 1024;  // storage takes many times that: 64 MB are granted
 inline constexpr milliseconds kAnnouncePause{200}, kApplyPause{250};
 inline constexpr seconds kContactFresh{3};      // a gateway without proof for so long looks further
 inline constexpr double kFeedLinkShare = 0.25;  // of a gateway's link, for configurations
@@ -53,6 +53,7 @@
 inline constexpr seconds kGatherAtMost{10};  // by then a view is as whole as it gets
 inline constexpr int kMostGateways = 10'000;
 inline constexpr std::uint64_t kHostsWrite = ~std::uint64_t{0};  // never an id of the agreement's writes
+inline constexpr std::uint64_t kFoundingWrite = kHostsWrite - 1;
 inline constexpr int kReserved = 300;  // descriptors: files, the loop's own, what the platform keeps
 
 inline std::int64_t StampOf(const std::string& path) {
--- a/tests/system/golden_test.cpp
+++ b/tests/system/golden_test.cpp
@@ -1,6 +1,6 @@
-// An upgrade goes node by node, so old and new processes talk, and a new one reads the old one's shelf: bytes
-// that an earlier version has written (golden/VERSION.txt, a name and hex a line) are read as what they were,
-// and those of a later version, with fields behind ours, as what we know of them.
+// An upgrade goes node by node, so old and new processes talk, and a new one reads the old one's storage:
+// bytes that an earlier version has written (golden/VERSION.txt, a name and hex a line) are read as what they
+// were, and those of a later version, with fields behind ours, as what we know of them.
 //
 // To record the bytes of this version for the next one: CURLEWDOOR_RECORD=FILE golden_test.
 #include <boost/test/unit_test.hpp>
@@ -57,6 +57,7 @@
                                       CoreBytes{"core"},
                                       Digest{1234567},
                                       AskHosts{7},
+                                      FoundingBytes{"founding"},
                                       Announce{3, 8, 77},
                                       Fetch{7, 3, 8, 77, 9, 78, 1024},
                                       Fetched{7, 2, 9, 78, 2048, 1024, "delta"}};
@@ -96,6 +97,26 @@
     message.body = body;
     samples.push_back({"core-" + std::to_string(body.index()), Encode(message), rewrite, {{}, {1}, {5}}});
   }
+  const founding::Electorate electorate{0x0a08001f, 0x0a080020};
+  const Rewrite rewrite_founding = [](const std::string& bytes) -> std::optional<std::string> {
+    const auto message = DecodeFounding(bytes);
+    return message ? std::optional(Encode(*message)) : std::nullopt;
+  };
+  for (const founding::Body& body : std::vector<founding::Body>{
+           founding::Prepare{{5, 6}}, founding::Promise{0x0a08001f, {5, 6}, {7, 8}, accepting},
+           founding::Accept{{5, 6}, members}, founding::Accepted{0x0a08001f, {5, 6}, {7, 8}},
+           founding::Chosen{members}})
+    samples.push_back({"founding-" + std::to_string(body.index()),
+                       Encode(founding::Message{electorate, body}),
+                       rewrite_founding,
+                       {{}, {3}}});
+  samples.push_back({"shelf-founding",
+                     EncodeFoundingState({electorate, {7, 8}, accepting}),
+                     [](const std::string& bytes) -> std::optional<std::string> {
+                       const auto read = DecodeFoundingState(bytes);
+                       return read ? std::optional(EncodeFoundingState(*read)) : std::nullopt;
+                     },
+                     {{}, {3}}});
   State state;
   state.roster.epoch = 4;
   state.roster.members = members;
--- a/tests/system/message_test.cpp
+++ b/tests/system/message_test.cpp
@@ -44,6 +44,7 @@
           CoreBytes{kBytes},
           Digest{kMost},
           AskHosts{7},
+          FoundingBytes{kBytes},
           Announce{3, 9, kMost},
           Fetch{1, 2, 3, kMost, 5, kMost, 32'768},
           Fetched{8, 2, 9, kMost, 70'000, 32'768, kBytes}};
