--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -1,6 +1,4 @@
 // Node: the agreement core, its storage, and the configuration in force.
-#include <malloc.h>
-
 #include <algorithm>
 #include <stdexcept>
 #include <utility>
@@ -12,19 +10,6 @@
 #include "system/node_limits.hpp"
 
 namespace curlewdoor::system {
-namespace {
-
-// What reading a large configuration took, many times its size, goes back to the system.
-void GiveBackMemory(std::size_t text_size) {
-#ifdef __GLIBC__
-  constexpr std::size_t kLarge = 256 * 1024;
-  if (text_size >= kLarge) ::malloc_trim(0);
-#else
-  static_cast<void>(text_size);
-#endif
-}
-
-}  // namespace
 
 void Node::TryOpenCore() {
   open_again_ = false;
@@ -179,11 +164,12 @@
   }
   LookAtMajority();
   // Before any acknowledgement: what it acknowledges is then on its way to all.
-  if (out.committed_changed) {
-    SetInForce(core_->committed().version, core_->committed().text);
-    if (had_majority_) Broadcast(ConfigNow());
-  }
+  if (out.committed_changed) OnCommitted();
   for (agreement::Done& done : out.done) {
+    if (done.call == feed_read_) {
+      OnFeedRead(done);
+      continue;
+    }
     const auto it = pending_.find(done.call);
     if (it == pending_.end()) continue;
     const bool put = it->second.is_put;
@@ -225,11 +211,10 @@
   counts_.Begin(Net(Now()));
   Say(Event::kCountBegun, "epoch " + std::to_string(epoch_));
   Broadcast(MembersNow());
-  if (core_->committed().version > 0) Broadcast(ConfigNow());
+  announced_ = {};
+  AnnounceConfig();
 }
 
-Message Node::ConfigNow() const { return Config{core_->committed().version, core_->committed().text}; }
-
 Message Node::MembersNow() const {
   Members message{epoch_, {}, static_cast<std::uint32_t>(gateways_)};
   for (const CoreMember& member : members_)
@@ -237,25 +222,6 @@
   return message;
 }
 
-void Node::SetInForce(std::uint64_t version, const std::string& text) {
-  const auto& now = front_.policy();
-  if (version == 0) return;
-  // Two texts under one number: the same one goes before the other everywhere.
-  if (now != nullptr &&
-      agreement::RankOf({version, text}) <= agreement::RankOf({now->version(), now->text()}))
-    return;
-  try {
-    const bool read = checked_ != nullptr && checked_->version() == version && checked_->text() == text;
-    front_.SetPolicy(read ? std::move(checked_) : policy::Policy::Read(text));
-    GiveBackMemory(text.size());
-    in_force_at_ = std::chrono::system_clock::now();
-    Say(Event::kConfigInForce, "version " + std::to_string(version));
-  } catch (const policy::PolicyError& error) {
-    Say(Event::kConfigRefused, std::string("kept by the core: ") + error.what());
-  }
-  SetReady();
-}
-
 void Node::OnRoster(std::uint64_t epoch, std::vector<CoreMember> members) {
   if (epoch <= epoch_) return;
   epoch_ = epoch;
