--- a/src/systemkit/calls.cpp
+++ b/src/systemkit/calls.cpp
@@ -107,28 +107,42 @@
     return Close(line);
   }
   if (net::Over(status)) return End(line, line.in.empty() ? Answer::How::kClosed : Answer::How::kCut);
-  const http::Progress progress = line.message.Read();
+  http::Progress progress = line.message.Read();
+  while (progress == http::Progress::kFull) {  // of a long one
+    Gather(line);
+    line.message.ConsumeBody();
+    progress = line.message.Read();
+  }
   if (progress == http::Progress::kBad) return End(line, Answer::How::kGarbled);
   if (progress == http::Progress::kDone) End(line, Answer::How::kWhole);
 }
 
-// The one end of a call.
-void Calls::End(Line& line, Answer::How how) {
-  Answer answer;
-  answer.how = how;
-  bool kept = false;
-  if (how == Answer::How::kWhole) {
-    const http::Message& message = line.message;
+void Calls::Gather(Line& line) {
+  const http::Message& message = line.message;
+  Answer& answer = line.answer;
+  if (answer.status == 0) {
+    answer.how = Answer::How::kWhole;
     answer.status = message.status();
-    answer.body = message.body();
     answer.seal = message.Find("X-Response-Seal");
     answer.attempt_id = message.Find("X-Attempt-Id");
     answer.location = message.Find("Location");
     answer.retry_after = message.Find("Retry-After");
     answer.coded = message.Has("Content-Encoding");
-    kept = line.keep && message.keep_alive() && message.rest().empty();
-    if (!message.rest().empty()) ++unasked_;
   }
+  answer.body += message.body();
+}
+
+// The one end of a call.
+void Calls::End(Line& line, Answer::How how) {
+  bool kept = false;
+  if (how == Answer::How::kWhole) {
+    Gather(line);
+    kept = line.keep && line.message.keep_alive() && line.message.rest().empty();
+    if (!line.message.rest().empty()) ++unasked_;
+  }
+  Answer answer = std::exchange(line.answer, {});
+  if (how != Answer::How::kWhole) answer = {};
+  answer.how = how;
   const OnAnswer on_answer = std::exchange(line.on_answer, {});
   if (kept) {
     line.message.Next();
--- a/src/systemkit/calls.hpp
+++ b/src/systemkit/calls.hpp
@@ -58,13 +58,15 @@
     bool up = false, keep = false;
     net::IoWatcher io;
     http::Buffer in, out;
-    http::Message message{http::Kind::kResponse, in};
+    http::Message message{http::Kind::kResponse, in, http::Bodies::kStreamed};
+    Answer answer;       // what has come of it
     OnAnswer on_answer;  // while a request is out
   };
 
   Line& Take(const Address& to, bool keep);
   void OnEvent(std::uint64_t number, int events);
   void Read(Line& line);
+  static void Gather(Line& line);  // what has come of the answer since the last time
   void End(Line& line, Answer::How how);
   void Close(Line& line);
 
--- a/src/systemkit/relays.cpp
+++ b/src/systemkit/relays.cpp
@@ -40,9 +40,11 @@
         link_io(relays.loop_, [this, &relays](int) {
           relays.Accept(*this, link, static_cast<std::uint16_t>(relays.first_port_ + 1));
         }) {}
-  ~Door() {
-    for (const int fd : {datagram, exchange, link})
-      if (fd >= 0) ::close(fd);
+  ~Door() { Close(); }
+  void Close() {
+    for (net::IoWatcher* io : {&datagram_io, &exchange_io, &link_io}) io->Stop();
+    for (int* fd : {&datagram, &exchange, &link})
+      if (*fd >= 0) ::close(std::exchange(*fd, -1));
   }
   const int machine;
   const Ends ends;
@@ -71,6 +73,16 @@
     : loop_(loop),
       first_port_(first_port),
       reap_(loop, [this](int) { streams_.remove_if([](const Stream& stream) { return stream.ended; }); }) {
+  for (const Ends& ends : machines)
+    Open(*doors_.emplace_back(std::make_unique<Door>(*this, static_cast<int>(doors_.size()), ends)));
+  reap_.Start();
+}
+
+Relays::~Relays() {
+  for (Stream& stream : streams_) End(stream, true);
+}
+
+void Relays::Open(Door& door) {
   const auto listen = [](const Address& address) {
     Address bound;
     std::string error;
@@ -78,24 +90,22 @@
     if (fd < 0) throw std::runtime_error(error);
     return fd;
   };
-  for (const Ends& ends : machines) {
-    Door& door = *doors_.emplace_back(std::make_unique<Door>(*this, static_cast<int>(doors_.size()), ends));
-    const Address first{ends.reached, first_port};
-    door.exchange = listen(first);
-    door.link = listen({ends.reached, static_cast<std::uint16_t>(first_port + 1)});
-    door.datagram = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    const sockaddr_in socket = first.ToSocket();
-    if (::bind(door.datagram, reinterpret_cast<const sockaddr*>(&socket), sizeof socket) != 0)
-      throw std::runtime_error("can't bind " + first.ToText() + " for datagrams");
-    door.datagram_io.Want(door.datagram, EV_READ);
-    door.exchange_io.Want(door.exchange, EV_READ);
-    door.link_io.Want(door.link, EV_READ);
-  }
-  reap_.Start();
-}
-
-Relays::~Relays() {
-  for (Stream& stream : streams_) End(stream, true);
+  const Address first{door.ends.reached, first_port_};
+  door.exchange = listen(first);
+  door.link = listen({door.ends.reached, static_cast<std::uint16_t>(first_port_ + 1)});
+  door.datagram = ::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  const sockaddr_in socket = first.ToSocket();
+  if (::bind(door.datagram, reinterpret_cast<const sockaddr*>(&socket), sizeof socket) != 0)
+    throw std::runtime_error("can't bind " + first.ToText() + " for datagrams");
+  door.datagram_io.Want(door.datagram, EV_READ);
+  door.exchange_io.Want(door.exchange, EV_READ);
+  door.link_io.Want(door.link, EV_READ);
+}
+
+void Relays::SetOpen(int machine, bool open) {
+  Door& door = *doors_.at(static_cast<std::size_t>(machine));
+  if (open == (door.link >= 0)) return;
+  open ? Open(door) : door.Close();
 }
 
 int Relays::MachineBoundAt(std::uint32_t ip) const {
--- a/src/systemkit/relays.hpp
+++ b/src/systemkit/relays.hpp
@@ -37,6 +37,8 @@
   // Both ways, between each of these and each of the rest.
   void Separate(const std::vector<int>& side);
   void JoinAll();
+  // Whether somebody listens behind it: else who dials is refused, as by a machine without the process.
+  void SetOpen(int machine, bool open);
   // All streams of this machine are reset.
   void Reset(int machine);
 
@@ -47,6 +49,7 @@
   struct Stream;
   struct Door;  // of one machine
 
+  void Open(Door& door);
   void ReadDatagrams(Door& door);
   void Accept(Door& door, int listener, std::uint16_t port);
   void Connect(Stream& stream);
