--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -24,6 +24,8 @@
 #include "storage/storage.hpp"
 #include "system/call_door.hpp"
 #include "system/command.hpp"
+#include "system/config_feed.hpp"
+#include "system/config_source.hpp"
 #include "system/founding_host.hpp"
 #include "system/front.hpp"
 #include "system/link.hpp"
@@ -48,6 +50,7 @@
     bool is_put = false;
     std::uint64_t version = 0;
     std::string text;
+    std::size_t size = 0;  // of its text, which the core may have by now
     Steady ends, next;
     std::vector<Address> asked;
     std::uint64_t stream = 0;            // that it was passed to last; 0: none
@@ -81,7 +84,7 @@
   void OnDatagram(std::string_view bytes) override;
   std::string OnExchange(std::string_view bytes) override;
   void OnExchangeEnd(const Address& with, std::string_view bytes) override;
-  void Carry(fleet::Out out);
+  void Carry(const fleet::Out& out);
   void OnView();
   static bool IsOfCore(const fleet::Record& record);
   int AtLeast(int gateways);
@@ -156,14 +159,29 @@
   bool KeepFounding(std::string state) override;
   void OnFounded(std::vector<agreement::Member> members) override;
   void OnShelf();
-  void SetInForce(std::uint64_t version, const std::string& text);
   void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
   void LookAtMajority();
   void KeepHosts();  // on the disk: a core that comes back knows them before they beat again
   bool core_member() const { return core_ && core_->member(); }
-  Message ConfigNow() const;
   Message MembersNow() const;
 
+  // Feed of configurations (node_feed.cpp).
+  void Take(Link::Stream& stream, Announce& message);
+  void Take(Link::Stream& stream, Fetch& message);
+  void Take(Link::Stream& stream, Fetched& message);
+  void OnCommitted();
+  void ApplyCommitted();  // in force here too, at most once in kApplyPause
+  void AnnounceConfig();  // to all that want news, at most once in kAnnouncePause
+  void TellConfig(Link::Stream& stream);
+  void ReadForFeed();
+  void OnFeedRead(const agreement::Done& done);
+  void FetchConfig();
+  std::vector<ConfigFeed::Candidate> FeedCandidates();
+  void SetInForce(ConfigId id, std::string text);
+  // The age of the last proof that a majority of the core is reached; nullopt: there was none yet.
+  std::optional<Duration> ContactAge() const;
+  bool InContact() const;
+
   // Count.
   const CoreMember* Holder(const std::string& tenant) const;
   void AddToCount(const std::string& tenant, const AddCount& call);
@@ -227,8 +245,13 @@
   std::uint64_t next_number_ = rng_();  // no two processes begin alike
   counting::HeldCounts counts_{settings_.bounds.quota_slack};
 
-  Message config_message_{Config{}};
+  std::shared_ptr<const policy::Policy> checked_;  // of the latest order here, until it is answered
   std::chrono::system_clock::time_point in_force_at_{};
+  ConfigId in_force_, announced_;  // announced: to all streams that want news
+  Steady applied_at_{}, announced_at_{};
+  ConfigFeed feed_;
+  ConfigSource source_;
+  std::uint64_t feed_read_ = 0;  // the core's read that fetches wait for; 0: none
   Front front_;
   CallDoor control_, readiness_;
   bool ready_ = false, leaving_ = false;
