--- a/src/agreement/message.hpp
+++ b/src/agreement/message.hpp
@@ -46,6 +46,15 @@
   auto operator<=>(const Ballot&) const = default;
 };
 
+// The number of a new life in memory: by the clock, and above each that is known of its name, as clocks step.
+inline std::uint64_t NextLife(std::uint64_t by_clock, const std::string& node,
+                              const std::vector<Life>& known) {
+  std::uint64_t number = by_clock;
+  for (const Life& each : known)
+    if (each.node == node && each.disk >= number) number = each.disk + 1;
+  return number;
+}
+
 // Names a record: the epoch and the ballot under which it was proposed. Two records of one stamp are equal.
 // Epoch 0: a value from before there were ballots, in their order (LegacyStamp).
 struct Stamp {
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -149,6 +149,7 @@
 
   // Core.
   void OpenCore();
+  std::uint64_t NewLifeInMemory();
   void TryOpenCore();  // a disk in trouble leaves a gateway without a core, for now
   void StartFleet();
   void CarryCore(agreement::Out out);
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -27,6 +27,13 @@
   }
 }
 
+std::uint64_t Node::NewLifeInMemory() {
+  std::vector<agreement::Life> known;
+  for (const CoreMember& member : members_) known.push_back({member.name, member.disk});
+  const std::uint64_t by_clock = FirstLife(BootNow()) + rng_() % kLivesAtOnce;
+  return agreement::NextLife(by_clock, settings_.node_name, known);
+}
+
 void Node::OpenCore() {
   // Without a disk of its own a member's life ends with the process.
   in_memory_ = settings_.data_directory.empty();
@@ -65,7 +72,7 @@
     if (known) Say(Event::kStorageDamaged, directory + ": its state can't be read; it begins another life");
     if (known || shelf_->Read(agreement::kFoundingKey)) first = false;
     if (!first) Say(Event::kWipedDisk, directory);
-    disk_ = in_memory_ ? FirstLife(BootNow()) + rng_() % kLivesAtOnce : rng_() | 1;
+    disk_ = in_memory_ ? NewLifeInMemory() : rng_() | 1;
     life_ = Hex(disk_) + (first ? "b" : "");
     // A member without a disk may be the last one that knows what was acknowledged.
     if (const auto& policy = front_.policy(); in_memory_ && policy != nullptr)
--- a/tests/agreement/memory_core_test.cpp
+++ b/tests/agreement/memory_core_test.cpp
@@ -110,6 +110,14 @@
   BOOST_TEST(Tells(fleet.Ask(1, std::nullopt), kNext));
 }
 
+// Clocks step: a later life has the higher number all the same.
+BOOST_AUTO_TEST_CASE(a_life_is_numbered_above_all_that_are_known_of_its_name) {
+  const std::vector<Life> known{{"m0", 70}, {"m1", 90}, {"m0", 60}};
+  BOOST_TEST(NextLife(50, "m0", known) == 71u);
+  BOOST_TEST(NextLife(80, "m0", known) == 80u);
+  BOOST_TEST(NextLife(50, "m2", known) == 50u);
+}
+
 BOOST_AUTO_TEST_CASE(members_that_are_cut_off_are_not_gone) {
   Fleet fleet(5, true);
   BOOST_TEST(Tells(fleet.Ask(0, kFirst), kFirst));
