--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -3,12 +3,14 @@
 #include <cjson/cJSON.h>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <unordered_set>
 #include <utility>
 
 #include "policy/json_scan.hpp"
+#include "policy/json_slices.hpp"
 
 namespace curlewdoor::policy {
 namespace {
@@ -38,19 +40,81 @@
   return quoted + (text.size() > kMostQuoted ? "...\"" : "\"");
 }
 
+using Tree = std::unique_ptr<cJSON, void (*)(cJSON*)>;
+
+Tree ParseTree(std::string_view text) {
+  Tree tree(cJSON_ParseWithLength(text.data(), text.size()), cJSON_Delete);
+  if (!tree) throw PolicyError("document: not readable as JSON");
+  return tree;
+}
+
+// The document in two parts: its long lists, as slices of the text, and all else as a tree, in which they are
+// empty. As trees they would take many times the text's size; so each element is one only while it is read.
+class Parts {
+ public:
+  explicit Parts(std::string_view text) {
+    std::string rest = "{";
+    for (const JsonMember& member : MembersOf(text)) {
+      const auto known = std::ranges::find(kLists, member.key);
+      const bool long_list = known != kLists.end() && member.value.starts_with('[') && First(member.key);
+      if (long_list) elements_[static_cast<std::size_t>(known - kLists.begin())] = ElementsOf(member.value);
+      rest.append(rest.size() > 1 ? ",\"" : "\"").append(member.key).append("\":");
+      rest.append(long_list ? "[]" : member.value);
+      seen_.push_back(member.key);
+    }
+    tree_ = ParseTree(text.starts_with('{') ? rest + "}" : std::string(text));
+  }
+
+  const cJSON* tree() const { return tree_.get(); }
+  // nullptr: it isn't one of the long lists.
+  const std::vector<std::string_view>* ElementsOfList(std::string_view key) const {
+    const auto known = std::ranges::find(kLists, key);
+    if (known == kLists.end()) return nullptr;
+    const auto& elements = elements_[static_cast<std::size_t>(known - kLists.begin())];
+    return elements ? &*elements : nullptr;
+  }
+
+ private:
+  static constexpr std::array<std::string_view, 3> kLists{"services", "tenants", "backend_hosts"};
+
+  // cJSON finds the first of several members of one name. Behind one that is written with escapes, which may
+  // be that name, lists stay in the tree.
+  bool First(std::string_view key) const {
+    return std::ranges::none_of(seen_, [&](std::string_view each) {
+      return each == key || each.find('\\') != std::string_view::npos;
+    });
+  }
+
+  std::vector<std::string_view> seen_;
+  std::array<std::optional<std::vector<std::string_view>>, kLists.size()> elements_;
+  Tree tree_{nullptr, cJSON_Delete};
+};
+
 // A place in the document. It points to the place that it lies in, so a path is only written for an error.
 class Place {
  public:
-  explicit Place(const cJSON* root) : node_(root) {}
+  explicit Place(const Parts& parts) : node_(parts.tree()), parts_(&parts) {}
 
   Place Member(const char* key) const {
-    return Place(cJSON_GetObjectItemCaseSensitive(node_, key), this, key, 0);
+    Place member(cJSON_GetObjectItemCaseSensitive(node_, key), this, key, 0);
+    if (parts_ != nullptr) member.elements_ = parts_->ElementsOfList(key);
+    return member;
   }
 
+  // The place of an element, to name it: there is nothing to read there.
+  Place Named(std::size_t index) const { return Place(nullptr, this, nullptr, index); }
+
   // Calls `each` with the place of every element.
   template <class Each>
   void ForElements(Each each) const {
     if (!cJSON_IsArray(node_)) Fail(node_ ? "not a list" : "missing");
+    if (elements_ != nullptr) {
+      for (std::size_t i = 0; i < elements_->size(); ++i) {
+        const Tree element = ParseTree((*elements_)[i]);
+        each(Place(element.get(), this, nullptr, i));
+      }
+      return;
+    }
     std::size_t index = 0;
     const cJSON* element = nullptr;
     cJSON_ArrayForEach(element, node_) each(Place(element, this, nullptr, index++));
@@ -135,6 +199,8 @@
   const Place* in_ = nullptr;
   const char* key_ = nullptr;  // nullptr: an element of a list
   std::size_t index_ = 0;
+  const Parts* parts_ = nullptr;                             // of the document alone
+  const std::vector<std::string_view>* elements_ = nullptr;  // of a long list
 };
 
 Repeat ReadRepeat(const Place& place) {
@@ -156,11 +222,10 @@
     if (const JsonFault fault = ScanJson(text, kMostDepth, kMostValues); fault.what) {
       throw PolicyError(std::string("document: ") + fault.what + " at byte " + std::to_string(fault.at));
     }
-    const std::unique_ptr<cJSON, void (*)(cJSON*)> tree(cJSON_ParseWithLength(text.data(), text.size()),
-                                                        cJSON_Delete);
-    if (!tree) throw PolicyError("document: not readable as JSON");
+    const std::size_t begin = std::min(text.find_first_not_of(" \t\r\n"), text.size());
+    const Parts parts(std::string_view(text).substr(begin));
     PolicyReader reader;
-    reader.ReadDocument(Place(tree.get()));
+    reader.ReadDocument(Place(parts));
     reader.policy_->text_ = std::move(text);
     return reader.policy_;
   }
@@ -211,12 +276,12 @@
     // Only now: the list no longer moves its strings.
     policy_->services_.shrink_to_fit();
     policy_->service_by_name_.reserve(policy_->services_.size());
-    list.ForElements([&, index = std::size_t{0}](const Place& place) mutable {
+    for (std::size_t index = 0; index < policy_->services_.size(); ++index) {
       const std::string& name = policy_->services_[index].name;
-      if (!policy_->service_by_name_.emplace(name, index++).second) {
-        place.Member("name").Fail("another service is named " + Quoted(name));
+      if (!policy_->service_by_name_.emplace(name, index).second) {
+        list.Named(index).Member("name").Fail("another service is named " + Quoted(name));
       }
-    });
+    }
   }
 
   void ReadTenants(const Place& list) {
@@ -237,7 +302,8 @@
     });
     policy_->tenants_.shrink_to_fit();
     std::unordered_set<std::string_view> names;
-    list.ForElements([&, index = std::size_t{0}](const Place& place) mutable {
+    for (std::size_t index = 0; index < policy_->tenants_.size(); ++index) {
+      const Place place = list.Named(index);
       const Tenant& tenant = policy_->tenants_[index];
       if (!names.insert(tenant.name).second) {
         place.Member("name").Fail("another tenant is named " + Quoted(tenant.name));
@@ -250,11 +316,11 @@
             .Fail("its key " + std::to_string(i) + " is also a key of the tenant " +
                   Quoted(policy_->tenants_[held->second].name));
       }
-      ++index;
-    });
+    }
   }
 
   void ReadRoutes(const Place& list) {
+    std::vector<std::size_t> ends;  // of each entry's routes among all
     list.ForElements([&](const Place& entry) {
       entry.MustBeObject();
       const Place host_place = entry.Member("host");
@@ -264,19 +330,22 @@
       entry.Member("url_paths").ForElements([&](const Place& place) {
         policy_->routes_.push_back(ReadRoute(place, host));
       });
+      ends.push_back(policy_->routes_.size());
     });
     policy_->routes_.shrink_to_fit();
-    std::size_t index = 0;
-    list.ForElements([&](const Place& entry) {
-      entry.Member("url_paths").ForElements([&](const Place& place) {
-        const Route& route = policy_->routes_[index];
-        Policy::HostRoutes& at_host = policy_->by_host_[route.host];
-        if (!at_host.by_prefix.emplace(route.prefix, index++).second) {
-          place.Member("path_prefix").Fail("another route of the host has " + Quoted(route.prefix));
-        }
-        at_host.lengths.push_back(route.prefix.size());
-      });
-    });
+    std::size_t entry = 0, first = 0;
+    for (std::size_t index = 0; index < policy_->routes_.size(); ++index) {
+      while (index == ends[entry]) first = ends[entry++];
+      const Route& route = policy_->routes_[index];
+      Policy::HostRoutes& at_host = policy_->by_host_[route.host];
+      if (!at_host.by_prefix.emplace(route.prefix, index).second) {
+        const Place in = list.Named(entry);
+        const Place paths = in.Member("url_paths");
+        const Place place = paths.Named(index - first);
+        place.Member("path_prefix").Fail("another route of the host has " + Quoted(route.prefix));
+      }
+      at_host.lengths.push_back(route.prefix.size());
+    }
     for (auto& [host, at_host] : policy_->by_host_) {
       std::vector<std::size_t>& lengths = at_host.lengths;
       std::ranges::sort(lengths, std::greater<>());
--- a/tests/policy/policy_test.cpp
+++ b/tests/policy/policy_test.cpp
@@ -295,6 +295,28 @@
   BOOST_TEST(Fault(std::string(kDocument) + "\r\n ") == "");
 }
 
+// The long lists are read element by element; what the document says of them is the same as if it were whole.
+BOOST_AUTO_TEST_CASE(the_first_list_of_a_name_counts) {
+  Check({R"({"config_version")", R"({"services":[],"config_version")", "no service is named"});
+  Check({R"({"config_version")", R"({"services":null,"config_version")", "services: not a list"});
+  Check({R"({"config_version")", R"({"\u0073ervices":[],"config_version")", "no service is named"});
+  Check({R"(false}]}]})", R"(false}]}],"services":[],"tenants":null,"backend_hosts":7})", ""});
+  Check({R"(false}]}]})", R"(false}]}],"x":{"services":[],"tenants":{}}})", ""});
+  Check({R"("services":[)", "\"services\" :\n [ \t", ""});
+  Check({R"("tenants":[{)", R"("tenants":[1,{)", "tenants[0]: not an object"});
+  Check({R"("api_keys":[]}])", R"("api_keys":[]},"[{,"])", "tenants[3]: not an object"});
+  Check({R"("api_keys":[]}])", R"("api_keys":[]},{"name":"anna"}])", "tenants[3].name: another tenant"});
+  Check({R"("/order/")", R"("/order/","name":"b\\\"],[")", ""});
+  Check({R"({"name":"r-order","path_prefix":"/order/",)",
+         R"({"name":"r-x","path_prefix":"/order/",)"
+         R"("route_type":"idempotent","timeout_ms":1,"service":"soup","max_attempts":1},)"
+         R"({"name":"r-order","path_prefix":"/order/",)",
+         "backend_hosts[1].url_paths[1].path_prefix: another route"});
+  const auto policy = Policy::Read(Changed(R"(false}]}]})", R"(false}]}],"services":[],"tenants":[]})"));
+  BOOST_TEST(policy->services().size() == 3u);
+  BOOST_TEST(policy->tenants().size() == 3u);
+}
+
 BOOST_AUTO_TEST_CASE(refuses_each_truncation_and_all_that_follows) {
   const std::string text(kDocument);
   for (std::size_t size = 0; size < text.size(); ++size) {
