--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -39,9 +39,10 @@
                    [this](int) {
                      fleet::Out out;
                      fleet_->Tick(Now(), out);
-                     Carry(std::move(out));
+                     Carry(out);
                    }),
       link_(loop, link_descriptors_, *this, LinkOptions(settings_), seed),
+      feed_(FeedOptions(settings_)),
       front_(
           loop, settings_, front_descriptors_, rng_(),
           [this](const std::string& tenant, const AddCount& call) { AddToCount(tenant, call); },
@@ -50,7 +51,7 @@
           loop, link_descriptors_, [this](CallDoor::Call call) { OnCall(std::move(call)); }, kMostConfig),
       readiness_(
           loop, link_descriptors_,
-          [this](CallDoor::Call call) {
+          [this](const CallDoor::Call& call) {
             const bool asked = call.path == kReadinessPath;
             readiness_.Reply(call.id, !asked ? 404 : ready_ && !leaving_ ? 200 : 503);
           },
@@ -104,6 +105,7 @@
   options.about = (core_ ? (in_memory_ ? kInMemory : kOnDisk) + Hex(disk_) : "-") + " " + settings_.zone;
   options.about.resize(std::min(options.about.size(), fleet::kMostAbout));
   options.probe = kProbe;
+  options.seeks_seeds = true;
   for (const Address& seed_node : settings_.seed_nodes)
     options.seeds.push_back({seed_node.ip, fleet_address_.port});
   // A core member that comes back knows its companions, wherever the seeds have gone meanwhile.
@@ -115,7 +117,7 @@
   seen_view_ = 0;
   fleet::Out out;
   fleet_->Start(Now(), out);
-  Carry(std::move(out));
+  Carry(out);
 }
 
 void Node::SetReady() {
@@ -136,7 +138,7 @@
     CarryCore(std::move(out));
   }
   if (founding_) founding_->Tick();
-  if (core_ && ticks_ % 10 == 0) OnView();
+  if ((core_ || !InContact()) && ticks_ % 10 == 0) OnView();
   if (ticks_ % 2 == 0) front_.KeepHouse();
   if (ticks_ % 5 == 0) {
     control_.CheckTimes();
@@ -150,6 +152,9 @@
       near->Send(Encode(beats));
     }
   }
+  AnnounceConfig();
+  ApplyCommitted();
+  FetchConfig();
   if (ticks_ % 4 == 0) ConsiderCore();
   if (had_majority_ && ticks_ % 4 == 0) LookWhoIsAway();
   // Silence is said by who hears the core, and not before it has listened for long enough.
@@ -228,7 +233,7 @@
 void Node::End() {
   fleet::Out out;
   fleet_->Leave(Now(), out);
-  Carry(std::move(out));
+  Carry(out);
   Say(front_.owes_anything() ? Event::kDrainCutShort : Event::kDrained, settings_.node_name);
   ev_break(loop_, EVBREAK_ALL);
 }
--- a/src/systemkit/machines.hpp
+++ b/src/systemkit/machines.hpp
@@ -24,6 +24,7 @@
     double quota_window_s = 1;
     int heartbeat_ms = 400;
     int grace_s = 6;
+    int fd_limit = 4100;
     bool relayed = false;  // reached through relays: ends()
   };
 
