A gateway hears of changes from the member that it fetches from; others announce later

Cause: in a storm each of three to eight members announced up to five times a second to each gateway. Change: AnnouncePace, pure: at once and at most every 200 ms to who fetches here, to others when they haven't fetched here for 5 s: 600 ms later and at most that often. The event of a configuration in force names its bytes.

--- a/src/system/link.hpp
+++ b/src/system/link.hpp
@@ -15,6 +15,7 @@
 #include "logic.hpp"
 #include "net/descriptors.hpp"
 #include "net/watcher.hpp"
+#include "system/announce_pace.hpp"
 #include "util/address.hpp"
 
 namespace curlewdoor::system {
@@ -52,6 +53,7 @@
     int strayed = 0;           // digests in a row that were not ours
     bool subscribed = false;   // wants news
     bool fetches = false;      // knows Announce, Fetch and Fetched
+    AnnouncePace announcing;   // of configurations, to the other side
     bool told_later = false;   // said that it sends kinds of a later version
     std::uint64_t number = 0;  // of this stream in this process
 
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -117,9 +117,9 @@
 };
 
 // In the order of their numbers on the wire: new ones come behind.
-using Message = std::variant<Hello, Clock, Hosts, Refreshed, Tell, Told, Put, Get, Done, Config, Members,
-                             AddUnits, Total, CoreBytes, Digest, AskHosts, FoundingBytes, Announce, Fetch,
-                             Fetched>;
+using Message =
+    std::variant<Hello, Clock, Hosts, Refreshed, Tell, Told, Put, Get, Done, Config, Members, AddUnits, Total,
+                 CoreBytes, Digest, AskHosts, FoundingBytes, Announce, Fetch, Fetched>;
 
 std::string Encode(const Message& message);
 std::optional<Message> Decode(std::string_view bytes);
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -168,7 +168,7 @@
   void Take(Link::Stream& stream, Fetched& message);
   void OnCommitted();
   void ApplyCommitted();  // in force here too, at most once in kApplyPause
-  void AnnounceConfig();  // to all that want news, at most once in kAnnouncePause
+  void AnnounceConfig();  // to all that want news, as AnnouncePace says
   void TellConfig(Link::Stream& stream);
   void ReadForFeed();
   void OnFeedRead(const agreement::Done& done);
@@ -243,8 +243,8 @@
   counting::HeldCounts counts_{settings_.bounds.quota_slack};
 
   std::chrono::system_clock::time_point in_force_at_{};
-  ConfigId in_force_, announced_;  // announced: to all streams that want news
-  Steady applied_at_{}, announced_at_{};
+  ConfigId in_force_;
+  Steady applied_at_{};
   ConfigFeed feed_;
   ConfigSource source_;
   std::uint64_t feed_read_ = 0;  // the core's read that fetches wait for; 0: none
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -211,7 +211,6 @@
   counts_.Begin(Net(Now()));
   Say(Event::kCountBegun, "epoch " + std::to_string(epoch_));
   Broadcast(MembersNow());
-  announced_ = {};
   AnnounceConfig();
 }
 
--- a/src/system/node_feed.cpp
+++ b/src/system/node_feed.cpp
@@ -23,9 +23,7 @@
 }
 
 void Node::AnnounceConfig() {
-  if (!had_majority_ || source_.newest() <= announced_ || Now() - announced_at_ < kAnnouncePause) return;
-  announced_ = source_.newest();
-  announced_at_ = Now();
+  if (!had_majority_) return;
   link_.ForEach([&](Link::Stream& stream) {
     if (stream.subscribed) TellConfig(stream);
   });
@@ -34,12 +32,13 @@
 // Whole to versions that don't fetch.
 void Node::TellConfig(Link::Stream& stream) {
   const ConfigId newest = source_.newest();
-  if (newest.version == 0) return;
+  if (!stream.announcing.Take(Now(), newest)) return;
   if (stream.fetches) return stream.Send(Encode(Announce{epoch_, newest.version, newest.digest}));
   stream.Send(Encode(Config{newest.version, core_->committed().text}));
 }
 
 void Node::Take(Link::Stream& stream, Fetch& message) {
+  stream.announcing.OnFetch(Now());
   const auto answer = source_.OnFetch(stream.number, message, had_majority_);
   if (answer) return stream.Send(Encode(*answer));
   ReadForFeed();
@@ -133,7 +132,8 @@
     in_force_ = id;
     in_force_at_ = std::chrono::system_clock::now();
     feed_.OnInForce(Now(), id);
-    Say(Event::kConfigInForce, "version " + std::to_string(id.version));
+    Say(Event::kConfigInForce, "version " + std::to_string(id.version) + ", " +
+                                   std::to_string(front_.policy()->text().size()) + " bytes");
   } catch (const policy::PolicyError& error) {
     feed_.OnRefused(id);
     Say(Event::kConfigRefused, std::string("kept by the core: ") + error.what());
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -46,7 +46,7 @@
 inline constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
 inline constexpr std::size_t kMostConfig =
     3 * 1024 * 1024;  // storage takes many times that: 64 MB are granted
-inline constexpr milliseconds kAnnouncePause{200}, kApplyPause{250};
+inline constexpr milliseconds kApplyPause{250};
 inline constexpr seconds kContactFresh{3};      // a gateway without proof for so long looks further
 inline constexpr double kFeedLinkShare = 0.25;  // of a gateway's link, for configurations
 inline constexpr char kHostsKey[] = "hosts", kGatewaysKey[] = "gateways";
--- a/tests/system/config_source_test.cpp
+++ b/tests/system/config_source_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "system/announce_pace.hpp"
 #include "util/text_delta.hpp"
 
 namespace curlewdoor::system {
@@ -152,6 +153,40 @@
   BOOST_TEST(piece.offset == 0u);
 }
 
+// How often a storm of a change each 100 ms is announced in 6 s, and when the first is.
+std::pair<int, int> Announced(bool fetches) {
+  AnnouncePace pace;
+  int count = 0, first = -1;
+  for (int ms = 0; ms < 6000; ms += 50) {
+    const AnnouncePace::Time now{std::chrono::seconds(50) + std::chrono::milliseconds(ms)};
+    if (fetches) pace.OnFetch(now);
+    if (!pace.Take(now, {static_cast<std::uint64_t>(1 + ms / 100), 1})) continue;
+    if (count++ == 0) first = ms;
+  }
+  return {count, first};
+}
+
+BOOST_AUTO_TEST_CASE(WhoFetchesHereHearsAtOnceAndOthersLater) {
+  BOOST_TEST((Announced(true) == std::pair(30, 0)));
+  const auto [count, first] = Announced(false);
+  BOOST_TEST(first == 600);
+  BOOST_TEST(count >= 8);
+  BOOST_TEST(count <= 10);
+}
+
+BOOST_AUTO_TEST_CASE(TheSameIsAnnouncedOnceAndNoneIsNotAnnounced) {
+  AnnouncePace pace;
+  const AnnouncePace::Time now{std::chrono::seconds(50)};
+  BOOST_TEST(!pace.Take(now, {}));
+  pace.OnFetch(now);
+  BOOST_TEST(pace.Take(now, {3, 1}));
+  BOOST_TEST(!pace.Take(now + std::chrono::seconds(1), {3, 1}));
+  BOOST_TEST(!pace.Take(now + std::chrono::seconds(1), {2, 9}));
+  // Whoever went on to fetch elsewhere is told later.
+  BOOST_TEST(!pace.Take(now + std::chrono::seconds(6), {4, 1}));
+  BOOST_TEST(pace.Take(now + std::chrono::milliseconds(6600), {4, 1}));
+}
+
 BOOST_AUTO_TEST_CASE(WhatIsKeptIsBounded) {
   ConfigSource::Options options;
   options.most_kept = 20'000;
