--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -50,6 +50,7 @@
     bool is_put = false;
     std::uint64_t version = 0;
     std::string text;
+    std::size_t size = 0;  // of its text, which the core may have by now
     Steady ends, next;
     std::vector<Address> asked;
     std::uint64_t stream = 0;            // that it was passed to last; 0: none
@@ -83,7 +84,7 @@
   void OnDatagram(std::string_view bytes) override;
   std::string OnExchange(std::string_view bytes) override;
   void OnExchangeEnd(const Address& with, std::string_view bytes) override;
-  void Carry(fleet::Out out);
+  void Carry(const fleet::Out& out);
   void OnView();
   static bool IsOfCore(const fleet::Record& record);
   int AtLeast(int gateways);
@@ -242,6 +243,7 @@
   std::uint64_t next_number_ = rng_();  // no two processes begin alike
   counting::HeldCounts counts_{settings_.bounds.quota_slack};
 
+  std::shared_ptr<const policy::Policy> checked_;  // of the latest order here, until it is answered
   std::chrono::system_clock::time_point in_force_at_{};
   ConfigId in_force_;
   Steady applied_at_{};
--- a/src/system/node_feed.cpp
+++ b/src/system/node_feed.cpp
@@ -1,4 +1,6 @@
 // Node: how configurations reach gateways. ConfigFeed and ConfigSource decide; here it is carried out.
+#include <malloc.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -6,6 +8,19 @@
 #include "system/node_limits.hpp"
 
 namespace curlewdoor::system {
+namespace {
+
+// What reading a large configuration took, many times its size, goes back to the system.
+void GiveBackMemory(std::size_t text_size) {
+#ifdef __GLIBC__
+  constexpr std::size_t kLarge = 256 * 1024;
+  if (text_size >= kLarge) ::malloc_trim(0);
+#else
+  static_cast<void>(text_size);
+#endif
+}
+
+}  // namespace
 
 // ---- A core member's side -----------------------------------------------------------------------------
 
@@ -127,8 +142,11 @@
 
 void Node::SetInForce(ConfigId id, std::string text) {
   if (id <= in_force_) return;
+  const std::size_t size = text.size();
   try {
-    front_.SetPolicy(policy::Policy::Read(std::move(text)));
+    const bool read = checked_ != nullptr && checked_->version() == id.version && checked_->text() == text;
+    front_.SetPolicy(read ? std::move(checked_) : policy::Policy::Read(std::move(text)));
+    GiveBackMemory(size);
     in_force_ = id;
     in_force_at_ = std::chrono::system_clock::now();
     feed_.OnInForce(Now(), id);
