--- a/src/console/config_commands.cpp
+++ b/src/console/config_commands.cpp
@@ -168,6 +168,7 @@
   const auto policy = ReadPolicy(path);
   const Caller caller = session.MakeCaller();
   const CallAnswer answer = caller.Post(kReplacePath, policy->text());
+  if (answer.status == 409) throw CommandError(kRefused, session.argument() + ": " + Conflict(answer));
   if (answer.status != 200) throw CommandError(kRefused, Refusal(answer));
   const auto kept = ReadBack(caller);
   RefuseUnlessKept(path, *policy, kept.get());
--- a/src/console/session.cpp
+++ b/src/console/session.cpp
@@ -83,4 +83,13 @@
          (text.empty() ? "" : ": " + text);
 }
 
+// Of a number that belongs to another content: what is in force, and what to do.
+std::string Conflict(const system::CallAnswer& answer) {
+  const system::json::Owned body(cJSON_ParseWithLength(answer.body.data(), answer.body.size()));
+  const JsonView view(body.get());
+  if (!view["message"].present()) return Refusal(answer);
+  return "conflict: " + view["message"].Text() + " (the one in force has the digest " +
+         view["digest_in_force"].Text() + ")";
+}
+
 }  // namespace curlewdoor::console
--- a/src/console/session.hpp
+++ b/src/console/session.hpp
@@ -41,5 +41,6 @@
 
 // An answer that refuses, in words.
 std::string Refusal(const system::CallAnswer& answer);
+std::string Conflict(const system::CallAnswer& answer);
 
 }  // namespace curlewdoor::console
--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -33,6 +33,22 @@
       add_test(NAME core_loss_${scenario} COMMAND core_loss_test --run_test=${scenario})
       set_tests_properties(core_loss_${scenario} PROPERTIES TIMEOUT 120 PROCESSORS 1)
     endforeach()
+    # Histories of the register, judged from outside; each scenario a test, as above.
+    set(histories cut orders loss changes reset)
+    list(TRANSFORM histories REPLACE "(.+)" "tests/system/history_\\1_test.cpp" OUTPUT_VARIABLE history_sources)
+    add_executable(history_test tests/system/history_scene.cpp tests/system/history_test_main.cpp ${history_sources})
+    target_link_libraries(history_test PRIVATE curlewdoor_systemkit Boost::unit_test_framework)
+    target_compile_definitions(history_test PRIVATE BOOST_TEST_DYN_LINK
+                                                    CURLEWDOOR_PROGRAM="$<TARGET_FILE:curlewdoor-system>")
+    add_dependencies(history_test curlewdoor-system)
+    foreach(history ${histories})
+      file(STRINGS tests/system/history_${history}_test.cpp scenarios REGEX "^BOOST_AUTO_TEST_CASE")
+      foreach(scenario ${scenarios})
+        string(REGEX REPLACE "^BOOST_AUTO_TEST_CASE.([a-z0-9_]+).*" "\\1" scenario "${scenario}")
+        add_test(NAME history_${history}_${scenario} COMMAND history_test --run_test=${scenario} --log_level=message)
+        set_tests_properties(history_${history}_${scenario} PROPERTIES TIMEOUT 120 PROCESSORS 1)
+      endforeach()
+    endforeach()
   endif()
 
   # How control grows with gateways, hosts and changes: bench/scale.sh, by hand. Whole gateways, many in a process.
