--- a/src/console/storage_commands.cpp
+++ b/src/console/storage_commands.cpp
@@ -59,6 +59,11 @@
 void CheckRecords(const std::string& directory, const RecordsByKey& records) {
   for (const auto& [key, bytes] : records) {
     if (key == kLifeRecord || key == agreement::kStateKey || key == agreement::kValueKey) continue;
+    if (key.starts_with(agreement::kPageKeys)) continue;
+    if (key == agreement::kFoundingKey) {
+      if (!agreement::DecodeFoundingState(bytes)) throw BadRecord(directory, "founding: can't be read");
+      continue;
+    }
     if (key == kHostsRecord) {
       if (!directory::Decode(bytes, std::chrono::steady_clock::now()))
         throw BadRecord(directory, "hosts: can't be read");
@@ -109,8 +114,7 @@
   const auto disk = ParseLife(*life);
   if (!disk) throw BadRecord(read.directory, "life: not a life");
   read.life = *life;
-  auto state =
-      agreement::DecodeState(Find(records, agreement::kStateKey), Find(records, agreement::kValueKey));
+  auto state = agreement::DecodeState([&](const std::string& key) { return Find(records, key); });
   if (!state) throw BadRecord(read.directory, "state or value: can't be read");
   read.state = std::move(*state);
   for (const agreement::Member& member : read.state.roster.members)
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -152,6 +152,8 @@
   void TryOpenCore();  // a disk in trouble leaves a gateway without a core, for now
   void StartFleet();
   void CarryCore(agreement::Out out);
+  void AnswerDone(agreement::Done& done);
+  static std::string ConflictText(std::uint64_t sent, const agreement::Done& done);
   std::unique_ptr<FoundingHost> MakeFounding(agreement::founding::State state, bool durable);
   void OpenFounding(std::optional<agreement::founding::State> kept);
   bool KeepFounding(std::string state) override;
