--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -223,7 +223,6 @@
   counts_.Begin(Net(Now()));
   Say(Event::kCountBegun, "epoch " + std::to_string(epoch_));
   Broadcast(MembersNow());
-  announced_ = {};
   AnnounceConfig();
 }
 
