--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -42,6 +42,7 @@
                      Carry(out);
                    }),
       link_(loop, link_descriptors_, *this, LinkOptions(settings_), seed),
+      feed_(FeedOptions(settings_)),
       front_(
           loop, settings_, front_descriptors_, rng_(),
           [this](const std::string& tenant, const AddCount& call) { AddToCount(tenant, call); },
@@ -137,7 +138,7 @@
     CarryCore(std::move(out));
   }
   if (founding_) founding_->Tick();
-  if (core_ && ticks_ % 10 == 0) OnView();
+  if ((core_ || !InContact()) && ticks_ % 10 == 0) OnView();
   if (ticks_ % 2 == 0) front_.KeepHouse();
   if (ticks_ % 5 == 0) {
     control_.CheckTimes();
@@ -151,6 +152,9 @@
       near->Send(Encode(beats));
     }
   }
+  AnnounceConfig();
+  ApplyCommitted();
+  FetchConfig();
   if (ticks_ % 4 == 0) ConsiderCore();
   if (had_majority_ && ticks_ % 4 == 0) LookWhoIsAway();
   // Silence is said by who hears the core, and not before it has listened for long enough.
