--- a/src/console/config_commands.cpp
+++ b/src/console/config_commands.cpp
@@ -26,7 +26,7 @@
 
 std::string ReadFile(const std::string& path) {
   std::ifstream file(path, std::ios::binary);
-  const std::string text{std::istreambuf_iterator<char>(file), {}};
+  std::string text{std::istreambuf_iterator<char>(file), {}};
   if (!file || file.bad()) throw CommandError(kUsage, path + ": can't be read");
   return text;
 }
@@ -168,6 +168,7 @@
   const auto policy = ReadPolicy(path);
   const Caller caller = session.MakeCaller();
   const CallAnswer answer = caller.Post(kReplacePath, policy->text());
+  if (answer.status == 409) throw CommandError(kRefused, session.argument() + ": " + Conflict(answer));
   if (answer.status != 200) throw CommandError(kRefused, Refusal(answer));
   const auto kept = ReadBack(caller);
   RefuseUnlessKept(path, *policy, kept.get());
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -64,6 +64,13 @@
   return resident * static_cast<std::uint64_t>(::sysconf(_SC_PAGESIZE));
 }
 
+bool IsCaughtUp(const agreement::CoreStatus& status, const std::string& name, std::uint64_t disk) {
+  return std::any_of(status.voters.begin(), status.voters.end(), [&](const auto& voter) {
+    return voter.member.life.node == name && voter.member.life.disk == disk && voter.caught_up &&
+           voter.answers;
+  });
+}
+
 // Figures in the text format that is scraped.
 class Page {
  public:
@@ -91,6 +98,10 @@
   std::string name_, text_;
 };
 
+std::uint64_t WholeSeconds(Duration time) {
+  return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(time).count());
+}
+
 void AddDescriptors(Page& page, const char* pool, const net::Descriptors& descriptors) {
   constexpr std::string_view kNames[net::kUses] = {"client",    "host",  "counter",
                                                    "discovery", "admin", "fleet"};
@@ -126,9 +137,14 @@
   } else {
     answer.None("committed_version");
   }
+  const bool told = core_member();
+  const agreement::CoreStatus status = told ? core_->Status(Now()) : agreement::CoreStatus{};
+  // Of those that are caught up: how many more may be lost with a majority left. Below 0: there is none.
+  told ? answer.Number("further_losses", status.further_losses) : answer.None("further_losses");
   cJSON* members = answer.List("members");
   for (const CoreMember& member : members_) {
     Object each = AddTo(members);
+    if (told) each.Flag("caught_up", IsCaughtUp(status, member.name, member.disk));
     const bool here = member.name == settings_.node_name && member.disk == disk_;
     const auto seen = fleet_->others().find(member.name);
     const bool known = seen != fleet_->others().end();
@@ -275,6 +291,11 @@
   } else {
     answer.None("version_committed");  // what the core has is told by its members
   }
+  if (const auto age = ContactAge()) {
+    answer.Number("contact_age_s", std::chrono::duration<double>(*age).count());
+  } else {
+    answer.None("contact_age_s");  // no member in contact with a majority has answered since the start
+  }
   answer.Flag("ready", ready_ && !leaving_);
   ReplyReport(id, answer.Print());
 }
@@ -307,6 +328,18 @@
   const auto& policy = front_.policy();
   page.Gauge("config_version", policy != nullptr ? policy->version() : 0,
              "Version of the configuration in force here; 0: none.");
+  const Duration age = ContactAge().value_or(Now() - started_at_);
+  page.Gauge(
+      "config_contact_age_seconds", WholeSeconds(age),
+      "Since a majority of the core last proved here what is newest; since the start if it never did.");
+  const ConfigFeed::Figures& feed = feed_.figures();
+  page.Counter("config_questions_total", feed.questions, "Questions for the newest configuration.");
+  page.Counter("config_not_now_total", feed.not_now, "... that a member without contact declined.");
+  page.Counter("config_silent_total", feed.silent, "... that had no answer in time.");
+  page.Counter("config_deltas_total", feed.deltas, "Configurations taken as a difference.");
+  page.Counter("config_wholes_total", feed.wholes, "Configurations taken whole.");
+  page.Counter("config_bytes_total", feed.bytes, "Bytes of both.");
+  page.Counter("config_unusable_total", feed.unusable, "Answers that made no text of their digest.");
   page.Gauge("epoch", epoch_, "Epoch of the core's roster, as known here.");
   page.Gauge("core_member", core_member() ? 1 : 0, "Whether this gateway is in that roster.");
   page.Gauge("majority", had_majority_ ? 1 : 0, "Whether this member hears a majority; 0 where it is none.");
