Test: long bodies at a gateway's two doors at once

An order of 3 MiB and a client's request of 3 MiB in pieces by turns, with length and chunked: both arrive whole, the order's memory is given back.

--- a/tests/system/attempt_path_test.cpp
+++ b/tests/system/attempt_path_test.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "kitchen.hpp"
+#include "system/call_door.hpp"
 
 namespace curlewdoor::system {
 namespace {
@@ -193,6 +194,53 @@
       }
 }
 
+// A gateway may serve clients and control: long bodies at both doors at once, in pieces by turns.
+BOOST_AUTO_TEST_CASE(TwoDoorsTakeLongBodiesAtOnce) {
+  constexpr std::size_t kLong = 3 * 1024 * 1024, kPiece = 40'000;
+  const std::string order = Text(kLong, 1), request = Text(kLong, 2);
+  for (const bool chunked : {false, true}) {
+    BOOST_TEST_CONTEXT("chunked " << chunked) {
+      Kitchen kitchen;
+      std::string path, body;
+      std::unique_ptr<CallDoor> control;
+      control = std::make_unique<CallDoor>(
+          kitchen.loop.get(), kitchen.descriptors,
+          [&](CallDoor::Call call) {
+            path = call.path;
+            body = std::move(call.body);
+            control->Reply(call.id, 200, "{}");
+          },
+          kLong);
+      std::string error;
+      BOOST_REQUIRE(control->Listen({0x7f000001, 0}, error));
+      control->StartAccepting();
+      const auto framed = [&](const std::string& text) {
+        return chunked ? http::ChunkLine(text.size()) + text + "\r\n0\r\n\r\n" : text;
+      };
+      const std::string framing =
+          chunked ? "Transfer-Encoding: chunked\r\n" : "Content-Length: " + std::to_string(kLong) + "\r\n";
+      const std::string calls =
+          "POST /v1/config/replace HTTP/1.1\r\nHost: x\r\n" + framing + "\r\n" + framed(order);
+      const std::string clients = Kitchen::Ask("/write/x", "a", framing, "key-a1", "POST") + framed(request);
+      Caller operators(kitchen.loop.get(), control->port()),
+          client(kitchen.loop.get(), kitchen.front->port());
+      for (std::size_t at = 0; at < std::max(calls.size(), clients.size()); at += kPiece) {
+        operators.Write(std::string_view(calls).substr(std::min(at, calls.size()), kPiece));
+        client.Write(std::string_view(clients).substr(std::min(at, clients.size()), kPiece));
+        ev_run(kitchen.loop.get(), EVRUN_NOWAIT);
+      }
+      BOOST_REQUIRE(kitchen.Until([&] {
+        return !Split(operators.came, false).whole.empty() && !Split(client.came, false).whole.empty();
+      }));
+      BOOST_TEST(path == "/v1/config/replace");
+      BOOST_TEST((body == order));
+      BOOST_TEST(Split(client.came, false).whole[0].status == 200);
+      BOOST_TEST((kitchen.seen.back().body == request));
+      BOOST_TEST(control->held() == 0u);
+    }
+  }
+}
+
 // ---- Clients' connections -----------------------------------------------------------------------------
 
 // A door whose time is told, with the least that answers.
