--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -1,7 +1,6 @@
 #include "system/front.hpp"
 
 #include <algorithm>
-#include <charconv>
 
 #include "counting/quota_plan.hpp"
 #include "events/events.hpp"
@@ -24,8 +23,7 @@
     milliseconds(120);                                 // within a region: some round trips and a slot's turn
 constexpr Duration kFarCountWait = milliseconds(150);  // for a count that may stand in another region
 constexpr Duration kFarConnectTimeout = milliseconds(400);  // where hosts may be in another region
-constexpr Duration kKeepIdle = seconds(8);  // connections to hosts, unless they tell otherwise
-constexpr Duration kUnacknowledged = milliseconds(1500);
+constexpr Duration kKeepIdle = seconds(8);            // connections to hosts, unless they tell otherwise
 constexpr Duration kExpiryMargin = milliseconds(20);  // a host's own answer at the deadline goes first
 constexpr std::size_t kMostAhead = 64 * 1024;         // bytes of one long body that are held
 constexpr std::size_t kMostPipelined = 8;             // requests of one client ahead of their turn
@@ -34,8 +32,6 @@
 constexpr double kFirstMean = 0.1;                    // seconds, until answers have told
 
 constexpr std::string_view kBodyTooLarge = "too large\n";
-constexpr std::initializer_list<std::string_view> kDropped{kDeadlineHeader, kTenantHeader, kInstanceHeader,
-                                                           kKeyHeader};
 
 // The key of a request, without its scheme.
 std::string_view KeyOf(const http::Message& message) {
@@ -573,43 +569,4 @@
   upstream_.Reap();
 }
 
-// ---- What hosts are told and tell ---------------------------------------------------------------------
-
-std::initializer_list<std::string_view> Front::Dropped() const { return kDropped; }
-
-void Front::AppendLines(const AttemptId& attempt, Duration left, std::string& out) const {
-  const auto it = requests_.find(attempt.request);
-  if (it == requests_.end()) return;
-  const Request& request = it->second;
-  const auto line = [&](std::string_view name, std::string_view value) {
-    out.append(name).append(": ").append(value).append("\r\n");
-  };
-  line(kDeadlineHeader, std::to_string(left / milliseconds(1)));
-  line(kInstanceHeader, request.instance);
-  if (!request.tenant.empty()) line(kTenantHeader, request.tenant);
-}
-
-// Answers carry the id of their request; one without it can't be told from another's.
-net::Whose Front::Belongs(const AttemptId& attempt, const http::Message& answer) const {
-  const auto it = requests_.find(attempt.request);
-  const std::string_view id = answer.Find(kAttemptIdHeader);
-  if (it == requests_.end() || id == it->second.wire_id) return net::Whose::kAttempt;
-  return id.empty() ? net::Whose::kNobody : net::Whose::kAnother;
-}
-
-bool Front::NotRun(const http::Message& answer) const { return answer.Has(kNotRunHeader); }
-
-Duration Front::KeepAlive(const http::Message& answer) const {
-  const std::string_view value = answer.Find("Keep-Alive");
-  const auto at = value.find("timeout=");
-  if (at == std::string_view::npos) return {};
-  int told = 0;
-  const std::string_view digits = value.substr(at + 8);
-  std::from_chars(digits.data(), digits.data() + digits.size(), told);
-  if (told == 0) return milliseconds(500);  // less than a second
-  return seconds(std::clamp(told, 0, 3600));
-}
-
-Duration Front::Unacknowledged() const { return kUnacknowledged; }
-
 }  // namespace curlewdoor::system
