--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -6,6 +6,7 @@
 #include "agreement/codec.hpp"
 #include "directory/codec.hpp"
 #include "storage/memory_storage.hpp"
+#include "system/json.hpp"
 #include "system/node.hpp"
 #include "system/node_limits.hpp"
 
@@ -43,9 +44,9 @@
   bool first = bootstrap_;
   // A life that began with the whole system may still found it, whatever the settings say by now.
   const bool known = life && (life->size() == 16 || life->size() == 17);
-  const auto read =
-      known ? agreement::DecodeState(shelf_->Read(agreement::kStateKey), shelf_->Read(agreement::kValueKey))
-            : std::nullopt;
+  const auto read = known
+                        ? agreement::DecodeState([this](const std::string& key) { return shelf_->Read(key); })
+                        : std::nullopt;
   if (known && read) {
     life_ = *life;
     life_kept_ = true;
@@ -69,9 +70,8 @@
     // A member without a disk may be the last one that knows what was acknowledged.
     if (const auto& policy = front_.policy(); in_memory_ && policy != nullptr)
       state.value = {policy->version(), policy->text()};
-    storage::Records records{{"life", life_},
-                             {agreement::kStateKey, agreement::EncodeState(state)},
-                             {agreement::kValueKey, agreement::EncodeValue(state.value)}};
+    storage::Records records = agreement::EncodeAll(state);
+    records.emplace_back("life", life_);
     if (first && !founding_) {
       founding = FoundingHost::FirstState(settings_);
       records.emplace_back(agreement::kFoundingKey, agreement::EncodeFoundingState(*founding));
@@ -165,27 +165,39 @@
   LookAtMajority();
   // Before any acknowledgement: what it acknowledges is then on its way to all.
   if (out.committed_changed) OnCommitted();
-  for (agreement::Done& done : out.done) {
-    if (done.call == feed_read_) {
-      OnFeedRead(done);
-      continue;
-    }
-    const auto it = pending_.find(done.call);
-    if (it == pending_.end()) continue;
-    const bool put = it->second.is_put;
-    const bool good = done.outcome == agreement::Outcome::kKept || done.outcome == agreement::Outcome::kOlder;
-    if (!good) {
-      Answer(done.call, 503, {});
-    } else if (put) {
-      if (done.outcome == agreement::Outcome::kOlder)
-        Say(Event::kConfigOvertaken, "by " + std::to_string(done.value.version));
-      Answer(done.call, 200, "{}");
-    } else if (done.value.version == 0) {
-      Answer(done.call, 404, "{}");
-    } else {
-      Answer(done.call, 200, std::move(done.value.text));
-    }
+  for (agreement::Done& done : out.done) AnswerDone(done);
+}
+
+void Node::AnswerDone(agreement::Done& done) {
+  using agreement::Outcome;
+  if (done.call == feed_read_) return OnFeedRead(done);
+  const auto it = pending_.find(done.call);
+  if (it == pending_.end()) return;
+  const Pending& pending = it->second;
+  if (done.outcome == Outcome::kConflict) {
+    Say(Event::kConfigConflict, "version " + std::to_string(pending.version));
+    return Answer(done.call, 409, ConflictText(pending.version, done));
+  }
+  if (done.outcome != Outcome::kKept && done.outcome != Outcome::kOlder) return Answer(done.call, 503, {});
+  if (pending.is_put) {
+    if (done.outcome == Outcome::kOlder)
+      Say(Event::kConfigOvertaken, "by " + std::to_string(done.value.version));
+    return Answer(done.call, 200, "{}");
   }
+  if (done.value.version == 0) return Answer(done.call, 404, "{}");
+  Answer(done.call, 200, std::move(done.value.text));
+}
+
+// The number belongs to another content for good, so the same order would be refused for ever.
+std::string Node::ConflictText(std::uint64_t sent, const agreement::Done& done) {
+  json::Document body;
+  body.Text("error", "conflict").Number("version_sent", static_cast<double>(sent));
+  body.Number("version_in_force", static_cast<double>(done.value.version));
+  body.Text("digest_in_force", ToText(done.digest));
+  body.Text("message", "version " + std::to_string(sent) +
+                           " belongs to another content; send the change under a number above " +
+                           std::to_string(done.value.version));
+  return body.Print();
 }
 
 void Node::KeepHosts() {
@@ -211,7 +223,6 @@
   counts_.Begin(Net(Now()));
   Say(Event::kCountBegun, "epoch " + std::to_string(epoch_));
   Broadcast(MembersNow());
-  announced_ = {};
   AnnounceConfig();
 }
 
