--- a/src/agreement/founding.cpp
+++ b/src/agreement/founding.cpp
@@ -207,8 +207,9 @@
 }
 
 void Founding::Begin(Time now, Out& out) {
-  attempt_.emplace();
-  attempt_->ballot = {++highest_round_, random_()};
+  Attempt attempt;
+  attempt.ballot = {++highest_round_, random_()};
+  attempt_ = std::move(attempt);
   SendAttempt(now, out);
 }
 
