A damaged record of the first start is told by storage verify; founding.cpp is clean for clang-tidy

Cause: clang 14 refuses emplace() of an aggregate inside its own class, so make tidy failed on main; the record that the first start keeps had no test at the command line.

--- a/src/agreement/founding.cpp
+++ b/src/agreement/founding.cpp
@@ -207,7 +207,7 @@
 }
 
 void Founding::Begin(Time now, Out& out) {
-  attempt_.emplace();
+  attempt_ = Attempt{};
   attempt_->ballot = {++highest_round_, random_()};
   SendAttempt(now, out);
 }
--- a/tests/console/console_test.cpp
+++ b/tests/console/console_test.cpp
@@ -490,6 +490,10 @@
   MakeStorage(here / "foreign", records);
   says("storage verify foreign", kRefused, "none of ours");
   records = GoodRecords();
+  records.emplace_back(agreement::kFoundingKey, "x");
+  MakeStorage(here / "unfounded", records);
+  says("storage verify unfounded", kRefused, "record founding: can't be read");
+  records = GoodRecords();
   records[2].second = agreement::EncodeValue({9, BlockOf("file: site.json")});
   MakeStorage(here / "unlike", records);
   says("storage verify unlike", kRefused, "another version");
