--- a/src/agreement/founding.cpp
+++ b/src/agreement/founding.cpp
@@ -207,9 +207,8 @@
 }
 
 void Founding::Begin(Time now, Out& out) {
-  Attempt attempt;
-  attempt.ballot = {++highest_round_, random_()};
-  attempt_ = std::move(attempt);
+  attempt_ = Attempt{};
+  attempt_->ballot = {++highest_round_, random_()};
   SendAttempt(now, out);
 }
 
