A member that comes back alone refuses at once when it has listened for a second

Change: who has asked the others for heard_for without a majority knows, too. Shown by: agreement_test, agreement_model_check_test, history_test.

--- a/src/agreement/core.cpp
+++ b/src/agreement/core.cpp
@@ -180,6 +180,7 @@
 }
 
 void Core::Tick(Time now, Out& out) {
+  if (!asks_since_) asks_since_ = now;
   TickCalls(now, out);
   if (now >= ping_next_) Ping(now, out);
   Sample(now);
--- a/src/agreement/core.hpp
+++ b/src/agreement/core.hpp
@@ -379,6 +379,7 @@
   RecordPtr committed_;
   Stamp committed_stamp_;
   std::deque<Stamp> committed_before_;  // oldest first, some two seconds
+  std::optional<Time> asks_since_;      // in this epoch, of the others whether they are there
   bool learned_ = false, leaving_ = false, retired_ = false;
   Time learn_next_{}, ping_next_{};
   std::deque<std::pair<std::uint64_t, Time>> pings_;
--- a/src/agreement/membership.cpp
+++ b/src/agreement/membership.cpp
@@ -32,6 +32,7 @@
   state_.register_promised = state_.stamp.epoch == epoch ? state_.stamp.ballot : Ballot{};
   Changed();
   learned_ = false;
+  asks_since_.reset();
   committed_before_.assign(1, state_.stamp);
   learn_next_ = now + std::max(0, Index(self_.life)) * kLearnInTurn;
   attempt_.reset();
--- a/src/agreement/reads.cpp
+++ b/src/agreement/reads.cpp
@@ -57,7 +57,8 @@
   std::size_t calls = 0;
   for (const Call& call : calls_) calls += call.internal ? 0 : 1;
   if (calls >= kMostCalls) return Outcome::kFailed;
-  if (!member() || (learned_ && !majority(now))) return Outcome::kNoMajority;
+  const bool listened = learned_ || (asks_since_ && now - *asks_since_ > options_.heard_for);
+  if (!member() || (listened && !majority(now))) return Outcome::kNoMajority;
   return std::nullopt;
 }
 
