--- a/src/console/cluster_commands.cpp
+++ b/src/console/cluster_commands.cpp
@@ -85,11 +85,12 @@
     session.out() << "core as seen by " << core["node"].Text() << ": epoch " << core["epoch"].Text()
                   << ", member " << core["member"].Text() << ", majority " << core["majority"].Text()
                   << ", sealed " << core["sealed"].Text() << ", committed version "
-                  << core["committed_version"].Text() << "\n";
-    Table table({"name", "life", "address", "state", "same life", "linked"});
+                  << core["committed_version"].Text() << ", further losses borne "
+                  << core["further_losses"].Text() << "\n";
+    Table table({"name", "life", "address", "state", "same life", "linked", "caught up"});
     core["members"].ForEach([&](const JsonView& m) {
       table.Row({m["name"].Text(), m["life"].Text(), m["address"].Text(), m["state"].Text(),
-                 m["life_seen"].Text(), m["linked"].Text()});
+                 m["life_seen"].Text(), m["linked"].Text(), m["caught_up"].Text()});
     });
     table.Print(session.out());
   });
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -156,6 +156,7 @@
   ApplyCommitted();
   FetchConfig();
   if (ticks_ % 4 == 0) ConsiderCore();
+  if (ticks_ % 4 == 0) LookAtRedundancy();
   if (had_majority_ && ticks_ % 4 == 0) LookWhoIsAway();
   // Silence is said by who hears the core, and not before it has listened for long enough.
   const auto silent = std::chrono::duration_cast<directory::Duration>(settings_.heartbeat * kSilentBeats);
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -30,6 +30,7 @@
 #include "system/front.hpp"
 #include "system/link.hpp"
 #include "system/message.hpp"
+#include "system/redundancy_watch.hpp"
 
 namespace curlewdoor::system {
 
@@ -162,6 +163,7 @@
   void OnShelf();
   void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
   void LookAtMajority();
+  void LookAtRedundancy();
   void KeepHosts();  // on the disk: a core that comes back knows them before they beat again
   bool core_member() const { return core_ && core_->member(); }
   Message MembersNow() const;
@@ -216,6 +218,7 @@
   bool in_memory_ = false, volunteers_ = false;  // a core without a disk
   std::unique_ptr<net::IoWatcher> shelf_io_;
   bool had_majority_ = false;
+  RedundancyWatch redundancy_{kRedundancySettles};
   std::uint64_t kept_hosts_ = 0;  // of the directory's journal
   // As long as the view isn't whole after a start: what the core last knew. 0: nothing.
   int least_gateways_ = 0, gateways_ = 1, kept_gateways_ = 0;
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -233,6 +233,17 @@
   AnnounceConfig();
 }
 
+void Node::LookAtRedundancy() {
+  if (!core_member()) return redundancy_.Reset();
+  if (!core_->learned()) return;  // a new epoch: what was told before still stands
+  const auto change = redundancy_.Look(Now(), core_->Status(Now()).further_losses);
+  if (!change) return;
+  const bool lost = change->now < change->before;
+  Say(lost ? Event::kRedundancyLost : Event::kRedundancyBack,
+      "epoch " + std::to_string(epoch_) + ": further losses borne " + std::to_string(change->now) +
+          ", before " + std::to_string(change->before));
+}
+
 Message Node::MembersNow() const {
   Members message{epoch_, {}, static_cast<std::uint32_t>(gateways_)};
   for (const CoreMember& member : members_)
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -326,6 +326,12 @@
   page.Counter("hosts_refused_total", directory_.refused(), "New hosts refused: the directory is full.");
   page.Gauge("gateways_alive", fleet_->alive(), "Gateways in the fleet's view, this one included.");
   const auto& policy = front_.policy();
+  if (const auto losses = redundancy_.further_losses()) {
+    page.Gauge("core_further_losses", static_cast<std::uint64_t>(std::max(0, *losses)),
+               "Losses of voters that the core bears now, as this member sees it.");
+  }
+  page.Counter("core_redundancy_losses_total", redundancy_.losses(),
+               "Times that the core came to bear fewer losses than before, as this member saw it.");
   page.Gauge("config_version", policy != nullptr ? policy->version() : 0,
              "Version of the configuration in force here; 0: none.");
   const Duration age = ContactAge().value_or(Now() - started_at_);
