--- a/tests/system/history_changes_test.cpp
+++ b/tests/system/history_changes_test.cpp
@@ -86,7 +86,7 @@
                        << " bytes at gateway " << gateway << " in " << scene.pace.Now() - begun << " s");
     scene.KillAndWipe({1});
     scene.Start(1);
-    BOOST_TEST(scene.UntilRedundant(1, 3) >= 0);
+    BOOST_REQUIRE(scene.UntilRedundant(1, 3) >= 0);
   }
   BOOST_TEST(scene.Confirms(3));
   scene.Judge();
@@ -102,7 +102,7 @@
   BOOST_TEST(scene.OrderUntilClear(large, 3, 2 * kRoutesOfAMebibyte) == 200);
   scene.KillAndWipe({0});
   scene.Start(0);
-  BOOST_TEST(scene.UntilRedundant(0, 3) >= 0);
+  BOOST_REQUIRE(scene.UntilRedundant(0, 3) >= 0);
   scene.Kill({1});
   for (const int gateway : {0, 2, 3}) {
     AskedPtr read;
--- a/tests/system/history_loss_test.cpp
+++ b/tests/system/history_loss_test.cpp
@@ -52,7 +52,7 @@
   BOOST_REQUIRE(scene.AtConfirmation([&](int) { scene.KillAndWipe({2}); }));
   BOOST_TEST(scene.Confirms(3));
   scene.Start(2);
-  BOOST_TEST(scene.UntilRedundant(2, 3) >= 0);
+  BOOST_REQUIRE(scene.UntilRedundant(2, 3) >= 0);
   scene.Judge();
 }
 
@@ -103,11 +103,11 @@
   scene.KillAndWipe({4});
   scene.Start(5);
   BOOST_TEST(scene.Until([&] { return lists(1, 5) && lists(2, 5); }));
-  BOOST_TEST(scene.UntilRedundant(5, 3) >= 0);
+  BOOST_REQUIRE(scene.UntilRedundant(5, 3) >= 0);
   BOOST_REQUIRE(scene.AtConfirmation([&](int) { scene.KillAndWipe({2}); }));
   BOOST_TEST(scene.Confirms(3));
   scene.Start(2);
-  BOOST_TEST(scene.UntilRedundant(2, 3) >= 0);
+  BOOST_REQUIRE(scene.UntilRedundant(2, 3) >= 0);
   scene.Judge();
 }
 
--- a/tests/system/history_orders_test.cpp
+++ b/tests/system/history_orders_test.cpp
@@ -85,11 +85,11 @@
   ResendAll(scene, orders);  // after the restart of all
   scene.KillAndWipe({1});
   scene.Start(1);
-  BOOST_TEST(scene.UntilRedundant(1, 3) >= 0);
+  BOOST_REQUIRE(scene.UntilRedundant(1, 3) >= 0);
   ResendAll(scene, orders);
   scene.KillAndWipe({0});  // for good: an empty one takes its place, then another the next one's
   scene.Start(4);
-  BOOST_TEST(scene.UntilRedundant(4, 3) >= 0);
+  BOOST_REQUIRE(scene.UntilRedundant(4, 3) >= 0);
   scene.KillAndWipe({2});
   ResendAll(scene, orders);
   scene.Judge();
