--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -160,7 +160,7 @@
   void OpenFounding(std::optional<agreement::founding::State> kept);
   bool KeepFounding(std::string state) override;
   void OnFounded(std::vector<agreement::Member> members) override;
-  void OnShelf();
+  void OnStorage();
   void OnRoster(std::uint64_t epoch, std::vector<CoreMember> members);
   void LookAtMajority();
   void LookAtRedundancy();
@@ -210,13 +210,13 @@
   const Address fleet_address_, link_address_;
   net::Descriptors front_descriptors_, link_descriptors_;
 
-  std::unique_ptr<storage::Storage> shelf_;
+  std::unique_ptr<storage::Storage> storage_;
   std::optional<agreement::Core> core_;
   std::uint64_t disk_ = 0;
-  std::string life_;  // its record on the shelf
+  std::string life_;  // its record in the storage
   bool life_kept_ = false, open_again_ = false;
   bool in_memory_ = false, volunteers_ = false;  // a core without a disk
-  std::unique_ptr<net::IoWatcher> shelf_io_;
+  std::unique_ptr<net::IoWatcher> storage_io_;
   bool had_majority_ = false;
   RedundancyWatch redundancy_{kRedundancySettles};
   std::uint64_t kept_hosts_ = 0;  // of the directory's journal
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -22,7 +22,7 @@
     link_.ForEach([](Link::Stream& stream) { stream.Close(); });
   } catch (const std::exception& error) {
     Say(Event::kStorageFailed, std::string(error.what()) + "; it is tried again, without a core meanwhile");
-    shelf_.reset();
+    storage_.reset();
     open_again_ = true;
   }
 }
@@ -40,37 +40,37 @@
   const std::string directory = in_memory_ ? "memory" : settings_.data_directory + "/core";
   const bool empty = in_memory_ || storage::StorageEmpty(directory);
   if (in_memory_) {
-    shelf_ = std::make_unique<storage::MemoryStorage>();
+    storage_ = std::make_unique<storage::MemoryStorage>();
   } else {
-    shelf_ = storage::OpenStorage(directory);
+    storage_ = storage::OpenStorage(directory);
   }
   Say(Event::kStorageOpened, directory + (empty ? " (empty)" : ""));
-  const auto life = shelf_->Read("life");
+  const auto life = storage_->Read("life");
   agreement::State state;
   std::optional<agreement::founding::State> founding;
   bool first = bootstrap_;
   // A life that began with the whole system may still found it, whatever the settings say by now.
   const bool known = life && (life->size() == 16 || life->size() == 17);
-  const auto read = known
-                        ? agreement::DecodeState([this](const std::string& key) { return shelf_->Read(key); })
-                        : std::nullopt;
+  const auto read =
+      known ? agreement::DecodeState([this](const std::string& key) { return storage_->Read(key); })
+            : std::nullopt;
   if (known && read) {
     life_ = *life;
     life_kept_ = true;
     first = life_.size() == 17;
     disk_ = std::strtoull(life_.substr(0, 16).c_str(), nullptr, 16);
     state = *read;
-    if (const auto kept = shelf_->Read(agreement::kFoundingKey); kept && first)
+    if (const auto kept = storage_->Read(agreement::kFoundingKey); kept && first)
       founding = agreement::DecodeFoundingState(*kept);
-    if (const auto gateways = shelf_->Read(kGatewaysKey))
+    if (const auto gateways = storage_->Read(kGatewaysKey))
       least_gateways_ = std::clamp(std::atoi(gateways->c_str()), 0, kMostGateways);
-    if (const auto hosts = shelf_->Read(kHostsKey))
+    if (const auto hosts = storage_->Read(kHostsKey))
       if (const auto entries = directory::Decode(*hosts, Now()))
         for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
   } else {
     // What can't be read is forgotten: another life, that has promised nothing and must be taken in first.
     if (known) Say(Event::kStorageDamaged, directory + ": its state can't be read; it begins another life");
-    if (known || shelf_->Read(agreement::kFoundingKey)) first = false;
+    if (known || storage_->Read(agreement::kFoundingKey)) first = false;
     if (!first) Say(Event::kWipedDisk, directory);
     disk_ = in_memory_ ? NewLifeInMemory() : rng_() | 1;
     life_ = Hex(disk_) + (first ? "b" : "");
@@ -83,7 +83,7 @@
       founding = FoundingHost::FirstState(settings_);
       records.emplace_back(agreement::kFoundingKey, agreement::EncodeFoundingState(*founding));
     }
-    shelf_->Write(0, std::move(records));
+    storage_->Write(0, std::move(records));
   }
   agreement::Options options;
   options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
@@ -97,8 +97,8 @@
       if (const auto address = ParseAddress(member.address))
         members_.push_back({member.life.node, member.life.disk, *address});
   }
-  shelf_io_ = std::make_unique<net::IoWatcher>(loop_, [this](int) { OnShelf(); });
-  shelf_io_->Want(shelf_->fd(), EV_READ);
+  storage_io_ = std::make_unique<net::IoWatcher>(loop_, [this](int) { OnStorage(); });
+  storage_io_->Want(storage_->fd(), EV_READ);
   OpenFounding(std::move(founding));
 }
 
@@ -118,7 +118,7 @@
 bool Node::KeepFounding(std::string state) {
   storage::Records records{{agreement::kFoundingKey, std::move(state)}};
   if (!life_kept_) records.emplace_back("life", life_);
-  return shelf_->Write(kFoundingWrite, std::move(records));
+  return storage_->Write(kFoundingWrite, std::move(records));
 }
 
 void Node::OnFounded(std::vector<agreement::Member> members) {
@@ -128,8 +128,8 @@
   CarryCore(std::move(out));
 }
 
-void Node::OnShelf() {
-  for (const storage::Result& result : shelf_->Drain()) {
+void Node::OnStorage() {
+  for (const storage::Result& result : storage_->Drain()) {
     if (!result.ok) Say(Event::kStorageFailed, result.error);
     if (result.ok && result.id != kHostsWrite) life_kept_ = true;
     if (result.id == kHostsWrite) {
@@ -151,7 +151,7 @@
   for (agreement::Write& write : out.writes) {
     // Where the first write was refused: nothing may be kept without the life that promised it.
     if (!life_kept_) write.records.emplace_back("life", life_);
-    if (shelf_->Write(write.id, std::move(write.records))) continue;
+    if (storage_->Write(write.id, std::move(write.records))) continue;
     agreement::Out failed;
     core_->OnWritten(Now(), write.id, false, failed);
     CarryCore(std::move(failed));
@@ -208,13 +208,13 @@
 }
 
 void Node::KeepHosts() {
-  if (!shelf_ || keeping_hosts_ || (kept_hosts_ == directory_.version() && kept_gateways_ == gateways_))
+  if (!storage_ || keeping_hosts_ || (kept_hosts_ == directory_.version() && kept_gateways_ == gateways_))
     return;
   std::vector<directory::Entry> entries;
   for (directory::Entry& entry : directory_.All())
     if (!entry.gone()) entries.push_back(std::move(entry));
-  if (!shelf_->Write(kHostsWrite, {{kHostsKey, directory::Encode(entries, Now())},
-                                   {kGatewaysKey, std::to_string(gateways_)}}))
+  if (!storage_->Write(kHostsWrite, {{kHostsKey, directory::Encode(entries, Now())},
+                                     {kGatewaysKey, std::to_string(gateways_)}}))
     return;
   keeping_hosts_ = true;
   kept_hosts_ = directory_.version();
