--- a/src/system/node_feed.cpp
+++ b/src/system/node_feed.cpp
@@ -33,8 +33,8 @@
 
 void Node::ApplyCommitted() {
   if (!core_ || source_.newest() <= in_force_ || Now() - applied_at_ < kApplyPause) return;
-  // A member that has just started hears of chosen versions from one that may be cut off with it: the first one
-  // is in force when a majority has been asked.
+  // A member that has just started hears of chosen versions from one that may be cut off with it: the first
+  // one is in force when a majority has been asked.
   if (front_.policy() == nullptr && !core_->learned()) return;
   applied_at_ = Now();
   SetInForce(source_.newest(), core_->committed().text);
