A process that was away for long brings back no host that has left

Cause: leaves of hosts were forgotten 60 s after they came, by each process's own clock. A process stopped for 75 s still listed three hosts that had left; its list came back into everybody's, and gateways that were never in trouble sent to them. Ruled out: remembering for longer (the same after a longer stop); a returner that notices its pause and drops its list (what it sent before, or reads late, isn't covered); ages by clocks. Change: a watermark that a majority holds on disk rises once a period (20 s). Claims that a host is here bear it as of the beat, or of the last proof of the list, and are taken only six periods old or younger; leaves are kept until every claim is too old by that, and never dropped for want of room. Beats that lay in sockets during a pause of 5 s or more are answered 503. docs/registry.md has the argument and a table of all else that is forgotten. Tests: the old case "gone is forgotten after a while" asserted the fault for leaves (60 s); it now holds for hosts gone without a word, and leaves have stricter ones; "bounds" let a newcomer push out a leave, and now asserts that none does.

--- a/src/directory/codec.cpp
+++ b/src/directory/codec.cpp
@@ -13,7 +13,8 @@
 using std::chrono::milliseconds;
 
 constexpr std::uint8_t kFormat = 1;
-constexpr std::uint32_t kParts = 12;            // of an entry; a later version's stand behind
+constexpr std::uint32_t kParts = 14;            // of an entry; a later version's stand behind
+constexpr std::uint32_t kLeastParts = 12;       // versions before watermarks write so many
 constexpr std::int64_t kMostSpan = 86'400'000;  // ms
 
 std::int64_t Span(Duration span) {
@@ -21,7 +22,7 @@
 }
 
 bool TakeEntry(const msgpack::object& packed, Time now, Entry& entry) {
-  if (packed.type != msgpack::type::ARRAY || packed.via.array.size < kParts) return false;
+  if (packed.type != msgpack::type::ARRAY || packed.via.array.size < kLeastParts) return false;
   const msgpack::object* part = packed.via.array.ptr;
   for (std::string* text : {&entry.id, &entry.service, &entry.address, &entry.zone}) {
     if (part->type != msgpack::type::STR || part->via.str.size > kMostName) return false;
@@ -36,6 +37,10 @@
   entry.sequence = (part++)->as<std::uint64_t>();
   const auto warm = (part++)->as<std::int64_t>();
   const auto since = (part++)->as<std::int64_t>();
+  if (packed.via.array.size >= kParts) {
+    entry.stamp = (part++)->as<std::uint64_t>();
+    entry.leave_watermark = (part++)->as<std::uint64_t>();
+  }
 
   if (entry.id.empty() || entry.slots < 0 || entry.slots > kMostSlots || absence > 2) return false;
   if (std::any_of(entry.id.begin(), entry.id.end(), [](char c) { return c <= ' ' || c > '~'; })) return false;
@@ -48,6 +53,7 @@
     return false;
   }
   if (entry.sequence > kMostSequence || entry.said_at > entry.sequence) return false;
+  if (entry.stamp > kMostSequence || entry.leave_watermark > kMostSequence) return false;
   if (warm < 0 || warm > kMostSpan || since < 0 || since > kMostSpan) return false;
   entry.silent = absence == 1;
   entry.state = absence == 2 ? HostState::kGone : entry.draining ? HostState::kDraining : HostState::kReady;
@@ -81,6 +87,8 @@
     packer.pack(entry.sequence);
     packer.pack(Span(entry.warm_at - now));
     packer.pack(entry.gone() || entry.silent ? Span(now - entry.since) : std::int64_t{0});
+    packer.pack(entry.stamp);
+    packer.pack(entry.leave_watermark);
   }
   return {buffer.data(), buffer.size()};
 }
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -47,6 +47,9 @@
     absence = std::max(absence, Absence(told));
   }
   next.left = known.left || told.left;
+  next.stamp = std::max(known.stamp, told.stamp);
+  next.leave_watermark = next.leaves() ? std::max(known.leave_watermark, told.leave_watermark) : 0;
+  if (next.leaves() && !known.leaves()) next.leaving_since = now;
   SetAbsence(next, absence);
   if (next.gone() != known.gone() || next.silent != known.silent) next.since = now;
   return next;
@@ -77,17 +80,30 @@
 
 bool Directory::Merge(Time now, const Entry& told) {
   // Others may still list what has been forgotten here: it must not come round for ever.
-  if (told.gone() && now - told.since >= kKeepGone && !Find(told.id)) return false;
+  const bool long_gone = told.gone() && !told.leaves() && now - told.since >= kKeepGone;
+  const bool too_old = told.stamp != 0 && TooOld(told, told.stamp);
+  if (!Find(told.id) && (long_gone || too_old || Forgettable(told))) return false;
   return Take(now, told);
 }
 
+// A claim that a life is here, from before what may have been forgotten since.
+bool Directory::TooOld(const Entry& entry, std::uint64_t stamp) const {
+  if (fault_ == Fault::kTakesOldClaims) return false;
+  return !entry.leaves() && stamp + kValidPeriods < watermark_;
+}
+
+bool Directory::Forgettable(const Entry& entry) const {
+  return entry.leaves() && entry.leave_watermark != 0 && entry.leave_watermark + kForgetPeriods <= watermark_;
+}
+
 bool Directory::Take(Time now, Entry told) {
   if (told.id.empty()) return false;
+  if (told.stamp == 0) told.stamp = watermark_;
   SetAbsence(told, Absence(told));
   const auto place = entries_.find(told.id);
   if (place == entries_.end()) {
     if (!MakeRoom(told)) return false;
-    told.heard = now;
+    told.heard = told.leaving_since = now;
     if (!told.gone() && !told.silent) told.since = now;
     if (told.since > now) told.since = now;
     entries_.insert(told);
@@ -134,15 +150,65 @@
   return fallen;
 }
 
+void Directory::Raise(std::uint64_t watermark) {
+  if (watermark <= watermark_) return;
+  watermark_ = watermark;
+  for (auto place = entries_.begin(); place != entries_.end();) {
+    const auto each = place++;
+    if (TooOld(*each, std::max(each->stamp, confirmed_))) Drop(each);
+  }
+}
+
+void Directory::ConfirmHosts(std::uint64_t watermark) {
+  confirmed_ = std::max(confirmed_, std::min(watermark, watermark_));
+}
+
+void Directory::ConfirmLeaves(Time proved) {
+  auto& order = entries_.get<DropTag>();
+  for (auto place = order.lower_bound(std::pair{Entry::kLeavingRank, Time::min()}); place != order.end();) {
+    const auto each = place++;
+    if (each->leaving_since + kMostCallDelay > proved) break;  // and so all that follow
+    if (each->leave_watermark != 0) continue;
+    Entry next = *each;
+    next.leave_watermark = watermark_;
+    Put(entries_.project<0>(each), std::move(next), false);
+  }
+}
+
+void Directory::Drop(Place place) {
+  journal_.Append({Event::Kind::kForgotten, *place});
+  entries_.erase(place);
+}
+
+// Silent ones that leave are gone in the end like others.
+void Directory::ForgetLeaves(Time now) {
+  auto& order = entries_.get<DropTag>();
+  for (auto place = order.lower_bound(std::pair{Entry::kLeavingRank, Time::min()}); place != order.end();) {
+    const auto each = place++;
+    if (each->gone()) {
+      const bool too_soon = fault_ == Fault::kForgetsLeaves && now - each->since >= kKeepGone;
+      if (Forgettable(*each) || too_soon) Drop(entries_.project<0>(each));
+    } else if (each->silent && now - each->since >= kKeepSilent) {
+      Entry next = *each;
+      SetAbsence(next, 2);
+      next.since = now;
+      Put(entries_.project<0>(each), std::move(next), true);
+    }
+  }
+}
+
 void Directory::Forget(Time now) {
+  ForgetLeaves(now);
   auto& order = entries_.get<DropTag>();
-  while (!order.empty() && order.begin()->gone() && now - order.begin()->since >= kKeepGone) {
-    journal_.Append({Event::Kind::kForgotten, *order.begin()});
-    order.erase(order.begin());
+  while (!order.empty() && order.begin()->drop_order().first == Entry::kGoneRank &&
+         now - order.begin()->since >= kKeepGone) {
+    Drop(entries_.project<0>(order.begin()));
   }
   for (;;) {
-    const auto oldest = order.lower_bound(std::pair<int, Time>{1, Time::min()});
-    if (oldest == order.end() || !oldest->silent || now - oldest->since < kKeepSilent) break;
+    const auto oldest = order.lower_bound(std::pair{Entry::kSilentRank, Time::min()});
+    if (oldest == order.end() || oldest->drop_order().first != Entry::kSilentRank ||
+        now - oldest->since < kKeepSilent)
+      break;
     Entry next = *oldest;
     SetAbsence(next, 2);
     next.since = now;
@@ -163,20 +229,25 @@
   return nullptr;
 }
 
-std::vector<Entry> Directory::All() const { return {entries_.begin(), entries_.end()}; }
+std::vector<Entry> Directory::All() const {
+  std::vector<Entry> all{entries_.begin(), entries_.end()};
+  for (Entry& entry : all) entry.stamp = std::max(entry.stamp, confirmed_);
+  return all;
+}
 
-// Ready ones push out gone and silent ones; gone and silent ones push out only gone ones.
+// Ready ones push out gone and silent ones; gone and silent ones push out only gone ones. Nobody pushes out
+// one that leaves: a claim that it is here would bring it back.
 bool Directory::MakeRoom(const Entry& incoming) {
   if (entries_.size() < kMostEntries) return true;
   auto& order = entries_.get<DropTag>();
   const auto first = order.begin();
-  const int rank = first->drop_order().first;
-  if (rank == 2 || (rank == 1 && incoming.drop_order().first != 2)) {
+  const Entry::DropRank rank = first->drop_order().first;
+  const bool ready = !incoming.gone() && !incoming.silent;
+  if (rank >= Entry::kHereRank || (rank == Entry::kSilentRank && !ready)) {
     ++refused_;
     return false;
   }
-  journal_.Append({Event::Kind::kForgotten, *first});
-  order.erase(first);
+  Drop(entries_.project<0>(first));
   return true;
 }
 
--- a/src/directory/directory.hpp
+++ b/src/directory/directory.hpp
@@ -8,6 +8,13 @@
 //   - whether it has left in words (deregistered), which is final.
 // The one thing that depends on the order is whose an address is: the life that came to it last here. The
 // other is gone; should it beat again, with a higher sequence, then the address is its own again.
+//
+// What is forgotten must not come back from a process that was stopped or cut off meanwhile. So each entry
+// bears a stamp: the registry's watermark (registry/watermark.hpp) when a beat of that life was read last, or
+// when a list with it was proved. An
+// id that isn't known is taken only if its stamp is at most kValidPeriods behind the watermark here, and an
+// entry whose stamp falls further behind is dropped. A life that has said that it leaves is kept until every
+// claim of it is too old in that sense: docs/registry.md, "What is forgotten".
 #pragma once
 
 #include <boost/multi_index/hashed_index.hpp>
@@ -30,10 +37,16 @@
 using Time = std::chrono::steady_clock::time_point;
 using Duration = std::chrono::steady_clock::duration;
 
-inline constexpr std::size_t kMostEntries = 8192;  // gone ones included
-inline constexpr std::size_t kMostEvents = 4096;   // in the journal
-inline constexpr std::chrono::seconds kKeepGone{60};
+inline constexpr std::size_t kMostEntries = 16'384;   // gone ones included
+inline constexpr std::size_t kMostEvents = 4096;      // in the journal
+inline constexpr std::chrono::seconds kKeepGone{60};  // gone without a word
 inline constexpr std::chrono::seconds kKeepSilent{120};
+// Periods of the watermark: how far a stamp may be behind it, and how far the watermark must have gone beyond
+// a leave's before that is forgotten.
+inline constexpr std::uint64_t kValidPeriods = 6;
+inline constexpr std::uint64_t kForgetPeriods = kValidPeriods + 3;
+// A host's call is read so long after it was sent at most, or it isn't taken (system/pause_watch.hpp).
+inline constexpr std::chrono::seconds kMostCallDelay{15};
 
 enum class HostState : std::uint8_t { kReady, kDraining, kGone };
 
@@ -49,17 +62,25 @@
   Time warm_at{};              // by this process's clock: when it is no longer slow from its start
   Time heard{};                // here, when `sequence` rose last
   Time since{};                // here, when it fell silent or went; else unused
+  std::uint64_t stamp = 0;     // the watermark when it was known to be here; 0: not told (earlier versions)
+  // Of a life that leaves: no claim that it is here bears a stamp more than one above this; 0: not known yet.
+  std::uint64_t leave_watermark = 0;
+  Time leaving_since{};  // here, when it was first known to leave; else unused
 
   bool gone() const { return state == HostState::kGone; }
-  // Those that may be dropped come first: gone, silent, the rest; within one, the oldest.
-  std::pair<int, Time> drop_order() const {
-    const int rank = gone() ? 0 : silent ? 1 : 2;
-    return {rank, rank == 2 ? Time{} : since};
+  bool leaves() const { return draining || left; }
+  enum DropRank { kGoneRank, kSilentRank, kHereRank, kLeavingRank };
+  // Those that may be dropped for want of room come first: gone, silent; within one, the oldest. The rest
+  // stays.
+  std::pair<DropRank, Time> drop_order() const {
+    if (leaves()) return {kLeavingRank, leaving_since};
+    if (gone()) return {kGoneRank, since};
+    return silent ? std::pair{kSilentRank, since} : std::pair{kHereRank, Time{}};
   }
 };
 
 // The host has said that it leaves, in either way.
-inline bool Leaves(const Entry& entry) { return entry.draining || entry.left; }
+inline bool Leaves(const Entry& entry) { return entry.leaves(); }
 
 // Something that others must know, or (kForgotten) that it is no longer listed.
 struct Event {
@@ -70,6 +91,11 @@
 
 class Directory {
  public:
+  // For tests of the tests: leaves are forgotten like those gone without a word, or claims are taken however
+  // old they are.
+  enum class Fault : std::uint8_t { kNone, kForgetsLeaves, kTakesOldClaims };
+  explicit Directory(Fault fault = Fault::kNone) : fault_(fault) {}
+
   // Each of these tells whether something that others must know has changed: a new id, its state, service,
   // address, zone or slots, or silence said or ended. What has changed stands in the journal, also a life
   // whose address was taken over by that. False too if it was refused: full of hosts that are ready.
@@ -88,9 +114,23 @@
   // Marks those not heard for `after` as silent, and returns them. Only while this process may judge.
   std::vector<Entry> Silence(Time now, Duration after);
 
-  // To be called now and then: silent for kKeepSilent is gone, gone for kKeepGone is forgotten.
+  // To be called now and then: silent for kKeepSilent is gone, gone for kKeepGone is forgotten, and a leave
+  // kForgetPeriods after its watermark.
   void Forget(Time now);
 
+  // The registry's watermark, which only rises. Entries whose stamps are too far behind it are dropped, but
+  // for those that leave.
+  void Raise(std::uint64_t watermark);
+  std::uint64_t watermark() const { return watermark_; }
+  // A majority has proved the list as of `proved`, and the watermark here is no lower than theirs: the leaves
+  // that were known kMostCallDelay before get theirs.
+  void ConfirmLeaves(Time proved);
+  // A majority has proved the list as of a time when the watermark here was this: all that it says to be here
+  // is as good as a beat read then.
+  void ConfirmHosts(std::uint64_t watermark);
+  // A leave that no claim can contradict any more, as each is too old.
+  bool Forgettable(const Entry& entry) const;
+
   // Calls f(const Entry&) for those of a service that are not gone, silent ones too. f changes nothing here.
   template <class F>
   void ForEachOf(const std::string& service, F f) const {
@@ -111,7 +151,7 @@
   const Entry* Find(const std::string& id) const;
   // Who has this address now; nullptr if nobody.
   const Entry* At(const std::string& address) const;
-  // All, gone ones included: the snapshot that belongs to version().
+  // All, gone ones included, with the stamps that others may go by: the snapshot that belongs to version().
   std::vector<Entry> All() const;
   std::size_t size() const { return entries_.size(); }
   std::uint64_t refused() const { return refused_; }  // new ids, because of kMostEntries
@@ -138,16 +178,22 @@
               boost::multi_index::member<Entry, std::string, &Entry::service>>,
           boost::multi_index::ordered_non_unique<
               boost::multi_index::tag<DropTag>,
-              boost::multi_index::const_mem_fun<Entry, std::pair<int, Time>, &Entry::drop_order>>>>;
+              boost::multi_index::const_mem_fun<Entry, std::pair<Entry::DropRank, Time>,
+                                                &Entry::drop_order>>>>;
   using Place = Entries::iterator;
 
   bool Take(Time now, Entry told);
+  bool TooOld(const Entry& entry, std::uint64_t stamp) const;
   bool MakeRoom(const Entry& incoming);
+  void Drop(Place place);
+  void ForgetLeaves(Time now);
   void Put(Place place, Entry next, bool changed);
   void Settle(Time now, const std::string& id);
 
+  const Fault fault_;
   Entries entries_;
   Journal<Event> journal_{kMostEvents};
+  std::uint64_t watermark_ = 1, confirmed_ = 0;  // the latter: no stamp counts as lower
   std::uint64_t refused_ = 0;
 };
 
--- a/src/registry/lease.hpp
+++ b/src/registry/lease.hpp
@@ -48,7 +48,8 @@
   // Requests may be sent by the list: it is proved, or a proof can't be had.
   bool MaySend(Time now) const { return Proved(now) || GivenUp(now); }
   bool GivenUp(Time now) const;
-  std::optional<Duration> Age(Time now) const;  // of the list's proof
+  std::optional<Duration> Age(Time now) const;                  // of the list's proof
+  std::optional<Time> proved_at() const { return proved_at_; }  // the oldest of the questions that prove it
   std::uint64_t epoch() const { return roster_.epoch; }
 
  private:
--- a/src/registry/replica.cpp
+++ b/src/registry/replica.cpp
@@ -8,6 +8,7 @@
 void RegistryReplica::Restore(const ReplicaRecord& record) {
   written_ = record;
   learned_epoch_ = record.complete_epoch;
+  watermark_ = record.watermark;
 }
 
 void RegistryReplica::Adopt(Time now, Roster roster) {
@@ -66,7 +67,7 @@
 }
 
 Standing RegistryReplica::standing() const {
-  Standing standing{self_, written_.epoch, written_.complete_epoch, false};
+  Standing standing{self_, written_.epoch, written_.complete_epoch, false, written_.watermark};
   const bool in_force = roster_.epoch > 0 && written_.epoch == roster_.epoch && roster_.Holds(self_);
   const bool complete = written_.complete_epoch == roster_.epoch || fault_ == Fault::kVotesIncomplete;
   standing.votes = in_force && complete;
--- a/src/registry/replica.hpp
+++ b/src/registry/replica.hpp
@@ -31,6 +31,7 @@
   std::uint64_t epoch = 0;  // adopted
   std::uint64_t complete_epoch = 0;
   Roster previous{};  // of the epoch before `epoch`; epoch 0: not known
+  std::uint64_t watermark = 1;
   bool operator==(const ReplicaRecord&) const = default;
 };
 
@@ -49,11 +50,12 @@
   void Restore(const ReplicaRecord& record);
   // The newest epoch known here, whether this one is in it or not.
   void Adopt(Time now, Roster roster);
-  // Another member's answer to a question of this one.
+  // Another member's answer to a question of this one. The answer's watermark is to be set before.
   void OnAnswer(Time asked, const Standing& standing);
+  void SetWatermark(std::uint64_t watermark) { watermark_ = watermark; }
 
   // To be written, with all leaves that are held now, as long as it differs from what was written last.
-  ReplicaRecord Record() const { return {roster_.epoch, learned_epoch_, previous_}; }
+  ReplicaRecord Record() const { return {roster_.epoch, learned_epoch_, previous_, watermark_}; }
   bool Dirty() const { return Record() != written_; }
   void OnWritten(const ReplicaRecord& record) { written_ = record; }
 
@@ -75,6 +77,7 @@
   Time adopted_at_{};
   std::map<MemberId, Standing> answers_;  // asked since then
   std::uint64_t learned_epoch_ = 0;       // complete in it, once that is written
+  std::uint64_t watermark_ = 1;
   ReplicaRecord written_;
 };
 
--- a/src/registry/votes.hpp
+++ b/src/registry/votes.hpp
@@ -37,6 +37,7 @@
   std::uint64_t epoch = 0;           // the newest that it has adopted, on disk: it votes in no older one
   std::uint64_t complete_epoch = 0;  // it holds on disk all leaves acknowledged in epochs before this one
   bool votes = false;                // in `epoch`: it is in that roster and complete
+  std::uint64_t watermark = 0;       // on disk (registry/watermark.hpp)
 };
 
 // Who holds one leave.
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -228,6 +228,7 @@
   root.At("discovery_source").Into(node.discovery_source);
   root.At("entry_mode").Into(node.entry_mode);
   root.At("heartbeat_ms").Millis(node.heartbeat, true);
+  root.At("registry_period_ms").Millis(node.registry_period, true);
   for (const Field& contract : root.At("active_contracts").Items())
     node.active_contracts.insert(contract.Text());
 
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -35,9 +35,9 @@
 auto Fields(Fetched& m) {
   return std::tie(m.number, m.outcome, m.version, m.digest, m.size, m.offset, m.bytes);
 }
-auto Fields(RegistryQuery& m) { return std::tie(m.asked_us, m.epoch); }
+auto Fields(RegistryQuery& m) { return std::tie(m.asked_us, m.epoch, m.watermark); }
 auto Fields(RegistryAnswer& m) {
-  return std::tie(m.asked_us, m.incarnation, m.epoch, m.complete_epoch, m.votes);
+  return std::tie(m.asked_us, m.incarnation, m.epoch, m.complete_epoch, m.votes, m.watermark);
 }
 
 // Fields that an earlier version doesn't send: they keep what they begin with.
@@ -46,6 +46,10 @@
 template <>
 constexpr std::size_t kLater<Hello> = 1;
 template <>
+constexpr std::size_t kLater<RegistryQuery> = 1;
+template <>
+constexpr std::size_t kLater<RegistryAnswer> = 1;
+template <>
 constexpr std::size_t kLater<Members> = 1;
 template <>
 constexpr std::size_t kLater<HostsReplicated> = 4;
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -122,13 +122,15 @@
 
 // Owed: a RegistryAnswer, behind all news of hosts that the member held when the question came.
 struct RegistryQuery {
-  std::int64_t asked_us = 0;  // by the asker's clock
-  std::uint64_t epoch = 0;    // that the asker knows: owed Members too, if it is an old one
+  std::int64_t asked_us = 0;    // by the asker's clock
+  std::uint64_t epoch = 0;      // that the asker knows: owed Members too, if it is an old one
+  std::uint64_t watermark = 0;  // that the asker knows; 0: not told
 };
 struct RegistryAnswer {
   std::int64_t asked_us = 0;
   std::uint64_t incarnation = 0, epoch = 0, complete_epoch = 0;  // registry::Standing of the sender
   bool votes = false;
+  std::uint64_t watermark = 0;
 };
 
 // In the order of their numbers on the wire: new ones come behind.
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -42,6 +42,7 @@
                      Carry(out);
                    }),
       link_(loop, link_descriptors_, *this, LinkOptions(settings_), seed),
+      watermark_(std::max(settings_.registry_period, settings_.heartbeat)),
       registry_lease_(registry::RegistryLease::OptionsFor(settings_.bounds.drain)),
       feed_(FeedOptions(settings_)),
       front_(
@@ -62,6 +63,7 @@
       house_timer_(loop, [this](int) { KeepHouse(); }),
       reap_(loop,
             [this](int) {
+              pause_watch_.OnTurn(Now());
               front_.ReapAll();
               control_.Reap();
               readiness_.Reap();
@@ -202,6 +204,7 @@
   }
   for (const CountName name : unanswered) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
   if (ticks_ % kSecondTicks == 0) {
+    ConfirmRegistry();
     directory_.Forget(now);
     KeepHosts();
     if (open_again_) TryOpenCore();
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -22,6 +22,7 @@
 #include "net/fleet_link.hpp"
 #include "registry/lease.hpp"
 #include "registry/replica.hpp"
+#include "registry/watermark.hpp"
 #include "settings/settings.hpp"
 #include "storage/storage.hpp"
 #include "system/call_door.hpp"
@@ -32,6 +33,7 @@
 #include "system/front.hpp"
 #include "system/link.hpp"
 #include "system/message.hpp"
+#include "system/pause_watch.hpp"
 #include "system/redundancy_watch.hpp"
 
 namespace curlewdoor::system {
@@ -154,7 +156,7 @@
   // Directory.
   enum class Merged {
     kUnreadable,
-    kNoRoom,  // for a leave of a host that isn't listed here: it isn't held
+    kNotTaken,  // no room for it, or too old: one of them isn't held
     kNews,
     kLeave  // and it is held now
   };
@@ -181,6 +183,9 @@
   void RestoreLeaves(const std::string& bytes);
   void TickLease();
   void OnProof();
+  void RaiseWatermark(std::uint64_t heard);
+  void OnWatermark();
+  void ConfirmRegistry();
   registry::Roster RegistryRoster() const;
   registry::Standing OwnStanding() const;
 
@@ -281,6 +286,8 @@
   std::vector<std::pair<std::string, std::uint64_t>> refreshed_;
   std::vector<RequestId> owed_beats_;  // answered with the next news
 
+  PauseWatch pause_watch_{Now()};
+  registry::Watermark watermark_;
   registry::RegistryLease registry_lease_;
   std::optional<registry::RegistryReplica> registry_replica_;  // of a process with a core
   std::vector<OwedVote> owed_votes_, votes_being_kept_;        // the latter: with the write under way
--- a/src/system/node_calls.cpp
+++ b/src/system/node_calls.cpp
@@ -22,6 +22,8 @@
 void Node::ReplyBeat(RequestId id) { control_.Reply(id, 200, "{}", "application/json"); }
 
 void Node::Run(RequestId id, const directory::Beat& beat) {
+  // The host has given up waiting for an answer long ago, and may have left since.
+  if (!beat.draining && pause_watch_.InputMayBeOld(Now())) return control_.Reply(id, 503);
   const auto* known = directory_.Find(beat.id);
   const bool news = directory_.Apply(Now(), beat) || known == nullptr;
   if (!news && !beat.draining) {
--- a/src/system/node_directory.cpp
+++ b/src/system/node_directory.cpp
@@ -19,12 +19,11 @@
   bool any_leave = false, all_held = true;
   for (const directory::Entry& entry : *entries) {
     directory_.Merge(Now(), entry);
-    if (!directory::Leaves(entry)) continue;
-    any_leave = true;
-    const bool long_gone = Now() - entry.since >= directory::kKeepGone;
-    all_held = all_held && (long_gone || directory_.Find(entry.id) != nullptr);
+    any_leave = any_leave || directory::Leaves(entry);
+    const bool owed = directory::Leaves(entry) ? !directory_.Forgettable(entry) : !entry.gone();
+    all_held = all_held && (!owed || directory_.Find(entry.id) != nullptr);
   }
-  if (!all_held) return Merged::kNoRoom;
+  if (!all_held) return Merged::kNotTaken;
   return any_leave ? Merged::kLeave : Merged::kNews;
 }
 
--- a/src/system/node_registry.cpp
+++ b/src/system/node_registry.cpp
@@ -12,7 +12,8 @@
 
 template <typename Answer>
 registry::Standing StandingOf(const Link::Stream& stream, const Answer& answer) {
-  return {{stream.name, answer.incarnation}, answer.epoch, answer.complete_epoch, answer.votes};
+  return {
+      {stream.name, answer.incarnation}, answer.epoch, answer.complete_epoch, answer.votes, answer.watermark};
 }
 
 }  // namespace
@@ -188,38 +189,68 @@
   }
   for (const directory::Entry& entry : *leaves) directory_.Merge(Now(), entry);
   registry_replica_->Restore(kept->record);
+  RaiseWatermark(kept->record.watermark);
 }
 
 void Node::Take(Link::Stream& stream, RegistryQuery& message) {
+  RaiseWatermark(message.watermark);
   if (!core_) return;
   if (told_hosts_ != directory_.version()) PublishHosts();
   if (message.epoch < epoch_) stream.Send(Encode(MembersNow()));
   const registry::Standing own = OwnStanding();
-  stream.Send(Encode(
-      RegistryAnswer{message.asked_us, own.member.incarnation, own.epoch, own.complete_epoch, own.votes}));
+  stream.Send(Encode(RegistryAnswer{message.asked_us, own.member.incarnation, own.epoch, own.complete_epoch,
+                                    own.votes, own.watermark}));
 }
 
 // ---- A gateway's side ---------------------------------------------------------------------------------
 
 void Node::Take(Link::Stream& stream, RegistryAnswer& message) {
+  RaiseWatermark(message.watermark);
   const registry::Standing standing = StandingOf(stream, message);
   const Steady asked{std::chrono::microseconds(message.asked_us)};
   registry_lease_.OnAnswer(Now(), asked, standing);
-  if (registry_replica_) registry_replica_->OnAnswer(asked, standing);
+  if (registry_replica_) {
+    watermark_.OnAnswer(standing);
+    registry_replica_->OnAnswer(asked, standing);
+  }
   OnProof();
 }
 
 void Node::TickLease() {
   const Steady now = Now();
   const bool due = registry_lease_.Tick(now);
-  if (const registry::Standing own = OwnStanding(); own.votes) registry_lease_.OnAnswer(now, now, own);
+  const registry::Standing own = OwnStanding();
+  if (own.votes) registry_lease_.OnAnswer(now, now, own);
+  if (watermark_.Tick(now, RegistryRoster(), own)) OnWatermark();
   if (due) {
-    ToCore(RegistryQuery{Microseconds(now), epoch_});
+    ToCore(RegistryQuery{Microseconds(now), epoch_, watermark_.value()});
     registry_lease_.Asked(now);
   }
   OnProof();
 }
 
+void Node::RaiseWatermark(std::uint64_t heard) {
+  if (watermark_.Adopt(Now(), heard)) OnWatermark();
+}
+
+void Node::OnWatermark() {
+  if (registry_replica_) registry_replica_->SetWatermark(watermark_.value());
+  const std::size_t before = directory_.size();
+  directory_.Raise(watermark_.value());
+  if (const std::size_t dropped = before - directory_.size(); dropped > 0)
+    Say(Event::kHostsTooOld, std::to_string(dropped) + " at watermark " + std::to_string(watermark_.value()));
+  // Requests may be sent by a proof that is only being taken in: not by a view with what was dropped.
+  if (told_hosts_ != directory_.version()) PublishHosts();
+}
+
+// What the last proof of the list says of all that stands in it.
+void Node::ConfirmRegistry() {
+  const auto proved = registry_lease_.proved_at();
+  if (!proved) return;
+  directory_.ConfirmLeaves(*proved);
+  if (*proved >= watermark_.since()) directory_.ConfirmHosts(watermark_.value());
+}
+
 void Node::OnProof() {
   front_.SendWaiting();
   const bool proved = registry_lease_.Proved(Now());
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -40,6 +40,7 @@
 if(NOT CURLEWDOOR_SANITIZE)
   system_test(feed_model_check_test tests/system/feed_model_check_test.cpp curlewdoor_node)
 endif()
+system_test(pause_watch_test tests/system/pause_watch_test.cpp curlewdoor_node)
 system_test(redundancy_watch_test tests/system/redundancy_watch_test.cpp curlewdoor_node)
 system_test(link_test tests/system/link_test.cpp curlewdoor_node)
 system_test(call_door_test tests/system/call_door_test.cpp curlewdoor_node)
--- a/src/systemkit/machines.hpp
+++ b/src/systemkit/machines.hpp
@@ -23,6 +23,7 @@
     int machine_failures = 1;
     double quota_window_s = 1;
     int heartbeat_ms = 400;
+    int registry_period_ms = 20'000;
     int grace_s = 6;
     int fd_limit = 4100;
     bool relayed = false;  // reached through relays: ends()
--- a/tests/directory/directory_test.cpp
+++ b/tests/directory/directory_test.cpp
@@ -304,16 +304,109 @@
   BOOST_TEST(listed == 0);
 }
 
-BOOST_AUTO_TEST_CASE(gone_is_forgotten_after_a_while) {
+BOOST_AUTO_TEST_CASE(gone_without_a_word_is_forgotten_after_a_while) {
   Directory directory;
-  directory.Apply(kStart, Leave{"a"});  // before any of its beats
-  BOOST_TEST(!directory.Apply(kStart + 59s, MakeBeat("a", 7)));
-  directory.Forget(kStart + 59s);
-  BOOST_TEST(directory.Find("a"));
+  directory.Apply(kStart, MakeBeat("a", 7));
+  directory.Silence(kStart + 5s, 5s);
+  directory.Forget(kStart + 5s + kKeepSilent);
+  BOOST_REQUIRE(directory.Find("a")->gone());
+  const Time gone = kStart + 5s + kKeepSilent;
+  directory.Forget(gone + 59s);
+  BOOST_REQUIRE(directory.Find("a"));
   Entry told = *directory.Find("a");
-  directory.Forget(kStart + 60s);
+  directory.Forget(gone + 60s);
+  BOOST_TEST(!directory.Find("a"));
+  BOOST_TEST(!directory.Merge(gone + 61s, told));  // another one still lists it
+  BOOST_TEST(!directory.Find("a"));
+}
+
+// The case: a process that stood still while a host left and was forgotten brings it back.
+BOOST_AUTO_TEST_CASE(a_leave_is_kept_until_every_claim_is_too_old) {
+  Directory directory, returner;
+  directory.Apply(kStart, MakeBeat("a", 7));
+  returner.Merge(kStart, *directory.Find("a"));
+  directory.Apply(kStart, Leave{"a"});
+  const Entry claim = *returner.Find("a");
+  for (const auto later : {75s, 600s}) {  // however long: time alone forgets nothing
+    directory.Forget(kStart + later);
+    BOOST_TEST(!directory.Merge(kStart + later, claim));
+    BOOST_TEST(directory.Find("a")->left);
+  }
+  directory.ConfirmLeaves(kStart + kMostCallDelay - 1s);
+  BOOST_TEST(directory.Find("a")->leave_watermark == 0U);  // a beat may be under way still
+  directory.Raise(3);
+  directory.ConfirmLeaves(kStart + kMostCallDelay);
+  BOOST_TEST(directory.Find("a")->leave_watermark == 3U);
+  directory.Raise(3 + kForgetPeriods - 1);
+  directory.Forget(kStart + 700s);
+  BOOST_TEST(directory.Find("a"));
+  const Entry kept = *directory.Find("a");
+  directory.Raise(3 + kForgetPeriods);
+  directory.Forget(kStart + 700s);
+  BOOST_TEST(!directory.Find("a"));
+  Entry latest = claim;
+  latest.stamp = 3 + 1;  // the highest that a claim can bear
+  for (const Entry& old : {claim, latest}) {
+    BOOST_TEST(!directory.Merge(kStart + 701s, old));
+    BOOST_TEST(!directory.Find("a"));
+  }
+  BOOST_TEST(!directory.Merge(kStart + 701s, kept));  // nor does the leave come round for ever
+  BOOST_TEST(!directory.Find("a"));
+  latest.stamp = 3 + kForgetPeriods - kValidPeriods;  // read since
+  latest.id = "b";
+  BOOST_TEST(directory.Merge(kStart + 701s, latest));
+}
+
+// What the returner itself lists goes as soon as it hears how far the watermark has come.
+BOOST_AUTO_TEST_CASE(entries_that_no_beat_was_heard_of_for_long_are_dropped) {
+  Directory directory;
+  ByService view;
+  directory.Apply(kStart, MakeBeat("old", 1));
+  directory.Apply(kStart, MakeBeat("beats", 1, false, "10.0.0.2:80"));
+  directory.Apply(kStart, MakeBeat("draining", 1, true, "10.0.0.3:80"));
+  directory.Apply(kStart, Leave{"left"});
+  view.Fold(directory);
+  directory.Raise(1 + kValidPeriods);
+  BOOST_TEST(directory.size() == 4U);
+  directory.Apply(kStart, MakeBeat("beats", 2, false, "10.0.0.2:80"));
+  BOOST_TEST(directory.Find("beats")->stamp == 1 + kValidPeriods);
+  directory.Raise(2 + kValidPeriods);
+  BOOST_TEST(!directory.Find("old"));
+  BOOST_TEST(directory.Find("beats"));
+  BOOST_TEST(directory.Find("draining"));
+  BOOST_TEST(directory.Find("left"));
+  view.Fold(directory);
+  BOOST_TEST(view.Of("s").size() == 2U);
+  directory.Raise(1);  // it only rises
+  BOOST_TEST(directory.watermark() == 2 + kValidPeriods);
+}
+
+// A gateway hears of no beat that says nothing new; its list is proved again and again.
+BOOST_AUTO_TEST_CASE(entries_of_a_proved_list_are_as_good_as_heard) {
+  Directory directory;
+  directory.Apply(kStart, MakeBeat("a", 1));
+  directory.Raise(1 + kValidPeriods);
+  directory.ConfirmHosts(1 + kValidPeriods);
+  BOOST_TEST(directory.All().at(0).stamp == 1 + kValidPeriods);
+  directory.Raise(1 + 2 * kValidPeriods);
+  BOOST_TEST(directory.Find("a"));
+  directory.ConfirmHosts(1000);  // beyond what is known here: no more than that
+  BOOST_TEST(directory.All().at(0).stamp == 1 + 2 * kValidPeriods);
+  directory.Raise(2 + 3 * kValidPeriods);
   BOOST_TEST(!directory.Find("a"));
-  BOOST_TEST(!directory.Merge(kStart + 61s, told));  // another one still lists it
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_host_that_falls_silent_is_forgotten_like_one_that_left) {
+  Directory directory;
+  directory.Apply(kStart, MakeBeat("a", 1, true));
+  directory.Silence(kStart + 6s, 5s);
+  directory.Forget(kStart + 6s + kKeepSilent);
+  BOOST_REQUIRE(directory.Find("a")->gone());
+  directory.Forget(kStart + 900s);
+  BOOST_TEST(directory.Find("a"));
+  directory.ConfirmLeaves(kStart + 900s);
+  directory.Raise(1 + kForgetPeriods);
+  directory.Forget(kStart + 901s);
   BOOST_TEST(!directory.Find("a"));
 }
 
@@ -414,14 +507,17 @@
   const Time later = kStart + 1s * kMostEntries;
   directory.Silence(later, 1s * (kMostEntries - 1));  // the first two
   directory.Apply(later, Leave{"i7"});
-  BOOST_TEST(directory.Apply(later, nth(kMostEntries)));
-  BOOST_TEST(!directory.Find("i7"));
   BOOST_TEST(!directory.Apply(later, Leave{"x"}));  // doesn't push out what may come back
-  BOOST_TEST(directory.Apply(later, nth(kMostEntries + 1)));
-  BOOST_TEST(directory.Apply(later, nth(kMostEntries + 2)));
-  BOOST_TEST(!directory.Find("i0"));
-  BOOST_TEST(!directory.Find("i1"));
-  BOOST_TEST(!directory.Apply(later, nth(kMostEntries + 3)));
+  BOOST_TEST(directory.Apply(later, nth(kMostEntries)));
+  BOOST_TEST((directory.Find("i0") == nullptr) != (directory.Find("i1") == nullptr));
+  directory.Forget(later + kKeepSilent);  // the other silent one is gone without a word
+  const std::string gone = directory.Find("i0") ? "i0" : "i1";
+  BOOST_TEST(directory.Find(gone)->gone());
+  BOOST_TEST(directory.Apply(later, Leave{"y"}));
+  BOOST_TEST(!directory.Find(gone));
+  BOOST_TEST(!directory.Apply(later, nth(kMostEntries + 1)));
+  BOOST_TEST(directory.Find("i7")->left);  // no leave is pushed out: it would come back
+  BOOST_TEST(directory.Find("y")->left);
   BOOST_TEST(directory.size() == kMostEntries);
   view.Fold(directory);
   ByService fresh;
@@ -447,8 +543,8 @@
 
 namespace {
 
-Directory Sample() {
-  Directory directory;
+void Sample(Directory& directory) {
+  directory.Raise(5);
   Beat beat = MakeBeat("a", 700, false, "10.0.0.1:8080");
   beat.warmup_left = 2500ms;
   directory.Apply(kStart, beat);
@@ -458,19 +554,23 @@
   directory.Apply(kStart, Leave{"c"});
   directory.Apply(kStart, Leave{"e"});
   directory.Refresh(kStart, "b", 8);
-  return directory;
+  directory.ConfirmLeaves(kStart + 1h);
 }
 
 }  // namespace
 
 BOOST_AUTO_TEST_CASE(round_trip) {
-  const Directory directory = Sample();
+  Directory directory;
+  Sample(directory);
   const Time there = Time{} + 7h;  // another machine's clock
   const auto entries = Decode(Encode(directory.All(), kStart + 1s), there);
   BOOST_REQUIRE(entries);
   Directory copy;
   for (const Entry& entry : *entries) BOOST_TEST(copy.Merge(there, entry));
   BOOST_TEST(Text(copy) == Text(directory));
+  BOOST_TEST(copy.Find("a")->stamp == 5U);
+  BOOST_TEST(copy.Find("e")->leave_watermark == 5U);
+  BOOST_TEST(copy.Find("c")->leave_watermark == 5U);
   BOOST_TEST((copy.Find("a")->warm_at == there + 1500ms));
   BOOST_TEST((copy.Find("a")->heard == there));
   BOOST_TEST((copy.Find("e")->since == there - 1s));
@@ -497,7 +597,9 @@
 }
 
 BOOST_AUTO_TEST_CASE(cut_or_foreign) {
-  const std::string bytes = Encode(Sample().All(), kStart);
+  Directory directory;
+  Sample(directory);
+  const std::string bytes = Encode(directory.All(), kStart);
   for (std::size_t size = 0; size < bytes.size(); ++size) {
     BOOST_TEST(!Decode(std::string_view(bytes).substr(0, size), kStart), size);
   }
--- a/tests/registry/registry_test.cpp
+++ b/tests/registry/registry_test.cpp
@@ -4,6 +4,7 @@
 #include "registry/lease.hpp"
 #include "registry/record.hpp"
 #include "registry/replica.hpp"
+#include "registry/watermark.hpp"
 
 namespace curlewdoor::registry {
 namespace {
@@ -206,5 +207,61 @@
   BOOST_TEST((Decode(bytes)->record == ReplicaRecord{2, 1, {1, {kA, kB}}}));
 }
 
+// ---- The watermark
+
+Standing Holding(const MemberId& member, std::uint64_t watermark, std::uint64_t epoch = 1) {
+  return {member, epoch, epoch, true, watermark};
+}
+
+BOOST_AUTO_TEST_CASE(a_watermark_rises_once_a_majority_holds_it_and_the_period_has_passed) {
+  const Roster roster{1, {kA, kB, kC}};
+  Watermark watermark(20s);
+  BOOST_TEST(watermark.value() == 1U);
+  BOOST_TEST(!watermark.Tick(kStart, roster, Holding(kA, 1)));
+  BOOST_TEST(!watermark.Tick(kStart + 30s, roster, Holding(kA, 1)));  // alone
+  watermark.OnAnswer(Holding(kD, 1));                                 // no member
+  watermark.OnAnswer(Holding({"b", 99}, 1));                          // another incarnation of one
+  watermark.OnAnswer(Holding(kB, 1, 2));                              // in another epoch
+  Standing silent = Holding(kC, 1);
+  silent.votes = false;
+  watermark.OnAnswer(silent);
+  BOOST_TEST(!watermark.Tick(kStart + 31s, roster, Holding(kA, 1)));
+  watermark.OnAnswer(Holding(kC, 1));
+  BOOST_TEST(watermark.Tick(kStart + 32s, roster, Holding(kA, 1)));
+  BOOST_TEST(watermark.value() == 2U);
+  watermark.OnAnswer(Holding(kC, 2));
+  BOOST_TEST(!watermark.Tick(kStart + 60s, roster, Holding(kA, 1)));  // its own disk hasn't it yet
+  BOOST_TEST(!watermark.Tick(kStart + 51s, roster, Holding(kA, 2)));  // the period hasn't passed
+  BOOST_TEST(watermark.Tick(kStart + 52s, roster, Holding(kA, 2)));
+}
+
+BOOST_AUTO_TEST_CASE(a_watermark_that_is_heard_of_is_taken_over_and_begins_a_period) {
+  const Roster roster{1, {kA}};
+  Watermark watermark(20s);
+  BOOST_TEST(!watermark.Tick(kStart, roster, Holding(kA, 1)));
+  BOOST_TEST(watermark.Adopt(kStart + 19s, 7));
+  BOOST_TEST(!watermark.Adopt(kStart + 19s, 7));
+  BOOST_TEST(!watermark.Adopt(kStart + 19s, 3));
+  BOOST_TEST(!watermark.Tick(kStart + 38s, roster, Holding(kA, 7)));
+  BOOST_TEST(watermark.Tick(kStart + 39s, roster, Holding(kA, 7)));
+  Standing not_voting = Holding(kA, 8);
+  not_voting.votes = false;
+  BOOST_TEST(!watermark.Tick(kStart + 99s, roster, not_voting));
+}
+
+BOOST_AUTO_TEST_CASE(a_member_keeps_the_watermark_on_its_disk) {
+  RegistryReplica replica(kA);
+  replica.Adopt(kStart, {1, {kA, kB, kC}});
+  replica.SetWatermark(9);
+  BOOST_TEST(replica.standing().watermark != 9U);
+  Write(replica);
+  BOOST_TEST(replica.standing().watermark == 9U);
+  const auto kept = Decode(Encode({replica.Record(), ""}));
+  BOOST_REQUIRE(kept.has_value());
+  RegistryReplica again(kA);
+  again.Restore(kept->record);
+  BOOST_TEST(again.standing().watermark == 9U);
+}
+
 }  // namespace
 }  // namespace curlewdoor::registry
--- a/tests/system/golden_test.cpp
+++ b/tests/system/golden_test.cpp
@@ -177,13 +177,15 @@
     hosts.Apply(kNow, beat);
   }
   hosts.Apply(kNow, directory::Leave{"i-2"});
-  samples.push_back({"hosts",
-                     directory::Encode(hosts.All(), kNow),
-                     [](const std::string& bytes) -> std::optional<std::string> {
-                       const auto entries = directory::Decode(bytes, kNow);
-                       return entries ? std::optional(directory::Encode(*entries, kNow)) : std::nullopt;
-                     },
-                     {{}, {1, 0}, {1, 2}}});
+  const Rewrite rewrite = [](const std::string& bytes) -> std::optional<std::string> {
+    const auto entries = directory::Decode(bytes, kNow);
+    return entries ? std::optional(directory::Encode(*entries, kNow)) : std::nullopt;
+  };
+  std::vector<directory::Entry> entries = hosts.All();
+  const std::vector<std::vector<std::size_t>> growing{{}, {1, 0}, {1, 2}};
+  samples.push_back({"hosts-stamped", directory::Encode(entries, kNow), rewrite, growing});
+  for (directory::Entry& entry : entries) entry.stamp = 0;  // as versions before watermarks told them
+  samples.push_back({"hosts", directory::Encode(entries, kNow), rewrite, growing});
 }
 
 void AddFleet(std::vector<Sample>& samples) {
