Voters are chosen over zones and regions, and a spoilt spread is put right

Cause: fault_tolerance.zones and region_failures were read and not used: all voters could stand in one zone, whose loss then took the majority. Ruled out: choosing the first roster by places (all that found the core are in it, and a change must be possible later anyway); one large exchange (several voters at once may take what only they hold). Change: src/agreement/placement, pure: what a roster bears, and the single change that lessens the excess of the fullest zones. A successor comes from the right zone; with all voters there, one is exchanged at a time, or goes, and none is added that would spoil the spread. Each change is taken as before, once a majority has the epoch and the newcomer has caught up. core show, events 313 and 314 say what is borne and wanted. Nothing changes where no zone or region is to be borne.

--- a/src/agreement/core.cpp
+++ b/src/agreement/core.cpp
@@ -116,11 +116,16 @@
 void Core::OnView(Time now, const std::vector<Seen>& view, Out& out) {
   std::vector<Life> shown;
   for (const Seen& seen : view) {
-    if (seen.member.life == self_.life) continue;
+    if (seen.member.life == self_.life) {
+      place_ = seen.place;
+      continue;
+    }
     shown.push_back(seen.member.life);
-    auto [entry, is_new] = watch_.try_emplace(seen.member.life, Watch{seen.member, seen.alive, now});
+    auto [entry, is_new] =
+        watch_.try_emplace(seen.member.life, Watch{seen.member, seen.alive, now, seen.place});
     Watch& watch = entry->second;
     watch.member = seen.member;
+    watch.place = seen.place;
     if (!is_new && watch.alive != seen.alive) watch.alive = seen.alive, watch.since = now;
   }
   std::erase_if(gone_, [this](const Life& life) { return Index(life) < 0; });
@@ -132,7 +137,7 @@
     if (later) gone_.push_back(m.life);
   }
   for (const Member& m : state_.roster.members) {  // in the roster and never shown: dead from now on
-    if (m.life != self_.life) watch_.try_emplace(m.life, Watch{m, false, now});
+    if (m.life != self_.life) watch_.try_emplace(m.life, Watch{m, false, now, {}});
   }
   for (auto it = watch_.begin(); it != watch_.end();) {
     bool is_shown = std::find(shown.begin(), shown.end(), it->first) != shown.end();
--- a/src/agreement/core.hpp
+++ b/src/agreement/core.hpp
@@ -35,6 +35,7 @@
 #include <vector>
 
 #include "agreement/message.hpp"
+#include "agreement/placement.hpp"
 
 namespace curlewdoor::agreement {
 
@@ -57,6 +58,8 @@
   Duration read_pause = std::chrono::milliseconds(40);  // a read that finds a ballot at work asks again then
   int read_rounds = 2;                                  // ... so often, and then takes a ballot itself
   Duration duel_pause = std::chrono::milliseconds(10);  // after a ballot was refused; doubles, at random
+  // The loss of so many zones, or of so many regions, is to leave a majority wherever the machines allow it.
+  Spread spread{};
   // Members without disks: a machine's later life has a higher number, and proves that the earlier one and
   // all that it kept are gone. Then all that are left are enough, be they fewer than a majority (IsQuorum).
   bool lives_end = false;
@@ -82,6 +85,7 @@
 struct Seen {
   Member member;
   bool alive = false;
+  Place place{};
 };
 
 enum class Outcome : std::uint8_t {
@@ -120,6 +124,8 @@
   std::uint64_t epoch = 0;
   std::vector<Voter> voters;
   int further_losses = 0;  // of those that are caught up, with all promises kept; below 0: no majority is
+  Spread spread{};         // that this roster bears, and that it should
+  Spread wanted{};
 };
 
 struct Sending {
@@ -254,6 +260,7 @@
     Member member;
     bool alive = false;
     Time since{};
+    Place place{};
   };
 
   // Sending and the disk (core.cpp).
@@ -336,6 +343,10 @@
   bool Installed() const;  // a majority of the roster holds this epoch, synced
   std::optional<std::vector<Member>> WithoutForgotten(Time now) const;
   std::optional<std::vector<Member>> Wish(Time now) const;
+  struct Situation;  // of the roster and the spares, as Wish() sees them
+  Situation Look(Time now) const;
+  std::optional<std::vector<Member>> WishForSpread(Time now, const Situation& seen) const;
+  std::vector<Place> Places() const;  // of the roster's members
 
   // The first epoch (bootstrap.cpp).
   void OnOffer(Time now, const Message& m, const Offer& offer, Out& out);
@@ -395,6 +406,7 @@
   std::map<Life, Peer> peers_;
   std::map<Life, Holding> holdings_;
   std::map<Life, Watch> watch_;
+  Place place_;             // its own
   std::vector<Life> gone_;  // of the roster, where lives end
 
   std::optional<Proposal> proposal_;
--- a/src/agreement/membership.cpp
+++ b/src/agreement/membership.cpp
@@ -144,65 +144,113 @@
   return rest;
 }
 
-// The roster that the view calls for; none: this one is right, or isn't in force at a majority yet.
-std::optional<std::vector<Member>> Core::Wish(Time now) const {
+struct Core::Situation {
+  std::uint32_t answering = 0;  // a bit a member of the roster
+  int dead = -1;                // the member that is dead for the longest time
+  bool all_alive = true;
+  // Alive, heard of late and caught up; those of other machines than the members', the longest there first.
+  std::vector<const Watch*> spares;
+  std::optional<std::pair<std::size_t, const Watch*>> other_disk;  // a member's machine with another disk
+};
+
+Core::Situation Core::Look(Time now) const {
   const std::vector<Member>& members = state_.roster.members;
-  std::uint32_t here = 0;
-  int dead = -1;  // for the longest time
+  Situation seen;
   Time dead_since{};
-  bool all_alive = true;
   for (std::size_t i = 0; i < members.size(); ++i) {
     const Life& life = members[i].life;
-    if (life == self_.life) {
-      here |= 1u << i;
-      continue;
-    }
-    if (Answers(now, life)) here |= 1u << i;
-    auto watch = watch_.find(life);
-    if (watch == watch_.end()) continue;  // not viewed yet
-    if (watch->second.alive) continue;
-    all_alive = false;
-    Time since = std::max(watch->second.since, HeardFrom(life));
-    if (now - since >= options_.dead_for && (dead < 0 || since < dead_since)) {
-      dead = static_cast<int>(i);
-      dead_since = since;
-    }
+    if (life == self_.life || Answers(now, life)) seen.answering |= 1u << i;
+    const auto watch = watch_.find(life);
+    if (life == self_.life || watch == watch_.end() || watch->second.alive) continue;  // or not viewed yet
+    seen.all_alive = false;
+    const Time since = std::max(watch->second.since, HeardFrom(life));
+    if (now - since < options_.dead_for || (seen.dead >= 0 && since >= dead_since)) continue;
+    seen.dead = static_cast<int>(i);
+    dead_since = since;
   }
-  if (!IsQuorum(here) || !Installed()) return std::nullopt;
-
-  auto swapped = [&members](std::size_t out, const Member& in) {
-    std::vector<Member> next = members;
-    next[out] = in;
-    return next;
-  };
-  const Watch* spare = nullptr;
   for (const auto& [life, watch] : watch_) {
-    Time heard = HeardFrom(life);
+    const Time heard = HeardFrom(life);
     if (!watch.alive || Index(life) >= 0 || heard == Time{} || now - heard > 2 * options_.heard_for) continue;
     if (!CaughtUp(life)) continue;  // first it learns what is chosen
     bool other = true;
     for (std::size_t i = 0; i < members.size(); ++i) {
       if (members[i].life.node != life.node && members[i].address != watch.member.address) continue;
-      other = false;  // the same machine with another disk
-      if (members[i].life != self_.life && heard > HeardFrom(members[i].life))
-        return swapped(i, watch.member);
+      other = false;
+      if (!seen.other_disk && members[i].life != self_.life && heard > HeardFrom(members[i].life))
+        seen.other_disk = {i, &watch};
     }
-    if (other && (spare == nullptr || watch.since < spare->since)) spare = &watch;
+    if (other) seen.spares.push_back(&watch);
   }
-  if (dead >= 0 && spare != nullptr) return swapped(static_cast<std::size_t>(dead), spare->member);
+  std::stable_sort(seen.spares.begin(), seen.spares.end(),
+                   [](const Watch* a, const Watch* b) { return a->since < b->since; });
+  return seen;
+}
+
+std::vector<Place> Core::Places() const {
+  std::vector<Place> places;
+  for (const Member& m : state_.roster.members) {
+    const auto watch = watch_.find(m.life);
+    places.push_back(m.life == self_.life ? place_ : watch != watch_.end() ? watch->second.place : Place{});
+  }
+  return places;
+}
+
+// The roster that the view calls for; none: this one is right, or isn't in force at a majority yet.
+std::optional<std::vector<Member>> Core::Wish(Time now) const {
+  const std::vector<Member>& members = state_.roster.members;
+  const Situation seen = Look(now);
+  if (!IsQuorum(seen.answering) || !Installed()) return std::nullopt;
   std::vector<Member> next = members;
+  if (seen.other_disk) {
+    next[seen.other_disk->first] = seen.other_disk->second->member;
+    return next;
+  }
+  std::vector<Place> spares;
+  for (const Watch* spare : seen.spares) spares.push_back(spare->place);
+  const auto dead = static_cast<std::size_t>(std::max(0, seen.dead));
+  if (seen.dead >= 0 && !spares.empty()) {
+    next[dead] = seen.spares[*BestSpare(Places(), spares, options_.spread, dead)]->member;
+    return next;
+  }
   // Not while another is away: a smaller roster can bear less.
-  if (dead >= 0 && members.size() > state_.roster.first_size && std::popcount(here) + 1u == members.size()) {
-    next.erase(next.begin() + dead);
+  const auto answering = static_cast<std::size_t>(std::popcount(seen.answering));
+  if (seen.dead >= 0 && members.size() > state_.roster.first_size && answering + 1 == members.size()) {
+    next.erase(next.begin() + seen.dead);
     return next;
   }
   // Views lag: who doesn't answer may be lost already, and a larger roster asks for more of the rest.
-  if (all_alive && static_cast<std::size_t>(std::popcount(here)) == members.size() && spare != nullptr &&
-      now - spare->since >= options_.grow_after && next.size() < kMostMembers) {
-    next.push_back(spare->member);
+  if (!seen.all_alive || answering != members.size()) return std::nullopt;
+  return WishForSpread(now, seen);
+}
+
+// All are there: one is exchanged, or goes, where that puts the spread right, or one more comes.
+std::optional<std::vector<Member>> Core::WishForSpread(Time now, const Situation& seen) const {
+  const std::vector<Place> places = Places();
+  std::vector<Member> next = state_.roster.members;
+  std::vector<Place> spares;
+  std::vector<const Watch*> settled;  // a view of them that has just changed may change again
+  for (const Watch* spare : seen.spares) {
+    if (now - spare->since < options_.grow_after) continue;
+    settled.push_back(spare);
+    spares.push_back(spare->place);
+  }
+  const auto self = static_cast<std::size_t>(Index(self_.life));
+  const auto change = BetterPlacement(places, spares, options_.spread, self, options_.least_members);
+  if (change && change->in) {
+    next[*change->out] = settled[*change->in]->member;
+    return next;
+  }
+  if (change) {
+    next.erase(next.begin() + static_cast<std::ptrdiff_t>(*change->out));
     return next;
   }
-  return std::nullopt;
+  const auto more = BestSpare(places, spares, options_.spread, std::nullopt);
+  if (!more || next.size() >= kMostMembers) return std::nullopt;
+  std::vector<Place> grown = places;
+  grown.push_back(spares[*more]);
+  if (ExcessOf(grown, options_.spread) > ExcessOf(places, options_.spread)) return std::nullopt;
+  next.push_back(settled[*more]->member);
+  return next;
 }
 
 void Core::Propose(Time now, std::vector<Member> members, Out& out) {
@@ -353,6 +401,8 @@
     status.voters.push_back({m, answers, holds});
     caught_up += answers && holds ? 1 : 0;
   }
+  status.spread = SpreadOf(Places());
+  status.wanted = options_.spread;
   status.further_losses = caught_up - static_cast<int>(state_.roster.members.size() / 2 + 1);
   return status;
 }
--- a/src/console/cluster_commands.cpp
+++ b/src/console/cluster_commands.cpp
@@ -87,6 +87,10 @@
                   << ", sealed " << core["sealed"].Text() << ", committed version "
                   << core["committed_version"].Text() << ", further losses borne "
                   << core["further_losses"].Text() << "\n";
+    if (core["zones_borne"].present())
+      session.out() << "whole zones borne " << core["zones_borne"].Text() << " (wanted "
+                    << core["zones_wanted"].Text() << "), whole regions " << core["regions_borne"].Text()
+                    << " (wanted " << core["regions_wanted"].Text() << ")\n";
     Table table({"name", "life", "address", "state", "same life", "linked", "caught up"});
     core["members"].ForEach([&](const JsonView& m) {
       table.Row({m["name"].Text(), m["life"].Text(), m["address"].Text(), m["state"].Text(),
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -101,6 +101,8 @@
   void Carry(const fleet::Out& out);
   void OnView();
   static bool IsOfCore(const fleet::Record& record);
+  static std::string ZoneOf(const fleet::Record& record);
+  agreement::Place PlaceOf(const fleet::Record& record) const;
   int AtLeast(int gateways);
   void ConsiderCore();
 
@@ -206,6 +208,7 @@
   std::vector<CoreMember> RosterOfCore() const;  // as the agreement has it
   void LookAtMajority();
   void LookAtRedundancy();
+  void TellSpread(const agreement::CoreStatus& status);
   void KeepHosts();  // on the disk: a core that comes back knows them before they beat again
   bool core_member() const { return core_ && core_->member(); }
   Message MembersNow() const;
@@ -263,6 +266,7 @@
   std::unique_ptr<net::IoWatcher> storage_io_;
   bool had_majority_ = false;
   RedundancyWatch redundancy_{kRedundancySettles};
+  bool spread_short_ = false;     // as the log says
   std::uint64_t kept_hosts_ = 0;  // of the directory's journal
   // As long as the view isn't whole after a start: what the core last knew. 0: nothing.
   int least_gateways_ = 0, gateways_ = 1, kept_gateways_ = 0;
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -88,6 +88,8 @@
   agreement::Options options;
   options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
   options.lives_end = in_memory_;
+  options.spread = {static_cast<int>(settings_.fault_tolerance.zones),
+                    static_cast<int>(settings_.fault_tolerance.region_failures)};
   core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, false,
                 std::move(state), options, rng_());
   if (core_->roster().epoch > epoch_) {
@@ -247,7 +249,9 @@
 void Node::LookAtRedundancy() {
   if (!core_member()) return redundancy_.Reset();
   if (!core_->learned()) return;  // a new epoch: what was told before still stands
-  const auto change = redundancy_.Look(Now(), core_->Status(Now()).further_losses);
+  const agreement::CoreStatus status = core_->Status(Now());
+  TellSpread(status);
+  const auto change = redundancy_.Look(Now(), status.further_losses);
   if (!change) return;
   const bool lost = change->now < change->before;
   Say(lost ? Event::kRedundancyLost : Event::kRedundancyBack,
@@ -255,6 +259,15 @@
           ", before " + std::to_string(change->before));
 }
 
+void Node::TellSpread(const agreement::CoreStatus& status) {
+  const bool is_short = !status.spread.Covers(status.wanted);
+  if (std::exchange(spread_short_, is_short) == is_short) return;
+  Say(is_short ? Event::kSpreadShort : Event::kSpreadBack,
+      "epoch " + std::to_string(status.epoch) + ": zones borne " + std::to_string(status.spread.zones) +
+          " of " + std::to_string(status.wanted.zones) + ", regions borne " +
+          std::to_string(status.spread.regions) + " of " + std::to_string(status.wanted.regions));
+}
+
 Message Node::MembersNow() const {
   Members message{epoch_, {}, static_cast<std::uint32_t>(gateways_)};
   for (const CoreMember& member : members_)
--- a/src/system/node_membership.cpp
+++ b/src/system/node_membership.cpp
@@ -67,11 +67,11 @@
     // The lives of a machine's earlier processes are gone, and all of them are once it has left.
     if (in_memory_ && of_roster && (!IsOfCore(record) || record.state == fleet::State::kLeft))
       counted.push_back(
-          {{{record.name, FirstLife(record.boot + (record.state == fleet::State::kLeft))}, {}}, false});
+          {{{record.name, FirstLife(record.boot + (record.state == fleet::State::kLeft))}, {}}, false, {}});
     if (!IsOfCore(record)) return;
     const Address address{record.address.ip, link_address_.port};
     const std::uint64_t disk = std::strtoull(record.about.c_str() + record.about.find(':') + 1, nullptr, 16);
-    counted.push_back({{{record.name, disk}, address.ToText()}, record.present()});
+    counted.push_back({{{record.name, disk}, address.ToText()}, record.present(), PlaceOf(record)});
     if (record.present() && address != link_address_) targets.push_back(address);
   };
   look(fleet_->self());
@@ -88,11 +88,8 @@
   link_.SetTargets(targets);
   // Each zone's gateways in the order of their names: the same for all who see the same.
   std::size_t index = 0, in_zone = 1;
-  const auto zone_of = [](const fleet::Record& record) {
-    return record.about.substr(record.about.find(' ') + 1);
-  };
   for (const auto& [name, member] : fleet_->others()) {
-    if (!member.record.present() || zone_of(member.record) != zone_of(fleet_->self())) continue;
+    if (!member.record.present() || ZoneOf(member.record) != ZoneOf(fleet_->self())) continue;
     ++in_zone;
     index += name < settings_.node_name;
   }
@@ -116,6 +113,17 @@
   return gathered_ ? gateways : std::max(gateways, least_gateways_);
 }
 
+// What a gateway says of itself in the view: whether it is of the core, then its zone.
+std::string Node::ZoneOf(const fleet::Record& record) {
+  return record.about.substr(record.about.find(' ') + 1);
+}
+
+agreement::Place Node::PlaceOf(const fleet::Record& record) const {
+  const std::string zone = ZoneOf(record);
+  const auto region = settings_.zones.find(zone);
+  return {zone, region != settings_.zones.end() ? region->second : std::string()};
+}
+
 bool Node::IsOfCore(const fleet::Record& record) {
   return record.about.starts_with(kOnDisk) || record.about.starts_with(kInMemory);
 }
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -141,6 +141,10 @@
   const agreement::CoreStatus status = told ? core_->Status(Now()) : agreement::CoreStatus{};
   // Of those that are caught up: how many more may be lost with a majority left. Below 0: there is none.
   told ? answer.Number("further_losses", status.further_losses) : answer.None("further_losses");
+  if (told) {
+    answer.Number("zones_borne", status.spread.zones).Number("zones_wanted", status.wanted.zones);
+    answer.Number("regions_borne", status.spread.regions).Number("regions_wanted", status.wanted.regions);
+  }
   cJSON* members = answer.List("members");
   for (const CoreMember& member : members_) {
     Object each = AddTo(members);
--- a/tests/agreement/world.hpp
+++ b/tests/agreement/world.hpp
@@ -21,6 +21,7 @@
   std::string name, address;
   std::map<std::string, std::string> disk;
   std::uint64_t life = 0;
+  Place place{};
   bool bootstrap = true, gone = false, refuses = false;
   std::unique_ptr<Core> core;
   std::uint64_t run = 0, committed = 0;  // `committed`: in this run
@@ -116,6 +117,52 @@
     return broken_;
   }
 
+  // Machines of these places, of which the first `founders` begin the core and the rest come later. Once the
+  // roster stands still: what it bears.
+  Spread SettleIn(const std::vector<Place>& places) {
+    for (std::size_t i = 0; i < machines_.size(); ++i) machines_[i].place = places[i];
+    Run(milliseconds(6000));
+    while (machines_.size() < places.size()) {
+      Add(false);
+      machines_.back().place = places[machines_.size() - 1];
+      StartUp(machines_.size() - 1);
+    }
+    Run(std::chrono::seconds(60));
+    return RosterSpread();
+  }
+  Spread RosterSpread() const {
+    const Machine* newest = nullptr;
+    for (const Machine& m : machines_)
+      if (m.core && (newest == nullptr || m.core->roster().epoch > newest->core->roster().epoch)) newest = &m;
+    std::vector<Place> places;
+    for (const Member& member : newest->core->roster().members)
+      for (const Machine& m : machines_)
+        if (m.member().life == member.life) places.push_back(m.place);
+    return SpreadOf(places);
+  }
+  std::size_t roster_size() const {
+    std::size_t size = 0;
+    for (const Machine& m : machines_)
+      if (m.core) size = std::max(size, m.core->roster().members.size());
+    return size;
+  }
+  // All machines there are lost at once. Empty: an order was confirmed within 3 s, and all others know it.
+  std::string LoseZone(const std::string& zone) {
+    for (std::size_t i = 0; i < machines_.size(); ++i)
+      if (machines_[i].place.zone == zone) Stop(i);
+    const std::uint64_t acked = acked_;
+    for (int tries = 0; tries < 15 && acked_ == acked; ++tries) {
+      for (std::size_t i = 0; i < machines_.size(); ++i) Put(i, ++version_, true);
+      Run(milliseconds(200));
+    }
+    if (acked_ == acked) Break("without zone " + zone + " no order is confirmed within 3 s");
+    return broken_;
+  }
+  void ComeBack() {
+    for (std::size_t i = 0; i < machines_.size(); ++i) StartUp(i);
+    Run(std::chrono::seconds(60));
+  }
+
   // Eight operators at once, two contents under each of four numbers, each sending until the answer is clear;
   // so many rounds. From the first order of a round to the last clear answer.
   std::string Rush(int rounds) {
@@ -453,7 +500,7 @@
           bool up = m.core != nullptr && !cuts_.contains({std::min(i, k), std::max(i, k)});
           if (!up && now_ - m.changed < notice_) up = true;  // not noticed yet
           if (troubled_ && Chance(100)) up = !up;
-          if (!m.gone && (m.core || m.run > 0)) view.push_back({m.member(), up});
+          if (!m.gone && (m.core || m.run > 0)) view.push_back({m.member(), up, m.place});
         }
         std::size_t seen = 0, seeds = std::min<std::size_t>(3, machines_.size());
         for (const Seen& each : view)
