--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -355,7 +355,8 @@
 
 void FleetRig::PrepareLoad() {
   if (!scenario_.load) return;
-  world_ = std::make_unique<SocketWorld>(load_, seed_, loop_, static_cast<SocketWorld::Keeper&>(*this));
+  world_ = std::make_unique<SocketWorld>(load_, seed_, loop_, static_cast<SocketWorld::Keeper&>(*this),
+                                         SocketWorld::kUsualLead);
   std::vector<Address> listen;
   for (int g = 0; g < scenario_.gateways; ++g)
     listen.push_back(gateways_[static_cast<std::size_t>(g)].listen);
--- a/src/playing/socket_run.hpp
+++ b/src/playing/socket_run.hpp
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -39,13 +40,17 @@
   void HangUpGateway(int gateway) override;
   void Reconfigure(int gateway) override;
   void WriteConfig(int gateway);
+  void AwaitGateways();
+  bool StartAll(Duration lead);
+  bool AnyHasEnded();
   void Watchdog();
 
   const rehearsal::Scenario& scenario_;
+  const std::uint64_t seed_;
   const SocketOptions options_;
   TemporaryFolder folder_;
   Loop loop_;
-  SocketWorld world_;
+  std::unique_ptr<SocketWorld> world_;
   std::vector<Process> processes_;
 };
 
