Seeds are taken anew from the settings while a gateway runs, and it says that it is alone

Cause: the fleet's view asked the seeds of the start for ever. A new gateway whose seeds were all gone was never seen by the others, though its links came up once other seeds stood in its settings. Ruled out: that it stays without a configuration (it doesn't: the link dials the new seeds).

--- a/src/fleet/machine.cpp
+++ b/src/fleet/machine.cpp
@@ -99,6 +99,13 @@
   Tick(now, out);
 }
 
+void Machine::SetSeeds(Time now, std::vector<Address> seeds) {
+  options_.seeds = std::move(seeds);
+  next_seed_ = Below(std::max<std::size_t>(1, options_.seeds.size()));
+  join_backoff_ = 0;
+  join_due_ = now;
+}
+
 // Its own word goes first to several at once, so that nobody has to find out by asking in vain.
 void Machine::Leave(Time now, Out& out) {
   if (silent() || left() || !started_) return;
--- a/src/fleet/machine.hpp
+++ b/src/fleet/machine.hpp
@@ -75,6 +75,8 @@
   // Takes up an earlier process's part in the same life: `records` as that one gave them, its own first.
   void TakeOver(Time now, const std::vector<Record>& records);
   void Start(Time now, Out& out);
+  // Those that are asked from now on, and soon, in place of the seeds before.
+  void SetSeeds(Time now, std::vector<Address> seeds);
 
   // To be called at NextDue(), and as often else as one likes. A call that comes much later than it was due
   // tells the machine that its process stood still.
@@ -195,7 +197,7 @@
   std::uint32_t Ping(const Address& to, const std::string& target, Out& out);
   std::vector<std::string> SomePresent(std::size_t count, std::string_view but);
 
-  const Options options_;
+  Options options_;
   std::mt19937_64 random_;
   Record self_;
   std::map<std::string, Member> members_;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -110,13 +110,7 @@
   options.about.resize(std::min(options.about.size(), fleet::kMostAbout));
   options.probe = kProbe;
   options.seeks_seeds = true;
-  for (const Address& seed_node : settings_.seed_nodes)
-    options.seeds.push_back({seed_node.ip, fleet_address_.port});
-  // A core member that comes back knows its companions, wherever the seeds have gone meanwhile.
-  for (const CoreMember& member : members_)
-    if (member.address.ip != settings_.ip_address)
-      options.seeds.push_back({member.address.ip, fleet_address_.port});
-  std::erase(options.seeds, fleet_address_);
+  options.seeds = FleetSeeds();
   fleet_ = std::make_unique<fleet::Machine>(options, StableHash(options.name, options.boot));
   seen_view_ = 0;
   fleet::Out out;
@@ -124,6 +118,25 @@
   Carry(out);
 }
 
+// A core member that comes back knows its companions, wherever the seeds have gone meanwhile; a gateway
+// without a disk those that it last heard of.
+std::vector<Address> Node::FleetSeeds() const {
+  std::vector<Address> seeds;
+  for (const Address& seed_node : settings_.seed_nodes) seeds.push_back({seed_node.ip, fleet_address_.port});
+  for (const CoreMember& member : members_)
+    if (member.address.ip != settings_.ip_address) seeds.push_back({member.address.ip, fleet_address_.port});
+  std::erase(seeds, fleet_address_);
+  return seeds;
+}
+
+// Nobody else is seen, and nobody of the core is reached, though there should be somebody.
+void Node::LookWhetherAlone() {
+  const bool alone =
+      fleet_->alive() <= 1 && !InContact() && !FleetSeeds().empty() && Now() - started_at_ > kContactFresh;
+  if (std::exchange(alone_, alone) == alone) return;
+  Say(alone ? Event::kAlone : Event::kNotAlone, settings_.node_name);
+}
+
 void Node::SetReady() {
   const bool ready = front_.policy() != nullptr && !leaving_;
   if (ready == ready_) return;
@@ -210,6 +223,7 @@
     if (open_again_) TryOpenCore();
     if (had_majority_ && ticks_ % (2 * kSecondTicks) == 0) Broadcast(Digest{HostsDigest()});
     LookAtSettings();
+    LookWhetherAlone();
     events::SayLeftOut();
     ToCore(Clock{Microseconds(now)});
   }
@@ -231,8 +245,12 @@
   if (stamp == settings_stamp_) return;
   settings_stamp_ = stamp;
   try {
-    settings_ = settings::LoadSettings(settings_path_);
+    const std::vector<Address> seeds =
+        std::exchange(settings_, settings::LoadSettings(settings_path_)).seed_nodes;
     Say(Event::kSettingsChanged, settings_path_);
+    if (seeds == settings_.seed_nodes) return;
+    fleet_->SetSeeds(Now(), FleetSeeds());
+    OnView();
   } catch (const settings::SettingsError& error) {
     Say(Event::kSettingsRefused, error.what());
   }
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -244,6 +244,8 @@
   void NoticePause(Steady now);
   bool ConfirmedSince(Steady then) const;
   void LookAtSettings();
+  std::vector<Address> FleetSeeds() const;
+  void LookWhetherAlone();
   void SetReady();
   void OnTerm();
   void End();
@@ -315,6 +317,7 @@
   Front front_;
   CallDoor control_, readiness_;
   bool ready_ = false, leaving_ = false;
+  bool alone_ = false;  // as the log says
   Steady term_at_, started_at_;
   net::TimerWatcher house_timer_;
   net::PrepareWatcher reap_;
--- a/tests/system/core_loss_test.cpp
+++ b/tests/system/core_loss_test.cpp
@@ -161,6 +161,28 @@
   scene.Judge();
 }
 
+// The same for a new gateway without a disk, which knows nobody, nor does anybody know it: other seeds are
+// taken while it runs.
+BOOST_AUTO_TEST_CASE(seeds_of_a_new_gateway_are_named_anew) {
+  CoreScene scene(Of(3, 2));
+  scene.Begin({0, 1, 2, 3});
+  BOOST_REQUIRE(scene.Acknowledges(3));
+  std::vector<Address> gone, there;
+  for (int i = 0; i < 3; ++i) {
+    gone.push_back({scene.machines.StandInIp(i), scene.machines.control(0).port});
+    there.push_back(scene.machines.control(i));
+  }
+  scene.machines.SetSeeds(gone);
+  scene.Restart(4);
+  scene.Last(5);
+  BOOST_TEST(scene.Epoch(4) == 0U);
+  scene.machines.SetSeeds(there);
+  scene.machines.ChangeSettings(4);
+  BOOST_TEST(scene.Until([&] { return scene.Epoch(4) > 0 && scene.InForce(4) > 0; }));
+  BOOST_TEST(scene.ComesToSee(0, 4));
+  scene.Judge();
+}
+
 // 9 machines, two of five disks lost one after the other, each with its machine.
 BOOST_AUTO_TEST_CASE(two_of_five_are_replaced) {
   CoreScene scene(Of(5, 2, 2));
--- a/tests/system/core_scene.hpp
+++ b/tests/system/core_scene.hpp
@@ -117,6 +117,20 @@
     return status;
   }
 
+  // Whether this machine's view of the gateways comes to hold that one.
+  bool ComesToSee(int machine, int other) {
+    bool sees = false, open = false;
+    return Until([&] {
+      if (!sees && !std::exchange(open, true))
+        Call(machine, RequestText("GET", "/v1/system/gateways", machines.control(machine).ToText(), "", ""),
+             [&](const Answer& answer) {
+               open = false;
+               sees = answer.body.find('"' + machines.name(other) + '"') != std::string::npos;
+             });
+      return sees && !open;
+    });
+  }
+
   std::uint64_t InForce(int machine) const { return in_force_[At(machine)].second; }
   std::uint64_t Epoch(int machine) const { return epoch_.contains(machine) ? epoch_.at(machine) : 0; }
   // The roster that this machine tells of.
