--- a/src/agreement/placement.cpp
+++ b/src/agreement/placement.cpp
@@ -14,6 +14,7 @@
   std::map<std::string, std::size_t> by_key;
   for (const Place& place : roster) ++by_key[key(place)];
   std::vector<std::size_t> counts;
+  counts.reserve(by_key.size());
   for (const auto& [name, count] : by_key) counts.push_back(count);
   std::sort(counts.begin(), counts.end(), std::greater<>());
   return counts;
