--- a/tests/packages_closure.sh
+++ b/tests/packages_closure.sh
@@ -18,8 +18,10 @@
 cached() { sed -n "s/^$1:[A-Z]*=//p" "$build/CMakeCache.txt"; }
 source_dir=$(cached CMAKE_HOME_DIRECTORY)
 
+# A compiler cache writes paths below its base folder as seen from the build.
 headers() {
-  find "$build" -name '*.o.d' -exec cat {} + | tr -d '\\' | tr ' ' '\n' | grep -v ':$' | sed '/^$/d'
+  find "$build" -name '*.o.d' -exec cat {} + | tr -d '\\' | tr ' ' '\n' | grep -v ':$' | sed '/^$/d' |
+    sed "s#^\([^/]\)#$build/\1#"
 }
 
 modules() {  # those without a folder are CMake's own, in the build
