After a long pause a gateway waits 2 s for a proof before it goes on without one

A pause counted for 250 ms of the 500 ms of running time after which requests go on without a proof, so it waited 250 ms, while its streams come up again and prove within 350 ms. Ruled out: the forgotten hosts came back (they were dropped from its list 100 ms later, at its proof); others sent to them (all 7 by the resumed one). Change: a pause counts for nothing; after one as long as a proof lasts, 2 s of running time.

--- a/src/registry/lease.cpp
+++ b/src/registry/lease.cpp
@@ -26,8 +26,12 @@
 bool RegistryLease::Tick(Time now) {
   if (ticked_at_) {
     const Duration passed = now - *ticked_at_;
-    if (passed > options_.run_gap) waited_ = {};  // paused: whoever was silent before may answer now
-    if (open_since_) waited_ += std::min(passed, options_.run_gap);
+    if (passed > options_.run_gap) {  // paused: whoever was silent before may answer now
+      waited_ = {};
+      long_away_ = long_away_ || passed >= options_.lasts;
+    } else if (open_since_) {
+      waited_ += passed;
+    }
   }
   ticked_at_ = now;
   return !asked_at_ || now - *asked_at_ >= options_.ask_every;
@@ -60,11 +64,12 @@
   if (!open_since_ || *proved_at_ < *open_since_) return;
   open_since_.reset();
   waited_ = {};
+  long_away_ = false;
 }
 
 bool RegistryLease::GivenUp(Time now) const {
   const bool running = ticked_at_ && now - *ticked_at_ <= options_.run_gap;
-  return running && open_since_ && waited_ >= options_.wait;
+  return running && open_since_ && waited_ >= (long_away_ ? options_.wait_long_away : options_.wait);
 }
 
 std::optional<Duration> RegistryLease::Age(Time now) const {
--- a/src/registry/lease.hpp
+++ b/src/registry/lease.hpp
@@ -28,6 +28,9 @@
     Duration lasts = std::chrono::milliseconds(1200);
     Duration ask_every = std::chrono::milliseconds(350);
     Duration wait = std::chrono::milliseconds(500);  // running time without a proof: then it is done without
+    // The same after a pause of `lasts` or more: its list is older than any proof, and its streams come up
+    // anew.
+    Duration wait_long_away = std::chrono::milliseconds(2000);
     Duration run_gap = std::chrono::milliseconds(250);  // more than this between two ticks is a pause
   };
   // Of drain_ms: half of it is left for the way to the host and for a slow process.
@@ -62,7 +65,8 @@
   std::optional<Time> proved_at_;
   std::optional<Time> open_since_;  // of the oldest question after the proof
   std::optional<Time> asked_at_, ticked_at_;
-  Duration waited_{};  // running time since open_since_
+  Duration waited_{};       // running time since open_since_
+  bool long_away_ = false;  // since the last proof
 };
 
 }  // namespace curlewdoor::registry
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -217,7 +217,7 @@
   }
   for (const CountName name : unanswered) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
   if (ticks_ % kSecondTicks == 0) {
-    ConfirmRegistry();
+    if (const auto proved = registry_lease_.proved_at()) directory_.ConfirmLeaves(*proved);
     directory_.Forget(now);
     KeepHosts();
     if (open_again_) TryOpenCore();
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -187,7 +187,7 @@
   void OnProof();
   void RaiseWatermark(std::uint64_t heard);
   void OnWatermark();
-  void ConfirmRegistry();
+  void ConfirmHosts();
   registry::Roster RegistryRoster() const;
   registry::Standing OwnStanding() const;
 
--- a/src/system/node_registry.cpp
+++ b/src/system/node_registry.cpp
@@ -221,6 +221,7 @@
   const bool due = registry_lease_.Tick(now);
   const registry::Standing own = OwnStanding();
   if (own.votes) registry_lease_.OnAnswer(now, now, own);
+  ConfirmHosts();
   if (watermark_.Tick(now, RegistryRoster(), own)) OnWatermark();
   if (due) {
     ToCore(RegistryQuery{Microseconds(now), epoch_, watermark_.value()});
@@ -243,12 +244,10 @@
   if (told_hosts_ != directory_.version()) PublishHosts();
 }
 
-// What the last proof of the list says of all that stands in it.
-void Node::ConfirmRegistry() {
+// What the last proof of the list says of the hosts in it.
+void Node::ConfirmHosts() {
   const auto proved = registry_lease_.proved_at();
-  if (!proved) return;
-  directory_.ConfirmLeaves(*proved);
-  if (*proved >= watermark_.since()) directory_.ConfirmHosts(watermark_.value());
+  if (proved && *proved >= watermark_.since()) directory_.ConfirmHosts(watermark_.value());
 }
 
 void Node::OnProof() {
