The registry's two searches share one agreement in short

Cause: return_search_test wrote the successor's proposal, its seal and the search for mutants again. Ruled out: one search for both (steps, troubles and what is judged differ). Change: tests/registry/short_agreement.hpp; who hears of a successor, and when, stays each search's.

--- a/tests/registry/registry_search_test.cpp
+++ b/tests/registry/registry_search_test.cpp
@@ -3,7 +3,6 @@
 // and are slow, gateways are paused, clocks differ, disks are slow. Mutants show that the search can fail.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <deque>
 #include <functional>
 #include <map>
@@ -14,6 +13,7 @@
 
 #include "registry/lease.hpp"
 #include "registry/replica.hpp"
+#include "short_agreement.hpp"
 
 namespace curlewdoor::registry {
 namespace {
@@ -88,8 +88,7 @@
       machines_[m].known = {};
       Restart(m);
     }
-    for (int m = 0; m < kSize; ++m) roster_.members.push_back(Id(m));
-    roster_.epoch = 1;
+    agreement_.Begin(kSize);
     for (int g = 0; g < kGateways; ++g) {
       gateways_[g].lease = std::make_unique<RegistryLease>(RegistryLease::OptionsFor(2s));
       gateways_[g].clock = 1h * static_cast<int>(random_() % 100);
@@ -103,16 +102,14 @@
   }
   int acknowledged() const { return static_cast<int>(acknowledged_.size()); }
   int proofs() const { return proofs_; }
-  std::uint64_t epoch() const { return roster_.epoch; }
+  std::uint64_t epoch() const { return agreement_.roster().epoch; }
 
  private:
   bool Chance(double part) { return std::uniform_real_distribution<double>(0, 1)(random_) < part; }
   Duration Late() {
     return Chance(0.03) ? 10ms * static_cast<int>(random_() % 120) : 1ms * static_cast<int>(random_() % 8);
   }
-  MemberId Id(int m) const {
-    return {std::string(1, static_cast<char>('a' + m)), machines_.at(m).incarnation};
-  }
+  MemberId Id(int m) const { return agreement_.Id(m); }
   RegistryReplica::Fault Fault() const {
     if (mutant_ == Mutant::kVotesIncomplete) return RegistryReplica::Fault::kVotesIncomplete;
     return RegistryReplica::Fault::kNone;
@@ -320,20 +317,13 @@
     for (const auto& [leave, at] : acknowledged_)
       if (now_ - at >= RegistryLease::OptionsFor(2s).lasts && !gateway.leaves.contains(leave)) {
         violation_ = "gateway " + std::to_string(g) + " doesn't know leave " + std::to_string(leave) +
-                     ", epoch " + std::to_string(roster_.epoch);
+                     ", epoch " + std::to_string(agreement_.roster().epoch);
         return;
       }
   }
 
   // ---- Troubles
-  int Down() const {
-    return static_cast<int>(
-        std::count_if(roster_.members.begin(), roster_.members.end(), [this](const MemberId& id) {
-          const Machine& machine = machines_.at(id.name[0] - 'a');
-          return !machine.up || machine.incarnation != id.incarnation;
-        }));
-  }
-  bool InRoster(int m) const { return roster_.Holds(Id(m)); }
+  bool InRoster(int m) const { return agreement_.roster().Holds(Id(m)); }
   // A member is cut off from the others of its kind, or from some gateways too; or one way is slow.
   void CutSome() {
     const int m = static_cast<int>(random_() % kMachines);
@@ -378,7 +368,7 @@
       const int m = static_cast<int>(random_() % kMachines);
       if (!machines_[m].up) {
         Restart(m);
-      } else if (!InRoster(m) || Down() == 0) {
+      } else if (!InRoster(m) || agreement_.CountLost() == 0) {
         machines_[m].up = false;
         if (Chance(0.3)) Wipe(m);
       }
@@ -397,63 +387,21 @@
         gateway.paused_until = now_ + 100ms * static_cast<int>(random_() % 40);
     }
   }
-  // The agreement, in short: a majority seals, then the successor is chosen, with one member exchanged, and
-  // each machine and gateway hears of it some time.
+  // Each machine and gateway hears of a successor some time.
   void Epochs() {
-    if (next_.members.empty() && Chance(0.01)) Propose();
-    if (!next_.members.empty()) Seal();
+    agreement_.Step();
+    const Roster& newest = agreement_.roster();
     for (int m = 0; m < kMachines; ++m)
-      if (machines_[m].up && machines_[m].known.epoch < roster_.epoch && Chance(0.01)) {
-        machines_[m].known = Next(machines_[m].known.epoch);
+      if (machines_[m].up && machines_[m].known.epoch < newest.epoch && Chance(0.01)) {
+        machines_[m].known = agreement_.After(machines_[m].known.epoch);
         machines_[m].replica->Adopt(now_, machines_[m].known);
       }
     for (auto& [g, gateway] : gateways_)
-      if (gateway.known.epoch < roster_.epoch && gateway.paused_until <= now_ && Chance(0.01)) {
-        gateway.known = roster_;
-        gateway.lease->SetRoster(roster_);
+      if (gateway.known.epoch < newest.epoch && gateway.paused_until <= now_ && Chance(0.01)) {
+        gateway.known = newest;
+        gateway.lease->SetRoster(newest);
       }
   }
-  Roster Next(std::uint64_t epoch) const {
-    return epoch == 0 || epoch + 1 == roster_.epoch ? roster_ : chosen_.at(epoch + 1);
-  }
-  void Propose() {
-    // Not before a majority holds this epoch and is complete in it, as two exchanges at once are two losses.
-    const auto complete =
-        std::count_if(roster_.members.begin(), roster_.members.end(), [this](const MemberId& id) {
-          const Machine& machine = machines_.at(id.name[0] - 'a');
-          return machine.up && machine.incarnation == id.incarnation &&
-                 machine.replica->standing().complete_epoch == roster_.epoch;
-        });
-    if (static_cast<std::size_t>(complete) < roster_.majority()) return;
-    Roster next{roster_.epoch + 1, roster_.members};
-    for (MemberId& id : next.members) {
-      const Machine& machine = machines_.at(id.name[0] - 'a');
-      const bool lost = !machine.up || machine.incarnation != id.incarnation;
-      if (!lost && !Chance(0.3)) continue;
-      for (int m = 0; m < kMachines; ++m)
-        if (machines_[m].up && !next.Holds(Id(m))) {
-          id = Id(m);
-          next_ = next;
-          return;
-        }
-    }
-  }
-  void Seal() {
-    std::size_t sealed = 0;
-    for (const MemberId& id : roster_.members) {
-      Machine& machine = machines_.at(id.name[0] - 'a');
-      if (machine.incarnation != id.incarnation) continue;
-      if (machine.up && machine.known.epoch == roster_.epoch && machine.core_disk.epoch == roster_.epoch &&
-          Chance(0.05))
-        machine.sealed = true;
-      sealed += machine.sealed && machine.core_disk.epoch == roster_.epoch ? 1 : 0;
-    }
-    if (sealed < roster_.majority()) return;
-    chosen_[roster_.epoch] = roster_;
-    roster_ = std::exchange(next_, {});
-    chosen_[roster_.epoch] = roster_;
-  }
-
   std::mt19937_64 random_;
   const Mutant mutant_;
   Time now_{std::chrono::hours(1000)};
@@ -462,18 +410,16 @@
   std::map<int, GatewayState> gateways_;
   std::map<std::pair<int, int>, Stream> streams_;
   std::map<std::pair<int, int>, Time> cuts_;  // the lower one first
-  Roster roster_, next_;
-  std::map<std::uint64_t, Roster> chosen_;
+  ShortAgreement<Machine> agreement_{machines_,
+                                     kMachines,
+                                     {0.3, 0.05},
+                                     [this](int m) { return machines_.at(m).up; },
+                                     [this](double part) { return Chance(part); }};
   int last_leave_ = 0, proofs_ = 0;
   std::map<int, Time> acknowledged_;
   std::string violation_;
 };
 
-int Seeds(int usual) {
-  const char* told = std::getenv("CURLEWDOOR_SEARCH_SEEDS");
-  return told != nullptr ? std::atoi(told) : usual;
-}
-
 BOOST_AUTO_TEST_CASE(a_proved_list_holds_every_leave_acknowledged_before) {
   int acknowledged = 0, proofs = 0;
   std::uint64_t epochs = 0;
@@ -496,10 +442,8 @@
   for (const Mutant mutant :
        {Mutant::kOneVote, Mutant::kOneProof, Mutant::kVoteBeforeWrite, Mutant::kVotesIncomplete,
         Mutant::kNoRelay, Mutant::kAnswerBeforeNews, Mutant::kProvedWhenAnswered}) {
-    int seed = 0;
-    std::string violation;
-    while (violation.empty() && ++seed <= 400)
-      violation = Search(static_cast<std::uint64_t>(seed), mutant).Play(40s);
+    const auto [seed, violation] =
+        FirstViolation(400, [&](std::uint64_t each) { return Search(each, mutant).Play(40s); });
     BOOST_TEST(!violation.empty(), "mutant " << static_cast<int>(mutant) << " isn't found");
     BOOST_TEST_MESSAGE("mutant " << static_cast<int>(mutant) << ": seed " << seed << ", " << violation);
   }
--- a/tests/registry/return_search_test.cpp
+++ b/tests/registry/return_search_test.cpp
@@ -6,7 +6,6 @@
 // CURLEWDOOR_SEARCH_SEEDS=N plays seeds 1 to N.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 #include <deque>
 #include <map>
 #include <memory>
@@ -19,6 +18,7 @@
 #include "registry/lease.hpp"
 #include "registry/replica.hpp"
 #include "registry/watermark.hpp"
+#include "short_agreement.hpp"
 #include "system/pause_watch.hpp"
 
 namespace curlewdoor::registry {
@@ -108,8 +108,7 @@
       processes_[p].clock = 1h * static_cast<int>(random_() % 100);
       if (p < kMembers) processes_[p].incarnation = ++incarnations_;
     }
-    for (int m = 0; m < kSize; ++m) roster_.members.push_back(Id(m));
-    roster_.epoch = 1;
+    agreement_.Begin(kSize);
     for (int p = 0; p < kProcesses; ++p) Restart(p);
   }
 
@@ -118,7 +117,7 @@
     return violation_;
   }
   int acknowledged() const { return acknowledged_; }
-  std::uint64_t epoch() const { return roster_.epoch; }
+  std::uint64_t epoch() const { return agreement_.roster().epoch; }
   std::uint64_t highest_watermark() const {
     std::uint64_t highest = 0;
     for (const auto& [p, process] : processes_) highest = std::max(highest, process.watermark->value());
@@ -133,12 +132,9 @@
   Duration Long() { return 30s + 1s * Pick(Chance(0.5) ? 120 : 570); }
   Duration Late() { return Chance(0.02) ? 100ms * Pick(10) : 1ms * Pick(20); }
   static bool IsMember(int p) { return p < kMembers; }
-  MemberId Id(int m) const {
-    return {std::string(1, static_cast<char>('a' + m)), processes_.at(m).incarnation};
-  }
+  MemberId Id(int m) const { return agreement_.Id(m); }
   Time Local(int p) const { return now_ + processes_.at(p).clock; }
   bool Runs(int p) const { return processes_.at(p).up && processes_.at(p).paused_until <= now_; }
-  static int MemberOf(const MemberId& id) { return id.name[0] - 'a'; }
 
   // ---- Processes
   void Restart(int p) {
@@ -477,13 +473,6 @@
   }
 
   // ---- Troubles
-  int Away() const {
-    return static_cast<int>(
-        std::count_if(roster_.members.begin(), roster_.members.end(), [this](const MemberId& id) {
-          const int m = MemberOf(id);
-          return !processes_.at(m).up || processes_.at(m).incarnation != id.incarnation;
-        }));
-  }
   void Trouble() {
     for (auto it = cuts_.begin(); it != cuts_.end();) {
       const auto [ways, until] = *it;
@@ -516,66 +505,24 @@
     }
   }
   void Crash(int p) {
-    if (IsMember(p) && roster_.Holds(Id(p)) && Away() > 0) return;
+    if (IsMember(p) && agreement_.roster().Holds(Id(p)) && agreement_.CountLost() > 0) return;
     processes_[p].up = false;
     processes_[p].paused_at = processes_[p].paused_until = {};
     if (IsMember(p) && Chance(0.3)) Wipe(p);
   }
 
-  // ---- The agreement, in short: as in registry_search_test
+  // ---- Who hears of a successor, and when
   void Epochs() {
-    if (next_.members.empty() && Chance(0.01)) Propose();
-    if (!next_.members.empty()) Seal();
+    agreement_.Step();
+    const Roster& newest = agreement_.roster();
     for (int p = 0; p < kProcesses; ++p) {
       Process& process = processes_[p];
-      if (!Runs(p) || process.known.epoch >= roster_.epoch || !Chance(0.1)) continue;
-      if (IsMember(p)) {
-        const std::uint64_t epoch = process.known.epoch;
-        process.known = epoch == 0 || epoch + 1 == roster_.epoch ? roster_ : chosen_.at(epoch + 1);
-        process.replica->Adopt(Local(p), process.known);
-      } else {
-        process.known = roster_;
-      }
+      if (!Runs(p) || process.known.epoch >= newest.epoch || !Chance(0.1)) continue;
+      process.known = IsMember(p) ? agreement_.After(process.known.epoch) : newest;
+      if (process.replica) process.replica->Adopt(Local(p), process.known);
       process.lease->SetRoster(process.known);
     }
   }
-  void Propose() {
-    std::size_t complete = 0;
-    for (const MemberId& id : roster_.members) {
-      const Process& process = processes_.at(MemberOf(id));
-      if (process.up && process.incarnation == id.incarnation &&
-          process.replica->standing().complete_epoch == roster_.epoch)
-        ++complete;
-    }
-    if (complete < roster_.majority()) return;
-    Roster next{roster_.epoch + 1, roster_.members};
-    for (MemberId& id : next.members) {
-      const Process& process = processes_.at(MemberOf(id));
-      const bool lost = !process.up || process.incarnation != id.incarnation;
-      if (!lost && !Chance(0.1)) continue;
-      for (int m = 0; m < kMembers; ++m) {
-        if (!Runs(m) || next.Holds(Id(m))) continue;
-        id = Id(m);
-        next_ = next;
-        return;
-      }
-    }
-  }
-  void Seal() {
-    std::size_t sealed = 0;
-    for (const MemberId& id : roster_.members) {
-      Process& process = processes_.at(MemberOf(id));
-      if (process.incarnation != id.incarnation) continue;
-      const bool knows = process.known.epoch == roster_.epoch && process.core_disk.epoch == roster_.epoch;
-      if (Runs(MemberOf(id)) && knows && Chance(0.3)) process.sealed = true;
-      sealed += process.sealed && process.core_disk.epoch == roster_.epoch ? 1 : 0;
-    }
-    if (sealed < roster_.majority()) return;
-    chosen_[roster_.epoch] = roster_;
-    roster_ = std::exchange(next_, {});
-    chosen_[roster_.epoch] = roster_;
-  }
-
   // ---- The verdict
   void Judge() {
     for (int p = 0; p < kProcesses; ++p) {
@@ -604,19 +551,17 @@
   std::map<int, Process> processes_;
   std::map<std::pair<int, int>, Stream> streams_;
   std::map<std::pair<int, int>, Time> cuts_;  // the lower one first
-  Roster roster_, next_;
-  std::map<std::uint64_t, Roster> chosen_;
+  ShortAgreement<Process> agreement_{processes_,
+                                     kMembers,
+                                     {0.1, 0.3},
+                                     [this](int m) { return Runs(m); },
+                                     [this](double part) { return Chance(part); }};
   std::vector<HostLife> hosts_;
   int lives_ = 0, acknowledged_ = 0;
   std::uint64_t looks_ = 0, missing_ = 0;
   std::string violation_;
 };
 
-int Seeds(int usual) {
-  const char* told = std::getenv("CURLEWDOOR_SEARCH_SEEDS");
-  return told != nullptr ? std::atoi(told) : usual;
-}
-
 BOOST_AUTO_TEST_CASE(nobody_brings_back_a_host_whose_leave_was_acknowledged) {
   constexpr auto kPlayed = 30min;
   int acknowledged = 0;
@@ -644,10 +589,8 @@
 BOOST_AUTO_TEST_CASE(each_mutant_is_found) {
   for (const Mutant mutant : {Mutant::kForgetsLeaves, Mutant::kTakesOldClaims, Mutant::kStampsAtReceipt,
                               Mutant::kReadsOldBeats, Mutant::kWatermarkOffDisk}) {
-    int seed = 0;
-    std::string violation;
-    while (violation.empty() && ++seed <= 40)
-      violation = ReturnSearch(static_cast<std::uint64_t>(seed), mutant).Play(30min);
+    const auto [seed, violation] =
+        FirstViolation(40, [&](std::uint64_t each) { return ReturnSearch(each, mutant).Play(30min); });
     BOOST_TEST(!violation.empty(), "mutant " << static_cast<int>(mutant) << " isn't found");
     BOOST_TEST_MESSAGE("mutant " << static_cast<int>(mutant) << ": seed " << seed << ", " << violation);
   }
