Placement looks no further where all is well; one way to set a host gone

Change: BetterPlacement and BestSpare end at an excess of 0; Directory::SetGone; Entry::leaves() alone; the watermark ticks at every process with a core again, and at no other.

--- a/src/agreement/placement.cpp
+++ b/src/agreement/placement.cpp
@@ -75,6 +75,7 @@
                                                std::size_t keep, std::size_t least) {
   std::size_t best = ExcessOf(roster, wanted);
   std::optional<PlacementChange> change;
+  if (best == 0) return change;
   const auto consider = [&](std::size_t out, std::optional<std::size_t> in) {
     const std::size_t excess = ExcessOf(Changed(roster, out, in ? &spares[*in] : nullptr), wanted);
     if (excess >= best) return;
@@ -98,6 +99,7 @@
     if (best && excess >= least) continue;
     best = in;
     least = excess;
+    if (least == 0) break;
   }
   return best;
 }
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -180,6 +180,13 @@
   entries_.erase(place);
 }
 
+void Directory::SetGone(Time now, Place place) {
+  Entry next = *place;
+  SetAbsence(next, 2);
+  next.since = now;
+  Put(place, std::move(next), true);
+}
+
 // Silent ones that leave are gone in the end like others.
 void Directory::ForgetLeaves(Time now) {
   auto& order = entries_.get<DropTag>();
@@ -189,10 +196,7 @@
       const bool too_soon = fault_ == Fault::kForgetsLeaves && now - each->since >= kKeepGone;
       if (Forgettable(*each) || too_soon) Drop(entries_.project<0>(each));
     } else if (each->silent && now - each->since >= kKeepSilent) {
-      Entry next = *each;
-      SetAbsence(next, 2);
-      next.since = now;
-      Put(entries_.project<0>(each), std::move(next), true);
+      SetGone(now, entries_.project<0>(each));
     }
   }
 }
@@ -209,10 +213,7 @@
     if (oldest == order.end() || oldest->drop_order().first != Entry::kSilentRank ||
         now - oldest->since < kKeepSilent)
       break;
-    Entry next = *oldest;
-    SetAbsence(next, 2);
-    next.since = now;
-    Put(entries_.project<0>(oldest), std::move(next), true);
+    SetGone(now, entries_.project<0>(oldest));
   }
 }
 
@@ -269,13 +270,7 @@
     if (comer->silent && !it->silent) yields = true;
   }
   if (yields) others = {id};
-  for (const auto& other : others) {
-    const auto place = entries_.find(other);
-    Entry next = *place;
-    SetAbsence(next, 2);
-    next.since = now;
-    Put(place, std::move(next), true);
-  }
+  for (const auto& other : others) SetGone(now, entries_.find(other));
 }
 
 }  // namespace curlewdoor::directory
--- a/src/directory/directory.hpp
+++ b/src/directory/directory.hpp
@@ -11,10 +11,10 @@
 //
 // What is forgotten must not come back from a process that was stopped or cut off meanwhile. So each entry
 // bears a stamp: the registry's watermark (registry/watermark.hpp) when a beat of that life was read last, or
-// when a list with it was proved. An
-// id that isn't known is taken only if its stamp is at most kValidPeriods behind the watermark here, and an
-// entry whose stamp falls further behind is dropped. A life that has said that it leaves is kept until every
-// claim of it is too old in that sense: docs/registry.md, "What is forgotten".
+// when a list with it was proved. An id that isn't known is taken only if its stamp is at most kValidPeriods
+// behind the watermark here, and an entry whose stamp falls further behind is dropped. A life that has said
+// that it leaves is kept until every claim of it is too old in that sense: docs/registry.md, "What is
+// forgotten".
 #pragma once
 
 #include <boost/multi_index/hashed_index.hpp>
@@ -68,7 +68,7 @@
   Time leaving_since{};  // here, when it was first known to leave; else unused
 
   bool gone() const { return state == HostState::kGone; }
-  bool leaves() const { return draining || left; }
+  bool leaves() const { return draining || left; }  // it has said so, in either way
   enum DropRank { kGoneRank, kSilentRank, kHereRank, kLeavingRank };
   // Those that may be dropped for want of room come first: gone, silent; within one, the oldest. The rest
   // stays.
@@ -79,9 +79,6 @@
   }
 };
 
-// The host has said that it leaves, in either way.
-inline bool Leaves(const Entry& entry) { return entry.leaves(); }
-
 // Something that others must know, or (kForgotten) that it is no longer listed.
 struct Event {
   enum class Kind : std::uint8_t { kNew, kChanged, kForgotten };
@@ -186,6 +183,7 @@
   bool TooOld(const Entry& entry, std::uint64_t stamp) const;
   bool MakeRoom(const Entry& incoming);
   void Drop(Place place);
+  void SetGone(Time now, Place place);
   void ForgetLeaves(Time now);
   void Put(Place place, Entry next, bool changed);
   void Settle(Time now, const std::string& id);
--- a/src/system/node_directory.cpp
+++ b/src/system/node_directory.cpp
@@ -19,8 +19,8 @@
   bool any_leave = false, all_held = true;
   for (const directory::Entry& entry : *entries) {
     directory_.Merge(Now(), entry);
-    any_leave = any_leave || directory::Leaves(entry);
-    const bool owed = directory::Leaves(entry) ? !directory_.Forgettable(entry) : !entry.gone();
+    any_leave = any_leave || entry.leaves();
+    const bool owed = entry.leaves() ? !directory_.Forgettable(entry) : !entry.gone();
     all_held = all_held && (!owed || directory_.Find(entry.id) != nullptr);
   }
   if (!all_held) return Merged::kNotTaken;
@@ -33,7 +33,7 @@
   std::vector<directory::Entry> leaves;
   if (const auto events = directory_.journal().Since(after)) {
     for (const directory::Event& event : *events)
-      if (event.kind != directory::Event::Kind::kForgotten && directory::Leaves(event.entry))
+      if (event.kind != directory::Event::Kind::kForgotten && event.entry.leaves())
         leaves.push_back(event.entry);
   } else {
     leaves = directory_.All();
--- a/src/system/node_registry.cpp
+++ b/src/system/node_registry.cpp
@@ -175,7 +175,7 @@
 std::string Node::EncodeLeaves(const registry::ReplicaRecord& record) const {
   std::vector<directory::Entry> leaves;
   directory_.ForEach([&](const directory::Entry& entry) {
-    if (directory::Leaves(entry)) leaves.push_back(entry);
+    if (entry.leaves()) leaves.push_back(entry);
   });
   return registry::Encode({record, directory::Encode(leaves, Now())});
 }
@@ -222,7 +222,7 @@
   const registry::Standing own = OwnStanding();
   if (own.votes) registry_lease_.OnAnswer(now, now, own);
   ConfirmHosts();
-  if (own.votes && watermark_.Tick(now, RegistryRoster(), own)) OnWatermark();
+  if (registry_replica_ && watermark_.Tick(now, RegistryRoster(), own)) OnWatermark();
   if (due) {
     ToCore(RegistryQuery{Microseconds(now), epoch_, watermark_.value()});
     registry_lease_.Asked(now);
