A member is exchanged only once a majority holds all leaves of the epoch before

Cause: event 509, the weak way of learning which hosts left: a core that exchanged several members within seconds could reach an epoch whose members had never heard of a leave that was acknowledged; they learned from each other and voted. The agreement looked at its own record only before the next change. Ruled out: a longer wait before one learns from all (any span can pass); leaves as orders of the core. Change: each member tells with its answers, as before, in which epoch it is complete; the agreement is told (SetComplete) and proposes no change before a quorum of those that answer is complete. By induction learning from all members is then sound. core show calls a member caught up only then. The registry's record keeps its own roster (a field behind the others), so that a crash between the core's write of an epoch and the registry's leaves the roster before known. A forced core forget doesn't wait. Shown: registry_test two_exchanges_that_did_not_wait_would_forget_a_leave (the hole, and that the wait is due there), agreement_test the_second_exchange_waits..., which its mutant kChangeIncomplete fails.

--- a/src/agreement/core.hpp
+++ b/src/agreement/core.hpp
@@ -63,6 +63,8 @@
   // Members without disks: a machine's later life has a higher number, and proves that the earlier one and
   // all that it kept are gone. Then all that are left are enough, be they fewer than a majority (IsQuorum).
   bool lives_end = false;
+  // The next change of the roster waits until members that SetComplete() names make up a quorum.
+  bool waits_for_complete = false;
   // For tests of the tests: a core that does something wrong.
   enum class Fault : std::uint8_t {
     kNone,
@@ -72,12 +74,13 @@
     kEpochAlone,      // a successor by its proposer's own vote
     kMajorityOfSeen,  // ... of those of the roster that the view shows
     kReadOne,
-    kBallotForgotten,  // what was promised isn't written
-    kConfirmSecond,    // a second content under a number that is taken
-    kForgetOutcomes,   // a snapshot without them
-    kBehind,           // orders are worked out on what the proposer holds itself
-    kChangeEarly,      // the next change begins before a majority holds this epoch
-    kLeaveEarly        // hands over nothing
+    kBallotForgotten,   // what was promised isn't written
+    kConfirmSecond,     // a second content under a number that is taken
+    kForgetOutcomes,    // a snapshot without them
+    kBehind,            // orders are worked out on what the proposer holds itself
+    kChangeEarly,       // the next change begins before a majority holds this epoch
+    kChangeIncomplete,  // ... or is complete in it (waits_for_complete)
+    kLeaveEarly         // hands over nothing
   } fault = Fault::kNone;
 };
 
@@ -119,7 +122,7 @@
   struct Voter {
     Member member;
     bool answers = false;    // of late
-    bool caught_up = false;  // holds this epoch and the newest chosen record, synced
+    bool caught_up = false;  // holds this epoch and the newest chosen record, synced, and is complete
   };
   std::uint64_t epoch = 0;
   std::vector<Voter> voters;
@@ -158,6 +161,9 @@
   // Whether more than half of the seeds stand in the view. All have the same ones at the first start, so of
   // two sides of a cut one at most sees them, and only that one founds a core while it may be a cut.
   void OnSeeds(bool seen) { seeds_seen_ = seen; }
+  // These members of `epoch` hold, synced, all else that goes from epoch to epoch beside the record (the
+  // service registry). Nothing where another epoch is the present one.
+  void SetComplete(std::uint64_t epoch, std::vector<Life> members);
   // Epoch 1 has these voters: the same ones at all, decided outside. Nothing where an epoch is known already.
   void Found(Time now, std::vector<Member> members, Out& out);
   void OnMessage(Time now, const Message& message, Out& out);
@@ -195,6 +201,7 @@
   // ballots from then on, so that HandedOver() soon holds.
   void Leave() { leaving_ = true; }
   CoreStatus Status(Time now) const;
+  std::uint64_t ballots_refused() const { return ballots_refused_; }  // of its own, for another one's
   std::uint64_t dropped() const { return dropped_; }  // messages of nobody's that is known, and unusable ones
 
  private:
@@ -341,6 +348,8 @@
   bool HandedOver(Time now, const Stamp& stamp) const;
   void NoteHolding(const Life& life, const Stamp& stamp);
   bool Installed() const;  // a majority of the roster holds this epoch, synced
+  bool IsComplete(const Life& life) const;
+  bool CompleteAmong(std::uint32_t answering) const;  // a quorum of those is
   std::optional<std::vector<Member>> WithoutForgotten(Time now) const;
   std::optional<std::vector<Member>> Wish(Time now) const;
   struct Situation;  // of the roster and the spares, as Wish() sees them
@@ -405,6 +414,11 @@
 
   std::map<Life, Peer> peers_;
   std::map<Life, Holding> holdings_;
+  struct Completeness {
+    std::uint64_t epoch = 0;
+    std::vector<Life> members;
+  };
+  Completeness complete_;
   std::map<Life, Watch> watch_;
   Place place_;             // its own
   std::vector<Life> gone_;  // of the roster, where lives end
@@ -426,7 +440,7 @@
   Time first_since_{};
   std::vector<Life> never_;
   bool seeds_seen_ = true;
-  std::uint64_t dropped_ = 0;
+  std::uint64_t dropped_ = 0, ballots_refused_ = 0;
 };
 
 }  // namespace curlewdoor::agreement
--- a/src/agreement/membership.cpp
+++ b/src/agreement/membership.cpp
@@ -112,6 +112,15 @@
          peer->second.answered != Time{} && now - peer->second.answered <= options_.heard_for;
 }
 
+struct Core::Situation {
+  std::uint32_t answering = 0;  // a bit a member of the roster
+  int dead = -1;                // the member that is dead for the longest time
+  bool all_alive = true;
+  // Alive, heard of late and caught up; those of other machines than the members', the longest there first.
+  std::vector<const Watch*> spares;
+  std::optional<std::pair<std::size_t, const Watch*>> other_disk;  // a member's machine with another disk
+};
+
 Forgetting Core::Forget(Time now, const std::string& node, bool forced, Out& out) {
   const auto& members = state_.roster.members;
   if (!member() || sealed() || proposal_ || !majority(now) || !Installed()) return Forgetting::kNoMajority;
@@ -140,19 +149,11 @@
   std::erase_if(rest, [&life](const Member& m) { return m.life == life; });
   bool all = std::all_of(rest.begin(), rest.end(),
                          [&](const Member& m) { return m.life == self_.life || Answers(now, m.life); });
-  if (!forgotten_->forced && (!all || rest.size() < options_.least_members)) return std::nullopt;
+  const bool bears = all && rest.size() >= options_.least_members && CompleteAmong(Look(now).answering);
+  if (!forgotten_->forced && !bears) return std::nullopt;
   return rest;
 }
 
-struct Core::Situation {
-  std::uint32_t answering = 0;  // a bit a member of the roster
-  int dead = -1;                // the member that is dead for the longest time
-  bool all_alive = true;
-  // Alive, heard of late and caught up; those of other machines than the members', the longest there first.
-  std::vector<const Watch*> spares;
-  std::optional<std::pair<std::size_t, const Watch*>> other_disk;  // a member's machine with another disk
-};
-
 Core::Situation Core::Look(Time now) const {
   const std::vector<Member>& members = state_.roster.members;
   Situation seen;
@@ -199,7 +200,7 @@
 std::optional<std::vector<Member>> Core::Wish(Time now) const {
   const std::vector<Member>& members = state_.roster.members;
   const Situation seen = Look(now);
-  if (!IsQuorum(seen.answering) || !Installed()) return std::nullopt;
+  if (!IsQuorum(seen.answering) || !Installed() || !CompleteAmong(seen.answering)) return std::nullopt;
   std::vector<Member> next = members;
   if (seen.other_disk) {
     next[seen.other_disk->first] = seen.other_disk->second->member;
@@ -371,6 +372,27 @@
   return IsQuorum(installed);
 }
 
+void Core::SetComplete(std::uint64_t epoch, std::vector<Life> members) {
+  if (epoch == state_.roster.epoch) complete_ = {epoch, std::move(members)};
+}
+
+bool Core::IsComplete(const Life& life) const {
+  if (!options_.waits_for_complete) return true;
+  if (complete_.epoch != state_.roster.epoch) return false;
+  return std::find(complete_.members.begin(), complete_.members.end(), life) != complete_.members.end();
+}
+
+// A member that is complete but lost can't tell the next epoch what it knew: only those that answer count.
+bool Core::CompleteAmong(std::uint32_t answering) const {
+  if (Does(Options::Fault::kChangeIncomplete)) return true;
+  std::uint32_t complete = 0;
+  for (std::size_t i = 0; i < state_.roster.members.size(); ++i) {
+    const bool answers = (answering >> i & 1) != 0;
+    if (answers && IsComplete(state_.roster.members[i].life)) complete |= 1u << i;
+  }
+  return IsQuorum(complete);
+}
+
 // What was accepted here may be chosen, whether this one has heard of it or not. As many others hold it as
 // make a majority without this one (all of them, of two): what the core bears, it bears then. Who has told
 // that it holds it may be lost by now, so fewer won't do.
@@ -397,7 +419,7 @@
   int caught_up = 0;
   for (const Member& m : state_.roster.members) {
     const bool answers = m.life == self_.life || Answers(now, m.life);
-    const bool holds = CaughtUp(m.life);
+    const bool holds = CaughtUp(m.life) && IsComplete(m.life);
     status.voters.push_back({m, answers, holds});
     caught_up += answers && holds ? 1 : 0;
   }
--- a/src/agreement/register.cpp
+++ b/src/agreement/register.cpp
@@ -63,6 +63,7 @@
 // Another one's ballot is higher. Both wait, unlike long, so that one of them ends.
 void Core::FailAttempt(Time now) {
   attempt_.reset();
+  ++ballots_refused_;
   const Duration pause = options_.duel_pause * (1 << std::min(refusals_++, kMostDoublings));
   attempt_after_ = now + pause / 2 + pause * static_cast<int>(random_() % 1024) / 1024;
 }
--- a/src/registry/replica.cpp
+++ b/src/registry/replica.cpp
@@ -13,8 +13,11 @@
 
 void RegistryReplica::Adopt(Time now, Roster roster) {
   if (roster.epoch <= roster_.epoch) return;
+  const bool follows_record = roster_.epoch == 0 && written_.epoch + 1 == roster.epoch;
   if (roster_.epoch > 0 && roster_.epoch + 1 == roster.epoch) {
     previous_ = std::move(roster_);
+  } else if (follows_record && !written_.members.empty()) {  // a crash before this epoch was written here
+    previous_ = {written_.epoch, written_.members};
   } else if (written_.epoch == roster.epoch) {  // a restart in the same epoch
     previous_ = written_.previous;
   } else {
@@ -23,10 +26,13 @@
   roster_ = std::move(roster);
   adopted_at_ = now;
   answers_.clear();
+  told_complete_.clear();
   Learn(false);
 }
 
 void RegistryReplica::OnAnswer(Time asked, const Standing& standing) {
+  if (standing.complete_epoch == roster_.epoch && roster_.Holds(standing.member))
+    told_complete_.insert(standing.member);
   if (asked < adopted_at_ || learned_epoch_ >= roster_.epoch) return;
   if (!roster_.Holds(standing.member) && !previous_.Holds(standing.member)) return;
   answers_[standing.member] = standing;
@@ -58,6 +64,12 @@
   });
 }
 
+std::vector<MemberId> RegistryReplica::CompleteMembers() const {
+  std::vector<MemberId> complete(told_complete_.begin(), told_complete_.end());
+  if (written_.complete_epoch == roster_.epoch && roster_.Holds(self_)) complete.push_back(self_);
+  return complete;
+}
+
 void RegistryReplica::Learn(bool waited) {
   if (roster_.epoch == 0 || learned_epoch_ >= roster_.epoch) return;
   const bool proved = roster_.epoch == 1 || ByOne() || ByPrevious();
--- a/src/registry/replica.hpp
+++ b/src/registry/replica.hpp
@@ -10,8 +10,9 @@
 //     E on disk): a leave acknowledged in E - 1 was held by a majority before they stopped, and the two
 //     majorities share a member;
 //   - for kAllAfter neither came, and all members of E have answered: the roster of E - 1 isn't known here
-//     (an upgrade), or can't answer any more. That is enough while one member at most is exchanged from an
-//     epoch to the next, and an event tells of it.
+//     (an upgrade), or can't answer any more. E exchanges one member of E - 1, and was proposed only once a
+//     majority of E - 1 was complete (CompleteMembers()): one of these at least is in E and has answered. An
+//     event tells of it, as an operator's forced order is bound by no majority.
 //
 // So before anyone votes in E, a majority of E - 1 has stopped to vote in E - 1: a proof by votes of E - 1
 // was asked for before that, and so before any leave was acknowledged in E.
@@ -20,7 +21,9 @@
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 #include "registry/votes.hpp"
 
@@ -32,6 +35,7 @@
   std::uint64_t complete_epoch = 0;
   Roster previous{};  // of the epoch before `epoch`; epoch 0: not known
   std::uint64_t watermark = 1;
+  std::vector<MemberId> members{};  // of `epoch`; empty: written by a version that kept none
   bool operator==(const ReplicaRecord&) const = default;
 };
 
@@ -55,12 +59,18 @@
   void SetWatermark(std::uint64_t watermark) { watermark_ = watermark; }
 
   // To be written, with all leaves that are held now, as long as it differs from what was written last.
-  ReplicaRecord Record() const { return {roster_.epoch, learned_epoch_, previous_, watermark_}; }
+  ReplicaRecord Record() const {
+    return {roster_.epoch, learned_epoch_, previous_, watermark_, roster_.members};
+  }
   bool Dirty() const { return Record() != written_; }
   void OnWritten(const ReplicaRecord& record) { written_ = record; }
 
   Standing standing() const;
   bool votes() const { return standing().votes; }
+  // Members of the newest epoch that are complete in it, on disk, as they have told: for good, as a disk that
+  // is lost makes another member. The next change of the roster waits for a majority of them.
+  std::vector<MemberId> CompleteMembers() const;
+  std::uint64_t epoch() const { return roster_.epoch; }
   // It learned from all members of the epoch, as the roster before couldn't be asked.
   bool learned_from_all() const { return learned_from_all_; }
 
@@ -76,6 +86,7 @@
   bool learned_from_all_ = false;
   Time adopted_at_{};
   std::map<MemberId, Standing> answers_;  // asked since then
+  std::set<MemberId> told_complete_;      // in the epoch of roster_
   std::uint64_t learned_epoch_ = 0;       // complete in it, once that is written
   std::uint64_t watermark_ = 1;
   ReplicaRecord written_;
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -188,6 +188,7 @@
   void RaiseWatermark(std::uint64_t heard);
   void OnWatermark();
   void ConfirmHosts();
+  void TellCompleteMembers();
   registry::Roster RegistryRoster() const;
   registry::Standing OwnStanding() const;
 
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -88,6 +88,7 @@
   agreement::Options options;
   options.least_members = 2 * settings_.fault_tolerance.machine_failures + 1;
   options.lives_end = in_memory_;
+  options.waits_for_complete = !in_memory_;
   options.spread = {static_cast<int>(settings_.fault_tolerance.zones),
                     static_cast<int>(settings_.fault_tolerance.region_failures)};
   core_.emplace(agreement::Member{{settings_.node_name, disk_}, link_address_.ToText()}, false,
--- a/src/system/node_registry.cpp
+++ b/src/system/node_registry.cpp
@@ -24,6 +24,15 @@
   return roster;
 }
 
+// To the agreement, whose next change of the roster waits for them.
+void Node::TellCompleteMembers() {
+  if (!core_ || !registry_replica_) return;
+  std::vector<agreement::Life> complete;
+  for (const registry::MemberId& member : registry_replica_->CompleteMembers())
+    complete.push_back({member.name, member.incarnation});
+  core_->SetComplete(registry_replica_->epoch(), std::move(complete));
+}
+
 registry::Standing Node::OwnStanding() const {
   return registry_replica_ ? registry_replica_->standing() : registry::Standing{};
 }
@@ -220,6 +229,7 @@
   const Steady now = Now();
   const bool due = registry_lease_.Tick(now);
   const registry::Standing own = OwnStanding();
+  TellCompleteMembers();
   if (own.votes) registry_lease_.OnAnswer(now, now, own);
   ConfirmHosts();
   if (registry_replica_ && watermark_.Tick(now, RegistryRoster(), own)) OnWatermark();
--- a/tests/agreement/agreement_test.cpp
+++ b/tests/agreement/agreement_test.cpp
@@ -138,6 +138,13 @@
   BOOST_TEST(world.ReplaceAfter(std::chrono::seconds(10)) == "");
 }
 
+BOOST_AUTO_TEST_CASE(the_second_exchange_waits_until_the_members_are_complete) {
+  BOOST_TEST(World(0, {}, 3).SecondExchangeWaits() == "");
+  Options early;
+  early.fault = Options::Fault::kChangeIncomplete;
+  BOOST_TEST(World(0, early, 3).SecondExchangeWaits().starts_with("the second exchange doesn't wait"));
+}
+
 // One by one: g++ 12 warns of nested braces with strings.
 Member MemberOf(const char* name, std::uint64_t disk) {
   Member member;
--- a/tests/agreement/world.hpp
+++ b/tests/agreement/world.hpp
@@ -117,6 +117,31 @@
     return broken_;
   }
 
+  // Two of three members are lost for good, one after the other, and two machines wait. Nobody is complete in
+  // the epoch that the first exchange begins, so the second one waits; empty: it does, and then it comes.
+  std::string SecondExchangeWaits() {
+    options_.grow_after = std::chrono::hours(1);
+    options_.waits_for_complete = true;
+    Run(milliseconds(6000));
+    for (int i = 0; i < 2; ++i) {
+      Add(false);
+      StartUp(machines_.size() - 1);
+    }
+    Run(std::chrono::seconds(5));
+    const std::uint64_t first = NewestEpoch();
+    complete_up_to_ = first;
+    LoseForGood(0);
+    Run(std::chrono::seconds(10));
+    if (NewestEpoch() != first + 1) Break("the first exchange doesn't come");
+    LoseForGood(1);
+    Run(std::chrono::seconds(20));
+    if (NewestEpoch() != first + 1) Break("the second exchange doesn't wait");
+    complete_up_to_ = first + 1;
+    Run(std::chrono::seconds(10));
+    if (NewestEpoch() != first + 2) Break("the second exchange doesn't come");
+    return broken_;
+  }
+
   // Machines of these places, of which the first `founders` begin the core and the rest come later. Once the
   // roster stands still: what it bears.
   Spread SettleIn(const std::vector<Place>& places) {
@@ -297,10 +322,30 @@
   void ScheduleTick(std::size_t i, std::uint64_t run) {
     At(45 + Below(10), [this, i, run] {
       if (!machines_[i].core || machines_[i].run != run) return;
+      TellComplete(*machines_[i].core);
       Feed(i, [&](Core& core, Out& out) { core.Tick(now_, out); });
       ScheduleTick(i, run);
     });
   }
+  void LoseForGood(std::size_t i) {
+    Stop(i);
+    machines_[i].gone = true;
+  }
+  std::uint64_t NewestEpoch() const {
+    std::uint64_t epoch = 0;
+    for (const Machine& m : machines_)
+      if (m.core) epoch = std::max(epoch, m.core->roster().epoch);
+    return epoch;
+  }
+  // All members that run, up to the epoch that the test says.
+  void TellComplete(Core& core) const {
+    const Roster& roster = core.roster();
+    if (roster.epoch > complete_up_to_) return;
+    std::vector<Life> complete;
+    for (const Machine& m : machines_)
+      if (m.core) complete.push_back(m.member().life);
+    core.SetComplete(roster.epoch, complete);
+  }
   void Stop(std::size_t i) {
     if (!machines_[i].core) return;
     machines_[i].core.reset();
@@ -625,6 +670,7 @@
   std::uint64_t call_ = 0, version_ = 0, floor_ = 0, acked_ = 0;
   std::size_t most_lost_ = 1;
   milliseconds notice_{1000};  // a view is so old
+  std::uint64_t complete_up_to_ = ~std::uint64_t{0};
   bool troubled_ = false, last_acked_ = false;
   Time faulted_{};
   std::vector<Duration> to_next_;
--- a/tests/registry/registry_test.cpp
+++ b/tests/registry/registry_test.cpp
@@ -1,4 +1,5 @@
 // Votes, proofs of a gateway's list, and who may vote: one by one. Together: registry_search_test.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "registry/lease.hpp"
@@ -211,6 +212,68 @@
   BOOST_TEST(later.votes());
 }
 
+// The disk was written in the epoch before: a crash fell between the core's write and this one.
+BOOST_AUTO_TEST_CASE(a_crash_before_an_epoch_was_written_knows_the_roster_before_it) {
+  RegistryReplica replica(kB);
+  replica.Adopt(kStart, {1, {kA, kB, kC}});
+  Write(replica);
+  const auto kept = Decode(Encode({replica.Record(), ""}));
+  BOOST_REQUIRE(kept.has_value());
+  RegistryReplica again(kB);
+  again.Restore(kept->record);
+  again.Adopt(kStart, {2, {kB, kC, kD}});
+  Write(again);
+  BOOST_TEST(!again.votes());
+  again.OnAnswer(kStart, {kC, 2, 1, false});  // with itself, a majority of epoch 1
+  Write(again);
+  BOOST_TEST(again.votes());
+}
+
+BOOST_AUTO_TEST_CASE(members_are_complete_by_what_they_told_in_this_epoch) {
+  const auto holds = [](const RegistryReplica& replica, const MemberId& member) {
+    const auto complete = replica.CompleteMembers();
+    return std::count(complete.begin(), complete.end(), member) == 1;
+  };
+  RegistryReplica replica(kA);
+  replica.Adopt(kStart, {1, {kA, kB, kC}});
+  BOOST_TEST(replica.CompleteMembers().empty());  // its own disk hasn't it yet
+  Write(replica);
+  BOOST_TEST(holds(replica, kA));
+  replica.OnAnswer(kStart, {kB, 1, 0, false});
+  replica.OnAnswer(kStart, {{"c", 9}, 1, 1, true});  // a wiped disk
+  BOOST_TEST(!holds(replica, kB));
+  BOOST_TEST(replica.CompleteMembers().size() == 1U);
+  replica.OnAnswer(kStart, {kB, 1, 1, true});
+  replica.OnAnswer(kStart, {kB, 1, 1, true});
+  BOOST_TEST(holds(replica, kB));
+  replica.Adopt(kStart, {2, {kA, kB, kD}});
+  BOOST_TEST(replica.CompleteMembers().empty());
+  replica.OnAnswer(kStart, {kB, 1, 1, true});  // of the epoch before
+  BOOST_TEST(replica.CompleteMembers().empty());
+}
+
+// Why an exchange waits for members that are complete: a and b hold a leave that epoch 1 acknowledged. Both
+// are exchanged before c, which never heard of it, has learned; in epoch 3 nobody is left to learn it from.
+BOOST_AUTO_TEST_CASE(two_exchanges_that_did_not_wait_would_forget_a_leave) {
+  RegistryReplica c(kC);
+  c.Adopt(kStart, {1, {kA, kB, kC}});
+  Write(c);
+  c.OnAnswer(kStart, {kA, 1, 1, true});
+  BOOST_TEST(c.CompleteMembers().size() >= 2U);  // the first exchange may begin
+  c.Adopt(kStart + 1s, {2, {kD, kB, kC}});
+  Write(c);
+  c.OnAnswer(kStart + 1s, {kD, 2, 0, false});
+  BOOST_TEST(c.CompleteMembers().empty());  // the second may not
+  const MemberId e{"e", 5};
+  c.Adopt(kStart + 2s, {3, {kD, e, kC}});
+  Write(c);
+  c.OnAnswer(kStart + 5s, {kD, 3, 0, false});
+  c.OnAnswer(kStart + 5s, {e, 3, 0, false});
+  Write(c);
+  BOOST_TEST(c.votes());
+  BOOST_TEST(c.learned_from_all());
+}
+
 BOOST_AUTO_TEST_CASE(foreign_bytes_are_no_record) {
   const std::string bytes = Encode({{2, 1, {1, {kA, kB}}}, "leaves"});
   for (std::size_t size = 0; size < bytes.size(); ++size) BOOST_TEST(!Decode(bytes.substr(0, size)));
--- a/tests/system/history_scene.cpp
+++ b/tests/system/history_scene.cpp
@@ -320,6 +320,8 @@
                seen.member = core["member"];
                seen.epoch = core["epoch"];
                if (core["majority"].is_boolean()) seen.majority = core["majority"];
+               if (core["ballots_refused"].is_number()) seen.ballots_refused = core["ballots_refused"];
+               if (core["further_losses"].is_number()) seen.further_losses = core["further_losses"];
                if (core["committed_version"].is_number()) seen.committed = core["committed_version"];
                for (const auto& member : core["members"]) seen.members.push_back(member["name"]);
              });
@@ -447,7 +449,8 @@
   const bool back = Until([&] {
     const CoreSeen seen = Core(machine);
     return seen.member && seen.majority && seen.committed >= wanted &&
-           seen.members.size() == static_cast<std::size_t>(members);
+           seen.members.size() == static_cast<std::size_t>(members) &&
+           seen.further_losses == (members - 1) / 2;
   });
   return back ? pace.Now() - from : -1;
 }
--- a/tests/system/history_scene.hpp
+++ b/tests/system/history_scene.hpp
@@ -34,6 +34,8 @@
 struct CoreSeen {
   bool member = false, majority = false;
   std::uint64_t epoch = 0, committed = 0;
+  int further_losses = -1;  // that it says the core bears
+  int ballots_refused = 0;  // of its own
   std::vector<std::string> members;
 };
 
@@ -100,7 +102,8 @@
   std::uint64_t InForce(int gateway) const;
   std::size_t confirmed() const { return confirmed_.size(); }
   const std::vector<Sent>& confirmed_orders() const { return confirmed_; }
-  // Seconds until this member counts again and holds what was confirmed when it came back; below 0: never.
+  // Seconds until this member counts again and holds what was confirmed when it came back, and says that the
+  // core bears as many losses as one of so many members can; below 0: never.
   double UntilRedundant(int machine, int members);
   void StopLoad() { load_ = Load{0, false, false}; }
 
