Orders are proposed by the first voter that is reached

Cause: each member proposed the orders that came to it, so ballots of several gave way to each other. Ruled out: a leader with terms (an election after each loss); nothing else than speed rests on who proposes. Change: CoreCalls (src/system/core_calls), a part of its own taken out of Node, sends an order to the first voter in the roster's order, also from a voter; silence of 0.3 s, a refusal or a lost stream lead to the next; a member that knows of no majority refuses at once as before; what another gateway passed on is answered here. core show and figures count ballots that gave way.

--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -199,15 +199,7 @@
   if (had_majority_ && ticks_ % 4 == 0 && now - started_at_ > silent) {
     directory_.Silence(now, silent);
   }
-  std::vector<std::uint64_t> over;
-  for (auto& [number, pending] : pending_) {
-    if (now >= pending.ends) {
-      over.push_back(number);
-    } else if (now >= pending.next) {
-      PassOn(number, pending);
-    }
-  }
-  for (const std::uint64_t number : over) Answer(number, 503, {});
+  core_calls_.Tick(now);
   TickReplications();
   std::vector<CountName> unanswered;
   for (auto it = addings_.begin(); it != addings_.end();) {
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -29,6 +29,7 @@
 #include "system/command.hpp"
 #include "system/config_feed.hpp"
 #include "system/config_source.hpp"
+#include "system/core_calls.hpp"
 #include "system/founding_host.hpp"
 #include "system/front.hpp"
 #include "system/link.hpp"
@@ -38,7 +39,7 @@
 
 namespace curlewdoor::system {
 
-class Node : net::FleetLink::Owner, Link::Owner, FoundingHost::Owner {
+class Node : net::FleetLink::Owner, Link::Owner, FoundingHost::Owner, CoreCalls::Owner {
  public:
   // Throws std::runtime_error where it can't begin. `settings_path` is looked at again now and then.
   Node(struct ev_loop* loop, settings::NodeSettings settings, std::string settings_path, std::uint64_t seed);
@@ -47,20 +48,6 @@
  private:
   using Steady = std::chrono::steady_clock::time_point;
 
-  // An operator's call, or one that another gateway passes on, until it is answered. Of this and what
-  // follows: an answer counts only on a stream that the question went out on. A stream is one connection to
-  // one process, so that no number of an earlier life, or of another peer, can answer it.
-  struct Pending {
-    std::function<void(int status, std::string body)> answer;
-    bool is_put = false;
-    std::uint64_t version = 0;
-    std::string text;
-    std::size_t size = 0;  // of its text, which the core may have by now
-    Steady ends, next;
-    std::vector<Address> asked;
-    std::uint64_t stream = 0;            // that it was passed to last; 0: none
-    std::vector<std::uint64_t> streams;  // all that it was passed to
-  };
   // A host's call that waits until other machines have what it said: any core member where it is news, a
   // majority of them where the host leaves.
   struct Replication {
@@ -148,12 +135,14 @@
   void Run(RequestId id, const ForgetMember& order);
   void ReplyReport(RequestId id, const std::string& json);
   void ReplyBeat(RequestId id);
-  // Where the answer to a call goes that another gateway has passed on, or that came here.
-  std::function<void(int, std::string)> AnswerTo(const Link::Stream& stream, std::uint64_t number);
-  std::function<void(int, std::string)> AnswerCall(RequestId id);
-  void Ask(Pending pending);
-  void PassOn(std::uint64_t number, Pending& pending);
-  void Answer(std::uint64_t number, int status, std::string body);
+  void ReplyJson(RequestId id, int status, const std::string& body);
+  // Where the answer to a call goes that another gateway has passed on.
+  CoreCalls::Answer AnswerTo(const Link::Stream& stream, std::uint64_t number);
+  std::vector<CoreCalls::Voter> ReachedVoters() override;
+  bool KnowsMajority() const override { return had_majority_; }
+  void SendTo(std::uint64_t stream, const Message& message) override;
+  void PutHere(std::uint64_t number, std::uint64_t version, std::string text) override;
+  void GetHere(std::uint64_t number) override;
 
   // Directory.
   enum class Merged {
@@ -302,13 +291,14 @@
   bool registry_proved_ = false;                               // as the log says
   std::uint64_t leaves_acknowledged_ = 0, leaves_not_acknowledged_ = 0;
 
-  std::unordered_map<std::uint64_t, Pending> pending_;
+  CoreCalls core_calls_{*this, {}};
   std::unordered_map<std::uint64_t, Replication> replications_;
   std::unordered_map<std::uint64_t, Adding> addings_;
   std::uint64_t next_number_ = rng_();  // no two processes begin alike
   counting::HeldCounts counts_{settings_.bounds.quota_slack};
 
-  std::shared_ptr<const policy::Policy> checked_;  // of the latest order here, until it is answered
+  // Of the latest order here, until it is refused or in force.
+  std::shared_ptr<const policy::Policy> checked_;
   std::chrono::system_clock::time_point in_force_at_{};
   ConfigId in_force_;
   Steady applied_at_{};
--- a/src/system/node_calls.cpp
+++ b/src/system/node_calls.cpp
@@ -39,79 +39,64 @@
 }
 
 void Node::Run(RequestId id, directory::PutConfig& put) {
-  Pending pending;
+  std::uint64_t version = 0;
   try {
     checked_ = policy::Policy::Read(put.text);
-    pending.version = checked_->version();
+    version = checked_->version();
   } catch (const policy::PolicyError& error) {
     Say(Event::kConfigRefused, error.what());
     return control_.Reply(id, 400, std::string(error.what()) + "\n", "text/plain");
   }
-  Say(Event::kConfigTaken, "version " + std::to_string(pending.version));
-  pending.is_put = true;
-  pending.text = std::move(put.text);
-  pending.ends = Now() + kCallEnds;
-  pending.answer = AnswerCall(id);
-  Ask(std::move(pending));
+  Say(Event::kConfigTaken, "version " + std::to_string(version));
+  CoreCalls::Call call;
+  call.kind = CoreCalls::Kind::kOrder;
+  call.version = version;
+  call.text = std::move(put.text);
+  call.answer = [this, id](int status, const std::string& body) {
+    if (status != kConfirmed) checked_.reset();  // a confirmed one comes into force soon, and is used then
+    ReplyJson(id, status, body);
+  };
+  core_calls_.Begin(Now(), next_number_++, std::move(call));
 }
 
 void Node::Run(RequestId id, const directory::ReadConfig&) {
-  Pending pending;
-  pending.ends = Now() + kCallEnds;
-  pending.answer = AnswerCall(id);
-  Ask(std::move(pending));
+  CoreCalls::Call call;
+  call.answer = [this, id](int status, const std::string& body) { ReplyJson(id, status, body); };
+  core_calls_.Begin(Now(), next_number_++, std::move(call));
 }
 
-void Node::Ask(Pending pending) {
-  pending.size = pending.text.size();
-  std::size_t held = pending.size;
-  for (const auto& [number, other] : pending_) held += other.size;
-  if (pending_.size() >= kMostPending || held > kMostPendingText) return pending.answer(503, {});
-  const std::uint64_t number = next_number_++;
-  Pending& kept = pending_[number] = std::move(pending);
-  if (core_member()) {
-    kept.next = kept.ends;
-    agreement::Out out;
-    if (kept.is_put) {
-      core_->Put(Now(), number, {kept.version, std::move(kept.text)}, out);
-    } else {
-      core_->Get(Now(), number, out);
-    }
-    return CarryCore(std::move(out));
+void Node::ReplyJson(RequestId id, int status, const std::string& body) {
+  control_.Reply(id, status, body, "application/json");
+}
+
+// ---- The core's register, for CoreCalls -----------------------------------------------------------------
+
+std::vector<CoreCalls::Voter> Node::ReachedVoters() {
+  std::vector<CoreCalls::Voter> voters;
+  for (const CoreMember& member : members_) {
+    const bool here = core_member() && member.name == settings_.node_name && member.disk == disk_;
+    const Link::Stream* stream = here ? nullptr : link_.To(member.address);
+    if (here || stream != nullptr) voters.push_back({member.address, here ? 0 : stream->number});
   }
-  PassOn(number, kept);
+  return voters;
 }
 
-// To a core member that wasn't asked yet; when all were, to the first again.
-void Node::PassOn(std::uint64_t number, Pending& pending) {
-  Link::Stream* next = nullptr;
-  link_.ForEach([&](Link::Stream& stream) {
-    const bool member = std::any_of(members_.begin(), members_.end(),
-                                    [&](const CoreMember& each) { return each.address == stream.to(); });
-    const bool asked =
-        std::find(pending.asked.begin(), pending.asked.end(), stream.to()) != pending.asked.end();
-    if (stream.dialled() && member && !asked && next == nullptr) next = &stream;
+void Node::SendTo(std::uint64_t stream, const Message& message) {
+  link_.ForEach([&](Link::Stream& each) {
+    if (each.number == stream) each.Send(Encode(message));
   });
-  pending.next = Now() + kPassAgain;
-  if (next == nullptr) {
-    pending.asked.clear();
-    pending.stream = 0;
-    pending.next = Now() + kPassAgain / 2;
-    return;
-  }
-  pending.asked.push_back(next->to());
-  pending.stream = next->number;
-  pending.streams.push_back(next->number);
-  next->Send(pending.is_put ? Encode(Put{number, pending.version, pending.text}) : Encode(Get{number}));
 }
 
-void Node::Answer(std::uint64_t number, int status, std::string body) {
-  const auto it = pending_.find(number);
-  if (it == pending_.end()) return;
-  const auto answer = std::move(it->second.answer);
-  if (it->second.is_put) checked_.reset();
-  pending_.erase(it);
-  answer(status, std::move(body));
+void Node::PutHere(std::uint64_t number, std::uint64_t version, std::string text) {
+  agreement::Out out;
+  core_->Put(Now(), number, {version, std::move(text)}, out);
+  CarryCore(std::move(out));
+}
+
+void Node::GetHere(std::uint64_t number) {
+  agreement::Out out;
+  core_->Get(Now(), number, out);
+  CarryCore(std::move(out));
 }
 
 }  // namespace curlewdoor::system
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -192,21 +192,23 @@
 void Node::AnswerDone(agreement::Done& done) {
   using agreement::Outcome;
   if (done.call == feed_read_) return OnFeedRead(done);
-  const auto it = pending_.find(done.call);
-  if (it == pending_.end()) return;
-  const Pending& pending = it->second;
+  const CoreCalls::Call* call = core_calls_.Find(done.call);
+  if (call == nullptr) return;
+  const auto answer = [&](int status, std::string body) {
+    core_calls_.OnAnsweredHere(Now(), done.call, status, std::move(body));
+  };
   if (done.outcome == Outcome::kConflict) {
-    Say(Event::kConfigConflict, "version " + std::to_string(pending.version));
-    return Answer(done.call, 409, ConflictText(pending.version, done));
+    Say(Event::kConfigConflict, "version " + std::to_string(call->version));
+    return answer(409, ConflictText(call->version, done));
   }
-  if (done.outcome != Outcome::kKept && done.outcome != Outcome::kOlder) return Answer(done.call, 503, {});
-  if (pending.is_put) {
+  if (done.outcome != Outcome::kKept && done.outcome != Outcome::kOlder) return answer(503, {});
+  if (call->kind == CoreCalls::Kind::kOrder) {
     if (done.outcome == Outcome::kOlder)
       Say(Event::kConfigOvertaken, "by " + std::to_string(done.value.version));
-    return Answer(done.call, 200, "{}");
+    return answer(kConfirmed, "{}");
   }
-  if (done.value.version == 0) return Answer(done.call, 404, "{}");
-  Answer(done.call, 200, std::move(done.value.text));
+  if (done.value.version == 0) return answer(404, "{}");
+  answer(200, std::move(done.value.text));
 }
 
 // The number belongs to another content for good, so the same order would be refused for ever.
--- a/src/system/node_feed.cpp
+++ b/src/system/node_feed.cpp
@@ -151,6 +151,7 @@
     front_.SetPolicy(read ? std::move(checked_) : policy::Policy::Read(std::move(text)));
     GiveBackMemory(size);
     in_force_ = id;
+    if (checked_ != nullptr && checked_->version() <= id.version) checked_.reset();
     in_force_at_ = std::chrono::system_clock::now();
     feed_.OnInForce(Now(), id);
     Say(Event::kConfigInForce, "version " + std::to_string(id.version) + ", " +
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -33,8 +33,7 @@
 inline constexpr milliseconds kProbe{500};          // of the fleet's view
 inline constexpr int kRefreshTicks = 6;             // beats that say nothing new are told together
 inline constexpr int kSecondTicks = 20;
-inline constexpr milliseconds kCallEnds{900};   // operators and hosts go elsewhere after a second of silence
-inline constexpr milliseconds kPassAgain{300};  // then another core member is asked
+inline constexpr int kConfirmed = 200;  // the status of an order's answer
 inline constexpr milliseconds kReplicationEnds{700};
 inline constexpr milliseconds kReplicateAgain{
     200};                               // then core members that haven't answered are sent it again
@@ -42,9 +41,8 @@
 inline constexpr milliseconds kAddEnds{400};
 inline constexpr milliseconds kMostAstray{
     200};  // of a gateway's idea of a holder's clock, its message's way included
-inline constexpr std::size_t kMostPending = 256, kMostReplications = 1024, kMostAddings = 4096;
-inline constexpr std::size_t kMostPendingText = 32 * 1024 * 1024;  // of all orders that wait
-inline constexpr double kSilentBeats = 3.5;                        // a host that has missed so many is silent
+inline constexpr std::size_t kMostReplications = 1024, kMostAddings = 4096;
+inline constexpr double kSilentBeats = 3.5;  // a host that has missed so many is silent
 inline constexpr milliseconds kStopListening{
     2600};  // after SIGTERM: the platform has seen by then that we don't serve
 inline constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -74,8 +74,7 @@
     it = of_it ? addings_.erase(it) : std::next(it);
   }
   for (const CountName name : lost) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
-  for (auto& [number, pending] : pending_)
-    if (pending.stream == stream.number) pending.next = Now();
+  core_calls_.OnStreamDown(Now(), stream.number);
 }
 
 void Node::OnFrame(Link::Stream& stream, std::string_view frame) {
@@ -160,47 +159,31 @@
   return best;
 }
 
-std::function<void(int, std::string)> Node::AnswerTo(const Link::Stream& stream, std::uint64_t number) {
+CoreCalls::Answer Node::AnswerTo(const Link::Stream& stream, std::uint64_t number) {
   return [this, number, from = stream.number](int status, const std::string& body) {
-    link_.ForEach([&](Link::Stream& each) {
-      if (each.number == from) each.Send(Encode(Done{number, status, body}));
-    });
-  };
-}
-
-std::function<void(int, std::string)> Node::AnswerCall(RequestId id) {
-  return [this, id](int status, const std::string& body) {
-    control_.Reply(id, status, body, "application/json");
+    SendTo(from, Done{number, status, body});
   };
 }
 
 void Node::Take(Link::Stream& stream, Put& message) {
-  Pending pending;
-  pending.is_put = true;
-  pending.version = message.version;
-  pending.text = std::move(message.text);
-  pending.ends = Now() + kCallEnds;
-  pending.answer = AnswerTo(stream, message.number);
-  if (!core_member()) return pending.answer(503, {});
-  Ask(std::move(pending));
+  CoreCalls::Call call;
+  call.kind = CoreCalls::Kind::kOrder;
+  call.from = CoreCalls::From::kGateway;
+  call.version = message.version;
+  call.text = std::move(message.text);
+  call.answer = AnswerTo(stream, message.number);
+  core_calls_.Begin(Now(), next_number_++, std::move(call));
 }
 
 void Node::Take(Link::Stream& stream, Get& message) {
-  Pending pending;
-  pending.ends = Now() + kCallEnds;
-  pending.answer = AnswerTo(stream, message.number);
-  if (!core_member()) return pending.answer(503, {});
-  Ask(std::move(pending));
+  CoreCalls::Call call;
+  call.from = CoreCalls::From::kGateway;
+  call.answer = AnswerTo(stream, message.number);
+  core_calls_.Begin(Now(), next_number_++, std::move(call));
 }
 
 void Node::Take(Link::Stream& stream, Done& message) {
-  const auto it = pending_.find(message.number);
-  if (it == pending_.end() || !WentOn(it->second.streams, stream)) return;
-  if (message.status == 503) {  // another member may do better
-    if (it->second.stream == stream.number) PassOn(it->first, it->second);
-    return;
-  }
-  Answer(message.number, message.status, std::move(message.body));
+  core_calls_.OnAnswered(Now(), stream.number, message.number, message.status, std::move(message.body));
 }
 
 void Node::Take(Link::Stream&, Config& message) {
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -1,7 +1,7 @@
 # The whole gateway: one node, and its program.
 add_library(curlewdoor_node STATIC src/counting/held_counts.cpp src/counting/pressure.cpp src/counting/quota_plan.cpp
                                    src/system/call_door.cpp src/system/command.cpp src/system/config_feed.cpp
-                                   src/system/config_source.cpp src/system/founding_host.cpp
+                                   src/system/config_source.cpp src/system/core_calls.cpp src/system/founding_host.cpp
                                    src/system/front.cpp src/system/front_dialect.cpp src/system/front_in_force.cpp
                                    src/system/link.cpp src/system/message.cpp src/system/node.cpp src/system/node_calls.cpp
                                    src/system/node_core.cpp src/system/node_count.cpp
@@ -36,6 +36,7 @@
 endif()
 system_test(text_delta_test tests/util/text_delta_test.cpp curlewdoor_node)
 system_test(config_feed_test tests/system/config_feed_test.cpp curlewdoor_node)
+system_test(core_calls_test tests/system/core_calls_test.cpp curlewdoor_node)
 system_test(config_source_test tests/system/config_source_test.cpp curlewdoor_node)
 if(NOT CURLEWDOOR_SANITIZE)
   system_test(feed_model_check_test tests/system/feed_model_check_test.cpp curlewdoor_node)
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -145,6 +145,8 @@
     answer.Number("zones_borne", status.spread.zones).Number("zones_wanted", status.wanted.zones);
     answer.Number("regions_borne", status.spread.regions).Number("regions_wanted", status.wanted.regions);
   }
+  told ? answer.Number("ballots_refused", static_cast<double>(core_->ballots_refused()))
+       : answer.None("ballots_refused");
   cJSON* members = answer.List("members");
   for (const CoreMember& member : members_) {
     Object each = AddTo(members);
@@ -363,6 +365,9 @@
   page.Counter("config_wholes_total", feed.wholes, "Configurations taken whole.");
   page.Counter("config_bytes_total", feed.bytes, "Bytes of both.");
   page.Counter("config_unusable_total", feed.unusable, "Answers that made no text of their digest.");
+  if (core_)
+    page.Counter("core_ballots_refused_total", core_->ballots_refused(),
+                 "Ballots of this member that gave way to another's.");
   page.Gauge("epoch", epoch_, "Epoch of the core's roster, as known here.");
   page.Gauge("core_member", core_member() ? 1 : 0, "Whether this gateway is in that roster.");
   page.Gauge("majority", had_majority_ ? 1 : 0, "Whether this member hears a majority; 0 where it is none.");
--- a/tests/system/history_orders_test.cpp
+++ b/tests/system/history_orders_test.cpp
@@ -110,5 +110,49 @@
   scene.Judge();
 }
 
+// From the call to the answer, of the median, of 99 in 100 and of the longest.
+std::string TimesOf(const std::vector<AskedPtr>& asked) {
+  std::vector<double> took;
+  for (const AskedPtr& each : asked) took.push_back(each->took);
+  std::sort(took.begin(), took.end());
+  return fmt::format("{:.0f} / {:.0f} / {:.0f} ms", 1e3 * took[took.size() / 2],
+                     1e3 * took[took.size() * 99 / 100], 1e3 * took.back());
+}
+
+// In calm: one by one, then eight at once, at members and others in turn. All are proposed by the first
+// voter, so hardly a ballot gives way to another.
+void PlayCalmOrders(int core) {
+  constexpr int kAtOnce = 8, kRounds = 12;
+  HistoryScene scene(core, 2);
+  BOOST_REQUIRE(scene.Begin({.operators = 0, .reads = false}));
+  BOOST_REQUIRE(scene.UntilRedundant(0, core) >= 0);
+  const auto refused = [&] {
+    int sum = 0;
+    for (int m = 0; m < core; ++m) sum += scene.Core(m).ballots_refused;
+    return sum;
+  };
+  const int before = refused();
+  std::vector<AskedPtr> one_by_one, together;
+  for (int i = 0; i < 40; ++i) {
+    one_by_one.push_back(scene.Order(i % (core + 2), scene.Next()));
+    BOOST_REQUIRE(scene.Over({one_by_one.back()}));
+  }
+  for (int round = 0; round < kRounds; ++round) {
+    std::vector<AskedPtr> asked;
+    for (int i = 0; i < kAtOnce; ++i)
+      asked.push_back(scene.Order((round + i) % (core + 2), scene.Next(fmt::format("e{}", i))));
+    BOOST_REQUIRE(scene.Over(asked));
+    together.insert(together.end(), asked.begin(), asked.end());
+  }
+  const int gave_way = refused() - before;
+  BOOST_TEST_MESSAGE(core << " members: one by one " << TimesOf(one_by_one) << ", eight at once "
+                          << TimesOf(together) << " (median / 99% / longest), " << gave_way
+                          << " ballots gave way");
+  BOOST_TEST(gave_way < kRounds);
+  scene.Judge();
+}
+BOOST_AUTO_TEST_CASE(calm_ones_have_one_proposer_of_three) { PlayCalmOrders(3); }
+BOOST_AUTO_TEST_CASE(calm_ones_have_one_proposer_of_five) { PlayCalmOrders(5); }
+
 }  // namespace
 }  // namespace curlewdoor::systemkit
