An answer without a length is taken when its connection ends in order

Ruled out: taking them after a reset as well, whose bytes may be lost on the way. Change: such an answer is done when the parser has seen an orderly end; a long one goes on in chunks, and a reset ends it without its last chunk.

--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -326,9 +326,10 @@
   if (request == nullptr || message == nullptr) return;
   trying::HostAnswer answer{.status = answered.status, .not_run = answered.not_processed};
   answer.bound = message->Find(kAttemptIdHeader) == request->wire_id;
-  // An answer that ends with its connection may have been cut; one that was coded is not the host's.
-  const bool framed = message->length() || message->Has("Transfer-Encoding") || answered.status == 204;
-  answer.whole = framed && (message->done() || upstream_.stream_begins());
+  // One without a length is done when its connection ends in order: a reset breaks the attempt, or the
+  // stream.
+  answer.whole = message->done() || upstream_.stream_begins();
+  // One that was coded is not the host's.
   answer.sealed = !message->Find(kSealHeader).empty() && !message->Has("Content-Encoding");
   const auto ending =
       request->course.Take({trying::AttemptEvent::Kind::kAnswered, answered.attempt.number, answer});
--- a/tests/system/front_verdict_test.cpp
+++ b/tests/system/front_verdict_test.cpp
@@ -48,6 +48,22 @@
       }
 }
 
+// Of an answer without a length much has been passed on when its connection is reset: it must not look whole.
+BOOST_AUTO_TEST_CASE(AResetEndsAnAnswerWithoutALength) {
+  Kitchen kitchen(1);
+  StandHost::Link* serving = nullptr;
+  kitchen.hosts[0]->handle = [&](StandHost::Link& link, const StandHost::Request& request) {
+    serving = &link;
+    link.Write(UpToTheEnd(request.Find("X-Attempt-Id"), Text(100'000, 3)));
+  };
+  Caller caller(kitchen.loop.get(), kitchen.front->port());
+  caller.Write(Kitchen::Ask("/read/x", "a"));
+  BOOST_REQUIRE(kitchen.Until([&] { return caller.came.size() > 50'000; }));
+  serving->Reset();
+  BOOST_REQUIRE(kitchen.Until([&] { return caller.over; }));
+  BOOST_TEST(Split(caller.came, true).whole.empty());
+}
+
 // All that are tried turn it away: a promise, which holds. Or one of them may have run it: none.
 BOOST_AUTO_TEST_CASE(PromisesAreTrue) {
   int number = 0;
