Gateways of a rehearsal on sockets listen on addresses of the run's own

A port of 127.0.0.1 was found free, closed and given to another process before the gateway listened. Ruled out: a longer wait (the gateway had ended). Change: such ports are of 127.a.b.1 by the process's id; the formula, which stood twice, is net/loopback.hpp.

--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -14,6 +14,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "net/loopback.hpp"
 #include "net/socket_io.hpp"
 #include "rehearsal/scenario.hpp"
 #include "util/hash.hpp"
@@ -104,10 +105,7 @@
 
 // Addresses of this run alone: other runs beside it, of other processes, have others.
 std::uint32_t FleetRig::Ip(int process, bool relay) const {
-  const auto pid = static_cast<std::uint32_t>(::getpid());
-  const std::uint32_t second = 16 + pid % 200, third = pid / 200 % 250;
-  return 0x7f000000 | second << 16 | third << 8 |
-         (static_cast<std::uint32_t>(process) + 1 + (relay ? kRelays : 0));
+  return net::OwnLoopbackNetwork() | (static_cast<std::uint32_t>(process) + 1 + (relay ? kRelays : 0));
 }
 
 // ---- Processes ----------------------------------------------------------------------------------------
--- a/src/playing/socket_run.cpp
+++ b/src/playing/socket_run.cpp
@@ -9,6 +9,7 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "net/loopback.hpp"
 #include "net/socket_io.hpp"
 
 namespace curlewdoor::playing {
@@ -16,14 +17,14 @@
 
 using std::chrono::milliseconds;
 
-constexpr std::uint32_t kLoopback = 0x7f000001;
 constexpr Duration kPlaysOn = milliseconds(3500);  // after the end, for what is still open
 constexpr Duration kLooksEvery = milliseconds(100);
 
+// The gateway that is to listen there starts later: the port must not be given to another process meanwhile.
 Address FreeAddress() {
   Address bound;
   std::string error;
-  const int fd = net::ListenOn(Address{kLoopback, 0}, bound, error);
+  const int fd = net::ListenOn(Address{net::OwnLoopbackNetwork() | 1, 0}, bound, error);
   if (fd < 0) throw std::runtime_error(error);
   ::close(fd);
   return bound;
--- a/src/systemkit/machines.cpp
+++ b/src/systemkit/machines.cpp
@@ -10,6 +10,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "net/loopback.hpp"
 #include "net/socket_io.hpp"
 
 namespace curlewdoor::systemkit {
@@ -32,7 +33,7 @@
   // gives to whoever connects.
   static std::uint32_t run = 0;
   const auto pid = static_cast<std::uint32_t>(::getpid());
-  network_ = 0x7f000000 | (16 + pid % 200) << 16 | (pid / 200 % 250) << 8;
+  network_ = net::OwnLoopbackNetwork();
   machines_.resize(static_cast<std::size_t>(options.core + options.others + options.spares));
   for (std::size_t m = 0; m < machines_.size(); ++m) {
     machines_[m].name = fmt::format("gateway-{}", m);
