Node's messages are handled and its calls executed, by the field's words

Take, Run and Carry of Node become Handle, Execute, ExecuteCore and ExecuteFleet (the table of names); no behaviour changes.

--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -39,7 +39,7 @@
                    [this](int) {
                      fleet::Out out;
                      fleet_->Tick(Now(), out);
-                     Carry(out);
+                     ExecuteFleet(out);
                    }),
       link_(loop, link_descriptors_, *this, LinkOptions(settings_), seed),
       watermark_(std::max(settings_.registry_period, settings_.heartbeat)),
@@ -115,7 +115,7 @@
   seen_view_ = 0;
   fleet::Out out;
   fleet_->Start(Now(), out);
-  Carry(out);
+  ExecuteFleet(out);
 }
 
 // A core member that comes back knows its companions, wherever the seeds have gone meanwhile; a gateway
@@ -171,7 +171,7 @@
   if (core_) {
     agreement::Out out;
     core_->Tick(now, out);
-    CarryCore(std::move(out));
+    ExecuteCore(std::move(out));
   }
   if (founding_) founding_->Tick();
   if ((core_ || !InContact()) && ticks_ % 10 == 0) OnView();
@@ -260,7 +260,7 @@
 void Node::End() {
   fleet::Out out;
   fleet_->Leave(Now(), out);
-  Carry(out);
+  ExecuteFleet(out);
   Say(front_.owes_anything() ? Event::kDrainCutShort : Event::kDrained, settings_.node_name);
   ev_break(loop_, EVBREAK_ALL);
 }
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -86,7 +86,7 @@
   void OnDatagram(std::string_view bytes) override;
   std::string OnExchange(std::string_view bytes) override;
   void OnExchangeEnd(const Address& with, std::string_view bytes) override;
-  void Carry(const fleet::Out& out);
+  void ExecuteFleet(const fleet::Out& out);
   void OnView();
   static bool IsOfCore(const fleet::Record& record);
   static std::string ZoneOf(const fleet::Record& record);
@@ -100,22 +100,22 @@
   void OnDown(Link::Stream& stream) override;
   // Whether a question that went out on these streams may be answered on this one.
   static bool WentOn(const std::vector<std::uint64_t>& streams, const Link::Stream& stream);
-  void Take(Link::Stream& stream, Hello& message);
-  void Take(Link::Stream& stream, Clock& message);
+  void Handle(Link::Stream& stream, Hello& message);
+  void Handle(Link::Stream& stream, Clock& message);
   void AskClock(Link::Stream& stream);
-  void Take(Link::Stream& stream, Hosts& message);
-  void Take(Link::Stream& stream, Refreshed& message);
-  void Take(Link::Stream& stream, Put& message);
-  void Take(Link::Stream& stream, Get& message);
-  void Take(Link::Stream& stream, Done& message);
-  void Take(Link::Stream& stream, Config& message);
-  void Take(Link::Stream& stream, Members& message);
-  void Take(Link::Stream& stream, AddUnits& message);
-  void Take(Link::Stream& stream, Total& message);
-  void Take(Link::Stream& stream, CoreBytes& message);
-  void Take(Link::Stream& stream, Digest& message);
-  void Take(Link::Stream& stream, AskHosts& message);
-  void Take(Link::Stream& stream, FoundingBytes& message);
+  void Handle(Link::Stream& stream, Hosts& message);
+  void Handle(Link::Stream& stream, Refreshed& message);
+  void Handle(Link::Stream& stream, Put& message);
+  void Handle(Link::Stream& stream, Get& message);
+  void Handle(Link::Stream& stream, Done& message);
+  void Handle(Link::Stream& stream, Config& message);
+  void Handle(Link::Stream& stream, Members& message);
+  void Handle(Link::Stream& stream, AddUnits& message);
+  void Handle(Link::Stream& stream, Total& message);
+  void Handle(Link::Stream& stream, CoreBytes& message);
+  void Handle(Link::Stream& stream, Digest& message);
+  void Handle(Link::Stream& stream, AskHosts& message);
+  void Handle(Link::Stream& stream, FoundingBytes& message);
   Link::Stream* NearCore();                // the core member that is reached soonest; nullptr: none
   void Broadcast(const Message& message);  // to all that wait for news
   // To all core members that are reached; the streams.
@@ -123,17 +123,17 @@
 
   // Calls from outside.
   void OnCall(CallDoor::Call call);
-  void Run(RequestId id, const directory::Beat& beat);
-  void Run(RequestId id, const directory::Leave& leave);
-  void Run(RequestId id, directory::PutConfig& put);
-  void Run(RequestId id, const directory::ReadConfig& read);
-  void Run(RequestId id, const ReportCore& report);  // and the rest: report.cpp
-  void Run(RequestId id, const ReportHosts& report);
-  void Run(RequestId id, const ReportTenant& report);
-  void Run(RequestId id, const ReportGateways& report);
-  void Run(RequestId id, const ReportFigures& report);
-  void Run(RequestId id, const ReportConfig& report);
-  void Run(RequestId id, const ForgetMember& order);
+  void Execute(RequestId id, const directory::Beat& beat);
+  void Execute(RequestId id, const directory::Leave& leave);
+  void Execute(RequestId id, directory::PutConfig& put);
+  void Execute(RequestId id, const directory::ReadConfig& read);
+  void Execute(RequestId id, const ReportCore& report);  // and the rest: report.cpp
+  void Execute(RequestId id, const ReportHosts& report);
+  void Execute(RequestId id, const ReportTenant& report);
+  void Execute(RequestId id, const ReportGateways& report);
+  void Execute(RequestId id, const ReportFigures& report);
+  void Execute(RequestId id, const ReportConfig& report);
+  void Execute(RequestId id, const ForgetMember& order);
   void ReplyReport(RequestId id, const std::string& json);
   void ReplyBeat(RequestId id);
   void ReplyRefreshed(RequestId id, const directory::Beat& beat);
@@ -162,10 +162,10 @@
   void RelayLeaves(std::uint64_t after);
 
   // Registry: what is acknowledged to hosts, and by which list requests are sent (node_registry.cpp).
-  void Take(Link::Stream& stream, ReplicateHosts& message);
-  void Take(Link::Stream& stream, HostsReplicated& message);
-  void Take(Link::Stream& stream, RegistryQuery& message);
-  void Take(Link::Stream& stream, RegistryAnswer& message);
+  void Handle(Link::Stream& stream, ReplicateHosts& message);
+  void Handle(Link::Stream& stream, HostsReplicated& message);
+  void Handle(Link::Stream& stream, RegistryQuery& message);
+  void Handle(Link::Stream& stream, RegistryAnswer& message);
   void Replicate(RequestId id, const std::string& host, bool leave);
   void TickReplications();
   void SendAgain(std::uint64_t number, Replication& replication);
@@ -189,7 +189,7 @@
   std::uint64_t NewLifeInMemory();
   void TryOpenCore();  // a disk in trouble leaves a gateway without a core, for now
   void StartFleet();
-  void CarryCore(agreement::Out out);
+  void ExecuteCore(agreement::Out out);
   void AnswerDone(agreement::Done& done);
   static std::string ConflictText(std::uint64_t sent, const agreement::Done& done);
   std::unique_ptr<FoundingHost> MakeFounding(agreement::founding::State state, bool durable);
@@ -207,9 +207,9 @@
   Message MembersNow() const;
 
   // Feed of configurations (node_feed.cpp).
-  void Take(Link::Stream& stream, Announce& message);
-  void Take(Link::Stream& stream, Fetch& message);
-  void Take(Link::Stream& stream, Fetched& message);
+  void Handle(Link::Stream& stream, Announce& message);
+  void Handle(Link::Stream& stream, Fetch& message);
+  void Handle(Link::Stream& stream, Fetched& message);
   void OnCommitted();
   void ApplyCommitted();  // in force here too, at most once in kApplyPause
   void AnnounceConfig();  // to all that want news, as AnnouncePace says
--- a/src/system/node_calls.cpp
+++ b/src/system/node_calls.cpp
@@ -11,9 +11,9 @@
 void Node::OnCall(CallDoor::Call call) {
   try {
     if (const auto report = DecodeReport(call.method, call.path))
-      return std::visit([&](const auto& each) { Run(call.id, each); }, *report);
+      return std::visit([&](const auto& each) { Execute(call.id, each); }, *report);
     auto command = directory::Decode(call.method, call.path, std::move(call.body));
-    std::visit([&](auto& each) { Run(call.id, each); }, command);
+    std::visit([&](auto& each) { Execute(call.id, each); }, command);
   } catch (const directory::CallError& error) {
     Say(Event::kBeatRefused, call.path + ": " + error.text);
     control_.Reply(call.id, error.status, error.text + "\n", "text/plain");
@@ -47,7 +47,7 @@
   heartbeat_targets_.SetGateways(gateways);
 }
 
-void Node::Run(RequestId id, const directory::Beat& beat) {
+void Node::Execute(RequestId id, const directory::Beat& beat) {
   // The host has given up waiting for an answer long ago, and may have left since.
   if (!beat.draining && pause_watch_.InputMayBeOld(Now())) return control_.Reply(id, 503);
   const auto* known = directory_.Find(beat.id);
@@ -59,12 +59,12 @@
   Replicate(id, beat.id, beat.draining);
 }
 
-void Node::Run(RequestId id, const directory::Leave& leave) {
+void Node::Execute(RequestId id, const directory::Leave& leave) {
   directory_.Apply(Now(), leave);
   Replicate(id, leave.id, true);
 }
 
-void Node::Run(RequestId id, directory::PutConfig& put) {
+void Node::Execute(RequestId id, directory::PutConfig& put) {
   std::uint64_t version = 0;
   try {
     checked_ = policy::Policy::Read(put.text);
@@ -85,7 +85,7 @@
   core_calls_.Begin(Now(), next_number_++, std::move(call));
 }
 
-void Node::Run(RequestId id, const directory::ReadConfig&) {
+void Node::Execute(RequestId id, const directory::ReadConfig&) {
   CoreCalls::Call call;
   call.answer = [this, id](int status, const std::string& body) { ReplyJson(id, status, body); };
   core_calls_.Begin(Now(), next_number_++, std::move(call));
@@ -116,13 +116,13 @@
 void Node::PutHere(std::uint64_t number, std::uint64_t version, std::string text) {
   agreement::Out out;
   core_->Put(Now(), number, {version, std::move(text)}, out);
-  CarryCore(std::move(out));
+  ExecuteCore(std::move(out));
 }
 
 void Node::GetHere(std::uint64_t number) {
   agreement::Out out;
   core_->Get(Now(), number, out);
-  CarryCore(std::move(out));
+  ExecuteCore(std::move(out));
 }
 
 }  // namespace curlewdoor::system
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -139,7 +139,7 @@
   if (!core_) return;
   agreement::Out out;
   core_->Found(Now(), std::move(members), out);
-  CarryCore(std::move(out));
+  ExecuteCore(std::move(out));
 }
 
 void Node::OnStorage() {
@@ -160,11 +160,11 @@
     }
     agreement::Out out;
     core_->OnWritten(Now(), result.id, result.ok, out);
-    CarryCore(std::move(out));
+    ExecuteCore(std::move(out));
   }
 }
 
-void Node::CarryCore(agreement::Out out) {
+void Node::ExecuteCore(agreement::Out out) {
   for (const std::string& note : out.notes) Say(Event::kSuccessorProposed, note);
   for (agreement::Write& write : out.writes) {
     // Where the first write was refused: nothing may be kept without the life that promised it.
@@ -172,7 +172,7 @@
     if (storage_->Write(write.id, std::move(write.records))) continue;
     agreement::Out failed;
     core_->OnWritten(Now(), write.id, false, failed);
-    CarryCore(std::move(failed));
+    ExecuteCore(std::move(failed));
   }
   for (const agreement::Sending& sending : out.sends) {
     const auto address = ParseAddress(sending.to.address);
--- a/src/system/node_feed.cpp
+++ b/src/system/node_feed.cpp
@@ -55,7 +55,7 @@
   stream.Send(Encode(Config{newest.version, core_->committed().text}));
 }
 
-void Node::Take(Link::Stream& stream, Fetch& message) {
+void Node::Handle(Link::Stream& stream, Fetch& message) {
   stream.announcing.OnFetch(Now());
   const auto answer = source_.OnFetch(stream.number, message, had_majority_);
   if (answer) return stream.Send(Encode(*answer));
@@ -67,7 +67,7 @@
   feed_read_ = next_number_++;
   agreement::Out out;
   core_->Get(Now(), feed_read_, out);
-  CarryCore(std::move(out));
+  ExecuteCore(std::move(out));
 }
 
 void Node::OnFeedRead(const agreement::Done& done) {
@@ -87,13 +87,13 @@
 
 // ---- A gateway's side ---------------------------------------------------------------------------------
 
-void Node::Take(Link::Stream& stream, Announce& message) {
+void Node::Handle(Link::Stream& stream, Announce& message) {
   if (!stream.dialled()) return;
   feed_.OnAnnounce(Now(), stream.name, {message.version, message.digest});
   FetchConfig();
 }
 
-void Node::Take(Link::Stream& stream, Fetched& message) {
+void Node::Handle(Link::Stream& stream, Fetched& message) {
   if (!stream.dialled()) return;
   const auto& policy = front_.policy();
   const std::string_view base = policy != nullptr ? std::string_view(policy->text()) : std::string_view();
--- a/src/system/node_membership.cpp
+++ b/src/system/node_membership.cpp
@@ -15,7 +15,7 @@
     return;
   fleet::Out out;
   fleet_->OnMessage(Now(), *message, out);
-  Carry(out);
+  ExecuteFleet(out);
 }
 
 std::string Node::OnExchange(std::string_view bytes) {
@@ -25,7 +25,7 @@
   std::string answer = fleet::Encode(fleet_->Full(fleet::Kind::kExchangeReply), kFleetName);
   fleet::Out out;
   fleet_->OnMessage(Now(), *message, out);
-  Carry(out);
+  ExecuteFleet(out);
   return answer;
 }
 
@@ -38,10 +38,10 @@
   } else {
     fleet_->OnExchangeFailed(Now(), with, out);
   }
-  Carry(out);
+  ExecuteFleet(out);
 }
 
-void Node::Carry(const fleet::Out& out) {
+void Node::ExecuteFleet(const fleet::Out& out) {
   for (const auto& [to, message] : out.datagrams) fleet_link_.Send(to, fleet::Encode(message, kFleetName));
   for (const auto& [with, message] : out.exchanges)
     fleet_link_.Exchange(with, fleet::Encode(message, kFleetName));
@@ -104,7 +104,7 @@
   if (founding_) founding_->OnView(counted);
   agreement::Out out;
   core_->OnView(Now(), counted, out);
-  CarryCore(std::move(out));
+  ExecuteCore(std::move(out));
 }
 
 // Who is back sees the others one by one, and has its part of all quotas at once: until its view stands still
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -40,7 +40,7 @@
 }
 
 // A stream that was dialled here wants all news from now on, and begins with all that there is.
-void Node::Take(Link::Stream& stream, Hello& message) {
+void Node::Handle(Link::Stream& stream, Hello& message) {
   stream.name = message.name;
   stream.counted = message.counted;
   stream.fetches = message.fetches;
@@ -90,12 +90,12 @@
         "from " + stream.to().ToText() + " " + std::to_string(frame.size()) + " bytes");
     return stream.Close();
   }
-  std::visit([&](auto& each) { Take(stream, each); }, *message);
+  std::visit([&](auto& each) { Handle(stream, each); }, *message);
 }
 
 void Node::AskClock(Link::Stream& stream) { stream.Send(Encode(Clock{Microseconds(Now())})); }
 
-void Node::Take(Link::Stream& stream, Clock& message) {
+void Node::Handle(Link::Stream& stream, Clock& message) {
   const auto now = Now();
   const std::int64_t now_us = Microseconds(now);
   if (message.told_us < 0) return stream.Send(Encode(Clock{message.asked_us, now_us}));
@@ -111,7 +111,7 @@
 
 // What a core member tells it tells to all: it isn't told on once more, but for leaves. A member's answers
 // vouch for all the leaves that it holds, so whoever it answers must have been sent them by itself.
-void Node::Take(Link::Stream& stream, Hosts& message) {
+void Node::Handle(Link::Stream& stream, Hosts& message) {
   const bool from_core = stream.dialled() && stream.counted;
   if (from_core && told_hosts_ != directory_.version()) PublishHosts();
   const std::uint64_t before = directory_.version();
@@ -124,7 +124,7 @@
   if (by_service_.Fold(directory_)) front_.SetHosts(by_service_);
 }
 
-void Node::Take(Link::Stream& stream, Refreshed& message) {
+void Node::Handle(Link::Stream& stream, Refreshed& message) {
   for (auto& [id, sequence] : message.beats) {
     directory_.Refresh(Now(), id, sequence);
     // One core member hears of a beat and tells the others.
@@ -133,7 +133,7 @@
   }
 }
 
-void Node::Take(Link::Stream& stream, Digest& message) {
+void Node::Handle(Link::Stream& stream, Digest& message) {
   stream.strayed = message.hosts == HostsDigest() ? 0 : stream.strayed + 1;
   if (stream.strayed < kMostStrayed) return;
   stream.strayed = 0;
@@ -141,7 +141,7 @@
   stream.Send(Encode(AskHosts{}));
 }
 
-void Node::Take(Link::Stream& stream, AskHosts&) {
+void Node::Handle(Link::Stream& stream, AskHosts&) {
   stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
 }
 
@@ -165,7 +165,7 @@
   };
 }
 
-void Node::Take(Link::Stream& stream, Put& message) {
+void Node::Handle(Link::Stream& stream, Put& message) {
   CoreCalls::Call call;
   call.kind = CoreCalls::Kind::kOrder;
   call.from = CoreCalls::From::kGateway;
@@ -175,22 +175,22 @@
   core_calls_.Begin(Now(), next_number_++, std::move(call));
 }
 
-void Node::Take(Link::Stream& stream, Get& message) {
+void Node::Handle(Link::Stream& stream, Get& message) {
   CoreCalls::Call call;
   call.from = CoreCalls::From::kGateway;
   call.answer = AnswerTo(stream, message.number);
   core_calls_.Begin(Now(), next_number_++, std::move(call));
 }
 
-void Node::Take(Link::Stream& stream, Done& message) {
+void Node::Handle(Link::Stream& stream, Done& message) {
   core_calls_.OnAnswered(Now(), stream.number, message.number, message.status, std::move(message.body));
 }
 
-void Node::Take(Link::Stream&, Config& message) {
+void Node::Handle(Link::Stream&, Config& message) {
   SetInForce(IdOf(message.version, message.text), std::move(message.text));
 }
 
-void Node::Take(Link::Stream&, Members& message) {
+void Node::Handle(Link::Stream&, Members& message) {
   std::vector<CoreMember> members;
   for (const auto& [name, disk, text] : message.members)
     if (const auto address = ParseAddress(text)) members.push_back({name, disk, *address});
@@ -200,7 +200,7 @@
   if (!gathered_ && least_gateways_ > gateways_) OnView();
 }
 
-void Node::Take(Link::Stream& stream, AddUnits& message) {
+void Node::Handle(Link::Stream& stream, AddUnits& message) {
   // Whoever goes by another clock goes by other windows: its units would be counted apart from all others'.
   const bool in_step =
       std::abs(message.clock_us - Microseconds(Now())) <= kMostAstray / std::chrono::microseconds(1);
@@ -210,7 +210,7 @@
   stream.Send(Encode(Total{message.number, total.has_value(), total.value_or(0)}));
 }
 
-void Node::Take(Link::Stream& stream, Total& message) {
+void Node::Handle(Link::Stream& stream, Total& message) {
   const auto it = addings_.find(message.number);
   if (it == addings_.end() || it->second.stream != stream.number) return;
   const Adding adding = it->second;
@@ -220,16 +220,16 @@
       {adding.name, message.counted ? Outcome::kOk : Outcome::kConnectFailed, message.total, latency});
 }
 
-void Node::Take(Link::Stream&, CoreBytes& message) {
+void Node::Handle(Link::Stream&, CoreBytes& message) {
   if (!core_) return;
   const auto decoded = agreement::DecodeMessage(message.bytes);
   if (!decoded) return Say(Event::kMessageRefused, "of the core");
   agreement::Out out;
   core_->OnMessage(Now(), *decoded, out);
-  CarryCore(std::move(out));
+  ExecuteCore(std::move(out));
 }
 
-void Node::Take(Link::Stream& stream, FoundingBytes& message) {
+void Node::Handle(Link::Stream& stream, FoundingBytes& message) {
   if (founding_) founding_->OnBytes(stream, message.bytes);
 }
 
--- a/src/system/node_registry.cpp
+++ b/src/system/node_registry.cpp
@@ -101,7 +101,7 @@
   replication.streams.insert(replication.streams.end(), streams.begin(), streams.end());
 }
 
-void Node::Take(Link::Stream& stream, HostsReplicated& message) {
+void Node::Handle(Link::Stream& stream, HostsReplicated& message) {
   const auto it = replications_.find(message.number);
   if (it == replications_.end()) return;
   if (!WentOn(it->second.streams, stream)) return;
@@ -126,7 +126,7 @@
 
 // ---- A core member's side -----------------------------------------------------------------------------
 
-void Node::Take(Link::Stream& stream, ReplicateHosts& message) {
+void Node::Handle(Link::Stream& stream, ReplicateHosts& message) {
   const Merged merged = MergeBatch(message.batch);
   const bool taken = merged == Merged::kNews || merged == Merged::kLeave;
   if (!taken || owed_votes_.size() >= kMostOwedVotes) return;
@@ -201,7 +201,7 @@
   RaiseWatermark(kept->record.watermark);
 }
 
-void Node::Take(Link::Stream& stream, RegistryQuery& message) {
+void Node::Handle(Link::Stream& stream, RegistryQuery& message) {
   RaiseWatermark(message.watermark);
   if (!core_) return;
   if (told_hosts_ != directory_.version()) PublishHosts();
@@ -213,7 +213,7 @@
 
 // ---- A gateway's side ---------------------------------------------------------------------------------
 
-void Node::Take(Link::Stream& stream, RegistryAnswer& message) {
+void Node::Handle(Link::Stream& stream, RegistryAnswer& message) {
   RaiseWatermark(message.watermark);
   const registry::Standing standing = StandingOf(stream, message);
   const Steady asked{std::chrono::microseconds(message.asked_us)};
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -120,7 +120,7 @@
   control_.Reply(id, 200, json, "application/json");
 }
 
-void Node::Run(RequestId id, const ReportCore&) {
+void Node::Execute(RequestId id, const ReportCore&) {
   Document answer;
   answer.Text("node", settings_.node_name).Flag("member", core_member());
   core_ ? answer.Text("life", LifeText(disk_)) : answer.None("life");
@@ -167,7 +167,7 @@
   ReplyReport(id, answer.Print());
 }
 
-void Node::Run(RequestId id, const ForgetMember& order) {
+void Node::Execute(RequestId id, const ForgetMember& order) {
   using agreement::Forgetting;
   const auto refuse = [&](int status, const std::string& why) {
     control_.Reply(id, status, order.name + ": " + why + "\n", "text/plain");
@@ -176,7 +176,7 @@
   agreement::Out out;
   const Forgetting verdict = core_->Forget(Now(), order.name, order.forced, out);
   const std::string epoch = std::to_string(epoch_);
-  CarryCore(std::move(out));
+  ExecuteCore(std::move(out));
   switch (verdict) {
     case Forgetting::kProposed:
       events::Say(events::Event::kForgetOrdered, order.name + (order.forced ? ", forced" : ""));
@@ -195,7 +195,7 @@
 }
 
 // Host by host: a tree of the whole answer would take some 10 MB, which the process would keep.
-void Node::Run(RequestId id, const ReportHosts&) {
+void Node::Execute(RequestId id, const ReportHosts&) {
   std::vector<directory::Entry> entries = directory_.All();
   std::sort(entries.begin(), entries.end(), [](const directory::Entry& a, const directory::Entry& b) {
     return std::tie(a.service, a.id) < std::tie(b.service, b.id);
@@ -228,7 +228,7 @@
   ReplyReport(id, text);
 }
 
-void Node::Run(RequestId id, const ReportTenant& report) {
+void Node::Execute(RequestId id, const ReportTenant& report) {
   const auto& policy = front_.policy();
   const policy::Tenant* tenant = nullptr;
   if (policy != nullptr)
@@ -260,7 +260,7 @@
   ReplyReport(id, answer.Print());
 }
 
-void Node::Run(RequestId id, const ReportGateways&) {
+void Node::Execute(RequestId id, const ReportGateways&) {
   const Steady now = Now();
   Document answer;
   answer.Number("alive", static_cast<double>(fleet_->alive())).Flag("settled", fleet_->settled());
@@ -280,7 +280,7 @@
   ReplyReport(id, answer.Print());
 }
 
-void Node::Run(RequestId id, const ReportConfig&) {
+void Node::Execute(RequestId id, const ReportConfig&) {
   Document answer;
   const auto& policy = front_.policy();
   answer.Number("version_in_force", policy != nullptr ? static_cast<double>(policy->version()) : 0);
@@ -306,7 +306,7 @@
   ReplyReport(id, answer.Print());
 }
 
-void Node::Run(RequestId id, const ReportFigures&) {
+void Node::Execute(RequestId id, const ReportFigures&) {
   Page page;
   const Front::Figures& figures = front_.figures();
   const auto& door = front_.counts();
