--- a/src/playing/fleet_rig.cpp
+++ b/src/playing/fleet_rig.cpp
@@ -14,10 +14,10 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "net/loopback.hpp"
 #include "net/socket_io.hpp"
 #include "rehearsal/scenario.hpp"
 #include "util/hash.hpp"
+#include "util/loopback.hpp"
 
 namespace curlewdoor::playing {
 namespace {
@@ -105,7 +105,7 @@
 
 // Addresses of this run alone: other runs beside it, of other processes, have others.
 std::uint32_t FleetRig::Ip(int process, bool relay) const {
-  return net::OwnLoopbackNetwork() | (static_cast<std::uint32_t>(process) + 1 + (relay ? kRelays : 0));
+  return OwnLoopbackNetwork() | (static_cast<std::uint32_t>(process) + 1 + (relay ? kRelays : 0));
 }
 
 // ---- Processes ----------------------------------------------------------------------------------------
--- a/src/playing/socket_run.cpp
+++ b/src/playing/socket_run.cpp
@@ -9,8 +9,8 @@
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
-#include "net/loopback.hpp"
 #include "net/socket_io.hpp"
+#include "util/loopback.hpp"
 
 namespace curlewdoor::playing {
 namespace {
@@ -24,7 +24,7 @@
 Address FreeAddress() {
   Address bound;
   std::string error;
-  const int fd = net::ListenOn(Address{net::OwnLoopbackNetwork() | 1, 0}, bound, error);
+  const int fd = net::ListenOn(Address{OwnLoopbackNetwork() | 1, 0}, bound, error);
   if (fd < 0) throw std::runtime_error(error);
   ::close(fd);
   return bound;
--- a/src/systemkit/machines.cpp
+++ b/src/systemkit/machines.cpp
@@ -10,8 +10,8 @@
 #include <stdexcept>
 #include <utility>
 
-#include "net/loopback.hpp"
 #include "net/socket_io.hpp"
+#include "util/loopback.hpp"
 
 namespace curlewdoor::systemkit {
 namespace {
@@ -33,7 +33,7 @@
   // gives to whoever connects.
   static std::uint32_t run = 0;
   const auto pid = static_cast<std::uint32_t>(::getpid());
-  network_ = net::OwnLoopbackNetwork();
+  network_ = OwnLoopbackNetwork();
   machines_.resize(static_cast<std::size_t>(options.core + options.others + options.spares));
   for (std::size_t m = 0; m < machines_.size(); ++m) {
     machines_[m].name = fmt::format("gateway-{}", m);
--- a/src/net/loopback.hpp
+++ b/src/util/loopback.hpp
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 
-namespace curlewdoor::net {
+namespace curlewdoor {
 
 // The network 127.a.b.0/24 that belongs to this process, by its id: the host's byte is 0. Ports of 127.0.0.1
 // are given to everyone's connections, so one that was found free there may be taken before it is used; here
@@ -17,4 +17,4 @@
   return 0x7f000000 | second << 16 | third << 8;
 }
 
-}  // namespace curlewdoor::net
+}  // namespace curlewdoor
