Ballots that give way are counted against the orders that were late

The bound of 12 in 12 rounds allowed more than the calm case needs and less than a busy machine may cause: an order that waits over 0.3 s is sent to the next voter too.

--- a/tests/system/history_orders_test.cpp
+++ b/tests/system/history_orders_test.cpp
@@ -120,7 +120,8 @@
 }
 
 // In calm: one by one, then eight at once, at members and others in turn. All are proposed by the first
-// voter, so hardly a ballot gives way to another.
+// voter, so no ballot gives way to another; on a busy machine an order may be so late that the next voter is
+// asked.
 void PlayCalmOrders(int core) {
   constexpr int kAtOnce = 8, kRounds = 12;
   HistoryScene scene(core, 2);
@@ -148,7 +149,10 @@
   BOOST_TEST_MESSAGE(core << " members: one by one " << TimesOf(one_by_one) << ", eight at once "
                           << TimesOf(together) << " (median / 99% / longest), " << gave_way
                           << " ballots gave way");
-  BOOST_TEST(gave_way < kRounds);
+  constexpr double kNextVoterSoon = 0.25;  // seconds
+  const auto late = std::count_if(together.begin(), together.end(),
+                                  [](const AskedPtr& each) { return each->took > kNextVoterSoon; });
+  BOOST_TEST(gave_way <= kAtOnce * late);
   scene.Judge();
 }
 BOOST_AUTO_TEST_CASE(calm_ones_have_one_proposer_of_three) { PlayCalmOrders(3); }
