--- a/src/registry/record.cpp
+++ b/src/registry/record.cpp
@@ -21,12 +21,14 @@
 
 std::vector<PackedMember> Pack(const std::vector<MemberId>& members) {
   std::vector<PackedMember> packed;
+  packed.reserve(members.size());
   for (const MemberId& member : members) packed.emplace_back(member.name, member.incarnation);
   return packed;
 }
 
 std::vector<MemberId> Unpack(const std::vector<PackedMember>& packed) {
   std::vector<MemberId> members;
+  members.reserve(packed.size());
   for (const auto& [name, incarnation] : packed) members.push_back({name, incarnation});
   return members;
 }
