--- a/fuzz/policy.cpp
+++ b/fuzz/policy.cpp
@@ -124,8 +124,8 @@
     FUZZ_REQUIRE(route.target_latency.count() >= 0 && route.target_latency <= kMostTime);
     FUZZ_REQUIRE(route.max_attempts >= 1 && !route.parts.empty());
     for (const Part& part : route.parts) FUZZ_REQUIRE(part.service < policy.services().size());
-    for (const std::uint64_t hash : {std::uint64_t{0}, ~std::uint64_t{0}, std::uint64_t{0x9e3779b97f4a7c15}})
-      FUZZ_REQUIRE(route.PickService(hash) < policy.services().size());
+    for (const double point : {0.0, 0.618, std::nextafter(1.0, 0.0)})
+      FUZZ_REQUIRE(route.ServiceAt(point) < policy.services().size());
     // Its own prefix leads to it, or the host's name is one that no Host header can give.
     const Route* found = policy.FindRoute(route.host, route.prefix);
     const bool plain =
