--- /dev/null
+++ b/src/coordination/watch_table.hpp
@@ -0,0 +1,56 @@
+// Watches that wait for events, by group, each until its time is over. Pure; no timer of its own: the owner
+// asks for what is due. Bounded in number.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/command.hpp"
+
+namespace curlewdoor::coordination {
+
+class WatchTable {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+  struct Limits {
+    std::size_t watches = 16'384;
+    std::chrono::milliseconds longest_wait = std::chrono::seconds(60);
+  };
+  struct Waiter {
+    std::uint64_t id = 0;
+    std::string group;
+    Revision after = 0;
+  };
+
+  explicit WatchTable(Limits limits) : limits_(limits) {}
+
+  // False: there are too many.
+  bool Add(Time now, std::uint64_t id, const std::string& group, Revision after,
+           std::chrono::milliseconds wait);
+  void Remove(std::uint64_t id);
+  // Those of the group whose `after` is below this revision; they are taken out.
+  std::vector<Waiter> TakeReady(const std::string& group, Revision revision);
+  // Those whose time is over; they are taken out.
+  std::vector<Waiter> TakeDue(Time now);
+  std::vector<Waiter> TakeAll();
+  std::optional<Time> NextDue() const;
+  std::size_t size() const { return waiters_.size(); }
+
+ private:
+  struct Entry {
+    Waiter waiter;
+    Time due{};
+  };
+  Limits limits_;
+  std::unordered_map<std::uint64_t, Entry> waiters_;
+  std::map<std::string, std::multimap<Revision, std::uint64_t>> by_group_;
+  std::multimap<Time, std::uint64_t> by_due_;
+};
+
+}  // namespace curlewdoor::coordination
--- /dev/null
+++ b/src/system/coordination_calls.hpp
@@ -0,0 +1,97 @@
+// Calls of applications, from the moment at which they come to this gateway until each is answered. Pure:
+// time, the members that are reached and what they reply go in; questions go out by Owner.
+//
+// A call goes to the leader, as far as this gateway knows it, else to the members in turn. A member that
+// doesn't lead says so (NotServed): nothing was done, and the next one is asked. Once a command has left for
+// a member and no NotServed came back for it, it may take effect: it may be sent again to another member
+// (every command can be repeated: a begin finds its hold, a put its revision, a number leaves a gap), but
+// from then on it is never answered 503 or 429; without a clear reply in time it ends as kUnclear.
+//
+// A reply counts only on a stream that its call went out on.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "coordination/call.hpp"
+#include "system/message.hpp"
+#include "util/address.hpp"
+
+namespace curlewdoor::system {
+
+class CoordinationCalls {
+ public:
+  using Time = std::chrono::steady_clock::time_point;
+  using Duration = std::chrono::steady_clock::duration;
+  enum class End : std::uint8_t {
+    kReply,        // by the leader: a Result, KeyRead, Watched or HistoryGone
+    kNothingDone,  // 503: nothing was done and nothing will be
+    kNoRoom,       // 429: as kNothingDone
+    kUnclear       // no promise: 504
+  };
+  struct Answer {
+    End end = End::kNothingDone;
+    std::optional<coordination::Reply> reply;  // of kReply
+  };
+  using OnAnswer = std::function<void(Answer answer)>;
+
+  struct Options {
+    Duration ends = std::chrono::milliseconds(850);         // of a call; a watch has its wait on top
+    Duration next_member = std::chrono::milliseconds(250);  // without a reply
+    Duration all_anew = std::chrono::milliseconds(60);      // once all that are reached have said NotServed
+    std::size_t most_calls = 2048;
+  };
+  struct Candidate {  // a member that can be asked now
+    std::string name;
+    std::uint64_t stream = 0;  // to it; 0: it is this process
+    bool here() const { return stream == 0; }
+  };
+  class Owner {
+   public:
+    virtual ~Owner() = default;
+    virtual std::vector<Candidate> ReachedMembers() = 0;  // in the roster's order
+    virtual void SendTo(std::uint64_t stream, const Message& message) = 0;
+    // This process's own member; it ends in OnReplyHere(), which may come at once.
+    virtual void CallHere(std::uint64_t number, const coordination::Call& call) = 0;
+    virtual void ForgetHere(std::uint64_t number) = 0;
+  };
+
+  CoordinationCalls(Owner& owner, const Options& options) : owner_(owner), options_(options) {}
+
+  // `number`: of no other call.
+  void Begin(Time now, std::uint64_t number, coordination::Call call, OnAnswer answer);
+  void OnReply(Time now, std::uint64_t stream, std::uint64_t number, coordination::Reply reply);
+  void OnReplyHere(Time now, std::uint64_t number, coordination::Reply reply);
+  void OnStreamDown(Time now, std::uint64_t stream);
+  void OnLeader(Time now, std::uint64_t term, std::string name);  // told by the member that leads
+  void Forget(std::uint64_t number);                              // its caller is gone
+  void Tick(Time now);                                            // regularly
+
+  const std::string& leader() const { return leader_; }  // empty: not known
+  std::size_t size() const { return waiting_.size(); }
+  std::uint64_t unclear() const { return unclear_; }  // calls that ended so
+  std::uint64_t nothing_done() const { return nothing_done_; }
+
+ private:
+  struct Waiting {
+    coordination::Call call;
+    OnAnswer answer;
+    Time ends, next;
+    std::vector<std::string> asked;      // in this turn
+    std::vector<std::uint64_t> streams;  // that it may still be answered on
+    bool may_take_effect = false;        // a command is out somewhere without a NotServed
+  };
+  Owner& owner_;
+  const Options options_;
+  std::unordered_map<std::uint64_t, Waiting> waiting_;
+  std::string leader_;
+  std::uint64_t leader_term_ = 0, unclear_ = 0, nothing_done_ = 0;
+};
+
+}  // namespace curlewdoor::system
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -40,6 +40,12 @@
   return std::tie(m.asked_us, m.incarnation, m.epoch, m.complete_epoch, m.votes, m.watermark);
 }
 
+auto Fields(CoordinationBytes& m) { return std::tie(m.bytes); }
+auto Fields(CoordinationCall& m) { return std::tie(m.number, m.call); }
+auto Fields(CoordinationReply& m) { return std::tie(m.number, m.reply); }
+auto Fields(CoordinationLeader& m) { return std::tie(m.term, m.name); }
+auto Fields(CoordinationForget& m) { return std::tie(m.number); }
+
 // Fields that an earlier version doesn't send: they keep what they begin with.
 template <typename Message>
 constexpr std::size_t kLater = 0;
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -133,10 +133,33 @@
   std::uint64_t watermark = 0;
 };
 
+// Of coordination (docs/coordination.md): between replicas of the log, as bytes of
+// coordination::ReplicaMessage.
+struct CoordinationBytes {
+  std::string bytes;
+};
+// An application's call (coordination::Call), to a member; owed: a CoordinationReply.
+struct CoordinationCall {
+  std::uint64_t number = 0;
+  std::string call;
+};
+struct CoordinationReply {  // coordination::Reply
+  std::uint64_t number = 0;
+  std::string reply;
+};
+struct CoordinationLeader {  // by the member that leads, to all that want news
+  std::uint64_t term = 0;
+  std::string name;
+};
+struct CoordinationForget {  // nobody waits for the reply to this call any more
+  std::uint64_t number = 0;
+};
+
 // In the order of their numbers on the wire: new ones come behind.
 using Message = std::variant<Hello, Clock, Hosts, Refreshed, ReplicateHosts, HostsReplicated, Put, Get, Done,
                              Config, Members, AddUnits, Total, CoreBytes, Digest, AskHosts, FoundingBytes,
-                             Announce, Fetch, Fetched, RegistryQuery, RegistryAnswer>;
+                             Announce, Fetch, Fetched, RegistryQuery, RegistryAnswer, CoordinationBytes,
+                             CoordinationCall, CoordinationReply, CoordinationLeader, CoordinationForget>;
 
 std::string Encode(const Message& message);
 std::optional<Message> Decode(std::string_view bytes);
