Coordination: the whole path, thin: log, state machine, calls, watches

Ruled out: nothing yet by a test of our own. Change: src/coordination (state machine, Raft replica, coordinator), forwarding in gateways, HTTP forms, a host on the loop; on where active_contracts names coord. JSON bodies of calls are read by one place (directory/json_body).

--- a/src/coordination/coordinator.hpp
+++ b/src/coordination/coordinator.hpp
@@ -36,7 +36,7 @@
 
 struct CoordinatorOut {
   std::vector<ReplicaSending> sends;
-  std::optional<std::vector<std::pair<std::string, std::string>>> write;  // then OnWritten()
+  std::optional<Records> write;  // then OnWritten()
   std::vector<std::pair<CallId, Reply>> replies;
   bool leader_changed = false;  // leader() is another one
   std::vector<std::string> notes;
@@ -65,33 +65,38 @@
   std::size_t waiting() const { return commands_.size() + reads_.size() + watches_.size(); }
 
  private:
-  struct Waiting {
+  struct Waiting {  // a command, for the entry at its index
     CallId id = 0;
     std::uint64_t term = 0;
   };
-  struct Holding {  // how long a hold lasts here at least
+  struct Holding {  // until when a hold lasts here at least
     Fence fence = 0;
     std::uint64_t renewals = 0;
     Time ends{};
+    bool end_proposed = false;
   };
-  void Settle(Time now, ReplicaOut replica_out, CoordinatorOut& out);
+
+  void Settle(Time now, ReplicaOut& from, CoordinatorOut& out);
   void ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOut& out);
-  void AnswerRead(Time now, std::uint64_t token, CoordinatorOut& out);
+  void NoteHold(Time now, const std::string& lock);
   void BeginToServe(Time now);
   void StopServing(CoordinatorOut& out);
-  void NoteHolds(Time now);
-  void ExpireHolds(Time now, ReplicaOut& out);
-  void MaybeCompact(ReplicaOut& out);
+  void AnswerRead(Time now, CallId id, CoordinatorOut& out);
+  void AnswerWatch(CallId id, const std::string& group, Revision after, CoordinatorOut& out);
+  void AnswerWatchers(const std::string& group, CoordinatorOut& out);
+  void ExpireHolds(Time now, ReplicaOut& from);
+  void MaybeCompact(Time now, ReplicaOut& from);
+  void Execute(Time now, CallId id, const Command& command, ReplicaOut& from, CoordinatorOut& out);
+  void AskToRead(Time now, CallId id, const Call& call, ReplicaOut& from, CoordinatorOut& out);
   NotServed NotHere() const;
 
   const CoordinatorOptions options_;
   Replica replica_;
   StateMachine state_;
   std::map<std::uint64_t, Waiting> commands_;  // by index of the log
-  std::unordered_map<CallId, Call> reads_;     // ReadKey, WatchGroup
+  std::unordered_map<CallId, Call> reads_;     // ReadKey and WatchGroup that wait for a majority
   WatchTable watches_;
-  std::map<std::string, Holding> holdings_;  // by lock; while it serves
-  std::optional<Time> expiry_asked_;
+  std::map<std::string, Holding> holdings_;  // by lock, while it serves
   bool leaving_ = false;
 };
 
--- /dev/null
+++ b/src/coordination/package.cmake
@@ -0,0 +1,9 @@
+# Locks, numbers, keys and watches: the replicated log, its state machine, and a member's calls. Pure.
+add_library(curlewdoor_coordination STATIC
+  src/coordination/call.cpp src/coordination/command.cpp src/coordination/coordinator.cpp src/coordination/log.cpp
+  src/coordination/replica.cpp src/coordination/replica_leader.cpp src/coordination/replica_message.cpp
+  src/coordination/state_machine.cpp src/coordination/watch_table.cpp)
+target_include_directories(curlewdoor_coordination PUBLIC src)
+target_include_directories(curlewdoor_coordination SYSTEM PRIVATE ${MSGPACK})
+target_compile_definitions(curlewdoor_coordination PRIVATE MSGPACK_NO_BOOST)
+target_link_libraries(curlewdoor_coordination PUBLIC curlewdoor_agreement)
--- /dev/null
+++ b/src/coordination/packing.hpp
@@ -0,0 +1,182 @@
+// Values to msgpack and back, by one list of fields for both ways: Fields(T&) gives a std::tie of them, found
+// beside T. A struct is an array of its fields, a variant its index and its value, an optional nil or its
+// value, text is binary. Fields of a later version stand behind and are passed over. Reading allocates no
+// more than a multiple of the bytes given, and throws std::exception for what is foreign.
+#pragma once
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <msgpack.hpp>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <tuple>
+#include <type_traits>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "agreement/message.hpp"
+
+namespace curlewdoor::coordination::packing {
+
+inline auto Fields(agreement::Life& v) { return std::tie(v.node, v.disk); }
+inline auto Fields(agreement::Member& v) { return std::tie(v.life, v.address); }
+
+struct ForeignBytes : std::runtime_error {
+  ForeignBytes() : std::runtime_error("foreign bytes") {}
+};
+
+class Packer {
+ public:
+  explicit Packer(std::size_t size_hint) : buffer_(size_hint), packer_(buffer_) {}
+
+  void Put(bool value) { value ? packer_.pack_true() : packer_.pack_false(); }
+  void Put(std::uint32_t value) { packer_.pack_uint32(value); }
+  void Put(std::uint64_t value) { packer_.pack(value); }
+  void Put(std::chrono::milliseconds value) { packer_.pack(static_cast<std::int64_t>(value.count())); }
+  void Put(const std::string& text) {
+    packer_.pack_bin(static_cast<std::uint32_t>(text.size()));
+    packer_.pack_bin_body(text.data(), static_cast<std::uint32_t>(text.size()));
+  }
+  template <typename T>
+  void Put(const std::vector<T>& items) {
+    packer_.pack_array(static_cast<std::uint32_t>(items.size()));
+    for (const T& item : items) Put(item);
+  }
+  template <typename T>
+  void Put(const std::optional<T>& item) {
+    if (!item) {
+      packer_.pack_nil();
+    } else {
+      Put(*item);
+    }
+  }
+  template <typename... T>
+  void Put(const std::variant<T...>& item) {
+    packer_.pack_array(2);
+    packer_.pack(static_cast<std::uint32_t>(item.index()));
+    std::visit([this](const auto& each) { Put(each); }, item);
+  }
+  template <typename T>
+  requires std::is_class_v<T>
+  void Put(const T& value) {
+    const auto fields = Fields(const_cast<T&>(value));
+    packer_.pack_array(std::tuple_size_v<std::remove_cv_t<decltype(fields)>>);
+    std::apply([this](const auto&... each) { (Put(each), ...); }, fields);
+  }
+
+  std::string Text() const { return {buffer_.data(), buffer_.size()}; }
+
+ private:
+  msgpack::sbuffer buffer_;
+  msgpack::packer<msgpack::sbuffer> packer_;
+};
+
+using Object = msgpack::object;
+
+inline const Object& ElementOf(const Object& array, std::size_t index) {
+  if (array.type != msgpack::type::ARRAY || array.via.array.size <= index) throw ForeignBytes();
+  return array.via.array.ptr[index];
+}
+
+inline void Take(const Object& object, bool& value) {
+  if (object.type != msgpack::type::BOOLEAN) throw ForeignBytes();
+  value = object.via.boolean;
+}
+inline void Take(const Object& object, std::uint64_t& value) {
+  if (object.type != msgpack::type::POSITIVE_INTEGER) throw ForeignBytes();
+  value = object.via.u64;
+}
+inline void Take(const Object& object, std::uint32_t& value) {
+  std::uint64_t wide = 0;
+  Take(object, wide);
+  if (wide > UINT32_MAX) throw ForeignBytes();
+  value = static_cast<std::uint32_t>(wide);
+}
+inline void Take(const Object& object, std::chrono::milliseconds& value) {
+  constexpr std::uint64_t kMostMilliseconds = std::uint64_t{1} << 50;
+  std::uint64_t count = 0;
+  Take(object, count);
+  if (count > kMostMilliseconds) throw ForeignBytes();
+  value = std::chrono::milliseconds(count);
+}
+inline void Take(const Object& object, std::string& text) {
+  if (object.type != msgpack::type::BIN) throw ForeignBytes();
+  text.assign(object.via.bin.ptr, object.via.bin.size);
+}
+template <typename T>
+void Take(const Object& object, std::vector<T>& items);
+template <typename T>
+void Take(const Object& object, std::optional<T>& item);
+template <typename... T>
+void Take(const Object& object, std::variant<T...>& item);
+template <typename T>
+requires std::is_class_v<T>
+void Take(const Object& object, T& value);
+
+template <typename T>
+void Take(const Object& object, std::vector<T>& items) {
+  if (object.type != msgpack::type::ARRAY) throw ForeignBytes();
+  items.clear();
+  items.reserve(object.via.array.size);
+  for (std::size_t i = 0; i < object.via.array.size; ++i) Take(object.via.array.ptr[i], items.emplace_back());
+}
+template <typename T>
+void Take(const Object& object, std::optional<T>& item) {
+  item.reset();
+  if (object.type != msgpack::type::NIL) Take(object, item.emplace());
+}
+template <std::size_t kIndex, typename Variant>
+void TakeAlternative(const Object& object, std::uint32_t index, Variant& item) {
+  if constexpr (kIndex == std::variant_size_v<Variant>) {
+    throw ForeignBytes();
+  } else {
+    if (index != kIndex) return TakeAlternative<kIndex + 1>(object, index, item);
+    std::variant_alternative_t<kIndex, Variant> alternative;
+    Take(object, alternative);
+    item = std::move(alternative);
+  }
+}
+template <typename... T>
+void Take(const Object& object, std::variant<T...>& item) {
+  std::uint32_t index = 0;
+  Take(ElementOf(object, 0), index);
+  TakeAlternative<0>(ElementOf(object, 1), index, item);
+}
+template <typename T>
+requires std::is_class_v<T>
+void Take(const Object& object, T& value) {
+  auto fields = Fields(value);
+  if (object.type != msgpack::type::ARRAY) throw ForeignBytes();
+  std::size_t index = 0;
+  std::apply([&](auto&... each) { (Take(ElementOf(object, index++), each), ...); }, fields);
+}
+
+template <typename T>
+std::string Pack(const T& value, std::size_t size_hint = 128) {
+  Packer packer(size_hint);
+  packer.Put(value);
+  return packer.Text();
+}
+
+template <typename T>
+std::optional<T> Unpack(std::string_view bytes) {
+  constexpr std::size_t kDepth = 12;
+  try {
+    const msgpack::unpack_limit limit(bytes.size(), 0, 0, bytes.size(), 0, kDepth);
+    std::size_t end = 0;
+    const msgpack::object_handle handle = msgpack::unpack(
+        bytes.data(), bytes.size(), end, [](auto, std::size_t, void*) { return true; }, nullptr, limit);
+    if (end != bytes.size()) return std::nullopt;
+    T value;
+    Take(handle.get(), value);
+    return value;
+  } catch (const std::exception&) {  // ours, msgpack's own, and no memory
+    return std::nullopt;
+  }
+}
+
+}  // namespace curlewdoor::coordination::packing
--- a/src/coordination/replica.hpp
+++ b/src/coordination/replica.hpp
@@ -13,6 +13,7 @@
 // only with what its disk holds, so a leader whose disk stalls commits by the others'.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -25,7 +26,9 @@
 #include <vector>
 
 #include "agreement/message.hpp"
+#include "coordination/log.hpp"
 #include "coordination/replica_message.hpp"
+#include "coordination/replica_records.hpp"
 
 namespace curlewdoor::coordination {
 
@@ -39,13 +42,14 @@
   Duration election_least = std::chrono::milliseconds(400), election_most = std::chrono::milliseconds(800);
   Duration quorum_lost =
       std::chrono::milliseconds(700);                // a leader that hears no majority for so long steps down
-  Duration resend = std::chrono::milliseconds(200);  // entries without an answer
-  Duration gather = std::chrono::milliseconds(3);    // group commit: entries and reads wait so long for more
-  std::size_t append_bytes = 256u << 10;             // of one message
-  std::size_t snapshot_chunk = 128u << 10;           // bytes of one message
-  std::size_t uncommitted = 4096;                    // entries; Propose() beyond gives nullopt
-  std::uint64_t catch_up_gap = 64;                   // entries that a new voter may lack
-  enum class Fault : std::uint8_t {                  // for tests of the tests
+  Duration resend = std::chrono::milliseconds(200);  // entries without an answer; the pause doubles
+  Duration resend_most = std::chrono::milliseconds(1000);
+  Duration gather = std::chrono::milliseconds(3);  // group commit: entries and reads wait so long for more
+  std::size_t append_bytes = 256u << 10;           // of one message
+  std::size_t snapshot_chunk = 128u << 10;         // bytes of one message
+  std::size_t uncommitted = 4096;                  // entries; Propose() beyond gives nullopt
+  std::uint64_t catch_up_gap = 64;                 // entries that a new voter may lack
+  enum class Fault : std::uint8_t {                // for tests of the tests
     kNone,
     kVoteNotWritten,
     kAckBeforeSync,
@@ -76,7 +80,7 @@
 struct ReplicaOut {
   std::vector<ReplicaSending> sends;
   // Records for the disk, all at once, synced. One write at a time: the next comes after OnWritten().
-  std::optional<std::vector<std::pair<std::string, std::string>>> write;
+  std::optional<Records> write;
   std::optional<std::string> snapshot;  // replaces the state machine's whole state
   std::vector<CommittedEntry> committed;
   std::vector<std::uint64_t> reads;       // tokens of Read() that may be answered by the state as it is now
@@ -114,20 +118,145 @@
   // this one still leads, and all that was committed before is applied. False: not a serving leader.
   bool Read(Time now, std::uint64_t token, ReplicaOut& out);
   // The state machine's state after it has applied all entries up to `index`; the log before it may go.
-  void Compact(std::uint64_t index, std::string snapshot, ReplicaOut& out);
+  void Compact(Time now, std::uint64_t index, std::string snapshot, ReplicaOut& out);
   // Hands leadership to a voter that has all; for a process that is about to end, and for a leader whose disk
   // stalls. Does nothing where this one doesn't lead.
   void TransferLeadership(Time now, ReplicaOut& out);
 
-  bool serving() const;  // leads, and an entry of its term is committed
-  std::uint64_t term() const;
-  std::optional<Member> leader() const;  // that it last heard of in this term
-  const std::vector<Member>& voters() const;
-  std::uint64_t applied() const;        // highest index told as committed
-  std::uint64_t log_begin() const;      // index of the snapshot
-  std::size_t log_bytes() const;        // held in memory
-  bool behind(const Life& life) const;  // a leader's: this voter lacks more than catch_up_gap
-  const Member& self() const;
+  bool serving() const { return role_ == Role::kLeader && commit_ >= first_of_term_; }
+  std::uint64_t term() const { return term_; }
+  std::optional<Member> leader() const { return leader_; }  // that it last heard of in this term
+  const std::vector<Member>& voters() const { return log_.voters(); }
+  std::uint64_t applied() const { return commit_; }  // highest index told as committed
+  std::uint64_t log_begin() const { return log_.begin(); }
+  std::uint64_t log_last() const { return log_.last(); }
+  std::size_t log_bytes() const { return log_.bytes(); }  // held in memory
+  const Member& self() const { return self_; }
+  std::uint64_t elections() const { return elections_; }  // that this one stood in
+
+ private:
+  enum class Role : std::uint8_t { kFollower, kPreCandidate, kCandidate, kLeader };
+  struct Peer {  // as a leader sees it
+    Member member;
+    std::uint64_t match = 0, next = 1;
+    std::uint64_t round = 0;  // the highest that it has answered
+    bool probing = false;     // one message at a time, until it has answered
+    bool installing = false;  // it is sent the snapshot
+    std::uint64_t snapshot_index = 0, snapshot_offset = 0;
+    Time heard{}, sent{}, data_sent{}, progressed{};
+    Duration resend_pause{};
+  };
+  struct WaitingVote {  // until the disk holds the promise
+    std::uint64_t version = 0, term = 0;
+    Member to;
+  };
+  struct WaitingRead {
+    std::uint64_t token = 0, round = 0;
+  };
+  struct Incoming {  // a snapshot that is being received
+    Life from;
+    std::uint64_t term = 0, index = 0, size = 0;
+    std::string bytes;
+  };
+
+  // replica.cpp: messages, elections, following, the disk.
+  void Handle(Time now, const ReplicaMessage& m, ReplicaOut& out);
+  void On(Time now, const ReplicaMessage& m, const RequestVote& request, ReplicaOut& out);
+  void On(Time now, const ReplicaMessage& m, const Vote& vote, ReplicaOut& out);
+  void On(Time now, const ReplicaMessage& m, const AppendEntries& append, ReplicaOut& out);
+  void On(Time now, const ReplicaMessage& m, const Appended& appended, ReplicaOut& out);
+  void On(Time now, const ReplicaMessage& m, const InstallSnapshot& install, ReplicaOut& out);
+  void On(Time now, const ReplicaMessage& m, const SnapshotInstalled& installed, ReplicaOut& out);
+  void On(Time now, const ReplicaMessage& m, const TimeoutNow& timeout, ReplicaOut& out);
+  bool HoldsBack(Time now, const ReplicaMessage& m, const RequestVote& request) const;
+  bool TakeEntries(const AppendEntries& append, ReplicaOut& out);
+  void TakeSnapshot(Time now, const ReplicaMessage& m, const InstallSnapshot& install, ReplicaOut& out);
+  void Send(const Member& to, ReplicaBody body, ReplicaOut& out);
+  void SendInTerm(const Member& to, std::uint64_t term, ReplicaBody body, ReplicaOut& out);
+  void BecomeFollower(Time now, std::uint64_t term, ReplicaOut& out);
+  void SetLeader(std::optional<Member> leader, ReplicaOut& out);
+  void Stand(Time now, bool pre_vote, bool transfer, ReplicaOut& out);
+  void CountVotes(Time now, ReplicaOut& out);
+  void ResetElection(Time now);
+  void Acknowledge(ReplicaOut& out);
+  void Commit(std::uint64_t index, ReplicaOut& out);
+  void Changed() { ++version_; }
+  void StartWrite(Time now, ReplicaOut& out);
+  void NoteTruncated(std::uint64_t last);
+  bool IsVoter(const Life& life) const;
+  template <typename Predicate>
+  bool MajorityOf(Predicate&& agrees) const {  // of the voters
+    const auto count = std::count_if(log_.voters().begin(), log_.voters().end(),
+                                     [&](const Member& voter) { return agrees(voter.life); });
+    return 2 * static_cast<std::size_t>(count) > log_.voters().size();
+  }
+  bool Does(ReplicaOptions::Fault fault) const { return options_.fault == fault; }
+
+  // replica_leader.cpp: replication, reads, changes of voters.
+  void Lead(Time now, ReplicaOut& out);
+  void StepDown(Time now, ReplicaOut& out);
+  void AppendOwn(Time now, LogEntry entry);
+  void Gather(Time now);
+  void Flush(Time now, ReplicaOut& out);
+  void TickLeader(Time now, ReplicaOut& out);
+  void ContinueTransfer(Time now, ReplicaOut& out);
+  void SendAgain(Time now, Peer& peer, ReplicaOut& out);
+  void Replicate(Time now, Peer& peer, ReplicaOut& out);
+  void SendEntries(Time now, Peer& peer, ReplicaOut& out);
+  void SendHeartbeat(Time now, Peer& peer, ReplicaOut& out);
+  void SendChunk(Time now, Peer& peer, ReplicaOut& out);
+  void AdvanceCommit(Time now, ReplicaOut& out);
+  void ConfirmReads(ReplicaOut& out);
+  void LoseReads(ReplicaOut& out);
+  void RefreshPeers(Time now);
+  void SteerVoters(Time now, ReplicaOut& out);
+  bool MayChangeVoters() const;
+  void ChangeVoters(Time now, std::vector<Member> voters, ReplicaOut& out);
+  Peer* FindPeer(const Life& life);
+  bool HeardOf(Time now, const Life& life) const;
+
+  const Member self_;
+  const ReplicaOptions options_;
+  std::mt19937_64 random_;
+
+  std::uint64_t term_ = 0;
+  std::optional<Life> voted_for_;
+  Log log_;
+  std::uint64_t commit_ = 0;
+  Role role_ = Role::kFollower;
+  std::optional<Member> leader_;
+  std::optional<Time> leader_heard_, election_due_;
+  std::vector<Life> votes_;
+  bool transfer_vote_ = false;  // this candidacy was ordered by the leader
+  std::uint64_t elections_ = 0;
+
+  // A follower's: the entries up to here are the leader's.
+  std::uint64_t verified_ = 0, acknowledged_ = 0, leader_round_ = 0;
+  std::optional<Incoming> incoming_;
+
+  // The disk. Versions count changes of the hard state.
+  std::uint64_t version_ = 0, writing_version_ = 0, written_version_ = 0;
+  std::uint64_t dirty_from_ = 0;  // the first entry that no write has begun to hold; 0: none
+  std::uint64_t writing_last_ = 0, written_last_ = 0, writing_from_ = 0;
+  bool snapshot_dirty_ = false, writing_snapshot_ = false;
+  bool writing_ = false;
+  Time write_began_{}, write_after_{};
+  std::vector<WaitingVote> waiting_votes_;
+
+  // A leader's.
+  std::vector<Peer> peers_;  // all others that vote or are to
+  std::uint64_t first_of_term_ = 0;
+  std::uint64_t round_ = 0;
+  std::vector<std::uint64_t> gathered_reads_;
+  std::vector<WaitingRead> waiting_reads_;
+  std::optional<Time> flush_due_;
+  std::chrono::milliseconds time_base_{};
+  Time time_base_at_{}, led_since_{};
+  std::optional<Time> transfer_until_;
+  bool transfer_sent_ = false;
+
+  std::uint64_t target_epoch_ = 0;
+  std::vector<Member> target_;
 };
 
 }  // namespace curlewdoor::coordination
--- a/src/coordination/replica_message.hpp
+++ b/src/coordination/replica_message.hpp
@@ -32,6 +32,7 @@
 
 // All that a replica has promised, and its log. Synced before anything is said that rests on it.
 struct ReplicaState {
+  bool found = false;  // records of this life were there
   std::uint64_t term = 0;
   std::optional<agreement::Life> voted_for;  // in `term`
   std::uint64_t snapshot_index = 0, snapshot_term = 0;
@@ -42,9 +43,10 @@
   bool operator==(const ReplicaState&) const = default;
 };
 
-// Reads the records that writes of a Replica have left; nullopt: damaged. Without any: an empty state.
+// Reads the records that writes of a Replica of this life have left; nullopt: damaged. Without any, or with
+// those of another life: an empty state.
 std::optional<ReplicaState> DecodeReplicaState(
-    const std::function<std::optional<std::string>(const std::string& key)>& read);
+    std::uint64_t disk, const std::function<std::optional<std::string>(const std::string& key)>& read);
 // Keys of all records begin with this.
 inline constexpr std::string_view kReplicaKeys = "coordination/";
 
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -76,6 +76,7 @@
   // `after` 0 asks for the present revision alone: no events.
   Events EventsAfter(const std::string& group, Revision after) const;
   Revision GroupRevision(const std::string& group) const;
+  // Up to the first dot, the dot included; a name without a dot is its own group.
   static std::string_view GroupOf(std::string_view key);
 
   std::string Snapshot() const;
@@ -97,9 +98,26 @@
     Revision floor = 0;     // all puts above it stand in `history`
     std::deque<Recorded> history;
   };
+  struct Image;
+  using Holds = std::map<std::string, Hold>;
+
+  Result Do(LoggedTime at, const AcquireLock& acquire);
+  Result Do(LoggedTime at, const RenewLock& renew);
+  Result Do(LoggedTime at, const ReleaseLock& release);
+  Result Do(LoggedTime at, const ExpireLock& expire);
+  Result Do(LoggedTime at, const TakeNumber& take);
+  Result Do(LoggedTime at, const PutKey& put);
+  Holds::iterator FindHold(const std::string& lock, const std::string& holder, Fence fence);
+  static void Prolong(Hold& hold, std::uint64_t hold_ms);
+  std::optional<Revision> FirstRevision(const PutKey& put, const Key* key) const;
+  bool HasRoom(const PutKey& put, const Key* key) const;
+  Revision Store(LoggedTime at, const PutKey& put);
+  void DropHistory(LoggedTime now);
+  bool Does(Limits::Fault fault) const { return limits_.fault == fault; }
+
   Limits limits_;
   Fence last_fence_ = 0;
-  std::map<std::string, Hold> holds_;
+  Holds holds_;
   std::map<std::string, std::uint64_t> numbers_;
   std::map<std::string, Key> keys_;
   std::map<std::string, Group> groups_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -189,6 +189,7 @@
   from.At("quota_overrun").Into(bounds.quota_overrun);
   from.At("quota_slack").Into(bounds.quota_slack);
   from.At("recovery_s").Seconds(bounds.recovery);
+  from.At("history_s").Seconds(bounds.history);
 }
 
 PortRange ReadPorts(const Field& from) {
--- a/src/settings/settings.hpp
+++ b/src/settings/settings.hpp
@@ -73,6 +73,7 @@
   double quota_overrun = 0.1;                    // of a quota
   double quota_slack = 20;                       // requests
   Time recovery = std::chrono::seconds(15);
+  Time history = std::chrono::seconds(20);  // that watches may go back
   bool operator==(const Bounds&) const = default;
 };
 
--- a/src/system/call_door.hpp
+++ b/src/system/call_door.hpp
@@ -23,6 +23,8 @@
   static constexpr std::size_t kMostAtOnce = 4;
 
   CallDoor(struct ev_loop* loop, net::Descriptors& descriptors, OnCall on_call, std::size_t most_body);
+  // Told of each call whose client has gone before its Reply().
+  void SetOnLeft(std::function<void(RequestId)> on_left) { on_left_ = std::move(on_left); }
   void Reply(RequestId id, int status, std::string_view body = {}, std::string_view type = {});
   // Bytes that calls with long bodies may take by now.
   std::size_t held() const { return held_; }
@@ -37,7 +39,9 @@
   };
   void OnRequest(net::Client& client) override;
   void OnTaken(net::Client& client) override;
-  void OnLeft(RequestId) override {}
+  void OnLeft(RequestId id) override {
+    if (on_left_) on_left_(id);
+  }
   using Door::OnUpload;
   void OnUpload(RequestId id) override;
   // Longer ones come here too: their refusal names the bound.
@@ -52,6 +56,7 @@
   void RefuseLength(RequestId id);
 
   const OnCall on_call_;
+  std::function<void(RequestId)> on_left_;
   const std::size_t most_body_;
   std::unordered_map<RequestId, Upload, IdHash> uploads_;
   std::unordered_map<RequestId, std::size_t, IdHash> reserved_;  // by calls with long bodies, until answered
--- a/src/system/coordination_calls.hpp
+++ b/src/system/coordination_calls.hpp
@@ -83,10 +83,18 @@
     coordination::Call call;
     OnAnswer answer;
     Time ends, next;
-    std::vector<std::string> asked;      // in this turn
-    std::vector<std::uint64_t> streams;  // that it may still be answered on
-    bool may_take_effect = false;        // a command is out somewhere without a NotServed
+    std::uint64_t asking = 0;        // the stream that it went out on last; 0: this process, or none
+    std::vector<std::string> asked;  // in this turn
+    std::vector<std::uint64_t> out;  // streams that it went out on, without a NotServed since
   };
+
+  void AskNext(Time now, std::uint64_t number);
+  void Ask(Time now, std::uint64_t number, const Candidate& member);
+  void Finish(std::uint64_t number, Answer answer);
+  void TellForgotten(std::uint64_t stream, std::uint64_t number);
+  // No command of it can take effect any more.
+  static bool NothingIsOut(const Waiting& waiting);
+
   Owner& owner_;
   const Options options_;
   std::unordered_map<std::uint64_t, Waiting> waiting_;
--- /dev/null
+++ b/src/system/coordination_http.cpp
@@ -0,0 +1,182 @@
+#include "system/coordination_http.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+#include <variant>
+
+#include "directory/json_body.hpp"
+#include "system/json.hpp"
+
+namespace curlewdoor::system {
+namespace {
+
+using namespace coordination;
+using directory::BadCall;
+using directory::CallError;
+using directory::JsonBody;
+
+constexpr std::string_view kLocks = "/v1/locks/", kNumbers = "/v1/numbers/", kCells = "/v1/cells/",
+                           kWatches = "/v1/watch/";
+constexpr std::size_t kMaxBody = 16u << 10;       // bytes
+constexpr double kMaxExact = 9007199254740992.0;  // 2^53: what a JSON number holds exactly
+constexpr std::uint32_t kMaxWaitMs = 60'000;
+constexpr double kNeeded = -1;
+
+void NeedMethod(std::string_view method, std::string_view needed) {
+  if (method != needed) throw CallError(405, "method: not " + std::string(needed));
+}
+
+std::string NameIn(std::string_view text) {
+  if (text.empty()) BadCall("name: missing");
+  if (text.size() > kMaxName) throw CallError(413, "name: too long");
+  if (std::any_of(text.begin(), text.end(), [](char c) { return c <= ' ' || c > '~' || c == '%'; }))
+    BadCall("name: characters that no name has");
+  return std::string(text);
+}
+
+std::uint64_t WholeIn(const directory::JsonFields& fields, const char* name, double absent, double most) {
+  return static_cast<std::uint64_t>(fields.Whole(name, absent, most));
+}
+
+struct NameAndVerb {
+  std::string name;
+  std::string_view verb;
+};
+NameAndVerb SplitVerb(std::string_view rest) {
+  const auto slash = rest.rfind('/');
+  if (slash == std::string_view::npos) throw CallError(404, "path: no such call");
+  return {NameIn(rest.substr(0, slash)), rest.substr(slash + 1)};
+}
+
+Call DecodeLock(std::string_view method, std::string_view rest, std::string_view body) {
+  auto [lock, verb] = SplitVerb(rest);
+  if (verb != "begin" && verb != "heartbeat" && verb != "finish") throw CallError(404, "path: no such call");
+  NeedMethod(method, "POST");
+  const JsonBody json(body);
+  const auto fields = json.fields();
+  std::string holder = fields.Text("holder", true, kMaxName);
+  const double most_hold = static_cast<double>(kMaxHoldMs);
+  if (verb == "begin") return AcquireLock{lock, holder, WholeIn(fields, "hold_ms", kNeeded, most_hold)};
+  const Fence fence = WholeIn(fields, "fence", kNeeded, kMaxExact);
+  if (verb == "finish") return ReleaseLock{lock, holder, fence};
+  return RenewLock{lock, holder, fence, WholeIn(fields, "hold_ms", kNeeded, most_hold)};
+}
+
+Call DecodeCell(std::string_view method, std::string_view rest, std::string_view body) {
+  auto [key, verb] = SplitVerb(rest);
+  if (verb == "read") {
+    NeedMethod(method, "GET");
+    return ReadKey{key};
+  }
+  if (verb != "replace") throw CallError(404, "path: no such call");
+  NeedMethod(method, "POST");
+  const JsonBody json(body);
+  const auto fields = json.fields();
+  PutKey put{key, fields.Text("value", true, kMaxValue), std::nullopt};
+  if (fields.Has("enabled")) put.expected = WholeIn(fields, "enabled", kNeeded, kMaxExact);
+  return put;
+}
+
+// A whole number of the query; `absent` where it isn't there.
+std::uint64_t QueryNumber(std::string_view query, std::string_view name, std::uint64_t absent) {
+  while (!query.empty()) {
+    const auto end = query.find('&');
+    const std::string_view part = query.substr(0, end);
+    query = end == std::string_view::npos ? std::string_view() : query.substr(end + 1);
+    if (!part.starts_with(name) || part.size() <= name.size() || part[name.size()] != '=') continue;
+    const std::string_view text = part.substr(name.size() + 1);
+    std::uint64_t value = 0;
+    const auto [last, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (error != std::errc{} || last != text.data() + text.size())
+      BadCall(std::string(name) + ": not a whole number");
+    return value;
+  }
+  return absent;
+}
+
+Call DecodeWatch(std::string_view method, std::string_view rest, std::string_view query) {
+  NeedMethod(method, "GET");
+  WatchGroup watch;
+  watch.group = NameIn(rest);
+  watch.after = QueryNumber(query, "after", 0);
+  watch.wait_ms =
+      static_cast<std::uint32_t>(std::min<std::uint64_t>(QueryNumber(query, "wait_ms", 0), kMaxWaitMs));
+  return watch;
+}
+
+HttpAnswer WithNumber(int status, const char* name, std::uint64_t value) {
+  json::Document body;
+  body.Number(name, static_cast<double>(value));
+  return {status, body.Print()};
+}
+
+HttpAnswer EncodeEvents(const Watched& watched) {
+  json::Document body;
+  cJSON* events = body.List("events");
+  for (const coordination::Event& event : watched.events) {
+    auto each = json::AddTo(events);
+    each.Text("name", event.key).Text("value", event.value);
+    each.Number("revision", static_cast<double>(event.revision));
+  }
+  body.Number("revision", static_cast<double>(watched.revision));
+  return {200, body.Print()};
+}
+
+struct ResultEncoder {
+  HttpAnswer operator()(const LockGranted& granted) const { return WithNumber(200, "fence", granted.fence); }
+  HttpAnswer operator()(const LockRefused&) const { return {409, "{}"}; }
+  HttpAnswer operator()(const coordination::Done&) const { return {200, "{}"}; }
+  HttpAnswer operator()(const NumberTaken& taken) const { return WithNumber(200, "value", taken.value); }
+  HttpAnswer operator()(const KeyPut& put) const { return WithNumber(200, "revision", put.revision); }
+  HttpAnswer operator()(const KeyConflict& conflict) const {
+    return WithNumber(412, "revision", conflict.revision);
+  }
+  HttpAnswer operator()(const OutcomeForgotten&) const { return {504, "{}"}; }
+  HttpAnswer operator()(const NoRoom&) const { return {429, "{}"}; }
+};
+
+struct ReplyEncoder {
+  HttpAnswer operator()(const Result& result) const { return std::visit(ResultEncoder{}, result); }
+  HttpAnswer operator()(const KeyRead& read) const {
+    if (read.revision == 0) return {404, "{}"};
+    json::Document body;
+    body.Text("value", read.value).Number("revision", static_cast<double>(read.revision));
+    return {200, body.Print()};
+  }
+  HttpAnswer operator()(const Watched& watched) const { return EncodeEvents(watched); }
+  HttpAnswer operator()(const HistoryGone&) const { return {410, "{}"}; }
+  HttpAnswer operator()(const NotServed&) const { return {503, "{}"}; }
+  HttpAnswer operator()(const Unclear&) const { return {504, "{}"}; }
+};
+
+}  // namespace
+
+std::optional<Call> DecodeCoordinationCall(std::string_view method, std::string_view target,
+                                           std::string_view body) {
+  const auto question = target.find('?');
+  const std::string_view path = target.substr(0, question);
+  const std::string_view query =
+      question == std::string_view::npos ? std::string_view() : target.substr(question + 1);
+  const auto rest = [path](std::string_view prefix) { return path.substr(prefix.size()); };
+  const bool known = path.starts_with(kLocks) || path.starts_with(kNumbers) || path.starts_with(kCells) ||
+                     path.starts_with(kWatches);
+  if (!known) return std::nullopt;
+  if (body.size() > kMaxBody) throw CallError(413, "body: too large");
+  if (path.starts_with(kLocks)) return DecodeLock(method, rest(kLocks), body);
+  if (path.starts_with(kCells)) return DecodeCell(method, rest(kCells), body);
+  if (path.starts_with(kWatches)) return DecodeWatch(method, rest(kWatches), query);
+  NeedMethod(method, "POST");
+  return TakeNumber{NameIn(rest(kNumbers))};
+}
+
+HttpAnswer EncodeAnswer(const CoordinationCalls::Answer& answer) {
+  using End = CoordinationCalls::End;
+  if (answer.end == End::kReply && answer.reply) return std::visit(ReplyEncoder{}, *answer.reply);
+  if (answer.end == End::kNothingDone) return {503, "{}"};
+  if (answer.end == End::kNoRoom) return {429, "{}"};
+  return {504, "{}"};
+}
+
+}  // namespace curlewdoor::system
--- a/src/system/coordination_http.hpp
+++ b/src/system/coordination_http.hpp
@@ -21,6 +21,6 @@
 // 405 another method, 413 a body or a name that is too long.
 std::optional<coordination::Call> DecodeCoordinationCall(std::string_view method, std::string_view target,
                                                          std::string_view body);
-HttpAnswer EncodeAnswer(const coordination::Call& call, const CoordinationCalls::Answer& answer);
+HttpAnswer EncodeAnswer(const CoordinationCalls::Answer& answer);
 
 }  // namespace curlewdoor::system
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -87,6 +87,9 @@
     open([&](std::string& error) { return control_.Listen(*listen.control_plane, error); });
   if (listen.readiness) open([&](std::string& error) { return readiness_.Listen(*listen.readiness, error); });
   if (listen.data_plane) open([&](std::string& error) { return front_.Listen(*listen.data_plane, error); });
+  control_.SetOnLeft([this](RequestId id) {
+    if (const auto waiting = coordination_numbers_.extract(id)) coordination_calls_.Forget(waiting.mapped());
+  });
   control_.StartAccepting();
   readiness_.StartAccepting();
   front_.StartAccepting();
@@ -200,6 +203,7 @@
     directory_.Silence(now, silent);
   }
   core_calls_.Tick(now);
+  TickCoordination();
   TickReplications();
   std::vector<CountName> unanswered;
   for (auto it = addings_.begin(); it != addings_.end();) {
@@ -228,7 +232,8 @@
   // A member goes on voting until the others hold what it holds.
   const bool drained = since >= kStopListening && !front_.owes_anything();
   if (drained && core_) core_->Leave();
-  const bool ended = drained && (!core_ || core_->HandedOver(now));
+  const bool leads = coordination_ && coordination_->leads();
+  const bool ended = drained && !leads && (!core_ || core_->HandedOver(now));
   if (ended || since >= settings_.bounds.grace - kEndMargin) End();
 }
 
@@ -255,6 +260,7 @@
   Say(Event::kTermReceived, settings_.node_name);
   SetReady();
   front_.Drain();
+  if (coordination_) coordination_->Leave();
 }
 
 void Node::End() {
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -30,17 +30,25 @@
 #include "system/command.hpp"
 #include "system/config_feed.hpp"
 #include "system/config_source.hpp"
+#include "system/coordination_calls.hpp"
+#include "system/coordination_host.hpp"
 #include "system/core_calls.hpp"
 #include "system/founding_host.hpp"
 #include "system/front.hpp"
 #include "system/link.hpp"
 #include "system/message.hpp"
+#include "system/node_limits.hpp"
 #include "system/pause_watch.hpp"
 #include "system/redundancy_watch.hpp"
 
 namespace curlewdoor::system {
 
-class Node : net::FleetLink::Owner, Link::Owner, FoundingHost::Owner, CoreCalls::Owner {
+class Node : net::FleetLink::Owner,
+             Link::Owner,
+             FoundingHost::Owner,
+             CoreCalls::Owner,
+             CoordinationHost::Owner,
+             CoordinationCalls::Owner {
  public:
   // Throws std::runtime_error where it can't begin. `settings_path` is looked at again now and then.
   Node(struct ev_loop* loop, settings::NodeSettings settings, std::string settings_path, std::uint64_t seed);
@@ -223,6 +231,24 @@
   std::optional<Duration> ContactAge() const;
   bool InContact() const;
 
+  // Coordination: locks, numbers, keys and watches (node_coordination.cpp).
+  bool Coordinates() const { return settings_.active_contracts.contains(kCoordinationContract); }
+  void OpenCoordination(coordination::ReplicaState from_disk);
+  bool TakeCoordinationCall(const CallDoor::Call& call);
+  void TickCoordination();
+  void Handle(Link::Stream& stream, CoordinationBytes& message);
+  void Handle(Link::Stream& stream, CoordinationCall& message);
+  void Handle(Link::Stream& stream, CoordinationReply& message);
+  void Handle(Link::Stream& stream, CoordinationLeader& message);
+  void Handle(Link::Stream& stream, CoordinationForget& message);
+  void SendToReplica(const agreement::Member& to, std::string bytes) override;
+  bool WriteLog(coordination::Records records) override;
+  void OnCoordinationReply(std::uint64_t number, coordination::Reply reply) override;
+  void OnCoordinationLeader(std::uint64_t term, const std::string& name) override;
+  std::vector<CoordinationCalls::Candidate> ReachedMembers() override;
+  void CallHere(std::uint64_t number, const coordination::Call& call) override;
+  void ForgetHere(std::uint64_t number) override;
+
   // Count.
   const CoreMember* Holder(const std::string& tenant) const;
   void AddToCount(const std::string& tenant, const AddCount& call);
@@ -295,6 +321,9 @@
   bool registry_proved_ = false;                               // as the log says
   std::uint64_t leaves_acknowledged_ = 0, leaves_not_acknowledged_ = 0;
 
+  std::optional<CoordinationHost> coordination_;  // of a process with a core
+  CoordinationCalls coordination_calls_{*this, {}};
+  std::unordered_map<RequestId, std::uint64_t, IdHash> coordination_numbers_;  // of calls that wait here
   CoreCalls core_calls_{*this, {}};
   std::unordered_map<std::uint64_t, Replication> replications_;
   std::unordered_map<std::uint64_t, Adding> addings_;
--- a/src/system/node_calls.cpp
+++ b/src/system/node_calls.cpp
@@ -12,6 +12,7 @@
   try {
     if (const auto report = DecodeReport(call.method, call.path))
       return std::visit([&](const auto& each) { Execute(call.id, each); }, *report);
+    if (TakeCoordinationCall(call)) return;
     auto command = directory::Decode(call.method, call.path, std::move(call.body));
     std::visit([&](auto& each) { Execute(call.id, each); }, command);
   } catch (const directory::CallError& error) {
--- /dev/null
+++ b/src/system/node_coordination.cpp
@@ -0,0 +1,110 @@
+// Node: calls of applications, and this process's part in the log of locks, numbers and keys.
+#include <utility>
+
+#include "system/coordination_http.hpp"
+#include "system/node.hpp"
+#include "system/node_limits.hpp"
+
+namespace curlewdoor::system {
+
+void Node::OpenCoordination(coordination::ReplicaState from_disk) {
+  coordination::CoordinatorOptions options;
+  options.limits.history =
+      std::chrono::duration_cast<coordination::LoggedTime>(settings_.bounds.history * kHistoryFactor);
+  CoordinationHost::Owner& owner = *this;
+  coordination_.emplace(loop_, owner, core_->self(), std::move(from_disk), options, rng_());
+  coordination_->SetRoster(core_->roster());
+}
+
+// False: it is none of coordination's.
+bool Node::TakeCoordinationCall(const CallDoor::Call& call) {
+  if (!Coordinates()) return false;
+  auto decoded = DecodeCoordinationCall(call.method, call.path, call.body);
+  if (!decoded) return false;
+  // Its caller has given up waiting, and may have gone on meanwhile.
+  if (pause_watch_.InputMayBeOld(Now())) {
+    control_.Reply(call.id, 503);
+    return true;
+  }
+  const std::uint64_t number = next_number_++;
+  coordination_numbers_[call.id] = number;
+  coordination_calls_.Begin(Now(), number, std::move(*decoded),
+                            [this, id = call.id](const CoordinationCalls::Answer& answer) {
+                              coordination_numbers_.erase(id);
+                              const HttpAnswer http = EncodeAnswer(answer);
+                              ReplyJson(id, http.status, http.body);
+                            });
+  return true;
+}
+
+void Node::TickCoordination() {
+  coordination_calls_.Tick(Now());
+  if (coordination_) coordination_->Tick();
+}
+
+void Node::Handle(Link::Stream&, CoordinationBytes& message) {
+  if (coordination_) coordination_->OnBytes(message.bytes);
+}
+
+void Node::Handle(Link::Stream& stream, CoordinationCall& message) {
+  const auto call = coordination::DecodeCall(message.call);
+  // A call that stood in a buffer while this process stood still is nobody's any more.
+  if (!call || !coordination_ || pause_watch_.InputMayBeOld(Now()))
+    return stream.Send(Encode(CoordinationReply{
+        message.number, coordination::Encode(coordination::Reply(coordination::NotServed{}))}));
+  coordination_->OnCall(stream.number, message.number, *call);
+}
+
+void Node::Handle(Link::Stream& stream, CoordinationReply& message) {
+  auto reply = coordination::DecodeReply(message.reply);
+  if (!reply) return Say(Event::kMessageRefused, "a reply of coordination");
+  coordination_calls_.OnReply(Now(), stream.number, message.number, std::move(*reply));
+}
+
+void Node::Handle(Link::Stream& stream, CoordinationLeader& message) {
+  if (stream.dialled()) coordination_calls_.OnLeader(Now(), message.term, std::move(message.name));
+}
+
+void Node::Handle(Link::Stream& stream, CoordinationForget& message) {
+  if (coordination_) coordination_->Forget(stream.number, message.number);
+}
+
+// ---- For CoordinationHost -------------------------------------------------------------------------------
+
+void Node::SendToReplica(const agreement::Member& to, std::string bytes) {
+  const auto address = ParseAddress(to.address);
+  Link::Stream* stream = address ? link_.To(*address) : nullptr;
+  if (stream != nullptr) stream->Send(Encode(CoordinationBytes{std::move(bytes)}));
+}
+
+bool Node::WriteLog(coordination::Records records) { return storage_->Write(kLogWrite, std::move(records)); }
+
+void Node::OnCoordinationReply(std::uint64_t number, coordination::Reply reply) {
+  coordination_calls_.OnReplyHere(Now(), number, std::move(reply));
+}
+
+void Node::OnCoordinationLeader(std::uint64_t term, const std::string& name) {
+  Say(Event::kCoordinationLeader, "term " + std::to_string(term));
+  Broadcast(CoordinationLeader{term, name});
+  coordination_calls_.OnLeader(Now(), term, name);
+}
+
+// ---- For CoordinationCalls ------------------------------------------------------------------------------
+
+std::vector<CoordinationCalls::Candidate> Node::ReachedMembers() {
+  std::vector<CoordinationCalls::Candidate> members;
+  for (const CoreMember& member : members_) {
+    const bool here = coordination_ && member.name == settings_.node_name && member.disk == disk_;
+    const Link::Stream* stream = here ? nullptr : link_.To(member.address);
+    if (here || stream != nullptr) members.push_back({member.name, here ? 0 : stream->number});
+  }
+  return members;
+}
+
+void Node::CallHere(std::uint64_t number, const coordination::Call& call) {
+  coordination_->OnCall(0, number, call);
+}
+
+void Node::ForgetHere(std::uint64_t number) { coordination_->Forget(0, number); }
+
+}  // namespace curlewdoor::system
--- a/src/system/node_core.cpp
+++ b/src/system/node_core.cpp
@@ -22,6 +22,7 @@
     link_.ForEach([](Link::Stream& stream) { stream.Close(); });
   } catch (const std::exception& error) {
     Say(Event::kStorageFailed, std::string(error.what()) + "; it is tried again, without a core meanwhile");
+    coordination_.reset();
     storage_.reset();
     open_again_ = true;
   }
@@ -51,14 +52,16 @@
   bool first = bootstrap_;
   // A life that began with the whole system may still found it, whatever the settings say by now.
   const bool known = life && (life->size() == 16 || life->size() == 17);
-  const auto read =
-      known ? agreement::DecodeState([this](const std::string& key) { return storage_->Read(key); })
-            : std::nullopt;
-  if (known && read) {
+  const auto record = [this](const std::string& key) { return storage_->Read(key); };
+  auto read = known ? agreement::DecodeState(record) : std::nullopt;
+  if (known) disk_ = std::strtoull(life->substr(0, 16).c_str(), nullptr, 16);
+  // Whoever can't read its log has forgotten what it promised, as one that can't read its state.
+  auto log = known && Coordinates() ? coordination::DecodeReplicaState(disk_, record)
+                                    : std::optional(coordination::ReplicaState{});
+  if (known && read && log) {
     life_ = *life;
     life_kept_ = true;
     first = life_.size() == 17;
-    disk_ = std::strtoull(life_.substr(0, 16).c_str(), nullptr, 16);
     state = *read;
     if (const auto kept = storage_->Read(agreement::kFoundingKey); kept && first)
       founding = agreement::DecodeFoundingState(*kept);
@@ -68,6 +71,8 @@
       if (const auto entries = directory::Decode(*hosts, Now()))
         for (const directory::Entry& entry : *entries) directory_.Merge(Now(), entry);
   } else {
+    read.reset();
+    log.emplace();
     // What can't be read is forgotten: another life, that has promised nothing and must be taken in first.
     if (known) Say(Event::kStorageDamaged, directory + ": its state can't be read; it begins another life");
     if (known || storage_->Read(agreement::kFoundingKey)) first = false;
@@ -99,6 +104,7 @@
   }
   storage_io_ = std::make_unique<net::IoWatcher>(loop_, [this](int) { OnStorage(); });
   storage_io_->Want(storage_->fd(), EV_READ);
+  if (Coordinates()) OpenCoordination(std::move(*log));
   OpenFounding(std::move(founding));
   record_being_kept_.reset();
   votes_being_kept_.clear();
@@ -146,6 +152,10 @@
   for (const storage::Result& result : storage_->Drain()) {
     if (!result.ok) Say(Event::kStorageFailed, result.error);
     if (result.ok && result.id != kHostsWrite) life_kept_ = true;
+    if (result.id == kLogWrite) {
+      if (coordination_) coordination_->OnWritten(result.ok);
+      continue;
+    }
     if (result.id == kHostsWrite) {
       keeping_hosts_ = false;
       continue;
@@ -181,6 +191,7 @@
   }
   if (out.roster_changed) {
     OnRoster(core_->roster().epoch, RosterOfCore());
+    if (coordination_) coordination_->SetRoster(core_->roster());
     OnView();
   }
   LookAtMajority();
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -58,6 +58,9 @@
 inline constexpr std::uint64_t kHostsWrite = ~std::uint64_t{0};  // never an id of the agreement's writes
 inline constexpr std::uint64_t kFoundingWrite = kHostsWrite - 1;
 inline constexpr std::uint64_t kLeavesWrite = kHostsWrite - 2;
+inline constexpr std::uint64_t kLogWrite = kHostsWrite - 3;
+inline constexpr char kCoordinationContract[] = "coord";
+inline constexpr int kHistoryFactor = 2;  // of the history that is asked for: kept
 inline constexpr std::size_t kMostOwedVotes = 4096;
 inline constexpr int kReserved = 300;  // descriptors: files, the loop's own, what the platform keeps
 
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -61,6 +61,9 @@
   if (epoch_ > 0 && !stream.fetches) stream.Send(Encode(MembersNow()));
   if (directory_.size() > 0) stream.Send(Encode(Hosts{directory::Encode(directory_.All(), Now())}));
   if (had_majority_) TellConfig(stream);
+  if (coordination_ && coordination_->leads())
+    stream.Send(
+        Encode(CoordinationLeader{coordination_->coordinator().replica().term(), settings_.node_name}));
 }
 
 void Node::OnDown(Link::Stream& stream) {
@@ -75,6 +78,8 @@
   }
   for (const CountName name : lost) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
   core_calls_.OnStreamDown(Now(), stream.number);
+  coordination_calls_.OnStreamDown(Now(), stream.number);
+  if (coordination_) coordination_->OnStreamDown(stream.number);
 }
 
 void Node::OnFrame(Link::Stream& stream, std::string_view frame) {
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -1,10 +1,11 @@
 # The whole gateway: one node, and its program.
 add_library(curlewdoor_node STATIC src/counting/held_counts.cpp src/counting/pressure.cpp src/counting/quota_plan.cpp
                                    src/system/call_door.cpp src/system/command.cpp src/system/config_feed.cpp
-                                   src/system/config_source.cpp src/system/core_calls.cpp src/system/founding_host.cpp
+                                   src/system/config_source.cpp src/system/coordination_calls.cpp
+                                   src/system/coordination_host.cpp src/system/coordination_http.cpp src/system/core_calls.cpp src/system/founding_host.cpp
                                    src/system/front.cpp src/system/front_dialect.cpp src/system/front_in_force.cpp
                                    src/system/link.cpp src/system/message.cpp src/system/node.cpp src/system/node_calls.cpp
-                                   src/system/node_core.cpp src/system/node_count.cpp
+                                   src/system/node_coordination.cpp src/system/node_core.cpp src/system/node_count.cpp
                                    src/system/node_directory.cpp src/system/node_feed.cpp
                                    src/system/node_membership.cpp
                                    src/system/node_messages.cpp src/system/node_registry.cpp
@@ -12,7 +13,8 @@
 target_include_directories(curlewdoor_node SYSTEM PRIVATE ${MSGPACK})
 target_compile_definitions(curlewdoor_node PRIVATE MSGPACK_NO_BOOST)
 target_link_libraries(curlewdoor_node PUBLIC curlewdoor_net curlewdoor_settings curlewdoor_events curlewdoor_policy
-                                             curlewdoor_directory curlewdoor_registry curlewdoor_agreement curlewdoor_storage
+                                             curlewdoor_directory curlewdoor_registry curlewdoor_agreement curlewdoor_coordination
+                                             curlewdoor_storage
                                              curlewdoor_choosing curlewdoor_trying curlewdoor_fleet
                                       PRIVATE ${CJSON})
 
