Coordination: events 900 and 901, examples of its messages, a strict build

Cause: message_test asks for an example of each kind, events_test for each row; g++ took an optional text for uninitialised in the strict build. Change: examples, rows; the hard state names its vote by a Life without a name for nobody.

--- a/src/coordination/replica_message.cpp
+++ b/src/coordination/replica_message.cpp
@@ -31,7 +31,7 @@
   std::uint32_t format = kFormat;
   std::uint64_t disk = 0;
   std::uint64_t term = 0;
-  std::optional<agreement::Life> voted_for;
+  agreement::Life voted_for;  // without a name: nobody
   std::uint64_t snapshot_index = 0, last_index = 0;
 };
 auto Fields(HardState& v) {
@@ -79,7 +79,8 @@
 Records EncodeHardState(std::uint64_t disk, std::uint64_t term,
                         const std::optional<agreement::Life>& voted_for, std::uint64_t snapshot_index,
                         std::uint64_t last_index) {
-  return {{kHardKey, packing::Pack(HardState{kFormat, disk, term, voted_for, snapshot_index, last_index})}};
+  return {{kHardKey, packing::Pack(HardState{kFormat, disk, term, voted_for.value_or(agreement::Life{}),
+                                             snapshot_index, last_index})}};
 }
 
 std::pair<std::string, std::string> EncodeEntry(std::uint64_t index, const LogEntry& entry) {
@@ -105,7 +106,7 @@
     return std::nullopt;
   state.found = true;
   state.term = hard->term;
-  state.voted_for = hard->voted_for;
+  if (!hard->voted_for.node.empty()) state.voted_for = hard->voted_for;
   if (const auto snapshot_bytes = read(kSnapshotKey)) {
     auto snapshot = packing::Unpack<KeptSnapshot>(*snapshot_bytes);
     if (!snapshot || snapshot->index != hard->snapshot_index) return std::nullopt;
--- a/src/events/events.hpp
+++ b/src/events/events.hpp
@@ -77,11 +77,11 @@
   kCounterSilent = 700,
   kCounterBack = 701,
   kCountBegun = 702,
-  kCoordinationNote = 900,
-  kCoordinationLeader = 901,
   kBeatRefused = 800,
   kMessageRefused = 801,
   kTooLarge = 802,
+  kCoordinationNote = 900,
+  kCoordinationLeader = 901,
 };
 
 struct Entry {
@@ -190,13 +190,13 @@
           "the member that counts a tenant doesn't answer; quotas are kept by share"},
     Entry{Event::kCounterBack, Level::kInfo, "counter-back", "the count of a tenant answers again"},
     Entry{Event::kCountBegun, Level::kInfo, "count-begun", "this member counts tenants from now on"},
+    Entry{Event::kBeatRefused, Level::kWarn, "beat-refused", "a host's beat is wrong"},
+    Entry{Event::kMessageRefused, Level::kWarn, "message-refused", "a message of a gateway can't be read"},
+    Entry{Event::kTooLarge, Level::kWarn, "too-large", "a request or message is beyond its size limit"},
     Entry{Event::kCoordinationNote, Level::kInfo, "coordination-note",
           "the log of locks, numbers and keys: who leads, and which voters it has"},
     Entry{Event::kCoordinationLeader, Level::kInfo, "coordination-leader",
           "this member serves locks, numbers, keys and watches from now on"},
-    Entry{Event::kBeatRefused, Level::kWarn, "beat-refused", "a host's beat is wrong"},
-    Entry{Event::kMessageRefused, Level::kWarn, "message-refused", "a message of a gateway can't be read"},
-    Entry{Event::kTooLarge, Level::kWarn, "too-large", "a request or message is beyond its size limit"},
 };
 
 std::string_view LevelName(Level level);  // "debug", "info", "warn", "error"
--- a/tests/system/message_test.cpp
+++ b/tests/system/message_test.cpp
@@ -50,7 +50,12 @@
           Fetch{1, 2, 3, kMost, 5, kMost, 32'768},
           Fetched{8, 2, 9, kMost, 70'000, 32'768, kBytes},
           RegistryQuery{-5, kMost},
-          RegistryAnswer{kMostMicros, kMost, 3, 2, true}};
+          RegistryAnswer{kMostMicros, kMost, 3, 2, true},
+          CoordinationBytes{kBytes},
+          CoordinationCall{kMost, kBytes},
+          CoordinationReply{kMost, kBytes},
+          CoordinationLeader{kMost, "core-1"},
+          CoordinationForget{kMost}};
 }
 
 // Of 24 bytes each: what arrays may claim before it is there, one within the other.
