--- a/src/console/commands.hpp
+++ b/src/console/commands.hpp
@@ -13,6 +13,16 @@
 void ShowGateways(Session& session);
 void ShowFigures(Session& session);
 
+// coordination_commands.cpp: locks, numbers, keys and watches, as an application calls for them.
+void ShowCoordination(Session& session);
+void BeginLock(Session& session);   // NAME HOLDER HOLD_MS
+void RenewLock(Session& session);   // NAME HOLDER FENCE HOLD_MS
+void FinishLock(Session& session);  // NAME HOLDER FENCE
+void TakeNumber(Session& session);  // NAME
+void ReadKey(Session& session);     // NAME
+void PutKey(Session& session);      // NAME VALUE [REVISION]
+void WatchGroup(Session& session);  // GROUP [AFTER [WAIT_MS]]
+
 // config_commands.cpp: the operator's configuration, in force and in files.
 void ShowConfig(Session& session);
 void ShowConfigStatus(Session& session);
--- a/src/console/console.cpp
+++ b/src/console/console.cpp
@@ -32,6 +32,14 @@
                                  {"tenant", "show", 1, 1, &ShowTenant},
                                  {"gateways", "show", 0, 0, &ShowGateways},
                                  {"figures", "", 0, 0, &ShowFigures},
+                                 {"coordination", "show", 0, 0, &ShowCoordination},
+                                 {"lock", "begin", 3, 3, &BeginLock},
+                                 {"lock", "renew", 4, 4, &RenewLock},
+                                 {"lock", "finish", 3, 3, &FinishLock},
+                                 {"number", "take", 1, 1, &TakeNumber},
+                                 {"key", "read", 1, 1, &ReadKey},
+                                 {"key", "put", 2, 3, &PutKey},
+                                 {"watch", "", 1, 3, &WatchGroup},
                                  {"config", "show", 0, 0, &ShowConfig},
                                  {"config", "status", 0, 0, &ShowConfigStatus},
                                  {"config", "push", 1, 1, &PushConfig},
@@ -61,7 +69,8 @@
 void RunCommand(const ConsoleOptions& options, std::ostream& out) {
   const Command& command = FindCommand(options.words);
   const std::size_t name = command.words_of_name();
-  Session session(options, options.words.size() > name ? options.words[name] : std::string(), out);
+  Session session(options, {options.words.begin() + static_cast<std::ptrdiff_t>(name), options.words.end()},
+                  out);
   command.run(session);
 }
 
--- a/src/console/console.hpp
+++ b/src/console/console.hpp
@@ -20,7 +20,10 @@
 };
 
 inline constexpr char kConsoleCommands[] =
-    "core show | core forget NAME | hosts show | tenant show NAME | gateways show | figures | config show | "
+    "core show | core forget NAME | hosts show | tenant show NAME | gateways show | figures | "
+    "coordination show | lock begin NAME HOLDER HOLD_MS | lock renew NAME HOLDER FENCE HOLD_MS | "
+    "lock finish NAME HOLDER FENCE | number take NAME | key read NAME | key put NAME VALUE [REVISION] | "
+    "watch GROUP [AFTER [WAIT_MS]] | config show | "
     "config status | "
     "config push FILE | config diff FILE | events [NUMBER] | storage verify DIR | storage dump DIR | "
     "check-settings [FILE] | "
--- a/src/console/package.cmake
+++ b/src/console/package.cmake
@@ -1,6 +1,6 @@
 # The command line's commands but for `run gateway`: what operators ask running gateways, and looks at files.
 add_library(curlewdoor_console STATIC src/console/cluster_commands.cpp src/console/config_commands.cpp
-                                      src/console/config_diff.cpp src/console/console.cpp
+                                      src/console/config_diff.cpp src/console/console.cpp src/console/coordination_commands.cpp
                                       src/console/json_view.cpp src/console/local_commands.cpp
                                       src/console/session.cpp src/console/storage_commands.cpp
                                       src/console/table.cpp src/system/caller.cpp)
--- a/src/console/session.hpp
+++ b/src/console/session.hpp
@@ -16,11 +16,14 @@
 
 class Session {
  public:
-  Session(const ConsoleOptions& options, std::string argument, std::ostream& out)
-      : options_(options), argument_(std::move(argument)), out_(out) {}
+  Session(const ConsoleOptions& options, std::vector<std::string> arguments, std::ostream& out)
+      : options_(options), arguments_(std::move(arguments)), out_(out) {}
 
   const ConsoleOptions& options() const { return options_; }
-  const std::string& argument() const { return argument_; }
+  // The words behind the command's name: as many as it takes.
+  const std::vector<std::string>& arguments() const { return arguments_; }
+  // The only one; empty: there is none.
+  const std::string& argument() const { return arguments_.empty() ? kNoArgument : arguments_.front(); }
   std::ostream& out() { return out_; }
 
   std::chrono::milliseconds timeout() const;
@@ -35,7 +38,8 @@
   std::vector<Address> Addresses() const;
 
   const ConsoleOptions& options_;
-  const std::string argument_;
+  static inline const std::string kNoArgument;
+  const std::vector<std::string> arguments_;
   std::ostream& out_;
 };
 
--- a/src/system/command.cpp
+++ b/src/system/command.cpp
@@ -27,6 +27,7 @@
   if (rest == "gateways") return ReportGateways{};
   if (rest == "figures") return ReportFigures{};
   if (rest == "config/status") return ReportConfig{};
+  if (rest == "coordination") return ReportCoordination{};
   if (!rest.starts_with(kTenants)) return std::nullopt;
   return ReportTenant{NameIn(rest.substr(kTenants.size()), "tenant")};
 }
--- a/src/system/command.hpp
+++ b/src/system/command.hpp
@@ -19,13 +19,14 @@
 struct ReportGateways {};
 struct ReportFigures {};
 struct ReportConfig {};
+struct ReportCoordination {};
 struct ForgetMember {  // of the core, that is gone for good
   std::string name;
   bool forced = false;
 };
 
 using ReportCommand = std::variant<ReportCore, ReportHosts, ReportTenant, ReportGateways, ReportFigures,
-                                   ReportConfig, ForgetMember>;
+                                   ReportConfig, ReportCoordination, ForgetMember>;
 
 inline constexpr std::string_view kReportPaths = "/v1/system/";
 inline constexpr std::string_view kForgetPath = "core/forget/";  // behind it, and the name; forced: kForced
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -141,6 +141,7 @@
   void Execute(RequestId id, const ReportGateways& report);
   void Execute(RequestId id, const ReportFigures& report);
   void Execute(RequestId id, const ReportConfig& report);
+  void Execute(RequestId id, const ReportCoordination& report);
   void Execute(RequestId id, const ForgetMember& order);
   void ReplyReport(RequestId id, const std::string& json);
   void ReplyBeat(RequestId id);
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -102,6 +102,24 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(time).count());
 }
 
+void AddCoordination(Page& page, const CoordinationCalls& calls,
+                     const std::optional<CoordinationHost>& host) {
+  page.Gauge("coordination_calls_waiting", calls.size(), "Applications' calls that wait for an answer.");
+  page.Counter("coordination_unclear_total", calls.unclear(), "Calls answered 504: may have taken effect.");
+  page.Counter("coordination_refused_total", calls.nothing_done(),
+               "Calls answered 503 or 429: nothing was done.");
+  if (!host) return;
+  const coordination::Replica& replica = host->coordinator().replica();
+  page.Gauge("coordination_leads", host->leads() ? 1 : 0, "Whether this member serves the calls.");
+  page.Gauge("coordination_term", replica.term(), "Term of the log, as known here.");
+  page.Counter("coordination_elections_total", replica.elections(), "Elections that this member stood in.");
+  page.Gauge("coordination_log_entries", replica.log_last() - replica.log_begin(),
+             "Entries behind the snapshot.");
+  page.Gauge("coordination_uncommitted", replica.log_last() - replica.applied(),
+             "Entries that no majority is known to hold.");
+  page.Gauge("coordination_locks_held", host->coordinator().state().holds().size(), "Locks that are held.");
+}
+
 void AddDescriptors(Page& page, const char* pool, const net::Descriptors& descriptors) {
   constexpr std::string_view kNames[net::kUses] = {"client",    "host",  "counter",
                                                    "discovery", "admin", "fleet"};
@@ -306,6 +324,34 @@
   ReplyReport(id, answer.Print());
 }
 
+// By this gateway: whom it takes for the leader; by a member: its log and, while it leads, all holds.
+void Node::Execute(RequestId id, const ReportCoordination&) {
+  Document answer;
+  answer.Text("node", settings_.node_name).Flag("on", Coordinates());
+  answer.Text("leader", coordination_calls_.leader());
+  answer.Number("calls_waiting", static_cast<double>(coordination_calls_.size()));
+  answer.Flag("leads", coordination_ && coordination_->leads());
+  if (!coordination_) return ReplyReport(id, answer.Print());
+  const coordination::Coordinator& coordinator = coordination_->coordinator();
+  const coordination::Replica& replica = coordinator.replica();
+  answer.Number("term", static_cast<double>(replica.term()));
+  answer.Number("log_begin", static_cast<double>(replica.log_begin()));
+  answer.Number("log_end", static_cast<double>(replica.log_last()));
+  answer.Number("applied", static_cast<double>(replica.applied()));
+  cJSON* voters = answer.List("voters");
+  for (const agreement::Member& voter : replica.voters()) {
+    Object each = AddTo(voters);
+    each.Text("name", voter.life.node).Text("life", LifeText(voter.life.disk)).Text("address", voter.address);
+  }
+  cJSON* locks = answer.List("locks");
+  for (const auto& [lock, hold] : coordinator.state().holds()) {
+    Object each = AddTo(locks);
+    each.Text("name", lock).Text("holder", hold.holder).Number("fence", static_cast<double>(hold.fence));
+    each.Number("hold_ms", static_cast<double>(hold.hold_ms));
+  }
+  ReplyReport(id, answer.Print());
+}
+
 void Node::Execute(RequestId id, const ReportFigures&) {
   Page page;
   const Front::Figures& figures = front_.figures();
@@ -368,6 +414,7 @@
   if (core_)
     page.Counter("core_ballots_refused_total", core_->ballots_refused(),
                  "Ballots of this member that gave way to another's.");
+  if (Coordinates()) AddCoordination(page, coordination_calls_, coordination_);
   page.Gauge("epoch", epoch_, "Epoch of the core's roster, as known here.");
   page.Gauge("core_member", core_member() ? 1 : 0, "Whether this gateway is in that roster.");
   page.Gauge("majority", had_majority_ ? 1 : 0, "Whether this member hears a majority; 0 where it is none.");
