--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -15,7 +15,7 @@
       call);
 }
 
-Reply ReplyOf(Result result) {
+Reply ReplyOf(const Result& result) {
   if (std::holds_alternative<OutcomeForgotten>(result)) return Unclear{};
   return result;
 }
@@ -137,7 +137,7 @@
 void Coordinator::ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOut& out) {
   const auto command = DecodeCommand(entry.command);
   if (!command) return;  // of a later version: no replica of this one knows it
-  Result result = state_.Apply(entry.logged_time, *command);
+  const Result result = state_.Apply(entry.logged_time, *command);
   const auto* put = std::get_if<PutKey>(&*command);
   if (put != nullptr && std::holds_alternative<KeyPut>(result))
     AnswerWatchers(std::string(StateMachine::GroupOf(put->key)), out);
@@ -152,7 +152,7 @@
   const Waiting call = waiting->second;
   commands_.erase(waiting);
   if (call.term == entry.term) {
-    out.replies.emplace_back(call.id, ReplyOf(std::move(result)));
+    out.replies.emplace_back(call.id, ReplyOf(result));
   } else {  // another leader's entry stands in its place
     out.replies.emplace_back(call.id, Unclear{});
   }
