--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -142,8 +142,7 @@
 std::optional<Revision> StateMachine::FirstRevision(const PutKey& put, const Key* key) const {
   if (key == nullptr || Does(Limits::Fault::kResendAppliedTwice)) return std::nullopt;
   if (key->value == put.value) return key->revision;
-  const auto group = groups_.find(std::string(GroupOf(put.key)));
-  const auto& history = group->second.history;
+  const auto& history = FindGroup(GroupOf(put.key))->history;
   const auto same = std::find_if(history.rbegin(), history.rend(), [&](const Recorded& each) {
     return each.event.value == put.value && each.event.key == put.key;
   });
@@ -160,7 +159,7 @@
 
 Revision StateMachine::Store(LoggedTime at, const PutKey& put) {
   const std::size_t size = put.key.size() + put.value.size() + kOverhead;
-  Group& group = groups_[std::string(GroupOf(put.key))];
+  Group& group = FindOrAddGroup(GroupOf(put.key));
   const Revision revision = ++group.revision;
   auto [entry, is_new] = keys_.try_emplace(put.key);
   Key& key = entry->second;
@@ -172,23 +171,41 @@
   key_bytes_ += size;
   group.history.push_back({{put.key, put.value, revision}, at});
   history_bytes_ += size;
+  drop_order_.push_back(group_numbers_.find(GroupOf(put.key))->second);
   return revision;
 }
 
-// Puts whose time is over. A group's history rises in time, so only its begin is looked at.
+// Puts whose time is over. Logged time rises, so the oldest of all groups stand in front.
 void StateMachine::DropHistory(LoggedTime now) {
-  for (auto& [name, group] : groups_) {
-    while (!group.history.empty() && group.history.front().at + limits_.history <= now) {
-      const Event& event = group.history.front().event;
-      Key& key = keys_.at(event.key);
-      if (key.revision != event.revision) key.dropped = std::max(key.dropped, event.revision);
-      group.floor = event.revision;
-      history_bytes_ -= event.key.size() + event.value.size() + kOverhead;
-      group.history.pop_front();
-    }
+  while (!drop_order_.empty()) {
+    Group& group = groups_[drop_order_.front()];
+    if (group.history.front().at + limits_.history > now) return;
+    DropOldest(group);
+    drop_order_.pop_front();
   }
 }
 
+void StateMachine::DropOldest(Group& group) {
+  const Event& event = group.history.front().event;
+  Key& key = keys_.at(event.key);
+  if (key.revision != event.revision) key.dropped = std::max(key.dropped, event.revision);
+  group.floor = event.revision;
+  history_bytes_ -= event.key.size() + event.value.size() + kOverhead;
+  group.history.pop_front();
+}
+
+const StateMachine::Group* StateMachine::FindGroup(std::string_view name) const {
+  const auto found = group_numbers_.find(name);
+  return found == group_numbers_.end() ? nullptr : &groups_[found->second];
+}
+
+StateMachine::Group& StateMachine::FindOrAddGroup(std::string_view name) {
+  const auto found = group_numbers_.find(name);
+  if (found != group_numbers_.end()) return groups_[found->second];
+  group_numbers_.emplace(std::string(name), static_cast<std::uint32_t>(groups_.size()));
+  return groups_.emplace_back();
+}
+
 std::optional<StateMachine::Read> StateMachine::Find(const std::string& key) const {
   const auto found = keys_.find(key);
   if (found == keys_.end()) return std::nullopt;
@@ -199,9 +216,9 @@
 
 StateMachine::Events StateMachine::EventsAfter(const std::string& group, Revision after) const {
   Events events;
-  const auto found = groups_.find(group);
-  if (found == groups_.end()) return events;
-  const Group& known = found->second;
+  const Group* found = FindGroup(group);
+  if (found == nullptr) return events;
+  const Group& known = *found;
   events.revision = known.revision;
   if (after == 0) return events;
   if (after < known.floor) {
@@ -215,8 +232,8 @@
 }
 
 Revision StateMachine::GroupRevision(const std::string& group) const {
-  const auto found = groups_.find(group);
-  return found == groups_.end() ? 0 : found->second.revision;
+  const Group* found = FindGroup(group);
+  return found == nullptr ? 0 : found->revision;
 }
 
 std::string_view StateMachine::GroupOf(std::string_view key) {
@@ -233,7 +250,8 @@
     image.holds.push_back({lock, hold.holder, hold.fence, hold.hold_ms, hold.renewals});
   for (const auto& [name, value] : numbers_) image.numbers.push_back({name, value});
   for (const auto& [name, key] : keys_) image.keys.push_back({name, key.value, key.revision, key.dropped});
-  for (const auto& [name, group] : groups_) {
+  for (const auto& [name, number] : group_numbers_) {
+    const Group& group = groups_[number];
     Image::NamedGroup named{name, group.revision, group.floor, {}};
     if (!Does(Limits::Fault::kHistoryNotInSnapshot)) {
       for (const Recorded& each : group.history)
@@ -256,15 +274,20 @@
     key_bytes_ += key.name.size() + key.value.size() + kOverhead;
     keys_[std::move(key.name)] = {std::move(key.value), key.revision, key.dropped};
   }
+  std::vector<std::pair<LoggedTime, std::uint32_t>> puts;
   for (auto& named : image->groups) {
-    Group& group = groups_[named.name];
+    const auto number = static_cast<std::uint32_t>(groups_.size());
+    Group& group = FindOrAddGroup(named.name);
     group.revision = named.revision;
     group.floor = named.floor;
     for (auto& put : named.history) {
       history_bytes_ += put.key.size() + put.value.size() + kOverhead;
       group.history.push_back({{std::move(put.key), std::move(put.value), put.revision}, put.at});
+      puts.emplace_back(put.at, number);
     }
   }
+  std::sort(puts.begin(), puts.end());
+  for (const auto& [at, number] : puts) drop_order_.push_back(number);
   return true;
 }
 
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -12,6 +12,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -113,6 +114,9 @@
   bool HasRoom(const PutKey& put, const Key* key) const;
   Revision Store(LoggedTime at, const PutKey& put);
   void DropHistory(LoggedTime now);
+  void DropOldest(Group& group);
+  const Group* FindGroup(std::string_view name) const;
+  Group& FindOrAddGroup(std::string_view name);
   bool Does(Limits::Fault fault) const { return limits_.fault == fault; }
 
   Limits limits_;
@@ -120,7 +124,9 @@
   Holds holds_;
   std::map<std::string, std::uint64_t> numbers_;
   std::map<std::string, Key> keys_;
-  std::map<std::string, Group> groups_;
+  std::map<std::string, std::uint32_t, std::less<>> group_numbers_;  // by name
+  std::deque<Group> groups_;                                         // by number; none ever goes
+  std::deque<std::uint32_t> drop_order_;  // the group of each put in all histories, the oldest put first
   std::size_t key_bytes_ = 0, history_bytes_ = 0;
 };
 
