--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -262,9 +262,39 @@
   return packing::Pack(image, key_bytes_ + history_bytes_ + 1024);
 }
 
+// What Apply() relies on: each key has its group, each past put its key, and a group's puts rise.
+bool StateMachine::Consistent(const Image& image) {
+  std::map<std::string_view, Revision> revisions, groups;
+  for (const auto& group : image.groups) {
+    if (!groups.emplace(group.name, group.revision).second || group.floor > group.revision) return false;
+  }
+  for (const auto& key : image.keys) {
+    const auto group = groups.find(GroupOf(key.name));
+    const bool possible =
+        group != groups.end() && key.revision > key.dropped && key.revision <= group->second;
+    if (!possible || !revisions.emplace(key.name, key.revision).second) return false;
+  }
+  for (const auto& group : image.groups) {
+    Revision newest = group.floor;
+    LoggedTime latest{};
+    for (const auto& put : group.history) {
+      const auto key = revisions.find(put.key);
+      const bool known =
+          key != revisions.end() && GroupOf(put.key) == group.name && put.revision <= key->second;
+      if (!known || put.revision != newest + 1 || put.at < latest) return false;
+      newest = put.revision;
+      latest = put.at;
+    }
+    if (newest != group.revision) return false;
+  }
+  return std::all_of(image.holds.begin(), image.holds.end(),
+                     [&](const auto& hold) { return hold.fence <= image.last_fence; });
+}
+
 bool StateMachine::Restore(std::string_view bytes) {
   auto image = packing::Unpack<Image>(bytes);
   if (!image || image->format != kSnapshotFormat) return false;
+  if (limits_.fault == Limits::Fault::kNone && !Consistent(*image)) return false;
   *this = StateMachine(limits_);
   last_fence_ = image->last_fence;
   for (auto& hold : image->holds)
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -117,6 +117,7 @@
   void DropOldest(Group& group);
   const Group* FindGroup(std::string_view name) const;
   Group& FindOrAddGroup(std::string_view name);
+  static bool Consistent(const Image& image);
   bool Does(Limits::Fault fault) const { return limits_.fault == fault; }
 
   Limits limits_;
--- a/tests/coordination/state_machine_test.cpp
+++ b/tests/coordination/state_machine_test.cpp
@@ -300,5 +300,35 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(damaged_bytes_are_no_snapshot_or_one_that_works) {
+  Limits limits;
+  limits.history = seconds(5);
+  StateMachine machine(limits);
+  const auto commands = SomeCommands(3, 60);
+  for (const auto& [at, command] : commands) machine.Apply(at, command);
+  const std::string whole = machine.Snapshot();
+  for (std::size_t length = 0; length < whole.size(); ++length) {
+    StateMachine other = machine;
+    BOOST_REQUIRE(!other.Restore(whole.substr(0, length)));
+    BOOST_REQUIRE(other.Snapshot() == whole);
+  }
+  BOOST_TEST(!StateMachine(limits).Restore(whole + '\0'));
+  std::mt19937_64 random(5);
+  std::size_t refused = 0;
+  for (int trial = 0; trial < 20'000; ++trial) {
+    std::string bytes = whole;
+    for (int changes = 1 + trial % 3; changes > 0; --changes)
+      bytes[random() % bytes.size()] = static_cast<char>(random() % 4 == 0 ? random() % 3 : random());
+    StateMachine other = machine;
+    if (!other.Restore(bytes)) {
+      ++refused;
+      BOOST_REQUIRE(other.Snapshot() == whole);
+      continue;
+    }
+    for (const auto& [at, command] : SomeCommands(7, 20)) other.Apply(commands.back().first + at, command);
+  }
+  BOOST_TEST(refused > 2'000u);
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
