--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -6,6 +6,8 @@
 namespace curlewdoor::coordination {
 namespace {
 
+using Fault = CoordinatorOptions::Fault;
+
 std::optional<Command> CommandOf(const Call& call) {
   return std::visit(
       [](const auto& each) -> std::optional<Command> {
@@ -75,6 +77,10 @@
 // ---- Calls ----
 
 void Coordinator::OnCall(Time now, CallId id, const Call& call, CoordinatorOut& out) {
+  if (Does(Fault::kReadAtFollower) && std::holds_alternative<ReadKey>(call)) {
+    reads_[id] = call;
+    return AnswerRead(now, id, out);
+  }
   if (!replica_.serving() || commands_.size() + reads_.size() >= options_.most_calls) {
     out.replies.emplace_back(id, NotHere());
     return;
@@ -101,6 +107,7 @@
 
 void Coordinator::AskToRead(Time now, CallId id, const Call& call, ReplicaOut& from, CoordinatorOut& out) {
   reads_[id] = call;
+  if (Does(Fault::kReadWithoutAsking)) return AnswerRead(now, id, out);
   if (replica_.Read(now, id, from)) return;
   reads_.erase(id);
   out.replies.emplace_back(id, NotHere());
@@ -120,7 +127,7 @@
 // ---- What the replica tells ----
 
 void Coordinator::Settle(Time now, ReplicaOut& from, CoordinatorOut& out) {
-  if (from.snapshot) state_.Restore(*from.snapshot);
+  if (from.snapshot && !Does(Fault::kSnapshotNotRestored)) state_.Restore(*from.snapshot);
   for (const CommittedEntry& entry : from.committed) ApplyEntry(now, entry, out);
   if (from.lost_leadership) StopServing(out);
   if (from.became_leader) BeginToServe(now);
@@ -170,8 +177,10 @@
   const StateMachine::Hold& hold = held->second;
   Holding& holding = holdings_[lock];
   if (holding.fence == hold.fence && holding.renewals == hold.renewals && holding.ends != Time{}) return;
-  const Time ends = now + std::chrono::milliseconds(hold.hold_ms);
   const bool same = holding.fence == hold.fence;
+  Time ends = now + std::chrono::milliseconds(hold.hold_ms);
+  if (Does(Fault::kHoldFromSending)) ends = now + std::chrono::milliseconds(hold.hold_ms / 2);
+  if (Does(Fault::kRenewalNotNoted) && same) ends = holding.ends;
   holding = {hold.fence, hold.renewals, same ? std::max(holding.ends, ends) : ends, false};
 }
 
@@ -179,6 +188,8 @@
 void Coordinator::BeginToServe(Time now) {
   holdings_.clear();
   for (const auto& [lock, hold] : state_.holds()) NoteHold(now, lock);
+  if (Does(Fault::kNewLeaderDoesNotWait))
+    for (auto& [lock, holding] : holdings_) holding.ends = now;
 }
 
 void Coordinator::ExpireHolds(Time now, ReplicaOut& from) {
@@ -191,7 +202,8 @@
 
 // Commands that wait may be committed by the next leader, or not; reads were only questions.
 void Coordinator::StopServing(CoordinatorOut& out) {
-  for (const auto& [index, waiting] : commands_) out.replies.emplace_back(waiting.id, Unclear{});
+  const Reply unclear = Does(Fault::kRefusedAfterProposal) ? Reply(NotHere()) : Reply(Unclear{});
+  for (const auto& [index, waiting] : commands_) out.replies.emplace_back(waiting.id, unclear);
   commands_.clear();
   for (const auto& [id, call] : reads_) out.replies.emplace_back(id, NotHere());
   reads_.clear();
@@ -225,6 +237,9 @@
     out.replies.emplace_back(id, HistoryGone{});
     return;
   }
+  if (Does(Fault::kWatchTellsNewest) && events.events.size() > 1)
+    events.events.erase(events.events.begin(), events.events.end() - 1);
+  if (Does(Fault::kWatchEndsAhead)) ++events.revision;
   out.replies.emplace_back(id, Watched{std::move(events.events), events.revision});
 }
 
--- a/src/coordination/coordinator.hpp
+++ b/src/coordination/coordinator.hpp
@@ -29,6 +29,19 @@
   std::size_t compact_bytes = 512u << 10;
   std::size_t most_calls = 4096;  // commands and reads that wait
   WatchTable::Limits watches;
+  // For tests of the tests: a coordinator that does something wrong.
+  enum class Fault : std::uint8_t {
+    kNone,
+    kNewLeaderDoesNotWait,  // a hold of an earlier leader is over at once
+    kHoldFromSending,       // a hold ends earlier than the caller's own count
+    kRenewalNotNoted,       // a hold's end is counted from its begin
+    kRefusedAfterProposal,  // NotServed where a command may yet be committed
+    kReadWithoutAsking,     // a leader answers from what it has
+    kReadAtFollower,        // anyone answers from what it has
+    kWatchTellsNewest,      // a watch is told the newest event alone
+    kWatchEndsAhead,        // a watch's answer names a revision above its events
+    kSnapshotNotRestored    // a leader's snapshot is taken for the log, not for the state
+  } fault = Fault::kNone;
 };
 
 // Names a call until it is answered; the owner's.
@@ -89,6 +102,7 @@
   void Execute(Time now, CallId id, const Command& command, ReplicaOut& from, CoordinatorOut& out);
   void AskToRead(Time now, CallId id, const Call& call, ReplicaOut& from, CoordinatorOut& out);
   NotServed NotHere() const;
+  bool Does(CoordinatorOptions::Fault fault) const { return options_.fault == fault; }
 
   const CoordinatorOptions options_;
   Replica replica_;
