--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -46,7 +46,8 @@
 }
 
 void Replica::OnMessage(Time now, const ReplicaMessage& message, ReplicaOut& out) {
-  if (message.to != self_.life || message.from.life == self_.life) return;
+  const bool any_disk = Does(ReplicaOptions::Fault::kAnyDisk) && message.to.node == self_.life.node;
+  if ((message.to != self_.life && !any_disk) || message.from.life == self_.life) return;
   Handle(now, message, out);
   StartWrite(now, out);
 }
--- a/tests/coordination/cluster.hpp
+++ b/tests/coordination/cluster.hpp
@@ -127,6 +127,20 @@
     return std::nullopt;
   }
 
+  // How often this member's process was started or killed; tells one process of a member from the next.
+  std::uint64_t process(std::size_t i) const { return nodes_[i]->process; }
+  std::uint64_t disk_number(std::size_t i) const { return nodes_[i]->disk_number; }
+  bool frozen(std::size_t i) const { return nodes_[i]->frozen; }
+  // From now on messages take so long and get lost so often, and disks refuse so often.
+  void SetTroubles(Duration most_way, double lost, double refused_writes) {
+    options_.most_way = most_way;
+    options_.lost = lost;
+    options_.refused_writes = refused_writes;
+  }
+  // Called with each message as it is sent, and with each member after each of its steps.
+  std::function<void(std::size_t from, const ReplicaMessage& message)> on_send;
+  std::function<void(std::size_t member)> on_step;
+
   // A call to this member; nothing where it isn't running. Replies may never come.
   void Call(std::size_t i, const coordination::Call& call, OnReply on_reply) {
     Act(i, [this, i, call, on_reply = std::move(on_reply)] {
@@ -195,6 +209,8 @@
 
   void Execute(std::size_t i, CoordinatorOut out) {
     Node& node = *nodes_[i];
+    if (on_send)
+      for (const ReplicaSending& sending : out.sends) on_send(i, sending.message);
     for (ReplicaSending& sending : out.sends) Deliver(i, std::move(sending));
     if (out.write) Write(i, std::move(*out.write));
     if (const auto due = node.coordinator->NextDue()) {
@@ -207,6 +223,7 @@
       const auto found = node.waiting.extract(id);
       if (found) found.mapped()(reply);
     }
+    if (on_step) on_step(i);
   }
 
   void Flush(std::size_t i) {
@@ -263,7 +280,7 @@
     for (auto& [key, bytes] : node.unsynced) node.disk[key] = bytes;
   }
 
-  const ClusterOptions options_;
+  ClusterOptions options_;
   std::mt19937_64 random_;
   Time now_{std::chrono::hours(1)};
   std::multimap<Time, std::function<void()>> events_;
