Coordination: a voter that lives stays while one of the roster is still to come

Cause: a leader took lives that left the roster out of the voters also while members of the roster that didn't answer were no voters yet. Ruled out: to keep dead voters too. They raise the majority and are no copy. Change: while one of the roster is to come, only lives that aren't heard of are taken out.

--- a/src/coordination/replica_leader.cpp
+++ b/src/coordination/replica_leader.cpp
@@ -346,9 +346,10 @@
 void Replica::SteerVoters(Time now, ReplicaOut& out) {
   if (target_.empty() || !MayChangeVoters()) return;
   std::vector<Member> voters = log_.voters();
-  bool catching_up = false;
+  bool catching_up = false, missing = false;
   for (const Member& member : target_) {
     if (IsVoter(member.life) || voters.size() >= kMaxVoters) continue;
+    missing = true;
     const Peer* peer = FindPeer(member.life);
     const bool ready = member.life == self_.life ||
                        (peer != nullptr && HeardOf(now, member.life) && !peer->installing &&
@@ -364,7 +365,9 @@
   for (const Member& voter : log_.voters()) {
     const bool stays = std::any_of(target_.begin(), target_.end(),
                                    [&](const Member& each) { return each.life == voter.life; });
-    if (stays || voters.size() <= 1) continue;
+    // While another one is still to come, only those go that are gone: a voter that lives is a copy.
+    const bool lives = voter.life == self_.life || HeardOf(now, voter.life);
+    if (stays || (missing && lives) || voters.size() <= 1) continue;
     std::erase_if(voters, [&](const Member& each) { return each.life == voter.life; });
     return ChangeVoters(now, std::move(voters), out);
   }
--- a/tests/coordination/replica_test.cpp
+++ b/tests/coordination/replica_test.cpp
@@ -49,5 +49,36 @@
   }
 }
 
+std::set<std::string> VotersOf(const Cluster& cluster) {
+  std::set<std::string> names;
+  if (const auto leader = cluster.Leader())
+    for (const Member& voter : cluster.coordinator(*leader)->replica().voters())
+      names.insert(voter.life.node);
+  return names;
+}
+
+// Runs until it is so; false: it wasn't for ten seconds.
+template <typename Condition>
+bool RunUntil(Cluster& cluster, Condition&& condition) {
+  for (int i = 0; i < 500 && !condition(); ++i) cluster.Run(milliseconds(20));
+  return condition();
+}
+
+BOOST_AUTO_TEST_CASE(a_voter_that_lives_stays_until_the_one_that_comes_for_it_votes) {
+  Cluster cluster(6, {}, 1);
+  BOOST_REQUIRE(Take(cluster));
+  cluster.Kill(3);
+  cluster.SetRoster({0, 1, 2, 4, 5});
+  BOOST_REQUIRE(RunUntil(cluster, [&] { return VotersOf(cluster).size() == 5; }));
+  // One comes back to the roster, but doesn't run yet; another one, which does, is to leave.
+  cluster.SetRoster({0, 1, 2, 3, 4});
+  cluster.Run(std::chrono::seconds(5));
+  BOOST_TEST(VotersOf(cluster).contains("core-6"));
+  cluster.Start(3);
+  BOOST_TEST(RunUntil(cluster, [&] {
+    return VotersOf(cluster) == std::set<std::string>{"core-1", "core-2", "core-3", "core-4", "core-5"};
+  }));
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination::testing
