--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -349,7 +349,7 @@
     if (dirty_from_ != 0) dirty_from_ = std::max(dirty_from_, install.index + 1);
   } else {
     log_.Install(install.index, install.last_term, install.time, install.voters, bytes);
-    NoteTruncated(install.index);
+    NoteTruncated(commit_);  // the disk holds the snapshot only after the next write
     dirty_from_ = 0;
   }
   snapshot_dirty_ = true;
--- a/tests/coordination/replica_rules_test.cpp
+++ b/tests/coordination/replica_rules_test.cpp
@@ -221,5 +221,22 @@
   }
 }
 
+// ---- Rules without a fault of their own ----
+
+// The disk still holds the entries that the snapshot has done away with.
+BOOST_AUTO_TEST_CASE(a_snapshot_is_acknowledged_once_it_is_synced) {
+  for (const bool write_under_way : {false, true}) {
+    One one(Held(1, std::vector<LogEntry>(10, EntryOf(1, "a"))));
+    one.EndWrites();
+    if (write_under_way) one.Hear(MemberNumber(3), 2, Vote{false, false});
+    one.Hear(MemberNumber(2), 2, InstallSnapshot{5, 2, {}, Five(), 1, 0, 0, "s"});
+    if (write_under_way) one.EndWrite();
+    one.Hear(MemberNumber(2), 2, AppendEntries{5, 2, 5, 0, {}});
+    BOOST_TEST(!one.Acknowledged(5));
+    one.EndWrites();
+    BOOST_TEST(one.Acknowledged(5));
+  }
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
