Coordination: a candidate leads once its own vote is synced

Cause: a candidate could win by the others' votes before its disk held its own. Killed then, it came back in the term before; ordered to stand by that term's leader once more (which asks for no pre-vote), it got the same votes again, and led one term twice, with two entries of one index and term. Ruled out: to write before asking. It costs each election a sync more; the others' syncs go on meanwhile. Change: it leads once its disk holds the term and its vote.

--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -219,11 +219,13 @@
   CountVotes(now, out);
 }
 
-// A candidate counts its own vote once the disk holds it.
+// A candidate leads only once its disk holds its own vote: else it could stand in the same term once more
+// after a loss of power, win by the same votes, and lead the term twice.
 void Replica::CountVotes(Time now, ReplicaOut& out) {
-  if (role_ == Role::kCandidate && written_version_ >= version_ &&
-      std::find(votes_.begin(), votes_.end(), self_.life) == votes_.end())
-    votes_.push_back(self_.life);
+  if (role_ == Role::kCandidate) {
+    if (written_version_ < version_) return;
+    if (std::find(votes_.begin(), votes_.end(), self_.life) == votes_.end()) votes_.push_back(self_.life);
+  }
   const bool won = MajorityOf([this](const Life& life) {
     return std::any_of(votes_.begin(), votes_.end(), [&](const Life& each) {
       return each == life || (Does(ReplicaOptions::Fault::kAnyDisk) && each.node == life.node);
--- a/tests/coordination/replica_rules_test.cpp
+++ b/tests/coordination/replica_rules_test.cpp
@@ -238,5 +238,16 @@
   }
 }
 
+// Else it may stand in the same term once more after a lost write, and lead it twice.
+BOOST_AUTO_TEST_CASE(a_candidate_leads_once_its_own_vote_is_synced) {
+  One one(Held(1, {}));
+  one.Stand();
+  BOOST_REQUIRE(one.writing);
+  for (std::uint64_t i = 2; i <= 5; ++i) one.Hear(MemberNumber(i), 2, Vote{false, true});
+  BOOST_TEST(one.TakeSent<AppendEntries>().empty());
+  one.EndWrite();
+  BOOST_TEST(!one.TakeSent<AppendEntries>().empty());
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
