Coordination: a first voter that has voted already is founded all the same

Cause: a replica that knew a term refused the first configuration. One of the first voters is often founded before the others and asks for their votes; was its disk lost before it led, nobody of the others could ever stand. Ruled out: that a later configuration is passed over: the log is empty then, and no voter of the first configuration may do without it. Change: only an entry or a known configuration tells that it is founded.

--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -27,7 +27,8 @@
 const std::string& Replica::snapshot() const { return log_.snapshot(); }
 
 void Replica::Found(Time now, std::vector<Member> voters, ReplicaOut& out) {
-  const bool known = !log_.voters().empty() || log_.last() > 0 || term_ > 0;
+  // It may have voted before: another one was founded earlier, and stood.
+  const bool known = !log_.voters().empty() || log_.last() > 0;
   if (known || voters.empty() || voters.size() > kMaxVoters) return;
   log_.Found(std::move(voters));
   snapshot_dirty_ = true;
--- a/tests/coordination/replica_rules_test.cpp
+++ b/tests/coordination/replica_rules_test.cpp
@@ -249,5 +249,15 @@
   BOOST_TEST(!one.TakeSent<AppendEntries>().empty());
 }
 
+// Another of the first voters may be founded, and ask, before this one.
+BOOST_AUTO_TEST_CASE(a_vote_before_the_founding_hinders_no_founding) {
+  One one(ReplicaState{});
+  one.Hear(MemberNumber(2), 1, RequestVote{false, false, 0, 0});
+  one.EndWrites();
+  BOOST_TEST(one.Granted());
+  one.replica.Found(one.now, Five(), one.out);
+  BOOST_TEST(one.replica.voters().size() == 5u);
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
