Coordination: a peer that doesn't answer is sent one message at a time

Cause: a resend, and the answer to a hint, sent all entries up to the window in messages one behind the other; the state that holds more back was set only after that. A disk that syncs slowly so cost the same bytes again and again, also between zones. Change: a probe is one message; the rest follows its answer. Figures: 50 entries of one message each, unanswered by four peers: 200 messages before, 4 at most now.

--- a/src/coordination/replica.hpp
+++ b/src/coordination/replica.hpp
@@ -201,6 +201,7 @@
   void TickLeader(Time now, ReplicaOut& out);
   void ContinueTransfer(Time now, ReplicaOut& out);
   void SendAgain(Time now, Peer& peer, ReplicaOut& out);
+  void Probe(Time now, Peer& peer, ReplicaOut& out);  // sends one message from `next` on
   void Replicate(Time now, Peer& peer, ReplicaOut& out);
   void SendEntries(Time now, Peer& peer, ReplicaOut& out);
   void SendHeartbeat(Time now, Peer& peer, ReplicaOut& out);
--- a/src/coordination/replica_leader.cpp
+++ b/src/coordination/replica_leader.cpp
@@ -155,9 +155,14 @@
 void Replica::SendAgain(Time now, Peer& peer, ReplicaOut& out) {
   peer.resend_pause = std::min(2 * peer.resend_pause, options_.resend_most);
   peer.next = peer.match + 1;
-  peer.probing = peer.installing = false;
-  Replicate(now, peer, out);
+  Probe(now, peer, out);
+}
+
+void Replica::Probe(Time now, Peer& peer, ReplicaOut& out) {
   peer.probing = true;
+  peer.installing = false;
+  if (peer.next <= log_.begin()) return SendChunk(now, peer, out);
+  if (peer.next <= log_.last()) SendEntries(now, peer, out);
 }
 
 void Replica::Replicate(Time now, Peer& peer, ReplicaOut& out) {
@@ -221,10 +226,7 @@
   if (!appended.ok) {
     if (appended.index < peer->match || appended.index >= peer->next) return;  // an old one
     peer->next = std::min(peer->next, appended.index + 1);
-    peer->probing = peer->installing = false;
-    Replicate(now, *peer, out);
-    peer->probing = true;
-    return;
+    return Probe(now, *peer, out);
   }
   const std::uint64_t index = std::min(appended.index, log_.last());
   if (index > peer->match) {
--- a/tests/coordination/replica_rules_test.cpp
+++ b/tests/coordination/replica_rules_test.cpp
@@ -259,5 +259,20 @@
   BOOST_TEST(one.replica.voters().size() == 5u);
 }
 
+// What was sent already may only wait for a slow disk: bytes between zones cost.
+BOOST_AUTO_TEST_CASE(an_unanswered_peer_is_sent_one_message_at_a_time) {
+  ReplicaOptions options;
+  options.append_bytes = 100;
+  One one(Held(1, {}), options);
+  one.Serve();
+  for (int i = 0; i < 50; ++i) BOOST_REQUIRE(one.replica.Propose(one.now, std::string(100, 'a'), one.out));
+  one.Tick();
+  one.TakeSent<AppendEntries>();
+  one.Tick(milliseconds(250));
+  std::size_t with_entries = 0;
+  for (const AppendEntries& each : one.TakeSent<AppendEntries>()) with_entries += !each.entries.empty();
+  BOOST_TEST(with_entries <= 4u);  // one for each peer
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
