--- a/src/coordination/package.cmake
+++ b/src/coordination/package.cmake
@@ -12,3 +12,5 @@
 if(NOT CURLEWDOOR_SANITIZE)  # hundreds of thousands of states: too many for a sanitized build
   system_test(coordination_model_check_test tests/coordination/model_check_test.cpp curlewdoor_coordination)
 endif()
+system_test(replica_search_test tests/coordination/replica_search_test.cpp curlewdoor_coordination)
+system_test(replica_rules_test tests/coordination/replica_rules_test.cpp curlewdoor_coordination)
