Coordination calls: every order of few steps and many long ones keep what 503 promises

Cause: the forwarding of calls had no test. Ruled out: a test of whole gateways, which can't play every order. Change: cases by hand; a model of two members that refuse, propose, reply late, never or unclearly, with streams that break and come again, one member here or none; five faults on purpose in Options, each found.

--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -79,16 +79,18 @@
   const auto found = waiting_.find(number);
   if (found == waiting_.end()) return;
   Waiting& waiting = found->second;
-  const auto out = std::find(waiting.out.begin(), waiting.out.end(), stream);
+  const auto out = CopyOn(waiting, stream);
   if (out == waiting.out.end()) return;
   if (const auto* not_served = std::get_if<NotServed>(&reply)) {
     waiting.out.erase(out);
+    if (Does(Options::Fault::kOneRefusalForAll)) waiting.out.clear();
     if (!not_served->leader.empty() && leader_ != not_served->leader) leader_ = not_served->leader;
     if (waiting.asking == stream) AskNext(now, number);
     return;
   }
   if (std::holds_alternative<coordination::Unclear>(reply)) {
     // It stays in `out`: the command may take effect there. Whoever leads next finds out by a second one.
+    if (Does(Options::Fault::kUnclearIsNothingDone)) waiting.out.erase(out);
     if (waiting.asking == stream) AskNext(now, number);
     return;
   }
@@ -103,8 +105,14 @@
   OnReply(now, 0, number, std::move(reply));
 }
 
-bool CoordinationCalls::NothingIsOut(const Waiting& waiting) {
-  return waiting.out.empty() || !IsCommand(waiting.call);
+bool CoordinationCalls::NothingIsOut(const Waiting& waiting) const {
+  return waiting.out.empty() || !IsCommand(waiting.call) || Does(Options::Fault::kRefusesWhatIsOut);
+}
+
+std::vector<std::uint64_t>::iterator CoordinationCalls::CopyOn(Waiting& waiting, std::uint64_t stream) const {
+  const auto copy = std::find(waiting.out.begin(), waiting.out.end(), stream);
+  const bool any = copy == waiting.out.end() && Does(Options::Fault::kTakesRepliesOfAnyStream);
+  return any ? waiting.out.begin() : copy;
 }
 
 void CoordinationCalls::Finish(std::uint64_t number, Answer answer) {
@@ -128,6 +136,8 @@
   std::vector<std::uint64_t> lost;
   for (const auto& [number, waiting] : waiting_)
     if (waiting.asking == stream) lost.push_back(number);
+  if (Does(Options::Fault::kBrokenStreamIsNothingDone))
+    for (auto& [number, waiting] : waiting_) std::erase(waiting.out, stream);
   for (const std::uint64_t number : lost) AskNext(now, number);
 }
 
--- a/src/system/coordination_calls.hpp
+++ b/src/system/coordination_calls.hpp
@@ -46,6 +46,15 @@
     Duration next_member = std::chrono::milliseconds(250);  // without a reply
     Duration all_anew = std::chrono::milliseconds(60);      // once all that are reached have said NotServed
     std::size_t most_calls = 2048;
+    // For tests of the tests: a gateway that does something wrong.
+    enum class Fault : std::uint8_t {
+      kNone,
+      kRefusesWhatIsOut,         // 503 for a command that left
+      kTakesRepliesOfAnyStream,  // a NotServed to a question that wasn't asked there
+      kUnclearIsNothingDone,
+      kBrokenStreamIsNothingDone,
+      kOneRefusalForAll  // one NotServed for all copies of a call
+    } fault = Fault::kNone;
   };
   struct Candidate {  // a member that can be asked now
     std::string name;
@@ -93,7 +102,10 @@
   void Finish(std::uint64_t number, Answer answer);
   void TellForgotten(std::uint64_t stream, std::uint64_t number);
   // No command of it can take effect any more.
-  static bool NothingIsOut(const Waiting& waiting);
+  bool NothingIsOut(const Waiting& waiting) const;
+  // Where in `out` the copy stands that a reply on this stream is to.
+  std::vector<std::uint64_t>::iterator CopyOn(Waiting& waiting, std::uint64_t stream) const;
+  bool Does(Options::Fault fault) const { return options_.fault == fault; }
 
   Owner& owner_;
   const Options options_;
