Coordination calls: a stream that breaks can't ask for a call that has ended

Cause: OnStreamDown() asked again for each call that it had noted, by waiting_.at(); an answer that came at once from this process could end another of them (its client gone): std::out_of_range, the gateway's end. Ruled out: the same in OnLeader() and Tick(), which look first. Change: it looks first. The case threw before.

--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -138,7 +138,9 @@
     if (waiting.asking == stream) lost.push_back(number);
   if (Does(Options::Fault::kBrokenStreamIsNothingDone))
     for (auto& [number, waiting] : waiting_) std::erase(waiting.out, stream);
-  for (const std::uint64_t number : lost) AskNext(now, number);
+  // An answer that comes at once may end others of them.
+  for (const std::uint64_t number : lost)
+    if (waiting_.contains(number)) AskNext(now, number);
 }
 
 // Calls that wait elsewhere for this one's election go to it at once.
--- a/tests/system/coordination_calls_test.cpp
+++ b/tests/system/coordination_calls_test.cpp
@@ -208,6 +208,27 @@
   BOOST_TEST(gateway.calls.size() == 0u);
 }
 
+// What an answer sets off may end other calls that are about to be asked again.
+BOOST_AUTO_TEST_CASE(a_stream_breaks_and_the_first_answer_ends_the_other_calls) {
+  for (const bool by_leader : {false, true}) {
+    Gateway gateway;
+    gateway.members = {{"a", 1}};
+    for (std::uint64_t number = 1; number <= 8; ++number) gateway.Begin(number);
+    gateway.members = {{"b", kHere}};
+    gateway.on_here = [&](std::uint64_t number) {
+      gateway.calls.OnReplyHere(gateway.now, number, Number(number));
+    };
+    gateway.on_answer = [&](std::uint64_t answered) {
+      for (std::uint64_t number = 1; number <= 8; ++number)
+        if (number != answered) gateway.calls.Forget(number);
+    };
+    BOOST_CHECK_NO_THROW(by_leader ? gateway.calls.OnLeader(gateway.now, 2, "b")
+                                   : gateway.calls.OnStreamDown(gateway.now, 1));
+    BOOST_TEST(gateway.answers.size() == 1u);
+    BOOST_TEST(gateway.calls.size() == 0u);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(whoever_leaves_is_forgotten_everywhere) {
   Gateway gateway;
   gateway.Begin(1, WatchGroup{"g.", 4, 2000});
