Coordination calls: whoever has replied isn't told to forget

Cause: Finish() told all streams that the call was out on to forget it, also the one whose reply ended it: one more message to the leader for each call. Ruled out: members need it to free the call (they free it as they reply). Change: the copy that was replied to is struck out first. The case failed before (3 messages, 1 is right).

--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -98,6 +98,7 @@
     waiting.out.erase(out);
     return Finish(number, {NothingIsOut(waiting) ? End::kNoRoom : End::kUnclear, std::nullopt});
   }
+  waiting.out.erase(out);  // it knows that it has replied
   Finish(number, {End::kReply, std::move(reply)});
 }
 
--- a/tests/system/coordination_calls_test.cpp
+++ b/tests/system/coordination_calls_test.cpp
@@ -229,6 +229,19 @@
   }
 }
 
+// One message a call would be thrown away.
+BOOST_AUTO_TEST_CASE(whoever_has_replied_is_not_told_to_forget) {
+  Gateway gateway;
+  gateway.Begin(1);
+  gateway.Reply(1, 1, Number(5));
+  BOOST_TEST(gateway.forgotten.empty());
+  gateway.Begin(2);
+  gateway.Pass(milliseconds(300));
+  gateway.Reply(2, 2, Number(6));
+  BOOST_REQUIRE_EQUAL(gateway.forgotten.size(), 1u);
+  BOOST_TEST(gateway.forgotten[0].first == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(whoever_leaves_is_forgotten_everywhere) {
   Gateway gateway;
   gateway.Begin(1, WatchGroup{"g.", 4, 2000});
