Coordination calls: a call whose time is over is asked nowhere again

Cause: a gateway that stood still may read a NotServed or a new leader before its next tick; it then passed on a command that its caller had given up long ago, such as a begin that nobody holds. Ruled out: harm to a rule (a call without a clear answer may take effect); it costs a lock that nobody holds until its end. Change: Ask() ends the call in place of asking. The case failed before.

--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -61,6 +61,7 @@
 
 void CoordinationCalls::Ask(Time now, std::uint64_t number, const Candidate& member) {
   Waiting& waiting = waiting_.at(number);
+  if (now >= waiting.ends) return FinishLate(number);  // its caller has given up, and may have gone on
   waiting.asked.push_back(member.name);
   waiting.next = now + options_.next_member + WaitOf(waiting.call);
   waiting.asking = member.stream;
@@ -127,6 +128,10 @@
   on_answer(std::move(answer));
 }
 
+void CoordinationCalls::FinishLate(std::uint64_t number) {
+  Finish(number, {NothingIsOut(waiting_.at(number)) ? End::kNothingDone : End::kUnclear, std::nullopt});
+}
+
 void CoordinationCalls::TellForgotten(std::uint64_t stream, std::uint64_t number) {
   if (stream == 0) return owner_.ForgetHere(number);
   owner_.SendTo(stream, CoordinationForget{number});
@@ -179,11 +184,8 @@
   }
   for (const std::uint64_t number : due)
     if (waiting_.contains(number)) AskNext(now, number);
-  for (const std::uint64_t number : over) {
-    const auto found = waiting_.find(number);
-    if (found == waiting_.end()) continue;
-    Finish(number, {NothingIsOut(found->second) ? End::kNothingDone : End::kUnclear, std::nullopt});
-  }
+  for (const std::uint64_t number : over)
+    if (waiting_.contains(number)) FinishLate(number);
 }
 
 }  // namespace curlewdoor::system
--- a/src/system/coordination_calls.hpp
+++ b/src/system/coordination_calls.hpp
@@ -100,6 +100,7 @@
   void AskNext(Time now, std::uint64_t number);
   void Ask(Time now, std::uint64_t number, const Candidate& member);
   void Finish(std::uint64_t number, Answer answer);
+  void FinishLate(std::uint64_t number);  // its time is over
   void TellForgotten(std::uint64_t stream, std::uint64_t number);
   // No command of it can take effect any more.
   bool NothingIsOut(const Waiting& waiting) const;
--- a/tests/system/coordination_calls_test.cpp
+++ b/tests/system/coordination_calls_test.cpp
@@ -242,6 +242,19 @@
   BOOST_TEST(gateway.forgotten[0].first == 1u);
 }
 
+// A gateway that stood still finds replies in its buffers that are older than its callers' patience.
+BOOST_AUTO_TEST_CASE(a_call_whose_time_is_over_is_asked_nowhere_again) {
+  Gateway gateway;
+  gateway.Begin(1);
+  gateway.Begin(2);
+  gateway.now += std::chrono::seconds(10);
+  gateway.Reply(1, 1, NotServed{"b"});
+  BOOST_TEST((gateway.EndOf(1) == End::kNothingDone));
+  gateway.calls.OnLeader(gateway.now, 3, "c");
+  BOOST_TEST((gateway.EndOf(2) == End::kUnclear));
+  BOOST_TEST(gateway.asked.size() == 2u);
+}
+
 BOOST_AUTO_TEST_CASE(whoever_leaves_is_forgotten_everywhere) {
   Gateway gateway;
   gateway.Begin(1, WatchGroup{"g.", 4, 2000});
