Coordination calls: a watch that is asked again waits no longer than is left of its wait

Cause: the time at which the next member is asked was reckoned from the wait before it was cut: after a change of leader a member that stood still held the watch to its end, and it was answered 503. Ruled out: the wait told to the member, which was right. Change: the wait is cut first. The case failed before.

--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -63,7 +63,6 @@
   Waiting& waiting = waiting_.at(number);
   if (now >= waiting.ends) return FinishLate(number);  // its caller has given up, and may have gone on
   waiting.asked.push_back(member.name);
-  waiting.next = now + options_.next_member + WaitOf(waiting.call);
   waiting.asking = member.stream;
   waiting.out.push_back(member.stream);
   // What is left of its wait, where it has waited elsewhere.
@@ -72,6 +71,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(waiting.ends - options_.ends - now);
     watch->wait_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, left.count()));
   }
+  waiting.next = now + options_.next_member + WaitOf(waiting.call);
   if (member.here()) return owner_.CallHere(number, coordination::Call(waiting.call));
   owner_.SendTo(member.stream, CoordinationCall{number, coordination::Encode(waiting.call)});
 }
--- a/tests/system/coordination_calls_test.cpp
+++ b/tests/system/coordination_calls_test.cpp
@@ -255,6 +255,23 @@
   BOOST_TEST(gateway.asked.size() == 2u);
 }
 
+BOOST_AUTO_TEST_CASE(a_watch_is_asked_again_for_what_is_left_of_its_wait) {
+  Gateway gateway;
+  gateway.Begin(1, WatchGroup{"g.", 4, 2000});
+  BOOST_TEST(std::get<WatchGroup>(gateway.asked[0].call).wait_ms == 2000u);
+  gateway.Pass(milliseconds(1500));
+  BOOST_TEST(gateway.asked.size() == 1u);  // it waits where it is
+  gateway.calls.OnStreamDown(gateway.now, 1);
+  BOOST_REQUIRE_EQUAL(gateway.asked.size(), 2u);
+  BOOST_TEST((std::get<WatchGroup>(gateway.asked[1].call) == WatchGroup{"g.", 4, 500}));
+  // That one stands still: the third one is asked once the wait and a moment are over.
+  gateway.Pass(milliseconds(800));
+  BOOST_REQUIRE_EQUAL(gateway.asked.size(), 3u);
+  BOOST_TEST(std::get<WatchGroup>(gateway.asked[2].call).wait_ms == 0u);
+  gateway.Reply(3, 1, Watched{{}, 4});
+  BOOST_TEST((gateway.EndOf(1) == End::kReply));
+}
+
 BOOST_AUTO_TEST_CASE(whoever_leaves_is_forgotten_everywhere) {
   Gateway gateway;
   gateway.Begin(1, WatchGroup{"g.", 4, 2000});
