Watch table: bounds, order, and thousands that come and go as in a plain list

Cause: the table of watches that wait had no test. Ruled out: none. Change: cases by hand, and 60,000 steps beside a list that is searched (over 2,000 wait at a time).

--- /dev/null
+++ b/tests/coordination/watch_table_test.cpp
@@ -0,0 +1,129 @@
+// Watches that wait: which are ready, which are due, and how many there may be.
+#include "coordination/watch_table.hpp"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+
+namespace curlewdoor::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using Time = WatchTable::Time;
+using Ids = std::vector<std::uint64_t>;
+
+constexpr Time kStart{std::chrono::hours(1)};
+
+Ids IdsOf(const std::vector<WatchTable::Waiter>& waiters) {
+  Ids ids;
+  for (const auto& waiter : waiters) ids.push_back(waiter.id);
+  std::sort(ids.begin(), ids.end());
+  return ids;
+}
+
+BOOST_AUTO_TEST_CASE(those_below_the_revision_are_ready_once) {
+  WatchTable table({});
+  table.Add(kStart, 1, "g.", 4, milliseconds(100));
+  table.Add(kStart, 2, "g.", 5, milliseconds(100));
+  table.Add(kStart, 3, "h.", 4, milliseconds(100));
+  BOOST_TEST(IdsOf(table.TakeReady("g.", 4)).empty());
+  BOOST_TEST(IdsOf(table.TakeReady("g", 9)).empty());
+  const auto ready = table.TakeReady("g.", 5);
+  BOOST_REQUIRE_EQUAL(ready.size(), 1u);
+  BOOST_TEST(ready[0].id == 1u);
+  BOOST_TEST(ready[0].group == "g.");
+  BOOST_TEST(ready[0].after == 4u);
+  BOOST_TEST(IdsOf(table.TakeReady("g.", 5)).empty());
+  BOOST_TEST(table.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(those_whose_time_is_over_come_in_the_order_of_their_ends) {
+  WatchTable table({});
+  table.Add(kStart, 1, "g.", 4, milliseconds(300));
+  table.Add(kStart, 2, "h.", 4, milliseconds(100));
+  table.Add(kStart, 3, "g.", 9, milliseconds(200));
+  BOOST_TEST((table.NextDue() == kStart + milliseconds(100)));
+  BOOST_TEST(table.TakeDue(kStart + milliseconds(99)).empty());
+  const auto due = table.TakeDue(kStart + milliseconds(200));
+  BOOST_REQUIRE_EQUAL(due.size(), 2u);
+  BOOST_TEST(due[0].id == 2u);
+  BOOST_TEST(due[1].id == 3u);
+  BOOST_TEST((table.NextDue() == kStart + milliseconds(300)));
+  BOOST_TEST(IdsOf(table.TakeReady("g.", 99)) == Ids{1}, boost::test_tools::per_element());
+  BOOST_TEST(!table.NextDue().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(bounds) {
+  WatchTable::Limits limits;
+  limits.watches = 2;
+  limits.longest_wait = milliseconds(50);
+  WatchTable table(limits);
+  BOOST_TEST(table.Add(kStart, 1, "g.", 4, std::chrono::hours(9)));
+  BOOST_TEST((table.NextDue() == kStart + milliseconds(50)));
+  BOOST_TEST(!table.Add(kStart, 1, "g.", 5, milliseconds(1)));  // there is one of this id
+  BOOST_TEST(table.Add(kStart, 2, "g.", 4, milliseconds(0)));
+  BOOST_TEST(!table.Add(kStart, 3, "g.", 4, milliseconds(1)));
+  table.Remove(9);
+  table.Remove(1);
+  table.Remove(1);
+  BOOST_TEST(table.Add(kStart, 3, "g.", 4, milliseconds(1)));
+  BOOST_TEST(IdsOf(table.TakeAll()) == (Ids{2, 3}), boost::test_tools::per_element());
+  BOOST_TEST(table.size() == 0u);
+  BOOST_TEST(!table.NextDue().has_value());
+  BOOST_TEST(table.TakeReady("g.", 99).empty());
+}
+
+// Beside a table that is nothing but a list.
+BOOST_AUTO_TEST_CASE(thousands_come_and_go_as_in_a_list) {
+  struct Listed {
+    std::string group;
+    Revision after = 0;
+    Time due{};
+  };
+  std::mt19937_64 random(7);
+  const auto below = [&](std::uint64_t n) { return random() % n; };
+  WatchTable table({});
+  std::map<std::uint64_t, Listed> list;
+  std::map<std::string, Revision> revisions;
+  Time now = kStart;
+  std::uint64_t next_id = 1;
+  std::size_t most = 0;
+  const auto take = [&](const auto& whether) {
+    Ids ids;
+    for (const auto& [id, each] : list)
+      if (whether(each)) ids.push_back(id);
+    for (const std::uint64_t id : ids) list.erase(id);
+    return ids;
+  };
+  for (int step = 0; step < 60'000; ++step) {
+    const std::string group = "g" + std::to_string(below(40)) + ".";
+    const auto what = below(100);
+    if (what < 80) {
+      const Revision after = revisions[group] + below(3);
+      const milliseconds wait(below(20'000));
+      BOOST_REQUIRE(table.Add(now, next_id, group, after, wait));
+      list[next_id++] = {group, after, now + wait};
+    } else if (what < 85) {
+      const std::uint64_t id = 1 + below(next_id);
+      table.Remove(id);
+      list.erase(id);
+    } else if (what < 88) {
+      const Revision revision = ++revisions[group];
+      const Ids ready =
+          take([&](const Listed& each) { return each.group == group && each.after < revision; });
+      BOOST_REQUIRE(IdsOf(table.TakeReady(group, revision)) == ready);
+    } else {
+      now += milliseconds(below(10));
+      BOOST_REQUIRE(IdsOf(table.TakeDue(now)) == take([&](const Listed& each) { return each.due <= now; }));
+    }
+    BOOST_REQUIRE_EQUAL(table.size(), list.size());
+    most = std::max(most, list.size());
+  }
+  BOOST_TEST(most > 2000u);
+  BOOST_TEST(IdsOf(table.TakeAll()) == take([](const Listed&) { return true; }),
+             boost::test_tools::per_element());
+}
+
+}  // namespace
+}  // namespace curlewdoor::coordination
