--- a/src/system/coordination_http.cpp
+++ b/src/system/coordination_http.cpp
@@ -1,7 +1,6 @@
 #include "system/coordination_http.hpp"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 #include <variant>
@@ -19,8 +18,8 @@
 
 constexpr std::string_view kLocks = "/v1/locks/", kNumbers = "/v1/numbers/", kCells = "/v1/cells/",
                            kWatches = "/v1/watch/";
-constexpr std::size_t kMaxBody = 16u << 10;       // bytes
-constexpr double kMaxExact = 9007199254740992.0;  // 2^53: what a JSON number holds exactly
+constexpr std::size_t kMaxBody = 16u << 10;                        // bytes
+constexpr std::uint64_t kMaxExact = (std::uint64_t{1} << 53) - 1;  // no other number is read as one up to it
 constexpr std::uint32_t kMaxWaitMs = 60'000;
 constexpr double kNeeded = -1;
 
@@ -36,8 +35,9 @@
   return std::string(text);
 }
 
-std::uint64_t WholeIn(const directory::JsonFields& fields, const char* name, double absent, double most) {
-  return static_cast<std::uint64_t>(fields.Whole(name, absent, most));
+std::uint64_t WholeIn(const directory::JsonFields& fields, const char* name, double absent,
+                      std::uint64_t most) {
+  return static_cast<std::uint64_t>(fields.Whole(name, absent, static_cast<double>(most)));
 }
 
 struct NameAndVerb {
@@ -57,11 +57,10 @@
   const JsonBody json(body);
   const auto fields = json.fields();
   std::string holder = fields.Text("holder", true, kMaxName);
-  const double most_hold = static_cast<double>(kMaxHoldMs);
-  if (verb == "begin") return AcquireLock{lock, holder, WholeIn(fields, "hold_ms", kNeeded, most_hold)};
+  if (verb == "begin") return AcquireLock{lock, holder, WholeIn(fields, "hold_ms", kNeeded, kMaxHoldMs)};
   const Fence fence = WholeIn(fields, "fence", kNeeded, kMaxExact);
   if (verb == "finish") return ReleaseLock{lock, holder, fence};
-  return RenewLock{lock, holder, fence, WholeIn(fields, "hold_ms", kNeeded, most_hold)};
+  return RenewLock{lock, holder, fence, WholeIn(fields, "hold_ms", kNeeded, kMaxHoldMs)};
 }
 
 Call DecodeCell(std::string_view method, std::string_view rest, std::string_view body) {
@@ -101,6 +100,7 @@
   WatchGroup watch;
   watch.group = NameIn(rest);
   watch.after = QueryNumber(query, "after", 0);
+  if (watch.after > kMaxExact) BadCall("after: too large");
   watch.wait_ms =
       static_cast<std::uint32_t>(std::min<std::uint64_t>(QueryNumber(query, "wait_ms", 0), kMaxWaitMs));
   return watch;
@@ -108,7 +108,7 @@
 
 HttpAnswer WithNumber(int status, const char* name, std::uint64_t value) {
   json::Document body;
-  body.Number(name, static_cast<double>(value));
+  body.Whole(name, value);
   return {status, body.Print()};
 }
 
@@ -118,9 +118,9 @@
   for (const coordination::Event& event : watched.events) {
     auto each = json::AddTo(events);
     each.Text("name", event.key).Text("value", event.value);
-    each.Number("revision", static_cast<double>(event.revision));
+    each.Whole("revision", event.revision);
   }
-  body.Number("revision", static_cast<double>(watched.revision));
+  body.Whole("revision", watched.revision);
   return {200, body.Print()};
 }
 
@@ -142,7 +142,7 @@
   HttpAnswer operator()(const KeyRead& read) const {
     if (read.revision == 0) return {404, "{}"};
     json::Document body;
-    body.Text("value", read.value).Number("revision", static_cast<double>(read.revision));
+    body.Text("value", read.value).Whole("revision", read.revision);
     return {200, body.Print()};
   }
   HttpAnswer operator()(const Watched& watched) const { return EncodeEvents(watched); }
--- a/src/system/json.hpp
+++ b/src/system/json.hpp
@@ -3,6 +3,7 @@
 
 #include <cjson/cJSON.h>
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -28,6 +29,10 @@
     return Add(name, cJSON_CreateString(value.c_str()));
   }
   Object& Number(const char* name, double value) { return Add(name, cJSON_CreateNumber(value)); }
+  // Exactly, however large.
+  Object& Whole(const char* name, std::uint64_t value) {
+    return Add(name, cJSON_CreateRaw(std::to_string(value).c_str()));
+  }
   Object& Flag(const char* name, bool value) { return Add(name, cJSON_CreateBool(value)); }
   Object& None(const char* name) { return Add(name, cJSON_CreateNull()); }
   cJSON* List(const char* name) {
