--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -61,8 +61,8 @@
 
 void CoordinationCalls::Ask(Time now, std::uint64_t number, const Candidate& member) {
   Waiting& waiting = waiting_.at(number);
+  if (now >= waiting.ends) return FinishLate(number);  // its caller has given up, and may have gone on
   waiting.asked.push_back(member.name);
-  waiting.next = now + options_.next_member + WaitOf(waiting.call);
   waiting.asking = member.stream;
   waiting.out.push_back(member.stream);
   // What is left of its wait, where it has waited elsewhere.
@@ -71,6 +71,7 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(waiting.ends - options_.ends - now);
     watch->wait_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, left.count()));
   }
+  waiting.next = now + options_.next_member + WaitOf(waiting.call);
   if (member.here()) return owner_.CallHere(number, coordination::Call(waiting.call));
   owner_.SendTo(member.stream, CoordinationCall{number, coordination::Encode(waiting.call)});
 }
@@ -79,16 +80,18 @@
   const auto found = waiting_.find(number);
   if (found == waiting_.end()) return;
   Waiting& waiting = found->second;
-  const auto out = std::find(waiting.out.begin(), waiting.out.end(), stream);
+  const auto out = CopyOn(waiting, stream);
   if (out == waiting.out.end()) return;
   if (const auto* not_served = std::get_if<NotServed>(&reply)) {
     waiting.out.erase(out);
+    if (Does(Options::Fault::kOneRefusalForAll)) waiting.out.clear();
     if (!not_served->leader.empty() && leader_ != not_served->leader) leader_ = not_served->leader;
     if (waiting.asking == stream) AskNext(now, number);
     return;
   }
   if (std::holds_alternative<coordination::Unclear>(reply)) {
     // It stays in `out`: the command may take effect there. Whoever leads next finds out by a second one.
+    if (Does(Options::Fault::kUnclearIsNothingDone)) waiting.out.erase(out);
     if (waiting.asking == stream) AskNext(now, number);
     return;
   }
@@ -96,6 +99,7 @@
     waiting.out.erase(out);
     return Finish(number, {NothingIsOut(waiting) ? End::kNoRoom : End::kUnclear, std::nullopt});
   }
+  waiting.out.erase(out);  // it knows that it has replied
   Finish(number, {End::kReply, std::move(reply)});
 }
 
@@ -103,8 +107,14 @@
   OnReply(now, 0, number, std::move(reply));
 }
 
-bool CoordinationCalls::NothingIsOut(const Waiting& waiting) {
-  return waiting.out.empty() || !IsCommand(waiting.call);
+bool CoordinationCalls::NothingIsOut(const Waiting& waiting) const {
+  return waiting.out.empty() || !IsCommand(waiting.call) || Does(Options::Fault::kRefusesWhatIsOut);
+}
+
+std::vector<std::uint64_t>::iterator CoordinationCalls::CopyOn(Waiting& waiting, std::uint64_t stream) const {
+  const auto copy = std::find(waiting.out.begin(), waiting.out.end(), stream);
+  const bool any = copy == waiting.out.end() && Does(Options::Fault::kTakesRepliesOfAnyStream);
+  return any ? waiting.out.begin() : copy;
 }
 
 void CoordinationCalls::Finish(std::uint64_t number, Answer answer) {
@@ -118,6 +128,10 @@
   on_answer(std::move(answer));
 }
 
+void CoordinationCalls::FinishLate(std::uint64_t number) {
+  Finish(number, {NothingIsOut(waiting_.at(number)) ? End::kNothingDone : End::kUnclear, std::nullopt});
+}
+
 void CoordinationCalls::TellForgotten(std::uint64_t stream, std::uint64_t number) {
   if (stream == 0) return owner_.ForgetHere(number);
   owner_.SendTo(stream, CoordinationForget{number});
@@ -128,7 +142,11 @@
   std::vector<std::uint64_t> lost;
   for (const auto& [number, waiting] : waiting_)
     if (waiting.asking == stream) lost.push_back(number);
-  for (const std::uint64_t number : lost) AskNext(now, number);
+  if (Does(Options::Fault::kBrokenStreamIsNothingDone))
+    for (auto& [number, waiting] : waiting_) std::erase(waiting.out, stream);
+  // An answer that comes at once may end others of them.
+  for (const std::uint64_t number : lost)
+    if (waiting_.contains(number)) AskNext(now, number);
 }
 
 // Calls that wait elsewhere for this one's election go to it at once.
@@ -166,11 +184,8 @@
   }
   for (const std::uint64_t number : due)
     if (waiting_.contains(number)) AskNext(now, number);
-  for (const std::uint64_t number : over) {
-    const auto found = waiting_.find(number);
-    if (found == waiting_.end()) continue;
-    Finish(number, {NothingIsOut(found->second) ? End::kNothingDone : End::kUnclear, std::nullopt});
-  }
+  for (const std::uint64_t number : over)
+    if (waiting_.contains(number)) FinishLate(number);
 }
 
 }  // namespace curlewdoor::system
