Coordination: a judge of histories of locks, numbers, keys and watches

Cause: what applications see of coordination was judged by no check of ours. Change: CoordinationHistory judges ONE, ORDER, STALE, MIXED, REFUSED and LOST, and searches short histories of one object for an order that explains them (Wing and Gong).

--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -2,11 +2,12 @@
 # Uses the kit's process and server: with -DCURLEWDOOR_KIT=ON only.
 if(CURLEWDOOR_KIT)
   add_library(curlewdoor_systemkit STATIC EXCLUDE_FROM_ALL
-    src/systemkit/calls.cpp src/systemkit/clients.cpp src/systemkit/host.cpp src/systemkit/machines.cpp
+    src/systemkit/calls.cpp src/systemkit/clients.cpp src/systemkit/coordination_history.cpp src/systemkit/host.cpp src/systemkit/machines.cpp
     src/systemkit/operator.cpp src/systemkit/relays.cpp src/systemkit/register_history.cpp src/systemkit/sightings.cpp src/systemkit/troubles.cpp
     src/systemkit/world.cpp)
   target_link_libraries(curlewdoor_systemkit PUBLIC curlewdoor_playing nlohmann_json::nlohmann_json)
   system_test(register_history_test tests/system/register_history_test.cpp curlewdoor_systemkit)
+  system_test(coordination_judge_test tests/system/coordination_judge_test.cpp curlewdoor_systemkit)
   system_test(feed_path_test tests/system/feed_path_test.cpp curlewdoor_systemkit curlewdoor_node)
   if(CURLEWDOOR_TESTS)
     target_compile_definitions(feed_path_test PRIVATE CURLEWDOOR_PROGRAM="$<TARGET_FILE:curlewdoor-system>")
