Coordination: a watch is told at most 64 KiB of events at once, the rest with its next call

Cause: an answer held all events of the group's history, up to 8 MiB. A gateway of 2 Mbit/s needs half a minute for that; its caller turns elsewhere after one second, and so never got on (LOST). Ruled out: a 410 (the history is there); fewer puts in the history (it is promised for history_s). Change: the answer ends before the event that makes it too large, and its revision is that of its last event, so that the next call with it goes on from there. CoordinatorOptions::watch_bytes. Figures: coordinator_test: 40 puts of 105 bytes come in parts of at most 10 events that join without a gap.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -224,7 +224,7 @@
     return;
   }
   const auto& watch = std::get<WatchGroup>(call);
-  const auto events = state_.EventsAfter(watch.group, watch.after);
+  const auto events = state_.EventsAfter(watch.group, watch.after, options_.watch_bytes);
   const bool at_once = watch.after == 0 || events.too_old || !events.events.empty() || watch.wait_ms == 0;
   if (at_once) return AnswerWatch(id, watch.group, watch.after, out);
   if (!watches_.Add(now, id, watch.group, watch.after, std::chrono::milliseconds(watch.wait_ms)))
@@ -232,7 +232,7 @@
 }
 
 void Coordinator::AnswerWatch(CallId id, const std::string& group, Revision after, CoordinatorOut& out) {
-  auto events = state_.EventsAfter(group, after);
+  auto events = state_.EventsAfter(group, after, options_.watch_bytes);
   if (events.too_old) {
     out.replies.emplace_back(id, HistoryGone{});
     return;
--- a/src/coordination/coordinator.hpp
+++ b/src/coordination/coordinator.hpp
@@ -29,6 +29,7 @@
   std::size_t compact_bytes = 512u << 10;
   std::size_t most_calls = 4096;  // commands and reads that wait
   WatchTable::Limits watches;
+  std::size_t watch_bytes = 64u << 10;  // of names and values in one answer; the rest comes with the next
   // For tests of the tests: a coordinator that does something wrong.
   enum class Fault : std::uint8_t {
     kNone,
--- a/src/coordination/package.cmake
+++ b/src/coordination/package.cmake
@@ -8,6 +8,7 @@
 target_compile_definitions(curlewdoor_coordination PRIVATE MSGPACK_NO_BOOST)
 target_link_libraries(curlewdoor_coordination PUBLIC curlewdoor_agreement)
 system_test(replica_test tests/coordination/replica_test.cpp curlewdoor_coordination)
+system_test(coordinator_test tests/coordination/coordinator_test.cpp curlewdoor_coordination)
 system_test(state_machine_test tests/coordination/state_machine_test.cpp curlewdoor_coordination)
 if(NOT CURLEWDOOR_SANITIZE)  # hundreds of thousands of states: too many for a sanitized build
   system_test(coordination_model_check_test tests/coordination/model_check_test.cpp curlewdoor_coordination)
--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -214,7 +214,8 @@
 
 // ---- Watches ----
 
-StateMachine::Events StateMachine::EventsAfter(const std::string& group, Revision after) const {
+StateMachine::Events StateMachine::EventsAfter(const std::string& group, Revision after,
+                                               std::size_t most_bytes) const {
   Events events;
   const Group* found = FindGroup(group);
   if (found == nullptr) return events;
@@ -227,7 +228,15 @@
   }
   const auto first = std::partition_point(known.history.begin(), known.history.end(),
                                           [&](const Recorded& each) { return each.event.revision <= after; });
-  for (auto it = first; it != known.history.end(); ++it) events.events.push_back(it->event);
+  std::size_t bytes = 0;
+  for (auto it = first; it != known.history.end(); ++it) {
+    bytes += it->event.key.size() + it->event.value.size();
+    if (bytes > most_bytes && it != first) {
+      events.revision = events.events.back().revision;
+      break;
+    }
+    events.events.push_back(it->event);
+  }
   return events;
 }
 
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -64,7 +64,7 @@
   };
   struct Events {
     std::vector<Event> events;  // all puts of the group above `after` and up to `revision`, rising
-    Revision revision = 0;      // of the group's newest put
+    Revision revision = 0;      // of the group's newest put, or of the last event where there were too many
     bool too_old = false;       // some above `after` were dropped: `events` is empty
   };
 
@@ -74,8 +74,9 @@
 
   const std::map<std::string, Hold>& holds() const { return holds_; }  // by lock
   std::optional<Read> Find(const std::string& key) const;
-  // `after` 0 asks for the present revision alone: no events.
-  Events EventsAfter(const std::string& group, Revision after) const;
+  // `after` 0 asks for the present revision alone: no events. Ends before an event that would make names and
+  // values more than `most_bytes`, but not before the first.
+  Events EventsAfter(const std::string& group, Revision after, std::size_t most_bytes = SIZE_MAX) const;
   Revision GroupRevision(const std::string& group) const;
   // Up to the first dot, the dot included; a name without a dot is its own group.
   static std::string_view GroupOf(std::string_view key);
--- /dev/null
+++ b/tests/coordination/coordinator_test.cpp
@@ -0,0 +1,88 @@
+// One member by itself: what it answers at its bounds and with a disk that says nonsense.
+#include "coordination/coordinator.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+
+namespace curlewdoor::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A core of one: its disk is done at once, and its time passes while it waits.
+class Alone {
+ public:
+  explicit Alone(CoordinatorOptions options = {}, ReplicaState from_disk = {})
+      : member_(kSelf, std::move(from_disk), options, 1) {
+    CoordinatorOut out;
+    member_.Found(now_, {kSelf}, out);
+    Take(out);
+    Run(std::chrono::seconds(3));
+  }
+
+  void Run(Duration span) {
+    for (const Time until = now_ + span; now_ < until;) {
+      now_ += milliseconds(20);
+      CoordinatorOut out;
+      member_.Tick(now_, out);
+      Take(out);
+    }
+  }
+  std::optional<Reply> Ask(const Call& call) {
+    const CallId id = ++last_id_;
+    CoordinatorOut out;
+    member_.OnCall(now_, id, call, out);
+    Take(out);
+    Run(milliseconds(100));
+    const auto found = replies_.find(id);
+    return found == replies_.end() ? std::nullopt : std::optional(found->second);
+  }
+  const Coordinator& member() const { return member_; }
+
+  static inline const Member kSelf{{"core-1", 1}, "10.0.0.1:1"};
+
+ private:
+  void Take(CoordinatorOut& out) {
+    for (auto& [id, reply] : out.replies) BOOST_TEST(replies_.emplace(id, reply).second);
+    while (out.write) {
+      CoordinatorOut next;
+      member_.OnWritten(now_, true, next);
+      for (auto& [id, reply] : next.replies) BOOST_TEST(replies_.emplace(id, reply).second);
+      out = std::move(next);
+    }
+  }
+
+  Time now_{std::chrono::hours(1)};
+  Coordinator member_;
+  CallId last_id_ = 0;
+  std::map<CallId, Reply> replies_;
+};
+
+BOOST_AUTO_TEST_CASE(a_watch_of_many_events_is_told_them_in_parts_that_join) {
+  CoordinatorOptions options;
+  options.watch_bytes = 1000;
+  Alone core(options);
+  for (int i = 1; i <= 40; ++i)
+    BOOST_REQUIRE(core.Ask(PutKey{"g.k", std::to_string(i) + std::string(100, 'v'), std::nullopt}));
+  Revision after = 1;
+  for (int part = 0; after < 40; ++part) {
+    BOOST_REQUIRE(part < 10);
+    const auto reply = core.Ask(WatchGroup{"g.", after, 1000});
+    BOOST_REQUIRE(reply);
+    const auto& watched = std::get<Watched>(*reply);
+    BOOST_REQUIRE(!watched.events.empty());
+    BOOST_TEST(watched.events.size() <= 10u);
+    for (const Event& event : watched.events) BOOST_TEST(event.revision == ++after);
+    BOOST_TEST(watched.revision == after);
+  }
+  // One that is larger than an answer goes alone.
+  BOOST_REQUIRE(core.Ask(PutKey{"g.k", std::string(3000, 'w'), std::nullopt}));
+  const auto reply = core.Ask(WatchGroup{"g.", after, 1000});
+  BOOST_REQUIRE(reply);
+  BOOST_TEST(std::get<Watched>(*reply).events.size() == 1u);
+  BOOST_TEST(std::get<Watched>(*reply).revision == 41u);
+}
+
+}  // namespace
+}  // namespace curlewdoor::coordination
