--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -29,7 +29,7 @@
       replica_(std::move(self), std::move(from_disk), options.replica, seed),
       state_(options.limits),
       watches_(options.watches) {
-  if (!replica_.snapshot().empty()) state_.Restore(replica_.snapshot());
+  if (!replica_.snapshot().empty()) unreadable_ = !state_.Restore(replica_.snapshot());
 }
 
 void Coordinator::Found(Time now, std::vector<Member> voters, CoordinatorOut& out) {
@@ -59,8 +59,8 @@
 void Coordinator::Tick(Time now, CoordinatorOut& out) {
   ReplicaOut from;
   replica_.Tick(now, from);
-  if (leaving_) replica_.TransferLeadership(now, from);
-  if (replica_.serving()) ExpireHolds(now, from);
+  if (leaving_ || unreadable_) replica_.TransferLeadership(now, from);
+  if (replica_.serving() && !unreadable_) ExpireHolds(now, from);
   Settle(now, from, out);
   for (const WatchTable::Waiter& due : watches_.TakeDue(now)) AnswerWatch(due.id, due.group, due.after, out);
 }
@@ -81,7 +81,7 @@
     reads_[id] = call;
     return AnswerRead(now, id, out);
   }
-  if (!replica_.serving() || commands_.size() + reads_.size() >= options_.most_calls) {
+  if (!replica_.serving() || unreadable_ || commands_.size() + reads_.size() >= options_.most_calls) {
     out.replies.emplace_back(id, NotHere());
     return;
   }
@@ -127,7 +127,7 @@
 // ---- What the replica tells ----
 
 void Coordinator::Settle(Time now, ReplicaOut& from, CoordinatorOut& out) {
-  if (from.snapshot && !Does(Fault::kSnapshotNotRestored)) state_.Restore(*from.snapshot);
+  if (from.snapshot && !Does(Fault::kSnapshotNotRestored)) TakeSnapshot(*from.snapshot, from.notes);
   for (const CommittedEntry& entry : from.committed) ApplyEntry(now, entry, out);
   if (from.lost_leadership) StopServing(out);
   if (from.became_leader) BeginToServe(now);
@@ -141,6 +141,11 @@
   out.leader_changed = out.leader_changed || from.leader_changed || from.became_leader;
 }
 
+void Coordinator::TakeSnapshot(const std::string& snapshot, std::vector<std::string>& notes) {
+  unreadable_ = !state_.Restore(snapshot);
+  if (unreadable_) notes.push_back("can't read a snapshot: answers nothing");
+}
+
 void Coordinator::ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOut& out) {
   const auto command = DecodeCommand(entry.command);
   if (!command) return;  // of a later version: no replica of this one knows it
@@ -250,6 +255,7 @@
 }
 
 void Coordinator::MaybeCompact(Time now, ReplicaOut& from) {
+  if (unreadable_) return;
   const bool many = replica_.applied() - replica_.log_begin() >= options_.compact_after;
   if (!many && replica_.log_bytes() < options_.compact_bytes) return;
   if (replica_.applied() > replica_.log_begin())
--- a/src/coordination/coordinator.hpp
+++ b/src/coordination/coordinator.hpp
@@ -90,6 +90,7 @@
     bool end_proposed = false;
   };
 
+  void TakeSnapshot(const std::string& snapshot, std::vector<std::string>& notes);
   void Settle(Time now, ReplicaOut& from, CoordinatorOut& out);
   void ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOut& out);
   void NoteHold(Time now, const std::string& lock);
@@ -113,6 +114,9 @@
   WatchTable watches_;
   std::map<std::string, Holding> holdings_;  // by lock, while it serves
   bool leaving_ = false;
+  // The replica's snapshot can't be read here: the state is not the log's. It answers nothing and hands
+  // leadership on, until a snapshot comes that can be read.
+  bool unreadable_ = false;
 };
 
 }  // namespace curlewdoor::coordination
--- a/tests/coordination/coordinator_test.cpp
+++ b/tests/coordination/coordinator_test.cpp
@@ -84,5 +84,34 @@
   BOOST_TEST(std::get<Watched>(*reply).revision == 41u);
 }
 
+ReplicaState DiskWith(std::string snapshot) {
+  ReplicaState disk;
+  disk.found = true;
+  disk.term = 1;
+  disk.snapshot_index = 7;
+  disk.snapshot_term = 1;
+  disk.snapshot_voters = {Alone::kSelf};
+  disk.snapshot = std::move(snapshot);
+  return disk;
+}
+
+BOOST_AUTO_TEST_CASE(a_member_whose_snapshot_is_unreadable_answers_nothing) {
+  StateMachine before{Limits{}};
+  before.Apply(LoggedTime(0), TakeNumber{"n"});
+  CoordinatorOptions options;
+  options.compact_after = 1;
+  Alone whole(options, DiskWith(before.Snapshot()));
+  BOOST_TEST(std::get<NumberTaken>(std::get<Result>(*whole.Ask(TakeNumber{"n"}))).value == 2u);
+
+  Alone damaged(options, DiskWith("nonsense"));
+  for (const Call& call : std::vector<Call>{TakeNumber{"n"}, ReadKey{"g.k"}, WatchGroup{"g.", 0, 0}}) {
+    const auto reply = damaged.Ask(call);
+    BOOST_REQUIRE(reply);
+    BOOST_TEST(std::holds_alternative<NotServed>(*reply));
+  }
+  damaged.Run(std::chrono::seconds(2));
+  BOOST_TEST(damaged.member().replica().snapshot() == "nonsense");  // no empty state is written over it
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
