Coordination: a put refused before its expected revision has come stays refused

Cause: a put that expects a revision above its group's was answered KeyConflict (412: it never takes effect). A second copy of it that came late, after the key had got that very revision, took effect. Figures: a_put_that_was_refused_never_takes_effect passes; the same table needs KeyConflict where the state before gave a KeyPut. Found by reading.

--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -40,20 +40,26 @@
     Revision revision = 0, floor = 0;
     std::vector<PastPut> history;
   };
+  struct RefusedPut {
+    std::string key, value;
+    Revision expected = 0;
+  };
   std::uint32_t format = kSnapshotFormat;
   Fence last_fence = 0;
   std::vector<NamedHold> holds;
   std::vector<NamedNumber> numbers;
   std::vector<NamedKey> keys;
   std::vector<NamedGroup> groups;
+  std::vector<RefusedPut> refusals;
 
   friend auto Fields(NamedHold& v) { return std::tie(v.lock, v.holder, v.fence, v.hold_ms, v.renewals); }
   friend auto Fields(NamedNumber& v) { return std::tie(v.name, v.value); }
   friend auto Fields(NamedKey& v) { return std::tie(v.name, v.value, v.revision, v.dropped); }
   friend auto Fields(PastPut& v) { return std::tie(v.key, v.value, v.revision, v.at); }
   friend auto Fields(NamedGroup& v) { return std::tie(v.name, v.revision, v.floor, v.history); }
+  friend auto Fields(RefusedPut& v) { return std::tie(v.key, v.value, v.expected); }
   friend auto Fields(Image& v) {
-    return std::tie(v.format, v.last_fence, v.holds, v.numbers, v.keys, v.groups);
+    return std::tie(v.format, v.last_fence, v.holds, v.numbers, v.keys, v.groups, v.refusals);
   }
 };
 
@@ -132,12 +138,33 @@
   if (put.expected && *put.expected != present) {
     const bool forgotten = key && key->dropped > *put.expected;
     if (forgotten && !Does(Limits::Fault::kConflictBeyondHistory)) return OutcomeForgotten{};
-    return KeyConflict{present};
+    return Refuse(put, present);
   }
+  if (WasRefused(put)) return KeyConflict{present};
   if (!HasRoom(put, key)) return NoRoom{};
   return KeyPut{Store(at, put)};
 }
 
+// KeyConflict, kept where a late copy could find its expected revision.
+Result StateMachine::Refuse(const PutKey& put, Revision present) {
+  if (*put.expected <= GroupRevision(std::string(GroupOf(put.key))) || WasRefused(put))
+    return KeyConflict{present};
+  if (refusals_.size() >= limits_.refusals) return OutcomeForgotten{};
+  refusals_.push_back({put.key, put.value, *put.expected});
+  return KeyConflict{present};
+}
+
+bool StateMachine::WasRefused(const PutKey& put) const {
+  return std::any_of(refusals_.begin(), refusals_.end(), [&](const Refusal& each) {
+    return put.expected == each.expected && put.key == each.key && put.value == each.value;
+  });
+}
+
+// The key's next revision is this one: what expects a lower one is refused by that alone.
+void StateMachine::DropRefusals(const std::string& key, Revision revision) {
+  std::erase_if(refusals_, [&](const Refusal& each) { return each.expected < revision && each.key == key; });
+}
+
 // The revision of the same put where it came before.
 std::optional<Revision> StateMachine::FirstRevision(const PutKey& put, const Key* key) const {
   if (key == nullptr || Does(Limits::Fault::kResendAppliedTwice)) return std::nullopt;
@@ -169,6 +196,7 @@
   key.value = put.value;
   key.revision = revision;
   key_bytes_ += size;
+  DropRefusals(put.key, revision);
   group.history.push_back({{put.key, put.value, revision}, at});
   history_bytes_ += size;
   drop_order_.push_back(group_numbers_.find(GroupOf(put.key))->second);
@@ -268,6 +296,7 @@
     }
     image.groups.push_back(std::move(named));
   }
+  for (const Refusal& each : refusals_) image.refusals.push_back({each.key, each.value, each.expected});
   return packing::Pack(image, key_bytes_ + history_bytes_ + 1024);
 }
 
@@ -325,6 +354,8 @@
       puts.emplace_back(put.at, number);
     }
   }
+  for (auto& each : image->refusals)
+    refusals_.push_back({std::move(each.key), std::move(each.value), each.expected});
   std::sort(puts.begin(), puts.end());
   for (const auto& [at, number] : puts) drop_order_.push_back(number);
   return true;
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -6,6 +6,10 @@
 // history, and each key's newest for ever. A put with an expected revision R can have taken effect only under
 // a revision above R. If none of the key's puts above R was dropped from the history, the history tells
 // whether it did; else the result is OutcomeForgotten, never KeyConflict.
+//
+// Why a put that was answered KeyConflict never takes effect: the key's revision had passed the expected one,
+// and rises. Where the expected one is yet to come in the group, the refusal itself is kept until it has
+// passed.
 #pragma once
 
 #include <chrono>
@@ -37,6 +41,7 @@
   std::size_t locks = 4096, numbers = 4096, keys = 8192;
   std::size_t key_bytes = 8u << 20;      // of names and values of all keys
   std::size_t history_bytes = 8u << 20;  // of all histories; a put beyond it gets NoRoom
+  std::size_t refusals = 256;            // puts that are kept as refused; OutcomeForgotten beyond it
   // For tests of the tests: a state machine that does something wrong.
   enum class Fault : std::uint8_t {
     kNone,
@@ -100,6 +105,11 @@
     Revision floor = 0;     // all puts above it stand in `history`
     std::deque<Recorded> history;
   };
+  // A put that was refused although its expected revision is yet to come.
+  struct Refusal {
+    std::string key, value;
+    Revision expected = 0;
+  };
   struct Image;
   using Holds = std::map<std::string, Hold>;
 
@@ -113,6 +123,9 @@
   static void Prolong(Hold& hold, std::uint64_t hold_ms);
   std::optional<Revision> FirstRevision(const PutKey& put, const Key* key) const;
   bool HasRoom(const PutKey& put, const Key* key) const;
+  Result Refuse(const PutKey& put, Revision present);
+  bool WasRefused(const PutKey& put) const;
+  void DropRefusals(const std::string& key, Revision revision);
   Revision Store(LoggedTime at, const PutKey& put);
   void DropHistory(LoggedTime now);
   void DropOldest(Group& group);
@@ -129,6 +142,7 @@
   std::map<std::string, std::uint32_t, std::less<>> group_numbers_;  // by name
   std::deque<Group> groups_;                                         // by number; none ever goes
   std::deque<std::uint32_t> drop_order_;  // the group of each put in all histories, the oldest put first
+  std::deque<Refusal> refusals_;
   std::size_t key_bytes_ = 0, history_bytes_ = 0;
 };
 
--- a/tests/coordination/state_machine_test.cpp
+++ b/tests/coordination/state_machine_test.cpp
@@ -171,6 +171,24 @@
        limits);
 }
 
+BOOST_AUTO_TEST_CASE(a_put_that_was_refused_never_takes_effect) {
+  Limits limits;
+  limits.refusals = 2;
+  Play({{0, Put("g.a", "early", 2), KeyConflict{0}},
+        {0, Put("g.a", "1", 0), KeyPut{1}},
+        {0, Put("g.b", "b", 3), KeyConflict{0}},
+        {0, Put("g.a", "early", 2), KeyConflict{1}},     // again: not kept twice
+        {0, Put("g.a", "much", 9), OutcomeForgotten{}},  // no more can be kept
+        {0, Put("g.a", "old", 0), KeyConflict{1}},       // needs no keeping
+        {0, Put("g.a", "2", 1), KeyPut{2}},
+        {0, Put("g.a", "early", 2), KeyConflict{2}},  // its revision has come
+        {0, Put("g.a", "3", 2), KeyPut{3}},           // another put's hasn't been refused
+        {0, Put("g.a", "early", 2), KeyConflict{3}},
+        {0, Put("g.a", "much", 9), KeyConflict{3}},  // its place is free again
+        {0, Put("g.b", "b", 3), KeyConflict{0}}},
+       limits);
+}
+
 struct Look {
   int second = 0;
   Revision after = 0;
