--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -29,7 +29,7 @@
       replica_(std::move(self), std::move(from_disk), options.replica, seed),
       state_(options.limits),
       watches_(options.watches) {
-  if (!replica_.snapshot().empty()) state_.Restore(replica_.snapshot());
+  if (!replica_.snapshot().empty()) unreadable_ = !state_.Restore(replica_.snapshot());
 }
 
 void Coordinator::Found(Time now, std::vector<Member> voters, CoordinatorOut& out) {
@@ -59,8 +59,8 @@
 void Coordinator::Tick(Time now, CoordinatorOut& out) {
   ReplicaOut from;
   replica_.Tick(now, from);
-  if (leaving_) replica_.TransferLeadership(now, from);
-  if (replica_.serving()) ExpireHolds(now, from);
+  if (leaving_ || unreadable_) replica_.TransferLeadership(now, from);
+  if (replica_.serving() && !unreadable_) ExpireHolds(now, from);
   Settle(now, from, out);
   for (const WatchTable::Waiter& due : watches_.TakeDue(now)) AnswerWatch(due.id, due.group, due.after, out);
 }
@@ -81,7 +81,7 @@
     reads_[id] = call;
     return AnswerRead(now, id, out);
   }
-  if (!replica_.serving() || commands_.size() + reads_.size() >= options_.most_calls) {
+  if (!replica_.serving() || unreadable_ || commands_.size() + reads_.size() >= options_.most_calls) {
     out.replies.emplace_back(id, NotHere());
     return;
   }
@@ -127,7 +127,7 @@
 // ---- What the replica tells ----
 
 void Coordinator::Settle(Time now, ReplicaOut& from, CoordinatorOut& out) {
-  if (from.snapshot && !Does(Fault::kSnapshotNotRestored)) state_.Restore(*from.snapshot);
+  if (from.snapshot && !Does(Fault::kSnapshotNotRestored)) TakeSnapshot(*from.snapshot, from.notes);
   for (const CommittedEntry& entry : from.committed) ApplyEntry(now, entry, out);
   if (from.lost_leadership) StopServing(out);
   if (from.became_leader) BeginToServe(now);
@@ -141,6 +141,11 @@
   out.leader_changed = out.leader_changed || from.leader_changed || from.became_leader;
 }
 
+void Coordinator::TakeSnapshot(const std::string& snapshot, std::vector<std::string>& notes) {
+  unreadable_ = !state_.Restore(snapshot);
+  if (unreadable_) notes.push_back("can't read a snapshot: answers nothing");
+}
+
 void Coordinator::ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOut& out) {
   const auto command = DecodeCommand(entry.command);
   if (!command) return;  // of a later version: no replica of this one knows it
@@ -224,7 +229,7 @@
     return;
   }
   const auto& watch = std::get<WatchGroup>(call);
-  const auto events = state_.EventsAfter(watch.group, watch.after);
+  const auto events = state_.EventsAfter(watch.group, watch.after, options_.watch_bytes);
   const bool at_once = watch.after == 0 || events.too_old || !events.events.empty() || watch.wait_ms == 0;
   if (at_once) return AnswerWatch(id, watch.group, watch.after, out);
   if (!watches_.Add(now, id, watch.group, watch.after, std::chrono::milliseconds(watch.wait_ms)))
@@ -232,7 +237,7 @@
 }
 
 void Coordinator::AnswerWatch(CallId id, const std::string& group, Revision after, CoordinatorOut& out) {
-  auto events = state_.EventsAfter(group, after);
+  auto events = state_.EventsAfter(group, after, options_.watch_bytes);
   if (events.too_old) {
     out.replies.emplace_back(id, HistoryGone{});
     return;
@@ -250,6 +255,7 @@
 }
 
 void Coordinator::MaybeCompact(Time now, ReplicaOut& from) {
+  if (unreadable_) return;
   const bool many = replica_.applied() - replica_.log_begin() >= options_.compact_after;
   if (!many && replica_.log_bytes() < options_.compact_bytes) return;
   if (replica_.applied() > replica_.log_begin())
--- a/src/coordination/coordinator.hpp
+++ b/src/coordination/coordinator.hpp
@@ -29,6 +29,7 @@
   std::size_t compact_bytes = 512u << 10;
   std::size_t most_calls = 4096;  // commands and reads that wait
   WatchTable::Limits watches;
+  std::size_t watch_bytes = 64u << 10;  // of names and values in one answer; the rest comes with the next
   // For tests of the tests: a coordinator that does something wrong.
   enum class Fault : std::uint8_t {
     kNone,
@@ -89,6 +90,7 @@
     bool end_proposed = false;
   };
 
+  void TakeSnapshot(const std::string& snapshot, std::vector<std::string>& notes);
   void Settle(Time now, ReplicaOut& from, CoordinatorOut& out);
   void ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOut& out);
   void NoteHold(Time now, const std::string& lock);
@@ -112,6 +114,9 @@
   WatchTable watches_;
   std::map<std::string, Holding> holdings_;  // by lock, while it serves
   bool leaving_ = false;
+  // The replica's snapshot can't be read here: the state is not the log's. It answers nothing and hands
+  // leadership on, until a snapshot comes that can be read.
+  bool unreadable_ = false;
 };
 
 }  // namespace curlewdoor::coordination
