Coordination: a voter stands until its removal is committed

Cause: a replica whose newest entry of voters left it out never stood, also where that entry wasn't committed. Ruled out: that learners stand by it: they are no voters of what is committed. That a leader which is no voter stays: it steps down once its first entry is committed. Change: who is a voter by the committed configuration stands.

--- a/src/coordination/log.cpp
+++ b/src/coordination/log.cpp
@@ -74,15 +74,15 @@
   FindVoters();
 }
 
+const std::vector<Member>& Log::VotersAt(std::uint64_t index) const {
+  while (index > snapshot_index_ && At(index).voters.empty()) --index;
+  return index > snapshot_index_ ? At(index).voters : snapshot_voters_;
+}
+
 void Log::FindVoters() {
-  voters_ = snapshot_voters_;
-  voters_index_ = snapshot_index_;
-  for (std::uint64_t index = last(); index > snapshot_index_; --index) {
-    if (At(index).voters.empty()) continue;
-    voters_ = At(index).voters;
-    voters_index_ = index;
-    return;
-  }
+  voters_index_ = last();
+  while (voters_index_ > snapshot_index_ && At(voters_index_).voters.empty()) --voters_index_;
+  voters_ = VotersAt(voters_index_);
 }
 
 }  // namespace curlewdoor::coordination
--- a/src/coordination/log.hpp
+++ b/src/coordination/log.hpp
@@ -34,8 +34,9 @@
   // The configuration before any entry. Only of an empty log.
   void Found(std::vector<Member> voters);
 
-  const std::vector<Member>& voters() const { return voters_; }  // of the newest configuration; empty: none
-  std::uint64_t voters_index() const { return voters_index_; }   // of its entry; begin(): the snapshot's
+  const std::vector<Member>& voters() const { return voters_; }    // of the newest configuration; empty: none
+  std::uint64_t voters_index() const { return voters_index_; }     // of its entry; begin(): the snapshot's
+  const std::vector<Member>& VotersAt(std::uint64_t index) const;  // in force there; begin() <= index
   const std::vector<Member>& snapshot_voters() const { return snapshot_voters_; }
   const std::string& snapshot() const { return snapshot_; }
   std::chrono::milliseconds snapshot_time() const { return snapshot_time_; }
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -85,7 +85,7 @@
   if (role_ == Role::kLeader) {
     TickLeader(now, out);
   } else if (now >= *election_due_) {
-    if (IsVoter(self_.life)) {
+    if (MayStand()) {
       Stand(now, true, false, out);
     } else {
       ResetElection(now);
@@ -242,6 +242,14 @@
                      [&](const Member& each) { return each.life == life; });
 }
 
+// Also a voter whose removal isn't committed yet: a majority may want its log, and it votes for no shorter
+// one.
+bool Replica::MayStand() const {
+  const std::vector<Member>& settled = log_.VotersAt(commit_);
+  return IsVoter(self_.life) || std::any_of(settled.begin(), settled.end(),
+                                            [this](const Member& each) { return each.life == self_.life; });
+}
+
 // ---- Following ----
 
 void Replica::On(Time now, const ReplicaMessage& m, const AppendEntries& append, ReplicaOut& out) {
--- a/src/coordination/replica.hpp
+++ b/src/coordination/replica.hpp
@@ -184,6 +184,7 @@
   void StartWrite(Time now, ReplicaOut& out);
   void NoteTruncated(std::uint64_t last);
   bool IsVoter(const Life& life) const;
+  bool MayStand() const;
   template <typename Predicate>
   bool MajorityOf(Predicate&& agrees) const {  // of the voters
     const auto count = std::count_if(log_.voters().begin(), log_.voters().end(),
--- a/tests/coordination/replica_rules_test.cpp
+++ b/tests/coordination/replica_rules_test.cpp
@@ -274,5 +274,17 @@
   BOOST_TEST(with_entries <= 4u);  // one for each peer
 }
 
+// Until its removal is committed its vote, and its log, may be the ones that are wanted.
+BOOST_AUTO_TEST_CASE(a_voter_stands_until_its_removal_is_committed) {
+  for (const std::uint64_t committed : {0, 1}) {
+    LogEntry removal{1, {}, {}, {MemberNumber(2), MemberNumber(3), MemberNumber(4), MemberNumber(5)}};
+    One one(Held(1, {removal}));
+    one.EndWrites();
+    one.Hear(MemberNumber(2), 1, AppendEntries{1, 1, committed, 0, {}});
+    one.Tick(milliseconds(900));
+    BOOST_TEST(one.TakeSent<RequestVote>().empty() == (committed == 1));
+  }
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
