Coordination: the search asks all that believe they serve

Change: calls go to any member that serves, also to one that another has taken over from; more calls a trouble.

--- a/tests/coordination/replica_search_test.cpp
+++ b/tests/coordination/replica_search_test.cpp
@@ -31,8 +31,10 @@
   std::string Run() {
     for (int i = 0; i < kTroubles && failure_.empty(); ++i) {
       Trouble();
-      for (int calls = Below(6); calls > 0; --calls) SomeCall();
-      cluster_.Run(milliseconds(Below(400)));
+      for (int rounds = Below(5); rounds > 0; --rounds) {
+        for (int calls = Below(6); calls > 0; --calls) SomeCall();
+        cluster_.Run(milliseconds(Below(200)));
+      }
     }
     if (failure_.empty()) Heal();
     return failure_;
@@ -152,8 +154,16 @@
 
   // ---- Callers ----
 
+  // Mostly one that serves, also one that has not heard yet that another one does.
+  std::size_t SomeServing() {
+    std::vector<std::size_t> serving;
+    for (std::size_t i = 0; i < kMembers; ++i)
+      if (cluster_.running(i) && cluster_.coordinator(i)->replica().serving()) serving.push_back(i);
+    if (serving.empty() || Below(6) == 0) return Any();
+    return serving[static_cast<std::size_t>(Below(static_cast<int>(serving.size())))];
+  }
   void SomeCall() {
-    const std::size_t member = Below(3) == 0 ? Any() : cluster_.Leader().value_or(Any());
+    const std::size_t member = SomeServing();
     switch (Below(3)) {
       case 0:
         return TakeNumberAt(member, [] {});
