--- /dev/null
+++ b/tests/coordination/replica_records_test.cpp
@@ -0,0 +1,236 @@
+// What replicas leave on their disks: read back after a loss of power at any write, past the ring of keys,
+// with damage, and where another life's records stand.
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+
+#include "coordination/replica.hpp"
+
+namespace curlewdoor::coordination {
+namespace {
+
+using std::chrono::milliseconds;
+using Disk = std::map<std::string, std::string>;
+
+constexpr std::uint64_t kDisk = 1;
+
+std::vector<Member> Three() {
+  std::vector<Member> members;
+  for (std::uint64_t i = 1; i <= 3; ++i)
+    members.push_back({{"core-" + std::to_string(i), i}, "10.0.0.1:7001"});
+  return members;
+}
+
+std::optional<ReplicaState> Read(const Disk& disk, std::uint64_t number = kDisk) {
+  return DecodeReplicaState(number, [&](const std::string& key) {
+    const auto found = disk.find(key);
+    return found == disk.end() ? std::nullopt : std::optional(found->second);
+  });
+}
+
+void Keep(Disk& disk, const Records& records) {
+  for (const auto& [key, bytes] : records) disk[key] = bytes;
+}
+
+// core-1 of three as it follows leaders that core-2 and core-3 make up, and loses its power at writes.
+class Follower {
+ public:
+  explicit Follower(std::uint64_t seed) : random_(seed) { Start(); }
+
+  void Step() {
+    switch (Below(12)) {
+      case 0:  // another leader: what is not committed may differ
+        ++term_;
+        if (log_.size() > committed_) log_.resize(committed_ + Below(log_.size() - committed_ + 1));
+        break;
+      case 1:
+        return Snapshot();
+      case 2:
+        return Compact();
+      case 3:
+      case 4:
+        return LosePower();
+      case 5:
+        return EndWrite(false);
+      case 6:
+      case 7:
+      case 8:
+        return EndWrite(true);
+      default:
+        Append();
+    }
+  }
+
+ private:
+  std::uint64_t Below(std::uint64_t bound) { return random_() % bound; }
+
+  void Start() {
+    auto held = Read(disk_);
+    BOOST_REQUIRE(held);
+    BOOST_TEST(held->term >= promised_term_);
+    const std::uint64_t last = held->snapshot_index + held->entries.size();
+    BOOST_TEST(last >= acknowledged_);
+    for (std::uint64_t index = held->snapshot_index + 1; index <= acknowledged_; ++index)
+      BOOST_TEST((held->entries[index - held->snapshot_index - 1] == log_[index - 1]));
+    replica_ = std::make_unique<Replica>(Three()[0], std::move(*held), ReplicaOptions{}, random_());
+    ReplicaOut out;
+    replica_->Found(now_, Three(), out);
+    replica_->Tick(now_, out);
+    Take(out);
+  }
+  void LosePower() {
+    if (write_ && Below(2)) Keep(disk_, *write_);
+    write_.reset();
+    Start();
+  }
+  void EndWrite(bool ok) {
+    if (!write_) return;
+    if (ok) Keep(disk_, *write_);
+    write_.reset();
+    ReplicaOut out;
+    replica_->OnWritten(now_, ok, out);
+    Take(out);
+  }
+  void Hear(ReplicaBody body) {
+    now_ += milliseconds(10);
+    ReplicaOut out;
+    const Member leader = Three()[1 + term_ % 2];
+    replica_->OnMessage(now_, {leader, Three()[0].life, term_, std::move(body)}, out);
+    replica_->Tick(now_, out);
+    Take(out);
+  }
+  void Append() {
+    for (std::uint64_t i = Below(4); i > 0; --i) log_.push_back({term_, milliseconds(1), "c", {}});
+    // From where the leader believes it to be: what it has acknowledged, or further on, where it may be
+    // refused.
+    const std::uint64_t from = acknowledged_ + (Below(3) == 0 ? Below(log_.size() - acknowledged_ + 1) : 0);
+    AppendEntries append{from, from == 0 ? 0 : log_[from - 1].term, committed_, 0, {}};
+    append.entries.assign(log_.begin() + static_cast<std::ptrdiff_t>(from), log_.end());
+    // Committed by the two others.
+    if (Below(2)) committed_ = std::max(committed_, acknowledged_ + Below(log_.size() - acknowledged_ + 1));
+    Hear(std::move(append));
+  }
+  void Snapshot() {
+    if (committed_ == 0) return;
+    Hear(InstallSnapshot{committed_, log_[committed_ - 1].term, milliseconds(1), Three(), 1, 0, 0, "s"});
+  }
+  void Compact() {
+    ReplicaOut out;
+    replica_->Compact(now_, replica_->applied(), "s", out);
+    Take(out);
+  }
+  void Take(ReplicaOut& out) {
+    for (const ReplicaSending& sending : out.sends) {
+      const auto* appended = std::get_if<Appended>(&sending.message.body);
+      if (appended == nullptr || !appended->ok || sending.message.term != term_) continue;
+      acknowledged_ = std::max(acknowledged_, appended->index);
+      committed_ = std::max(committed_, acknowledged_);
+      if (appended->index > 0) promised_term_ = std::max(promised_term_, log_[appended->index - 1].term);
+    }
+    if (!out.write) return;
+    BOOST_REQUIRE(!write_);
+    write_ = std::move(out.write);
+  }
+
+  std::mt19937_64 random_;
+  Time now_{std::chrono::hours(1)};
+  Disk disk_;
+  std::optional<Records> write_;
+  std::unique_ptr<Replica> replica_;
+  std::uint64_t term_ = 1, promised_term_ = 0, acknowledged_ = 0, committed_ = 0;
+  std::vector<LogEntry> log_;  // of the leader; acknowledged entries are committed and stay
+};
+
+BOOST_AUTO_TEST_CASE(what_was_acknowledged_is_there_after_a_loss_of_power_at_any_write) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Follower follower(seed);
+    for (int i = 0; i < 300; ++i) follower.Step();
+  }
+}
+
+BOOST_AUTO_TEST_CASE(entries_take_the_place_of_those_a_snapshot_has_made_dispensable) {
+  Disk disk;
+  Replica replica(Three()[0], {}, {}, 1);
+  Time now{std::chrono::hours(1)};
+  std::uint64_t last = 0;
+  const auto step = [&](auto&& act) {
+    ReplicaOut out;
+    act(out);
+    while (out.write) {
+      Keep(disk, *std::exchange(out.write, std::nullopt));
+      BOOST_REQUIRE(Read(disk));
+      replica.OnWritten(now, true, out);
+    }
+  };
+  while (last < 2 * kLogSlots + 1000) {
+    AppendEntries append{last, last == 0 ? 0u : 1u, last, 0,
+                         std::vector<LogEntry>(700, LogEntry{1, {}, "c", {}})};
+    last += 700;
+    step([&](ReplicaOut& out) { replica.OnMessage(now, {Three()[1], Three()[0].life, 1, append}, out); });
+    if (last - replica.log_begin() > 10'000)
+      step([&](ReplicaOut& out) { replica.Compact(now, replica.applied(), std::to_string(last), out); });
+  }
+  const auto held = Read(disk);
+  BOOST_REQUIRE(held);
+  BOOST_TEST(held->snapshot_index == replica.log_begin());
+  BOOST_TEST(held->snapshot_index + held->entries.size() == last);
+  BOOST_TEST(disk.size() <= kLogSlots + 2);
+}
+
+// A disk of a voter: a snapshot and five entries.
+Disk Some() {
+  Disk disk;
+  Keep(disk, EncodeHardState(kDisk, 3, Life{"core-2", 2}, 10, 15));
+  Keep(disk, {EncodeSnapshot(10, 2, milliseconds(5), Three(), "state")});
+  for (std::uint64_t index = 11; index <= 15; ++index)
+    Keep(disk, {EncodeEntry(index, {3, milliseconds(index), "c", {}})});
+  return disk;
+}
+
+BOOST_AUTO_TEST_CASE(damage_is_refused) {
+  BOOST_REQUIRE(Read(Some()));
+  for (const auto& [key, bytes] : Some()) {
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+      Disk cut = Some();
+      cut[key].resize(size);
+      BOOST_TEST(!Read(cut), key << " cut to " << size);
+    }
+    Disk lacking = Some();
+    lacking.erase(key);
+    const auto read = Read(lacking);
+    const bool refused = !read || !read->found;  // without the hard state: a new disk
+    BOOST_TEST(refused, key);
+  }
+  Disk other = Some();
+  Keep(other, {EncodeSnapshot(9, 2, milliseconds(5), Three(), "state")});
+  BOOST_TEST(!Read(other));
+  other = Some();
+  Keep(other, {EncodeEntry(12 + kLogSlots, {3, milliseconds(1), "c", {}})});
+  BOOST_TEST(!Read(other));
+}
+
+BOOST_AUTO_TEST_CASE(another_lifes_records_count_for_nothing) {
+  Disk disk = Some();
+  const auto none = Read(disk, kDisk + 1);
+  BOOST_REQUIRE(none);
+  BOOST_TEST((*none == ReplicaState{}));
+  Member self = Three()[0];
+  self.life.disk = kDisk + 1;
+  Replica replica(self, *none, {}, 1);
+  ReplicaOut out;
+  replica.Tick(Time{std::chrono::hours(1)}, out);
+  BOOST_REQUIRE(out.write);
+  Keep(disk, *out.write);
+  const auto own = Read(disk, kDisk + 1);
+  BOOST_REQUIRE(own);
+  BOOST_TEST(own->found);
+  BOOST_TEST(own->snapshot.empty());
+  BOOST_TEST(own->entries.empty());
+  BOOST_TEST(own->term == 0u);
+  const auto old = Read(disk);
+  BOOST_REQUIRE(old);
+  BOOST_TEST(!old->found);
+}
+
+}  // namespace
+}  // namespace curlewdoor::coordination
