Control door: calls that wait long, by the minute and by the thousand

Cause: watches wait up to a minute at the control door, which no test did. Ruled out: faults of the door: none was found. Change: cases with sockets: a wait beyond the idle time; a client that leaves is told of once; what is sent behind a waiting call has its turn and its time later; a thousand wait and others are served. Time is set ahead by the door's clock, nothing sleeps.

--- a/tests/system/call_door_test.cpp
+++ b/tests/system/call_door_test.cpp
@@ -304,5 +304,130 @@
   BOOST_TEST(stand.calls.empty());
 }
 
+// ---- Calls that wait long --------------------------------------------------------------------------------
+
+// A door whose clock can be set ahead.
+class DoorAhead : public CallDoor {
+ public:
+  using CallDoor::CallDoor;
+  Duration ahead{};
+
+ private:
+  TimePoint Now() override { return TimePoint(std::chrono::steady_clock::now().time_since_epoch()) + ahead; }
+};
+
+// Watches that wait: none is answered until it is told so.
+struct WatchStand {
+  WatchStand() {
+    std::string error;
+    BOOST_REQUIRE_MESSAGE(door.Listen({0x7f000001, 0}, error), error);
+    door.SetOnLeft([this](RequestId id) { left.push_back(id); });
+    door.StartAccepting();
+  }
+  void Take(std::size_t count) {
+    BOOST_REQUIRE(loop.Until([&] { return calls.size() >= count; }));
+    BOOST_REQUIRE_EQUAL(calls.size(), count);
+  }
+  // Lets time pass, and looks at the times of all connections once a second of it.
+  void Pass(std::chrono::seconds time) {
+    for (auto passed = std::chrono::seconds(0); passed < time; ++passed) {
+      door.ahead += std::chrono::seconds(1);
+      door.CheckTimes();
+      ev_run(loop.get(), EVRUN_NOWAIT);
+      door.Reap();
+    }
+  }
+
+  Loop loop;
+  net::Descriptors descriptors{2048};
+  std::vector<CallDoor::Call> calls;
+  std::vector<RequestId> left;
+  DoorAhead door{loop.get(), descriptors, [this](CallDoor::Call call) { calls.push_back(std::move(call)); },
+                 kMost};
+};
+
+constexpr char kWatchCall[] = "GET /v1/watch/g.?after=1&wait_ms=60000 HTTP/1.1\r\nHost: x\r\n\r\n";
+constexpr char kReadCall[] = "GET /v1/cells/g.a/read HTTP/1.1\r\nHost: x\r\n\r\n";
+
+BOOST_AUTO_TEST_CASE(ACallMayWaitLongerThanAnIdleConnection) {
+  WatchStand stand;
+  Plain plain(stand.loop.get(), stand.door.port());
+  for (std::size_t time = 1; time <= 2; ++time) {  // and the next one on the same connection
+    plain.Write(kWatchCall);
+    stand.Take(time);
+    stand.Pass(std::chrono::seconds(70));
+    BOOST_TEST(!plain.over);
+    BOOST_TEST(stand.left.empty());
+    stand.door.Reply(stand.calls.back().id, 200, "{}", "application/json");
+    BOOST_REQUIRE(stand.loop.Until([&] { return Stand::Heads(plain) == time; }));
+  }
+  stand.Pass(std::chrono::seconds(12));  // then it is idle
+  BOOST_TEST(stand.loop.Until([&] { return plain.over; }));
+  BOOST_TEST(stand.left.empty());
+}
+
+BOOST_AUTO_TEST_CASE(WhoeverLeavesAWaitingCallIsToldOnce) {
+  WatchStand stand;
+  {
+    Plain plain(stand.loop.get(), stand.door.port());
+    plain.Write(std::string(kWatchCall) + kReadCall);
+    stand.Take(1);
+  }
+  BOOST_REQUIRE(stand.loop.Until([&] { return stand.door.connections() == 0; }));
+  BOOST_REQUIRE_EQUAL(stand.left.size(), 1u);
+  BOOST_TEST((stand.left[0] == stand.calls[0].id));
+  stand.door.Reply(stand.calls[0].id, 200, "{}");  // to nobody
+  stand.door.Reap();
+  BOOST_TEST(stand.left.size() == 1u);
+  BOOST_TEST(stand.calls.size() == 1u);  // the one behind it was never taken
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsSentBehindAWaitingCallWaitsForItsTurn) {
+  WatchStand stand;
+  Plain plain(stand.loop.get(), stand.door.port());
+  plain.Write(std::string(kWatchCall) + kReadCall + std::string(kReadCall).substr(0, 20));
+  stand.Take(1);
+  stand.Pass(std::chrono::seconds(30));
+  BOOST_TEST(stand.calls.size() == 1u);
+  stand.door.Reply(stand.calls[0].id, 200, "first");
+  stand.Take(2);
+  BOOST_TEST(stand.calls[1].path == "/v1/cells/g.a/read");
+  stand.door.Reply(stand.calls[1].id, 200, "second");
+  // The third one's time runs from now on, not from when its first bytes came.
+  stand.door.CheckTimes();
+  BOOST_TEST(!plain.over);
+  plain.Write(std::string(kReadCall).substr(20));
+  stand.Take(3);
+  stand.door.Reply(stand.calls[2].id, 200, "third");
+  BOOST_REQUIRE(stand.loop.Until([&] { return Stand::Heads(plain) == 3; }));
+  BOOST_TEST(plain.came.find("first") < plain.came.find("second"));
+  BOOST_TEST(plain.came.find("second") < plain.came.find("third"));
+}
+
+BOOST_AUTO_TEST_CASE(AThousandCallsWaitAndOthersAreServedMeanwhile) {
+  constexpr std::size_t kMany = 1000;
+  WatchStand stand;
+  std::list<Plain> many;
+  for (std::size_t i = 1; i <= kMany; ++i) {
+    many.emplace_back(stand.loop.get(), stand.door.port()).Write(kWatchCall);
+    stand.Take(i);
+  }
+  Plain other(stand.loop.get(), stand.door.port());
+  other.Write(kReadCall);
+  stand.Take(kMany + 1);
+  stand.door.Reply(stand.calls.back().id, 200, "read");
+  BOOST_REQUIRE(stand.loop.Until([&] { return Stand::Heads(other) == 1; }));
+  for (std::size_t i = 0; i < kMany; i += 2) stand.door.Reply(stand.calls[i].id, 200, "{}");
+  std::size_t answered = 0;
+  BOOST_REQUIRE(stand.loop.Until([&] {
+    answered = 0;
+    for (const Plain& each : many) answered += Stand::Heads(each);
+    return answered == kMany / 2;
+  }));
+  many.clear();
+  BOOST_REQUIRE(stand.loop.Until([&] { return stand.door.connections() == 1; }));
+  BOOST_TEST(stand.left.size() == kMany / 2);
+}
+
 }  // namespace
 }  // namespace curlewdoor::system
