--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -75,6 +75,7 @@
   quota_overrun: 0.15
   quota_slack: 21
   recovery_s: 16
+  history_s: 17
 config_mode: "other"
 )";
 
@@ -130,8 +131,8 @@
   want.heartbeat = 1200ms;
   want.active_contracts = {"base", "quota"};
   want.fault_tolerance = {2, 1, 0};
-  want.bounds = {4s,     2500ms, 3100ms, 4100ms, 5s,  2100ms, 7s, 210500us, 2200ms, 260ms,
-                 5100ms, true,   5200ms, 0.25,   11s, 63,     6s, 0.15,     21,     16s};
+  want.bounds = {4s,   2500ms, 3100ms, 4100ms, 5s, 2100ms, 7s,   210500us, 2200ms, 260ms, 5100ms,
+                 true, 5200ms, 0.25,   11s,    63, 6s,     0.15, 21,       16s,    17s};
   want.config_mode = "other";
   BOOST_TEST(want.InternalBindIp() == want.ip_address);
   const NodeSettings bound = Read(kWhole + "internal_bind_address: 10.8.1.31\n");
