storage verify: a disk with the log of locks is good, and judged

Cause: 'storage verify' and 'dump' knew none of the log's records: every stopped member with coord on was refused ('a record that is none of ours'). Ruled out: records of another life: they are passed over as at a start. The console's commands for locks, numbers, keys and watches are run by examples of the operators' page, and a watch that waits as its gateway ends is closed in order. Numbers in the examples are '...': a call that takes long is sent again, and then leaves a gap (seen once).

--- a/src/console/storage_commands.cpp
+++ b/src/console/storage_commands.cpp
@@ -11,6 +11,8 @@
 #include "console/command_error.hpp"
 #include "console/commands.hpp"
 #include "console/table.hpp"
+#include "coordination/replica_message.hpp"
+#include "coordination/state_machine.hpp"
 #include "directory/codec.hpp"
 #include "policy/policy.hpp"
 #include "registry/record.hpp"
@@ -70,7 +72,7 @@
 void CheckRecords(const std::string& directory, const RecordsByKey& records) {
   for (const auto& [key, bytes] : records) {
     if (key == kLifeRecord || key == agreement::kStateKey || key == agreement::kValueKey) continue;
-    if (key.starts_with(agreement::kPageKeys)) continue;
+    if (key.starts_with(agreement::kPageKeys) || key.starts_with(coordination::kReplicaKeys)) continue;
     if (key == agreement::kFoundingKey) {
       if (!agreement::DecodeFoundingState(bytes)) throw BadRecord(directory, "founding: can't be read");
       continue;
@@ -115,6 +117,15 @@
   }
 }
 
+// The log and its snapshot, of the life that wrote them.
+void CheckLog(const std::string& directory, std::uint64_t disk, const RecordsByKey& records) {
+  const auto log =
+      coordination::DecodeReplicaState(disk, [&](const std::string& key) { return Find(records, key); });
+  coordination::StateMachine state({});
+  if (!log || (!log->snapshot.empty() && !state.Restore(log->snapshot)))
+    throw BadRecord(directory, "coordination: the log of locks, numbers and keys can't be read");
+}
+
 StoppedMember ReadMember(const std::string& told) {
   StoppedMember read;
   read.directory = CoreDirectory(told);
@@ -132,6 +143,7 @@
   for (const agreement::Member& member : read.state.roster.members)
     read.member = read.member || member.life.disk == *disk;
   CheckValue(read.directory, read.state.value);
+  CheckLog(read.directory, *disk, records);
   return read;
 }
 
--- a/tests/console/console_test.cpp
+++ b/tests/console/console_test.cpp
@@ -19,6 +19,7 @@
 #include <thread>
 
 #include "agreement/codec.hpp"
+#include "coordination/replica_records.hpp"
 #include "events/events.hpp"
 #include "settings/settings.hpp"
 #include "storage/inspect.hpp"
@@ -128,6 +129,9 @@
     text = Replaced(std::move(text), "10.8.0.31", ip);
     return Replaced(std::move(text), "/data/gateway", (folder.path / "data").string());
   }
+  void TurnCoordinationOn() const {
+    std::ofstream(folder.path / "settings.yaml", std::ios::app) << "active_contracts: [\"coord\"]\n";
+  }
   void WriteFiles() const {
     fs::create_directories(folder.path / "data");
     for (const char* name : {"settings.yaml", "site.json"})
@@ -239,9 +243,10 @@
   BOOST_REQUIRE_MESSAGE(up, ReadAll(place.folder.path / "log"));
   RunExamples(place, "examples: running");
 
-  for (const char* words : {"core show", "hosts show", "tenant show cuka", "gateways show", "figures",
-                            "config show", "config status", "config push next.json", "config diff site.json",
-                            "events", "events 100", "check-settings", "check-config site.json", "version"}) {
+  for (const char* words :
+       {"core show", "hosts show", "tenant show cuka", "gateways show", "figures", "config show",
+        "config status", "config push next.json", "config diff site.json", "events", "events 100",
+        "coordination show", "check-settings", "check-config site.json", "version"}) {
     const Outcome outcome = place.Console(std::string(words) + " --json");
     BOOST_CHECK_MESSAGE(outcome.code == 0 && IsJson(outcome.text), words << ": " << outcome.text);
     BOOST_CHECK_MESSAGE(outcome.text.find(kKey) == std::string::npos, words << " tells a key");
@@ -286,6 +291,68 @@
   BOOST_TEST(IsJson(place.Console("storage dump data --json").text));
 }
 
+BOOST_AUTO_TEST_CASE(the_examples_of_locks_numbers_and_keys_run_as_they_stand) {
+  Place place;
+  place.WriteFiles();
+  place.TurnCoordinationOn();
+  Gateway gateway(place);
+  BOOST_REQUIRE(gateway.Wait("/v1/system/coordination", "\"leads\":true"));
+  RunExamples(place, "examples: coordination");
+  const Outcome shown = place.Console("coordination show --json");
+  BOOST_TEST((shown.code == kDone && IsJson(shown.text)), shown.text);
+  const Outcome beyond = place.Console("lock begin print-run me 86400001");
+  BOOST_TEST((beyond.code == kRefused && beyond.text.find("hold_ms: too large") != std::string::npos),
+             beyond.text);
+  gateway.End(SIGTERM);
+  // Its disk has the log beside the rest.
+  for (const char* words : {"storage verify data", "storage dump data"}) {
+    const Outcome outcome = place.Console(words);
+    BOOST_TEST((outcome.code == kDone && outcome.text.find(": good, ") != std::string::npos), outcome.text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(without_its_contract_coordination_is_off) {
+  Place place;
+  place.WriteFiles();
+  Gateway gateway(place);
+  BOOST_REQUIRE(gateway.Wait("/v1/system/core", "\"majority\":true"));
+  const Outcome outcome = place.Console("number take bookings");
+  BOOST_TEST((outcome.code == kRefused && outcome.text.find("404") != std::string::npos), outcome.text);
+  BOOST_TEST(place.Console("coordination show").text.find(": on no,") != std::string::npos);
+}
+
+// A call by hand: whether its connection ends in order, and what comes before.
+BOOST_AUTO_TEST_CASE(a_watch_that_waits_ends_in_order_when_its_gateway_does) {
+  Place place;
+  place.WriteFiles();
+  place.TurnCoordinationOn();
+  Gateway gateway(place);
+  BOOST_REQUIRE(gateway.Wait("/v1/system/coordination", "\"leads\":true"));
+  const Caller caller({gateway.control()}, seconds(5));
+  BOOST_REQUIRE_EQUAL(caller.Post("/v1/cells/g1.a/replace", R"({"value":"one"})").status, 200);
+
+  const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const sockaddr_in at = gateway.control().ToSocket();
+  const timeval most{20, 0};
+  ::setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most);
+  BOOST_REQUIRE(::connect(fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) == 0);
+  const std::string call = "GET /v1/watch/g1.?after=1&wait_ms=60000 HTTP/1.1\r\nHost: x\r\n\r\n";
+  BOOST_REQUIRE(::send(fd, call.data(), call.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(call.size()));
+  BOOST_REQUIRE(gateway.Wait("/v1/system/coordination", "\"calls_waiting\":1"));
+  const auto began = std::chrono::steady_clock::now();
+  gateway.End(SIGTERM);
+  BOOST_TEST((std::chrono::steady_clock::now() - began < seconds(7)));
+  std::string came;
+  char bytes[4096];
+  ssize_t count = 0;
+  while ((count = ::recv(fd, bytes, sizeof bytes, 0)) > 0)
+    came.append(bytes, static_cast<std::size_t>(count));
+  ::close(fd);
+  BOOST_TEST(count == 0, "the connection was reset");
+  // Nothing, or an answer that promises no more than it knows.
+  BOOST_TEST((came.empty() || came.starts_with("HTTP/1.1 503 ") || came.starts_with("HTTP/1.1 504 ")), came);
+}
+
 // A connection to a gateway's link, as another gateway has it.
 class LinkCaller {
  public:
@@ -376,6 +443,18 @@
                             "events 100 200",
                             "storage verify",
                             "check-config",
+                            "coordination",
+                            "lock begin print-run me",
+                            "lock begin print-run me soon",
+                            "lock begin print-run me -1",
+                            "lock renew print-run me 1",
+                            "lock finish print-run me one",
+                            "number take",
+                            "key put g1.a",
+                            "key put g1.a one x",
+                            "watch",
+                            "watch g1. x",
+                            "watch g1. 1 x",
                             "version 2",
                             "core show --address here",
                             "core show --timeout 0",
@@ -498,6 +577,18 @@
   MakeStorage(here / "unlike", records);
   says("storage verify unlike", kRefused, "another version");
 
+  // A log that is damaged, and one whose entries are of this disk.
+  const agreement::Life life{"lund-1", 0x00c0ffee00c0ffee};
+  coordination::Records log = coordination::EncodeHardState(life.disk, 2, life, 0, 1);
+  log.push_back(coordination::EncodeEntry(1, {}));
+  records = GoodRecords();
+  records.insert(records.end(), log.begin(), log.end());
+  MakeStorage(here / "logged", records);
+  says("storage verify logged", kDone, "epoch 3, member yes, sealed no, version 7");
+  records.back().second += "x";
+  MakeStorage(here / "cut-log", records);
+  says("storage verify cut-log", kRefused, "the log of locks, numbers and keys can't be read");
+
   const auto open = storage::OpenStorage((here / "good").string());
   // The lock is of this process, and a process doesn't see its own: another one is asked.
   says("storage verify good", kRefused, "in use by process " + std::to_string(getpid()));
