--- a/tests/coordination/history/world.hpp
+++ b/tests/coordination/history/world.hpp
@@ -222,6 +222,7 @@
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(drawn));
   }
   std::size_t Pick(std::size_t below) { return random_() % below; }
+  void At(Duration after, std::function<void()> act) { cluster.At(after, std::move(act)); }
   bool Chance(double share) { return std::uniform_real_distribution<double>(0, 1)(random_) < share; }
 
   // ---- Troubles, of a member together with the gateway in its process
