Coordination: calls counted by the status of their answers

Cause: on the untouched program the 404s of applications' calls showed as event 800 beat-refused alone, which points at hosts, and in no figure. 504 and 503 had a figure each; 200, 404, 409, 410, 412, 429 and callers that left had none. Change: coordination_calls_total{status=...} at each gateway, malformed calls included; left counts callers that went before their answer.

--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -88,7 +88,10 @@
   if (listen.readiness) open([&](std::string& error) { return readiness_.Listen(*listen.readiness, error); });
   if (listen.data_plane) open([&](std::string& error) { return front_.Listen(*listen.data_plane, error); });
   control_.SetOnLeft([this](RequestId id) {
-    if (const auto waiting = coordination_numbers_.extract(id)) coordination_calls_.Forget(waiting.mapped());
+    const auto waiting = coordination_numbers_.extract(id);
+    if (!waiting) return;
+    ++coordination_ends_.left;
+    coordination_calls_.Forget(waiting.mapped());
   });
   control_.StartAccepting();
   readiness_.StartAccepting();
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -27,6 +27,7 @@
 #include "settings/settings.hpp"
 #include "storage/storage.hpp"
 #include "system/call_door.hpp"
+#include "system/call_ends.hpp"
 #include "system/command.hpp"
 #include "system/config_feed.hpp"
 #include "system/config_source.hpp"
@@ -236,6 +237,7 @@
   bool Coordinates() const { return settings_.active_contracts.contains(kCoordinationContract); }
   void OpenCoordination(coordination::ReplicaState from_disk);
   bool TakeCoordinationCall(const CallDoor::Call& call);
+  std::optional<coordination::Call> ReadCoordinationCall(const CallDoor::Call& call);
   void TickCoordination();
   void Handle(Link::Stream& stream, CoordinationBytes& message);
   void Handle(Link::Stream& stream, CoordinationCall& message);
@@ -324,6 +326,7 @@
 
   std::optional<CoordinationHost> coordination_;  // of a process with a core
   CoordinationCalls coordination_calls_{*this, {}};
+  CallEnds coordination_ends_;
   std::unordered_map<RequestId, std::uint64_t, IdHash> coordination_numbers_;  // of calls that wait here
   CoreCalls core_calls_{*this, {}};
   std::unordered_map<std::uint64_t, Replication> replications_;
--- a/src/system/node_coordination.cpp
+++ b/src/system/node_coordination.cpp
@@ -16,13 +16,24 @@
   coordination_->SetRoster(core_->roster());
 }
 
+// Throws CallError, which counts as an end of the call.
+std::optional<coordination::Call> Node::ReadCoordinationCall(const CallDoor::Call& call) {
+  try {
+    return DecodeCoordinationCall(call.method, call.path, call.body);
+  } catch (const directory::CallError& error) {
+    ++coordination_ends_.answered[error.status];
+    throw;
+  }
+}
+
 // False: it is none of coordination's.
 bool Node::TakeCoordinationCall(const CallDoor::Call& call) {
   if (!Coordinates()) return false;
-  auto decoded = DecodeCoordinationCall(call.method, call.path, call.body);
+  auto decoded = ReadCoordinationCall(call);
   if (!decoded) return false;
   // Its caller has given up waiting, and may have gone on meanwhile.
   if (pause_watch_.InputMayBeOld(Now())) {
+    ++coordination_ends_.answered[503];
     control_.Reply(call.id, 503);
     return true;
   }
@@ -32,6 +43,7 @@
                             [this, id = call.id](const CoordinationCalls::Answer& answer) {
                               coordination_numbers_.erase(id);
                               const HttpAnswer http = EncodeAnswer(answer);
+                              ++coordination_ends_.answered[http.status];
                               ReplyJson(id, http.status, http.body);
                             });
   return true;
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -102,8 +102,13 @@
   return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::seconds>(time).count());
 }
 
-void AddCoordination(Page& page, const CoordinationCalls& calls,
+void AddCoordination(Page& page, const CoordinationCalls& calls, const CallEnds& ends,
                      const std::optional<CoordinationHost>& host) {
+  page.Head("coordination_calls_total", "counter",
+            "Applications' calls by the status of their answers; left: before it.");
+  for (const auto& [status, count] : ends.answered)
+    page.Line(count, "status=\"" + std::to_string(status) + "\"");
+  page.Line(ends.left, "status=\"left\"");
   page.Gauge("coordination_calls_waiting", calls.size(), "Applications' calls that wait for an answer.");
   page.Counter("coordination_unclear_total", calls.unclear(), "Calls answered 504: may have taken effect.");
   page.Counter("coordination_refused_total", calls.nothing_done(),
@@ -414,7 +419,7 @@
   if (core_)
     page.Counter("core_ballots_refused_total", core_->ballots_refused(),
                  "Ballots of this member that gave way to another's.");
-  if (Coordinates()) AddCoordination(page, coordination_calls_, coordination_);
+  if (Coordinates()) AddCoordination(page, coordination_calls_, coordination_ends_, coordination_);
   page.Gauge("epoch", epoch_, "Epoch of the core's roster, as known here.");
   page.Gauge("core_member", core_member() ? 1 : 0, "Whether this gateway is in that roster.");
   page.Gauge("majority", had_majority_ ? 1 : 0, "Whether this member hears a majority; 0 where it is none.");
