--- a/src/systemkit/machines.cpp
+++ b/src/systemkit/machines.cpp
@@ -106,12 +106,13 @@
       "discovery_source: \"self_register\"\nentry_mode: \"virtual_ip\"\nheartbeat_ms: {}\n"
       "registry_period_ms: {}\n"
       "active_contracts:\n  - \"base\"\n  - \"drain\"\n  - \"config\"\n  - \"retry\"\n  - \"recover\"\n"
-      "  - \"tenants\"\n  - \"quota\"\n"
+      "  - \"tenants\"\n  - \"quota\"\n{}"
       "fault_tolerance:\n  machine_failures: {}\n  zones: 0\n  region_failures: 0\n"
       "bounds:\n  drain_ms: 2000\n  grace_s: {}\n  config_apply_ms: 2000\n  quota_window_s: {}\n"
       "  quota_overrun: 0.1\n  quota_slack: 20\nconfig_mode: \"highest\"\n",
-      options_.fd_limit, options_.heartbeat_ms, options_.registry_period_ms, options_.machine_failures,
-      options_.grace_s, options_.quota_window_s);
+      options_.fd_limit, options_.heartbeat_ms, options_.registry_period_ms,
+      options_.coordination ? "  - \"coord\"\n" : "", options_.machine_failures, options_.grace_s,
+      options_.quota_window_s);
   return text;
 }
 
--- a/src/systemkit/machines.hpp
+++ b/src/systemkit/machines.hpp
@@ -26,7 +26,8 @@
     int registry_period_ms = 20'000;
     int grace_s = 6;
     int fd_limit = 4100;
-    bool relayed = false;  // reached through relays: ends()
+    bool relayed = false;       // reached through relays: ends()
+    bool coordination = false;  // locks, numbers, keys and watches
   };
 
   explicit Machines(const Options& options);  // throws std::runtime_error
