--- a/cmake/fuzz.cmake
+++ b/cmake/fuzz.cmake
@@ -33,3 +33,4 @@
 fuzz_target(policy policy/policy.cpp policy/json_scan.cpp policy/json_slices.cpp LIBRARIES ${CJSON} nlohmann_json::nlohmann_json)
 fuzz_target(settings settings/settings.cpp util/address.cpp LIBRARIES ${YAML_CPP})
 fuzz_target(calls directory/command.cpp directory/json_body.cpp system/command.cpp util/address.cpp LIBRARIES ${CJSON})
+fuzz_target(coordination coordination/call.cpp coordination/command.cpp coordination/replica_message.cpp coordination/state_machine.cpp)
--- a/src/coordination/packing.hpp
+++ b/src/coordination/packing.hpp
@@ -58,14 +58,14 @@
   void Put(const std::variant<T...>& item) {
     packer_.pack_array(2);
     packer_.pack(static_cast<std::uint32_t>(item.index()));
-    std::visit([this](const auto& each) { Put(each); }, item);
+    std::visit([&](const auto& each) { Put(each); }, item);
   }
   template <typename T>
   requires std::is_class_v<T>
   void Put(const T& value) {
     const auto fields = Fields(const_cast<T&>(value));
     packer_.pack_array(std::tuple_size_v<std::remove_cv_t<decltype(fields)>>);
-    std::apply([this](const auto&... each) { (Put(each), ...); }, fields);
+    std::apply([&](const auto&... each) { (Put(each), ...); }, fields);
   }
 
   std::string Text() const { return {buffer_.data(), buffer_.size()}; }
--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -47,6 +47,8 @@
   std::vector<NamedKey> keys;
   std::vector<NamedGroup> groups;
 
+  bool Sound() const;
+
   friend auto Fields(NamedHold& v) { return std::tie(v.lock, v.holder, v.fence, v.hold_ms, v.renewals); }
   friend auto Fields(NamedNumber& v) { return std::tie(v.name, v.value); }
   friend auto Fields(NamedKey& v) { return std::tie(v.name, v.value, v.revision, v.dropped); }
@@ -57,6 +59,44 @@
   }
 };
 
+namespace {
+
+template <typename Items, typename Name>
+bool RiseBy(const Items& items, Name name) {
+  return std::adjacent_find(items.begin(), items.end(), [&](const auto& one, const auto& next) {
+           return name(one) >= name(next);
+         }) == items.end();
+}
+
+}  // namespace
+
+// As Snapshot() writes it: in order, each once, keys and histories with their groups, and revisions that
+// agree.
+bool StateMachine::Image::Sound() const {
+  const auto name = [](const auto& each) -> const std::string& { return each.name; };
+  const auto revision = [](const PastPut& each) { return each.revision; };
+  const bool ordered = RiseBy(holds, [](const NamedHold& each) -> const std::string& { return each.lock; }) &&
+                       RiseBy(numbers, name) && RiseBy(keys, name) && RiseBy(groups, name);
+  const auto find = [&](const auto& items, std::string_view wanted) {
+    const auto found =
+        std::lower_bound(items.begin(), items.end(), wanted,
+                         [](const auto& each, std::string_view text) { return each.name < text; });
+    return found != items.end() && found->name == wanted ? &*found : nullptr;
+  };
+  if (!ordered) return false;
+  const bool keys_sound = std::all_of(keys.begin(), keys.end(), [&](const NamedKey& key) {
+    const NamedGroup* group = find(groups, GroupOf(key.name));
+    return group != nullptr && key.dropped < key.revision && key.revision <= group->revision;
+  });
+  return keys_sound && std::all_of(groups.begin(), groups.end(), [&](const NamedGroup& group) {
+           if (!RiseBy(group.history, revision)) return false;
+           return std::all_of(group.history.begin(), group.history.end(), [&](const PastPut& put) {
+             return GroupOf(put.key) == group.name && find(keys, put.key) != nullptr &&
+                    put.revision > group.floor && put.revision <= group.revision;
+           });
+         });
+}
+
 StateMachine::StateMachine(Limits limits) : limits_(limits) {}
 
 Result StateMachine::Apply(LoggedTime at, const Command& command) {
@@ -246,7 +286,7 @@
 
 bool StateMachine::Restore(std::string_view bytes) {
   auto image = packing::Unpack<Image>(bytes);
-  if (!image || image->format != kSnapshotFormat) return false;
+  if (!image || image->format != kSnapshotFormat || !image->Sound()) return false;
   *this = StateMachine(limits_);
   last_fence_ = image->last_fence;
   for (auto& hold : image->holds)
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -80,7 +80,7 @@
   static std::string_view GroupOf(std::string_view key);
 
   std::string Snapshot() const;
-  // False: no snapshot of this version; the state is as it was.
+  // False: no snapshot of this version, or one that no state machine wrote; the state is as it was.
   bool Restore(std::string_view bytes);
 
  private:
--- a/tests/coordination/replica_records_test.cpp
+++ b/tests/coordination/replica_records_test.cpp
@@ -5,6 +5,7 @@
 #include <random>
 
 #include "coordination/replica.hpp"
+#include "coordination/state_machine.hpp"
 
 namespace curlewdoor::coordination {
 namespace {
@@ -232,5 +233,18 @@
   BOOST_TEST(!old->found);
 }
 
+// Found by fuzz/coordination.cpp: key g.k, and no group of it.
+BOOST_AUTO_TEST_CASE(a_snapshot_that_no_state_machine_wrote_is_refused) {
+  constexpr unsigned char kLacksAGroup[] = {0x96, 0x01, 0x01, 0x90, 0x90, 0x91, 0x94, 0xc4, 0x03,
+                                            'g',  '.',  'k',  0xc4, 0x01, 'w',  0x02, 0x00, 0x91,
+                                            0x94, 0xc4, 0x01, 'B',  0x02, 0x00, 0x90};
+  StateMachine state{Limits{}};
+  state.Apply(LoggedTime(1), PutKey{"g.k", "v", std::nullopt});
+  const std::string before = state.Snapshot();
+  BOOST_TEST(!state.Restore({reinterpret_cast<const char*>(kLacksAGroup), sizeof(kLacksAGroup)}));
+  BOOST_TEST((state.Snapshot() == before));
+  BOOST_TEST(state.Restore(before));
+}
+
 }  // namespace
 }  // namespace curlewdoor::coordination
