--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -52,6 +52,9 @@
   std::vector<NamedGroup> groups;
   std::vector<RefusedPut> refusals;
 
+  // As Snapshot() writes it: by name, each once.
+  bool InOrder() const;
+
   friend auto Fields(NamedHold& v) { return std::tie(v.lock, v.holder, v.fence, v.hold_ms, v.renewals); }
   friend auto Fields(NamedNumber& v) { return std::tie(v.name, v.value); }
   friend auto Fields(NamedKey& v) { return std::tie(v.name, v.value, v.revision, v.dropped); }
@@ -63,6 +66,23 @@
   }
 };
 
+namespace {
+
+template <typename Items, typename Name>
+bool RiseBy(const Items& items, Name name) {
+  return std::adjacent_find(items.begin(), items.end(), [&](const auto& one, const auto& next) {
+           return name(one) >= name(next);
+         }) == items.end();
+}
+
+}  // namespace
+
+bool StateMachine::Image::InOrder() const {
+  const auto name = [](const auto& each) -> const std::string& { return each.name; };
+  return RiseBy(holds, [](const NamedHold& each) -> const std::string& { return each.lock; }) &&
+         RiseBy(numbers, name) && RiseBy(keys, name) && RiseBy(groups, name);
+}
+
 StateMachine::StateMachine(Limits limits) : limits_(limits) {}
 
 Result StateMachine::Apply(LoggedTime at, const Command& command) {
@@ -331,7 +351,7 @@
 
 bool StateMachine::Restore(std::string_view bytes) {
   auto image = packing::Unpack<Image>(bytes);
-  if (!image || image->format != kSnapshotFormat) return false;
+  if (!image || image->format != kSnapshotFormat || !image->InOrder()) return false;
   if (limits_.fault == Limits::Fault::kNone && !Consistent(*image)) return false;
   *this = StateMachine(limits_);
   last_fence_ = image->last_fence;
