--- a/src/coordination/package.cmake
+++ b/src/coordination/package.cmake
@@ -14,4 +14,5 @@
 endif()
 system_test(replica_search_test tests/coordination/replica_search_test.cpp curlewdoor_coordination)
 system_test(replica_rules_test tests/coordination/replica_rules_test.cpp curlewdoor_coordination)
+system_test(coordination_leave_test tests/coordination/leave_test.cpp curlewdoor_coordination)
 system_test(watch_table_test tests/coordination/watch_table_test.cpp curlewdoor_coordination)
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -57,5 +57,7 @@
   add_test(NAME three_machines COMMAND ${CMAKE_SOURCE_DIR}/tests/system/three.sh $<TARGET_FILE:curlewdoor-system>)
   add_test(NAME three_without_disks
            COMMAND ${CMAKE_SOURCE_DIR}/tests/system/three.sh $<TARGET_FILE:curlewdoor-system> --without-disks)
-  set_tests_properties(three_machines three_without_disks PROPERTIES TIMEOUT 120)
+  add_test(NAME coordination_late_finish
+           COMMAND ${CMAKE_SOURCE_DIR}/tests/system/late_finish.sh $<TARGET_FILE:curlewdoor-system>)
+  set_tests_properties(three_machines three_without_disks coordination_late_finish PROPERTIES TIMEOUT 120)
 endif()
--- a/tests/coordination/cluster.hpp
+++ b/tests/coordination/cluster.hpp
@@ -109,6 +109,13 @@
     auto late = std::exchange(node.late, {});
     for (auto& act : late) act();
   }
+  void Leave(std::size_t i) {
+    Act(i, [this, i] {
+      CoordinatorOut out;
+      nodes_[i]->coordinator->Leave(now_, out);
+      Execute(i, std::move(out));
+    });
+  }
   void StallDisk(std::size_t i, Duration span) { nodes_[i]->disk_free = now_ + span; }
   // Nothing goes from one to the other any more.
   void Cut(std::size_t from, std::size_t to) { cuts_.insert({from, to}); }
