--- a/tests/coordination/explorer.hpp
+++ b/tests/coordination/explorer.hpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -41,12 +42,16 @@
   kWatch
 };
 
+class World;
+
 // How often each event may come in one order, and how deep the orders go.
 struct Bounds {
   std::vector<Ask> asks;
   int depth = 5;
-  int waits = 0, pauses = 0, cuts = 0, kills = 0, restarts = 0, wipes = 0, rounds = 0, unsettled = 0;
-  bool cut_follower = false;  // cuts are of a follower, not of the leader
+  int waits = 0, pauses = 0, cuts = 0, kills = 0, restarts = 0, wipes = 0, rounds = 0, unsettled = 0,
+      losses = 0;
+  std::function<void(World&)> before;  // brings about where all orders begin
+  bool cut_follower = false;           // cuts are of a follower, not of the leader
   std::uint64_t compact_after = 2048;
   std::size_t worlds = 20'000;  // no deeper level is begun beyond
 };
@@ -74,6 +79,15 @@
     }
     return leader;
   }
+  // The newest that has won an election.
+  std::optional<std::size_t> Elected() const {
+    std::optional<std::size_t> elected;
+    for (std::size_t i = 0; i < kMembers; ++i) {
+      if (!Leads(i)) continue;
+      if (!elected || TermOf(i) > TermOf(*elected)) elected = i;
+    }
+    return elected;
+  }
   bool running(std::size_t i) const { return nodes_[i].coordinator.has_value(); }
   std::optional<std::size_t> isolated() const { return isolated_; }
 
@@ -132,6 +146,16 @@
     auto network = std::exchange(network_, {});
     for (Flight& flight : network) Deliver(flight);
   }
+  // The newest message that is under way is lost.
+  void Lose() {
+    if (!network_.empty()) network_.pop_back();
+  }
+  // Has won an election and not lost it since, whether it serves yet or not.
+  bool Leads(std::size_t i) const {
+    if (!running(i)) return false;
+    const auto leader = nodes_[i].coordinator->replica().leader();
+    return leader && leader->life == MemberAt(i).life;
+  }
   void Settle() {
     constexpr int kMostRounds = 60;
     for (int i = 0; i < kMostRounds && (!network_.empty() || Writing()); ++i) Round();
@@ -146,6 +170,19 @@
     }
   }
 
+  // What members have applied, they may show.
+  void CheckStates() {
+    for (const Node& node : nodes_) {
+      if (!node.coordinator) continue;
+      const StateMachine& state = node.coordinator->state();
+      if (const auto key = state.Find("g.k")) {
+        Show(key->value, key->revision);
+        applied_ = std::max(applied_, key->revision);
+      }
+      for (const Event& event : state.EventsAfter("g.", 1).events) Show(event.value, event.revision);
+    }
+  }
+
   // Nothing where the caller has no reason to ask so.
   bool MayAsk(Ask ask) const {
     if (ask == Ask::kRenewA) return callers_[0].fence != 0 && now_ < callers_[0].until;
@@ -191,6 +228,8 @@
   void Close() {
     Heal();
     StartAll();
+    CheckStates();
+    acked_ = std::max(acked_, applied_);  // somebody may have been shown it
     for (int i = 0; i < 4 && broken_.empty(); ++i) Run(kWait);
     for (const Ask ask : {Ask::kRead, Ask::kNumber, Ask::kWatch, Ask::kBeginB}) {
       if (!broken_.empty()) return;
@@ -234,6 +273,7 @@
     bool not_served = false;  // all copies until now: none is on its way
   };
 
+  std::uint64_t TermOf(std::size_t i) const { return nodes_[i].coordinator->replica().term(); }
   static std::uint64_t Milliseconds(milliseconds span) { return static_cast<std::uint64_t>(span.count()); }
   static std::string Holder(std::size_t caller) { return caller == 0 ? "A" : "B"; }
   Member MemberAt(std::size_t i) const {
@@ -426,16 +466,6 @@
       Break("ORDER: a revision given twice");
   }
 
-  // What members have applied, they may show.
-  void CheckStates() {
-    for (const Node& node : nodes_) {
-      if (!node.coordinator) continue;
-      const StateMachine& state = node.coordinator->state();
-      if (const auto key = state.Find("g.k")) Show(key->value, key->revision);
-      for (const Event& event : state.EventsAfter("g.", 1).events) Show(event.value, event.revision);
-    }
-  }
-
   struct Given {
     std::size_t caller = 0;
     Time at{};
@@ -460,14 +490,16 @@
   std::vector<Put> puts_;
   std::map<std::string, Revision> values_;
   std::map<Revision, std::string> revisions_;
-  Revision acked_ = 0, known_ = 0, saved_ = 0;
+  Revision acked_ = 0, applied_ = 0, known_ = 0, saved_ = 0;
   Time saved_at_{};
 };
 
 class Explorer {
  public:
   Explorer(CoordinatorOptions options, Bounds bounds, std::uint64_t seed)
-      : bounds_(std::move(bounds)), first_(Prepared(std::move(options), bounds_), seed) {}
+      : bounds_(std::move(bounds)), first_(Prepared(std::move(options), bounds_), seed) {
+    if (bounds_.before) bounds_.before(first_);
+  }
 
   // Empty, or what was broken and by which order of events: the shortest there is.
   std::string Run() {
@@ -562,6 +594,7 @@
       return Step(world, less, depth, event, act);
     };
     const auto leader = world.Leader();
+    const auto chief = leader ? leader : world.Elected();
     std::size_t follower = 0;
     while (leader == follower || !world.running(follower)) ++follower;
     const auto all_run = [&] {
@@ -573,11 +606,16 @@
     const std::string at_follower = "@" + std::to_string(follower + 1);
     if (with(&Bounds::waits, "wait", [](World& next) { next.Run(kWait); })) return true;
     if (with(&Bounds::pauses, "pause", [](World& next) { next.Pause(kPause); })) return true;
-    if (with(&Bounds::rounds, "round", [](World& next) { next.Round(); })) return true;
+    if (with(&Bounds::rounds, "round", [](World& next) {
+          next.Round();
+          next.CheckStates();
+        }))
+      return true;
+    if (with(&Bounds::losses, "lose", [](World& next) { next.Lose(); })) return true;
     if (world.isolated()) {
       if (Step(world, left, depth, "heal", [](World& next) { next.Heal(); })) return true;
-    } else if (leader) {
-      const std::size_t cut = bounds_.cut_follower ? follower : *leader;
+    } else if (chief) {
+      const std::size_t cut = bounds_.cut_follower ? follower : *chief;
       if (with(&Bounds::cuts, "cut@" + std::to_string(cut + 1), [&](World& next) { next.Isolate(cut); }))
         return true;
     }
--- a/tests/coordination/model_check_test.cpp
+++ b/tests/coordination/model_check_test.cpp
@@ -1,4 +1,5 @@
 // What every order of events keeps, and what a member that does wrong breaks; the walk is explorer.hpp.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <string>
@@ -83,6 +84,34 @@
   Bounds bounds;
 };
 
+// One round at a time, until one of these is the newest that has won an election.
+std::size_t RunUntilElected(World& world, const std::vector<std::size_t>& members) {
+  const auto elected = [&] {
+    return std::find_if(members.begin(), members.end(),
+                        [&](std::size_t each) { return world.Elected() == each; });
+  };
+  for (int tick = 0; tick < 60 && elected() == members.end(); ++tick) {
+    world.Pause(milliseconds(50));
+    for (int round = 0; round < 6 && elected() == members.end(); ++round) world.Round();
+  }
+  BOOST_REQUIRE(elected() != members.end());
+  return *elected();
+}
+
+// The first leader has a put that no other has heard of; another member has led since and has told nobody;
+// the first one has been elected again, by the third.
+void LeadAgainWithAnOldPut(World& world) {
+  const std::size_t first = *world.Leader();
+  world.Isolate(first);
+  world.AskAt(first, Ask::kPut);
+  world.Settle();
+  world.Isolate(RunUntilElected(world, {(first + 1) % kMembers, (first + 2) % kMembers}));
+  world.Settle();
+  RunUntilElected(world, {first});
+  world.Round();  // the third one says what it lacks
+  world.Round();  // and is sent the put, and the new leader's own entry
+}
+
 std::vector<Mutant> Mutants() {
   std::vector<Mutant> mutants;
   const auto add = [&mutants](const char* name, std::vector<Ask> asks) -> Mutant& {
@@ -171,6 +200,13 @@
   shorter.cuts = shorter.kills = 1;
   shorter.cut_follower = true;
   shorter.waits = 2;
+  auto& older =
+      of_replica(ReplicaOptions::Fault::kCommitOlderTerm, "copies of an older term's entry count", {});
+  older.before = LeadAgainWithAnOldPut;
+  older.rounds = 3;
+  older.losses = older.cuts = 1;
+  older.waits = 1;
+  older.depth = 8;
   return mutants;
 }
 
