Coordination: a late finish ends no hold that its holder has begun again

Cause: a finish and a begin carry the same fence, so that nothing tells which was sent first; a bound on the age of calls can't close that, as a finish that is sent ends the caller's count. Change: ReleaseLock does nothing on a hold that another call of the same holder has begun again; it lasts until its end then. Copies of one call, which a gateway makes itself, are known by their number. Beside it: the log's writes hold the life where the disk doesn't yet (WriteLog).

--- a/src/coordination/command.hpp
+++ b/src/coordination/command.hpp
@@ -22,6 +22,7 @@
 struct AcquireLock {
   std::string lock, holder;
   std::uint64_t hold_ms = 0;
+  std::uint64_t call = 0;  // the same for all copies of one call; 0: not told
   bool operator==(const AcquireLock&) const = default;
 };
 // More time for the hold of this holder and fence; refused where there is no such hold.
@@ -31,7 +32,8 @@
   std::uint64_t hold_ms = 0;
   bool operator==(const RenewLock&) const = default;
 };
-// Ends the hold of this holder and fence; does nothing where there is no such hold.
+// Ends the hold of this holder and fence; does nothing where there is no such hold, or where the holder has
+// begun it again: this may be from before that, and late. Then it lasts until its end.
 struct ReleaseLock {
   std::string lock, holder;
   Fence fence = 0;
--- a/src/system/coordination_calls.hpp
+++ b/src/system/coordination_calls.hpp
@@ -44,7 +44,7 @@
   struct Options {
     Duration ends = std::chrono::milliseconds(850);         // of a call; a watch has its wait on top
     Duration next_member = std::chrono::milliseconds(250);  // without a reply
-    Duration all_anew = std::chrono::milliseconds(60);      // once all that are reached have said NotServed
+    Duration all_anew = std::chrono::milliseconds(150);     // once all that are reached have said NotServed
     std::size_t most_calls = 2048;
     // For tests of the tests: a gateway that does something wrong.
     enum class Fault : std::uint8_t {
--- a/src/system/node_coordination.cpp
+++ b/src/system/node_coordination.cpp
@@ -38,6 +38,7 @@
     return true;
   }
   const std::uint64_t number = next_number_++;
+  if (auto* acquire = std::get_if<coordination::AcquireLock>(&*decoded)) acquire->call = number;
   coordination_numbers_[call.id] = number;
   coordination_calls_.Begin(Now(), number, std::move(*decoded),
                             [this, id = call.id](const CoordinationCalls::Answer& answer) {
@@ -89,7 +90,10 @@
   if (stream != nullptr) stream->Send(Encode(CoordinationBytes{std::move(bytes)}));
 }
 
-bool Node::WriteLog(coordination::Records records) { return storage_->Write(kLogWrite, std::move(records)); }
+bool Node::WriteLog(coordination::Records records) {
+  if (!life_kept_) records.emplace_back("life", life_);
+  return storage_->Write(kLogWrite, std::move(records));
+}
 
 void Node::OnCoordinationReply(std::uint64_t number, coordination::Reply reply) {
   coordination_calls_.OnReplyHere(Now(), number, std::move(reply));
