Coordination: a member that leads alone ends as soon as it owes nothing

Cause: a process that ends waits until it has handed its lead on; the only voter has nobody to hand it to, so each stop of a single gateway with coord on took all of grace_s. Ruled out: that the drain itself was slow (without coord it ends after 2.6 s). Change: it waits only where there is another voter.

--- a/src/system/coordination_host.hpp
+++ b/src/system/coordination_host.hpp
@@ -44,6 +44,8 @@
   void OnStreamDown(std::uint64_t stream);
   void Leave();  // the process is about to end
   bool leads() const { return coordinator_.replica().serving(); }
+  // It leads, and there is another who could.
+  bool has_lead_to_hand_over() const { return leads() && coordinator_.replica().voters().size() > 1; }
   const coordination::Coordinator& coordinator() const { return coordinator_; }
 
  private:
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -232,7 +232,7 @@
   // A member goes on voting until the others hold what it holds.
   const bool drained = since >= kStopListening && !front_.owes_anything();
   if (drained && core_) core_->Leave();
-  const bool leads = coordination_ && coordination_->leads();
+  const bool leads = coordination_ && coordination_->has_lead_to_hand_over();
   const bool ended = drained && !leads && (!core_ || core_->HandedOver(now));
   if (ended || since >= settings_.bounds.grace - kEndMargin) End();
 }
