--- a/src/system/node_coordination.cpp
+++ b/src/system/node_coordination.cpp
@@ -105,6 +105,9 @@
   coordination_->OnCall(0, number, call);
 }
 
-void Node::ForgetHere(std::uint64_t number) { coordination_->Forget(0, number); }
+// The core may have been closed since the call.
+void Node::ForgetHere(std::uint64_t number) {
+  if (coordination_) coordination_->Forget(0, number);
+}
 
 }  // namespace curlewdoor::system
