Three machines: numbers rise, and a watch outlives its leader's end in order

Cause: no test of processes played coordination over a change of leader. Ruled out: none. Change: three.sh turns coord on: numbers at every machine, a put, a watch at a machine that doesn't lead, SIGTERM to the leader, numbers on, a put at the third, and the watch tells just that.

--- a/tests/system/three.sh
+++ b/tests/system/three.sh
@@ -41,6 +41,7 @@
 quorum_member: $counted
 $(if [ $counted = true ]; then echo "data_directory: \"$folder/disk-$m\""; fi)
 heartbeat_ms: 1000
+active_contracts: ["coord"]
 fault_tolerance: {machine_failures: 1, zones: 0, region_failures: 0}
 bounds: {grace_s: 6}
 END
@@ -55,7 +56,7 @@
     exec 3<>"/dev/tcp/$1/$2"
     printf '%s %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: %s\r\n\r\n%s' \
       "$3" "$4" "$1:$2" "${#body}" "$body" >&3
-    timeout 3 cat <&3
+    timeout "${patience:-3}" cat <&3
   ) 2>/dev/null || true
 }
 # until WHAT COMMAND...: its output has to have the status 200 within 30 s.
@@ -89,6 +90,64 @@
   esac
 done
 
+# until_says WHAT PART COMMAND...: its output has to hold this part within 30 s.
+until_says() {
+  local what=$1 part=$2 answer=""
+  shift 2
+  for _ in $(seq 300); do
+    answer=$("$@")
+    case $answer in *"$part"*) return 0 ;; esac
+    sleep 0.1
+  done
+  echo "three.sh: $what: not '$part' within 30 s: ${answer:0:300}" >&2
+  return 1
+}
+last_number=0
+# numbers_rise MACHINE...: each takes one above all before.
+numbers_rise() {
+  local m answer number
+  for m in "$@"; do
+    answer=$(until_good "a number at $m" call "$net.$m" $control POST /v1/numbers/n '{}')
+    number=${answer##*'"value":'}
+    number=${number%%\}*}
+    if [ "$number" -le "$last_number" ]; then
+      echo "three.sh: number $number after $last_number" >&2
+      return 1
+    fi
+    last_number=$number
+  done
+}
+
+# Locks, numbers and keys at every machine; then the leader ends in order while a watch waits elsewhere.
+numbers_rise 1 2 3
+leader=""
+for _ in $(seq 300); do
+  for m in 1 2 3; do
+    case $(call "$net.$m" $control GET /v1/system/coordination) in *'"leads":true'*) leader=$m ;; esac
+  done
+  if [ -n "$leader" ]; then break; fi
+  sleep 0.1
+done
+others=()
+for m in 1 2 3; do if [ "$m" != "$leader" ]; then others+=("$m"); fi; done
+until_good "a put" call "$net.${others[0]}" $control POST /v1/cells/g.a/replace '{"value":"one","enabled":0}' >/dev/null
+patience=40 call "$net.${others[0]}" $control GET '/v1/watch/g.?after=1&wait_ms=30000' >"$folder/watched" &
+watch=$!
+until_says "a watch that waits" '"calls_waiting":1' call "$net.${others[0]}" $control GET /v1/system/coordination
+kill -TERM "${pids[leader - 1]}"
+wait "${pids[leader - 1]}"
+unset "pids[leader - 1]"
+numbers_rise "${others[@]}"
+until_good "a second put" call "$net.${others[1]}" $control POST /v1/cells/g.a/replace '{"value":"two","enabled":1}' >/dev/null
+wait "$watch"
+case $(cat "$folder/watched") in
+  "HTTP/1.1 200"*'{"events":[{"name":"g.a","value":"two","revision":2}],"revision":2}'*) ;;
+  *)
+    echo "three.sh: the watch says: $(cat "$folder/watched")" >&2
+    exit 1
+    ;;
+esac
+
 kill -TERM "${pids[@]}"
 for pid in "${pids[@]}"; do
   wait "$pid" || {
@@ -97,4 +156,4 @@
   }
 done
 pids=()
-echo "three machines: started, configured, read back, ended"
+echo "three machines: started, configured, read back, coordinated, ended"
