--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -6,6 +6,8 @@
 namespace curlewdoor::coordination {
 namespace {
 
+using Fault = CoordinatorOptions::Fault;
+
 std::optional<Command> CommandOf(const Call& call) {
   return std::visit(
       [](const auto& each) -> std::optional<Command> {
@@ -15,7 +17,7 @@
       call);
 }
 
-Reply ReplyOf(Result result) {
+Reply ReplyOf(const Result& result) {
   if (std::holds_alternative<OutcomeForgotten>(result)) return Unclear{};
   return result;
 }
@@ -27,7 +29,7 @@
       replica_(std::move(self), std::move(from_disk), options.replica, seed),
       state_(options.limits),
       watches_(options.watches) {
-  if (!replica_.snapshot().empty()) state_.Restore(replica_.snapshot());
+  if (!replica_.snapshot().empty()) unreadable_ = !state_.Restore(replica_.snapshot());
 }
 
 void Coordinator::Found(Time now, std::vector<Member> voters, CoordinatorOut& out) {
@@ -57,8 +59,8 @@
 void Coordinator::Tick(Time now, CoordinatorOut& out) {
   ReplicaOut from;
   replica_.Tick(now, from);
-  if (leaving_) replica_.TransferLeadership(now, from);
-  if (replica_.serving()) ExpireHolds(now, from);
+  if (leaving_ || unreadable_) replica_.TransferLeadership(now, from);
+  if (replica_.serving() && !unreadable_) ExpireHolds(now, from);
   Settle(now, from, out);
   for (const WatchTable::Waiter& due : watches_.TakeDue(now)) AnswerWatch(due.id, due.group, due.after, out);
 }
@@ -75,7 +77,11 @@
 // ---- Calls ----
 
 void Coordinator::OnCall(Time now, CallId id, const Call& call, CoordinatorOut& out) {
-  if (!replica_.serving() || commands_.size() + reads_.size() >= options_.most_calls) {
+  if (Does(Fault::kReadAtFollower) && std::holds_alternative<ReadKey>(call)) {
+    reads_[id] = call;
+    return AnswerRead(now, id, out);
+  }
+  if (!replica_.serving() || unreadable_ || commands_.size() + reads_.size() >= options_.most_calls) {
     out.replies.emplace_back(id, NotHere());
     return;
   }
@@ -101,6 +107,7 @@
 
 void Coordinator::AskToRead(Time now, CallId id, const Call& call, ReplicaOut& from, CoordinatorOut& out) {
   reads_[id] = call;
+  if (Does(Fault::kReadWithoutAsking)) return AnswerRead(now, id, out);
   if (replica_.Read(now, id, from)) return;
   reads_.erase(id);
   out.replies.emplace_back(id, NotHere());
@@ -120,7 +127,7 @@
 // ---- What the replica tells ----
 
 void Coordinator::Settle(Time now, ReplicaOut& from, CoordinatorOut& out) {
-  if (from.snapshot) state_.Restore(*from.snapshot);
+  if (from.snapshot && !Does(Fault::kSnapshotNotRestored)) TakeSnapshot(*from.snapshot, from.notes);
   for (const CommittedEntry& entry : from.committed) ApplyEntry(now, entry, out);
   if (from.lost_leadership) StopServing(out);
   if (from.became_leader) BeginToServe(now);
@@ -134,10 +141,15 @@
   out.leader_changed = out.leader_changed || from.leader_changed || from.became_leader;
 }
 
+void Coordinator::TakeSnapshot(const std::string& snapshot, std::vector<std::string>& notes) {
+  unreadable_ = !state_.Restore(snapshot);
+  if (unreadable_) notes.push_back("can't read a snapshot: answers nothing");
+}
+
 void Coordinator::ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOut& out) {
   const auto command = DecodeCommand(entry.command);
   if (!command) return;  // of a later version: no replica of this one knows it
-  Result result = state_.Apply(entry.logged_time, *command);
+  const Result result = state_.Apply(entry.logged_time, *command);
   const auto* put = std::get_if<PutKey>(&*command);
   if (put != nullptr && std::holds_alternative<KeyPut>(result))
     AnswerWatchers(std::string(StateMachine::GroupOf(put->key)), out);
@@ -152,7 +164,7 @@
   const Waiting call = waiting->second;
   commands_.erase(waiting);
   if (call.term == entry.term) {
-    out.replies.emplace_back(call.id, ReplyOf(std::move(result)));
+    out.replies.emplace_back(call.id, ReplyOf(result));
   } else {  // another leader's entry stands in its place
     out.replies.emplace_back(call.id, Unclear{});
   }
@@ -170,8 +182,10 @@
   const StateMachine::Hold& hold = held->second;
   Holding& holding = holdings_[lock];
   if (holding.fence == hold.fence && holding.renewals == hold.renewals && holding.ends != Time{}) return;
-  const Time ends = now + std::chrono::milliseconds(hold.hold_ms);
   const bool same = holding.fence == hold.fence;
+  Time ends = now + std::chrono::milliseconds(hold.hold_ms);
+  if (Does(Fault::kHoldFromSending)) ends = now + std::chrono::milliseconds(hold.hold_ms / 2);
+  if (Does(Fault::kRenewalNotNoted) && same) ends = holding.ends;
   holding = {hold.fence, hold.renewals, same ? std::max(holding.ends, ends) : ends, false};
 }
 
@@ -179,6 +193,8 @@
 void Coordinator::BeginToServe(Time now) {
   holdings_.clear();
   for (const auto& [lock, hold] : state_.holds()) NoteHold(now, lock);
+  if (Does(Fault::kNewLeaderDoesNotWait))
+    for (auto& [lock, holding] : holdings_) holding.ends = now;
 }
 
 void Coordinator::ExpireHolds(Time now, ReplicaOut& from) {
@@ -191,7 +207,8 @@
 
 // Commands that wait may be committed by the next leader, or not; reads were only questions.
 void Coordinator::StopServing(CoordinatorOut& out) {
-  for (const auto& [index, waiting] : commands_) out.replies.emplace_back(waiting.id, Unclear{});
+  const Reply unclear = Does(Fault::kRefusedAfterProposal) ? Reply(NotHere()) : Reply(Unclear{});
+  for (const auto& [index, waiting] : commands_) out.replies.emplace_back(waiting.id, unclear);
   commands_.clear();
   for (const auto& [id, call] : reads_) out.replies.emplace_back(id, NotHere());
   reads_.clear();
@@ -212,7 +229,7 @@
     return;
   }
   const auto& watch = std::get<WatchGroup>(call);
-  const auto events = state_.EventsAfter(watch.group, watch.after);
+  const auto events = state_.EventsAfter(watch.group, watch.after, options_.watch_bytes);
   const bool at_once = watch.after == 0 || events.too_old || !events.events.empty() || watch.wait_ms == 0;
   if (at_once) return AnswerWatch(id, watch.group, watch.after, out);
   if (!watches_.Add(now, id, watch.group, watch.after, std::chrono::milliseconds(watch.wait_ms)))
@@ -220,11 +237,14 @@
 }
 
 void Coordinator::AnswerWatch(CallId id, const std::string& group, Revision after, CoordinatorOut& out) {
-  auto events = state_.EventsAfter(group, after);
+  auto events = state_.EventsAfter(group, after, options_.watch_bytes);
   if (events.too_old) {
     out.replies.emplace_back(id, HistoryGone{});
     return;
   }
+  if (Does(Fault::kWatchTellsNewest) && events.events.size() > 1)
+    events.events.erase(events.events.begin(), events.events.end() - 1);
+  if (Does(Fault::kWatchEndsAhead)) ++events.revision;
   out.replies.emplace_back(id, Watched{std::move(events.events), events.revision});
 }
 
@@ -235,6 +255,7 @@
 }
 
 void Coordinator::MaybeCompact(Time now, ReplicaOut& from) {
+  if (unreadable_) return;
   const bool many = replica_.applied() - replica_.log_begin() >= options_.compact_after;
   if (!many && replica_.log_bytes() < options_.compact_bytes) return;
   if (replica_.applied() > replica_.log_begin())
--- a/src/coordination/replica.cpp
+++ b/src/coordination/replica.cpp
@@ -27,7 +27,8 @@
 const std::string& Replica::snapshot() const { return log_.snapshot(); }
 
 void Replica::Found(Time now, std::vector<Member> voters, ReplicaOut& out) {
-  const bool known = !log_.voters().empty() || log_.last() > 0 || term_ > 0;
+  // It may have voted before: another one was founded earlier, and stood.
+  const bool known = !log_.voters().empty() || log_.last() > 0;
   if (known || voters.empty() || voters.size() > kMaxVoters) return;
   log_.Found(std::move(voters));
   snapshot_dirty_ = true;
@@ -46,7 +47,8 @@
 }
 
 void Replica::OnMessage(Time now, const ReplicaMessage& message, ReplicaOut& out) {
-  if (message.to != self_.life || message.from.life == self_.life) return;
+  const bool any_disk = Does(ReplicaOptions::Fault::kAnyDisk) && message.to.node == self_.life.node;
+  if ((message.to != self_.life && !any_disk) || message.from.life == self_.life) return;
   Handle(now, message, out);
   StartWrite(now, out);
 }
@@ -83,7 +85,7 @@
   if (role_ == Role::kLeader) {
     TickLeader(now, out);
   } else if (now >= *election_due_) {
-    if (IsVoter(self_.life)) {
+    if (MayStand()) {
       Stand(now, true, false, out);
     } else {
       ResetElection(now);
@@ -218,11 +220,13 @@
   CountVotes(now, out);
 }
 
-// A candidate counts its own vote once the disk holds it.
+// A candidate leads only once its disk holds its own vote: else it could stand in the same term once more
+// after a loss of power, win by the same votes, and lead the term twice.
 void Replica::CountVotes(Time now, ReplicaOut& out) {
-  if (role_ == Role::kCandidate && written_version_ >= version_ &&
-      std::find(votes_.begin(), votes_.end(), self_.life) == votes_.end())
-    votes_.push_back(self_.life);
+  if (role_ == Role::kCandidate) {
+    if (written_version_ < version_) return;
+    if (std::find(votes_.begin(), votes_.end(), self_.life) == votes_.end()) votes_.push_back(self_.life);
+  }
   const bool won = MajorityOf([this](const Life& life) {
     return std::any_of(votes_.begin(), votes_.end(), [&](const Life& each) {
       return each == life || (Does(ReplicaOptions::Fault::kAnyDisk) && each.node == life.node);
@@ -238,6 +242,14 @@
                      [&](const Member& each) { return each.life == life; });
 }
 
+// Also a voter whose removal isn't committed yet: a majority may want its log, and it votes for no shorter
+// one.
+bool Replica::MayStand() const {
+  const std::vector<Member>& settled = log_.VotersAt(commit_);
+  return IsVoter(self_.life) || std::any_of(settled.begin(), settled.end(),
+                                            [this](const Member& each) { return each.life == self_.life; });
+}
+
 // ---- Following ----
 
 void Replica::On(Time now, const ReplicaMessage& m, const AppendEntries& append, ReplicaOut& out) {
@@ -348,7 +360,7 @@
     if (dirty_from_ != 0) dirty_from_ = std::max(dirty_from_, install.index + 1);
   } else {
     log_.Install(install.index, install.last_term, install.time, install.voters, bytes);
-    NoteTruncated(install.index);
+    NoteTruncated(commit_);  // the disk holds the snapshot only after the next write
     dirty_from_ = 0;
   }
   snapshot_dirty_ = true;
--- a/src/coordination/replica.hpp
+++ b/src/coordination/replica.hpp
@@ -184,6 +184,7 @@
   void StartWrite(Time now, ReplicaOut& out);
   void NoteTruncated(std::uint64_t last);
   bool IsVoter(const Life& life) const;
+  bool MayStand() const;
   template <typename Predicate>
   bool MajorityOf(Predicate&& agrees) const {  // of the voters
     const auto count = std::count_if(log_.voters().begin(), log_.voters().end(),
@@ -201,6 +202,7 @@
   void TickLeader(Time now, ReplicaOut& out);
   void ContinueTransfer(Time now, ReplicaOut& out);
   void SendAgain(Time now, Peer& peer, ReplicaOut& out);
+  void Probe(Time now, Peer& peer, ReplicaOut& out);  // sends one message from `next` on
   void Replicate(Time now, Peer& peer, ReplicaOut& out);
   void SendEntries(Time now, Peer& peer, ReplicaOut& out);
   void SendHeartbeat(Time now, Peer& peer, ReplicaOut& out);
--- a/src/coordination/replica_leader.cpp
+++ b/src/coordination/replica_leader.cpp
@@ -155,9 +155,14 @@
 void Replica::SendAgain(Time now, Peer& peer, ReplicaOut& out) {
   peer.resend_pause = std::min(2 * peer.resend_pause, options_.resend_most);
   peer.next = peer.match + 1;
-  peer.probing = peer.installing = false;
-  Replicate(now, peer, out);
+  Probe(now, peer, out);
+}
+
+void Replica::Probe(Time now, Peer& peer, ReplicaOut& out) {
   peer.probing = true;
+  peer.installing = false;
+  if (peer.next <= log_.begin()) return SendChunk(now, peer, out);
+  if (peer.next <= log_.last()) SendEntries(now, peer, out);
 }
 
 void Replica::Replicate(Time now, Peer& peer, ReplicaOut& out) {
@@ -221,10 +226,7 @@
   if (!appended.ok) {
     if (appended.index < peer->match || appended.index >= peer->next) return;  // an old one
     peer->next = std::min(peer->next, appended.index + 1);
-    peer->probing = peer->installing = false;
-    Replicate(now, *peer, out);
-    peer->probing = true;
-    return;
+    return Probe(now, *peer, out);
   }
   const std::uint64_t index = std::min(appended.index, log_.last());
   if (index > peer->match) {
@@ -346,9 +348,10 @@
 void Replica::SteerVoters(Time now, ReplicaOut& out) {
   if (target_.empty() || !MayChangeVoters()) return;
   std::vector<Member> voters = log_.voters();
-  bool catching_up = false;
+  bool catching_up = false, missing = false;
   for (const Member& member : target_) {
     if (IsVoter(member.life) || voters.size() >= kMaxVoters) continue;
+    missing = true;
     const Peer* peer = FindPeer(member.life);
     const bool ready = member.life == self_.life ||
                        (peer != nullptr && HeardOf(now, member.life) && !peer->installing &&
@@ -364,7 +367,9 @@
   for (const Member& voter : log_.voters()) {
     const bool stays = std::any_of(target_.begin(), target_.end(),
                                    [&](const Member& each) { return each.life == voter.life; });
-    if (stays || voters.size() <= 1) continue;
+    // While another one is still to come, only those go that are gone: a voter that lives is a copy.
+    const bool lives = voter.life == self_.life || HeardOf(now, voter.life);
+    if (stays || (missing && lives) || voters.size() <= 1) continue;
     std::erase_if(voters, [&](const Member& each) { return each.life == voter.life; });
     return ChangeVoters(now, std::move(voters), out);
   }
--- a/src/systemkit/machines.cpp
+++ b/src/systemkit/machines.cpp
@@ -111,7 +111,7 @@
       "bounds:\n  drain_ms: 2000\n  grace_s: {}\n  config_apply_ms: 2000\n  quota_window_s: {}\n"
       "  quota_overrun: 0.1\n  quota_slack: 20\nconfig_mode: \"highest\"\n",
       options_.fd_limit, options_.heartbeat_ms, options_.registry_period_ms,
-      options_.coordination ? "  - \"coord\"\n" : "", options_.machine_failures, options_.grace_s,
+      options_.coordinates ? "  - \"coord\"\n" : "", options_.machine_failures, options_.grace_s,
       options_.quota_window_s);
   return text;
 }
--- a/tests/system/coordination_path_test.cpp
+++ b/tests/system/coordination_path_test.cpp
@@ -33,7 +33,7 @@
   options.core = core;
   options.others = others;
   options.machine_failures = core >= 5 ? 2 : 1;
-  options.coordination = true;
+  options.coordinates = true;
   return options;
 }
 
