Event 800: a call at the control address, not a host's beat alone

Cause: applications' calls answered 404 were logged as a host's wrong beat, with advice on hosts. Change: its meaning and advice; number, level and name as before.

--- a/src/events/events.hpp
+++ b/src/events/events.hpp
@@ -190,7 +190,7 @@
           "the member that counts a tenant doesn't answer; quotas are kept by share"},
     Entry{Event::kCounterBack, Level::kInfo, "counter-back", "the count of a tenant answers again"},
     Entry{Event::kCountBegun, Level::kInfo, "count-begun", "this member counts tenants from now on"},
-    Entry{Event::kBeatRefused, Level::kWarn, "beat-refused", "a host's beat is wrong"},
+    Entry{Event::kBeatRefused, Level::kWarn, "beat-refused", "a call at the control address is wrong"},
     Entry{Event::kMessageRefused, Level::kWarn, "message-refused", "a message of a gateway can't be read"},
     Entry{Event::kTooLarge, Level::kWarn, "too-large", "a request or message is beyond its size limit"},
     Entry{Event::kCoordinationNote, Level::kInfo, "coordination-note",
