Coordination: a leader that is taken out of the voters hands leadership on

Cause: it stepped down without a word once its removal was committed, and the others waited for their time. Change: it asks the voter that is furthest to stand.

--- a/src/coordination/replica_leader.cpp
+++ b/src/coordination/replica_leader.cpp
@@ -113,7 +113,8 @@
   Send(able->member, TimeoutNow{}, out);
 }
 
-// This one hears nobody, but may be heard: then nobody else stands before its time.
+// A leader's last word, so that the others needn't wait for their time: it is no voter any more, or hears
+// nobody but may be heard.
 void Replica::AskToStand(ReplicaOut& out) const {
   const Peer* best = nullptr;
   for (const Peer& peer : peers_)
@@ -285,7 +286,10 @@
   if (own_term || Does(ReplicaOptions::Fault::kCommitOlderTerm)) Commit(by_majority, out);
   if (!was_serving && serving()) out.became_leader = true;
   // A leader that is no voter any more leads until that is committed.
-  if (log_.voters_index() <= commit_ && !IsVoter(self_.life)) BecomeFollower(now, term_, out);
+  if (log_.voters_index() <= commit_ && !IsVoter(self_.life)) {
+    AskToStand(out);
+    BecomeFollower(now, term_, out);
+  }
 }
 
 void Replica::ConfirmReads(ReplicaOut& out) {
--- a/tests/coordination/failover_test.cpp
+++ b/tests/coordination/failover_test.cpp
@@ -11,7 +11,9 @@
 namespace curlewdoor::coordination::testing {
 namespace {
 
-constexpr auto kAim = std::chrono::seconds(2);  // for 99 of 100
+// For 99 of 100.
+constexpr Duration kAim = std::chrono::seconds(2);
+constexpr Duration kHandedOn = milliseconds(400);  // where the leader can name the next one
 
 // From now until the first call that is sent from now on is answered; ten seconds where none is.
 Duration UntilServed(Cluster& cluster) {
@@ -51,6 +53,14 @@
   cluster.Wipe(leader);
   cluster.Wipe((leader + 1) % cluster.size());
 }
+// Until it has been taken out of the voters.
+void LeaveOut(Cluster& cluster, std::size_t leader) {
+  std::vector<std::size_t> members;
+  for (std::size_t i = 0; i < cluster.size(); ++i)
+    if (i != leader) members.push_back(i);
+  cluster.SetRoster(members);
+  while (cluster.coordinator(leader)->replica().serving()) cluster.Run(milliseconds(2));
+}
 void AllLosePower(Cluster& cluster, std::size_t) {
   for (std::size_t i = 0; i < cluster.size(); ++i) cluster.Kill(i);
   for (std::size_t i = 0; i < cluster.size(); ++i) cluster.Start(i);
@@ -66,6 +76,7 @@
                                                          {"cut to it", CutToIt},
                                                          {"disk stalls", StallDisk},
                                                          {"two wiped", WipeTwo},
+                                                         {"left out of the roster", LeaveOut},
                                                          {"all lose power", AllLosePower}};
   ClusterOptions slow;
   slow.most_sync = milliseconds(100);
@@ -90,7 +101,8 @@
       BOOST_TEST_MESSAGE(name << (options.most_sync == slow.most_sync ? ", slow disks and ways" : "")
                               << ": median " << at(50).count() << " ms, 99% " << at(99).count()
                               << " ms, most " << at(100).count() << " ms");
-      BOOST_TEST((at(99) < kAim), name << ": 99% " << at(99).count() << " ms");
+      const Duration aim = loss == LeaveOut ? kHandedOn : kAim;
+      BOOST_TEST((at(99) < aim), name << ": 99% " << at(99).count() << " ms");
     }
   }
 }
