--- a/src/coordination/package.cmake
+++ b/src/coordination/package.cmake
@@ -18,3 +18,4 @@
 system_test(coordination_leave_test tests/coordination/leave_test.cpp curlewdoor_coordination)
 system_test(watch_table_test tests/coordination/watch_table_test.cpp curlewdoor_coordination)
 system_test(replica_records_test tests/coordination/replica_records_test.cpp curlewdoor_coordination)
+system_test(failover_test tests/coordination/failover_test.cpp curlewdoor_coordination)
