--- a/src/systemkit/coordination_history.hpp
+++ b/src/systemkit/coordination_history.hpp
@@ -65,7 +65,8 @@
 
   // Empty: no rule is broken.
   std::vector<CoordinationViolation> Judge() const;
-  // Of the one lock, number or key of this name. nullopt: too long to be searched.
+  // Of the one lock, number or key of this name. nullopt: too long to be searched, or it names a
+  // revision whose put isn't known.
   std::optional<bool> Linearizable(const std::string& name) const;
 
   static std::string GroupOf(const std::string& key);
--- a/tests/system/coordination_history_test.cpp
+++ b/tests/system/coordination_history_test.cpp
@@ -207,6 +207,7 @@
                          [](const Seen& each) { return each.kind == Kind::kNumber && each.good(); });
     };
     BOOST_REQUIRE(scene_.Until(counted, kSoon));
+    const double began = scene_.Seconds();
     scene_.Last(1);
     const bool wipes_at_the_end = scene_.Chance(0.5);
     wipes_left_ = wipes_at_the_end ? 0 : 1;
@@ -222,6 +223,8 @@
     const double closing = scene_.Seconds();
     applications.AskAll(kClosingPatience);
     (void)scene_.Until([&] { return Answered(closing); }, kClosingPatience + 1.5);
+    BOOST_TEST_MESSAGE("seed " << seed_ << ": first answer after " << began << " s, all answered "
+                               << scene_.Seconds() - closing << " s after the end");
     // What of the applications is still out comes to its end.
     scene_.Last(1);
     Judge(closing);
@@ -335,12 +338,22 @@
       BOOST_ERROR("seed " << seed_ << ", " << deployment_.core << " members: " << NameOf(found[i].rule)
                           << ": " << found[i].text);
     BOOST_TEST(good > 100U);
+    JudgeShortHistories(history);
     if (!found.empty()) BOOST_TEST_MESSAGE(scene_.machines.Logs());
     BOOST_TEST_MESSAGE("seed " << seed_ << ", " << deployment_.core << " members: " << scene_.seen().size()
                                << " calls, " << good << " good, " << unclear << " unclear, "
                                << scene_.Seconds() << " s");
   }
 
+  // Where a lock, number or key was asked for seldom enough, an order must explain it.
+  void JudgeShortHistories(const CoordinationHistory& history) {
+    std::set<std::string> names;
+    for (const Seen& each : scene_.seen()) names.insert(each.name);
+    for (const std::string& name : names)
+      BOOST_TEST(history.Linearizable(name).value_or(true),
+                 "seed " << seed_ << ": no order explains what was seen of " << name);
+  }
+
   const Deployment deployment_;
   const std::uint64_t seed_;
   Scene scene_;
