--- a/bench/regression.sh
+++ b/bench/regression.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # The regression: the operators' benches in turn, each panel by its name, and what changed since the figures in
 # bench/regression.last. Simulated servers; on real sockets nothing else should run beside it.
-#   bench/regression.sh [--system] [--full] [--record]      --system: only the whole system's panels, its grown sites
+#   bench/regression.sh [--system] [--full] [--record]      --system: only the whole system's panels, its locks and grown sites
 #                                                           and hunts; --record: the new figures become the last ones
 #   bench/regression.sh --judge PANEL LOG                   only reads what a bench has printed
 # Exit code: 0 held; 1 a broken rule, a failed gate, a run without a figure (a hunt: without a count of days), or a
@@ -65,8 +65,10 @@
 site=$kit/sites/java-newsdesk.toml
 grown=$kit/next/1/java-newsdesk-later.toml
 system=$kit/more/system
-needs=("$system/bin/fleetbench" "$system/sites/wnd-gerbang.toml" "$system/sites/wbg-ergebnis.toml"
-  "$system/grown/wnd-gerbang-grown.toml" "$system/grown/wbg-ergebnis-grown.toml")
+fleetbench=$system/more/bench-497b98/bin/fleetbench
+needs=("$fleetbench" "$system/sites/wnd-gerbang.toml" "$system/sites/wbg-ergebnis.toml"
+  "$system/grown/wnd-gerbang-grown.toml" "$system/grown/wbg-ergebnis-grown.toml"
+  "$system/locks/wnd-gerbang-locks.toml" "$system/locks/wbg-ergebnis-locks.toml")
 [ -n "$only_system" ] || needs+=("$site" "$grown" "$kit/more/ops/bin/lbreal" "$kit/more/mass/bin/lbreal"
   "$kit/more/bin/lbreal" "$kit/bin/lbsim")
 for needed in "${needs[@]}"; do
@@ -102,10 +104,12 @@
   run fleet "$kit/more/bin/lbreal" score "$site"
   run grown "$kit/bin/lbsim" score "$grown"
 fi
-run system-wnd "$system/bin/fleetbench" score "$system/grown/wnd-gerbang-grown.toml"
-run system-wbg "$system/bin/fleetbench" score "$system/grown/wbg-ergebnis-grown.toml"
-play hunt-wnd "$system/bin/fleetbench" hunt "$system/sites/wnd-gerbang.toml" --days 40
-play hunt-wbg "$system/bin/fleetbench" hunt "$system/sites/wbg-ergebnis.toml" --days 40
-play hunt-wnd-grown "$system/bin/fleetbench" hunt "$system/grown/wnd-gerbang-grown.toml" --days 8
-play hunt-wbg-grown "$system/bin/fleetbench" hunt "$system/grown/wbg-ergebnis-grown.toml" --days 8
+run system-wnd-locks "$fleetbench" score "$system/locks/wnd-gerbang-locks.toml"
+run system-wbg-locks "$fleetbench" score "$system/locks/wbg-ergebnis-locks.toml"
+play hunt-wnd-locks "$fleetbench" hunt "$system/locks/wnd-gerbang-locks.toml" --days 40
+play hunt-wbg-locks "$fleetbench" hunt "$system/locks/wbg-ergebnis-locks.toml" --days 40
+play hunt-wnd "$fleetbench" hunt "$system/sites/wnd-gerbang.toml" --days 40
+play hunt-wbg "$fleetbench" hunt "$system/sites/wbg-ergebnis.toml" --days 40
+play hunt-wnd-grown "$fleetbench" hunt "$system/grown/wnd-gerbang-grown.toml" --days 8
+play hunt-wbg-grown "$fleetbench" hunt "$system/grown/wbg-ergebnis-grown.toml" --days 8
 exit $held
