Figures: which way requests within a limit were let in, and what members counted

Whether a tenant got units by lease or by share, and why not by lease, stood in no log and no figure, so that leases and shares side by side could not be told from shares that add up to too much, nor from windows given twice. Gateways count requests by lease and by share, with the reason; members count adds by what became of them, and units that they counted and reserved.

--- a/src/logic/leases.cpp
+++ b/src/logic/leases.cpp
@@ -133,10 +133,6 @@
   return options_.fixed_windows ? 0 : Rate(c) * Seconds(now_ - c.level_at);
 }
 
-double Leases::Level(const Customer& c) const { return std::min(Burst(c), c.level + Refill(c)); }
-
-double Leases::Tokens(const Customer& c) const { return c.leased + std::min(0.0, Level(c)); }
-
 // Charges units to the quota: the siblings' since the last charge, and `units` now. Unless windows are fixed,
 // the quota refills evenly, as the plan promises, not in full at each edge: that would refuse while half has
 // refilled and admit twice the quota across an edge. Unseen use of siblings makes it err towards admitting.
@@ -207,6 +203,7 @@
   c.own_spent += claim.units;
   claim.charged = true;
   claim.window = c.window;
+  ++figures_.by_lease;
   RecordAdmitted(claim.units, claim.units);
   return true;
 }
@@ -252,10 +249,6 @@
   if (!c.waiting.empty()) port_.StartTimer({TimerToken{name.value}, WaitLeft(c)});
 }
 
-Duration Leases::WaitLeft(const Customer& c) const {
-  return std::max(Duration::zero(), c.waiting.front()->arrived + options_.wait - now_);
-}
-
 void Leases::OnCounterReply(TimePoint now, const CounterReply& event) {
   now_ = now;
   const auto it = calls_.find(event.name);
@@ -441,6 +434,7 @@
     c.own_spent += claim.units;
     claim.charged = true;
     claim.window = c.window;
+    ++figures_.by_share[static_cast<std::size_t>(ReasonFor(claim))];
     if (!state_.counter_down) RecordAdmitted(claim.units, 0);
     port_.Admit(claim);
   }
--- a/src/logic/leases.hpp
+++ b/src/logic/leases.hpp
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <cmath>
 #include <cstdint>
@@ -92,6 +93,15 @@
     virtual Duration ClockOffset(const std::string& /*customer*/) const { return Duration::zero(); }
   };
 
+  // Why a claim was decided by share and not by its counter.
+  enum class ShareReason : std::uint8_t { kNone, kSilent, kWaitOver, kCallFailed, kCallsRationed, kCount };
+  // Claims admitted since the start.
+  struct Figures {
+    std::uint64_t by_lease = 0;
+    std::array<std::uint64_t, static_cast<std::size_t>(ShareReason::kCount)> by_share{};
+  };
+  const Figures& figures() const { return figures_; }
+
   // For operators and tests. All but the level is as of the last claim.
   struct CustomerView {
     std::string name;
@@ -168,6 +178,12 @@
  private:
   void Decide(Claim& claim);
   void DecideByShare(Claim& claim);
+  ShareReason ReasonFor(const Claim& claim) const {
+    const Customer& c = *claim.customer;
+    if (state_.counter_down || !options_.counter) return ShareReason::kSilent;
+    if (c.calling || now_ >= claim.arrived + options_.wait) return ShareReason::kWaitOver;
+    return c.failed_since != TimePoint{} ? ShareReason::kCallFailed : ShareReason::kCallsRationed;
+  }
   void DecideWaiting(Customer& c, void (Leases::*decide)(Claim&));
   void SetPlan(Customer& c, std::shared_ptr<const Plan> plan);
   Duration Window(const Plan& plan) const;      // length; default: the time to refill the burst
@@ -177,15 +193,17 @@
   double Rate(const Customer& c) const { return c.visible_fraction * c.plan->rate; }
   double Burst(const Customer& c) const;
   double Refill(const Customer& c) const;
-  double Level(const Customer& c) const;
-  double Tokens(const Customer& c) const;
+  double Level(const Customer& c) const { return std::min(Burst(c), c.level + Refill(c)); }
+  double Tokens(const Customer& c) const { return c.leased + std::min(0.0, Level(c)); }
   void ApplyPartition(Customer& c);
   void Charge(Customer& c, double units, double by_others);
   void ChargeLease(Customer& c, double units);
   bool SpendLease(Claim& claim);
   void CallCounter(Customer& c);
   void ApplyTotal(Customer& c, double total);
-  Duration WaitLeft(const Customer& c) const;
+  Duration WaitLeft(const Customer& c) const {
+    return std::max(Duration::zero(), c.waiting.front()->arrived + options_.wait - now_);
+  }
   void RefuseBeyondQuota(Claim& claim, double tokens, double rate);
   void MarkPosted(Customer& c, double units);
   void RecordAdmitted(double units, double counted);
@@ -206,6 +224,7 @@
   std::mt19937_64& rng_;
   Options options_;
   QuotaState state_;
+  Figures figures_;
   TimePoint now_;
   bool configured_ = false;
   bool exported_ = false;  // another process admits now
--- a/src/quota/quota_counters.cpp
+++ b/src/quota/quota_counters.cpp
@@ -98,7 +98,10 @@
 
 std::optional<double> QuotaCounters::Add(TimePoint now, const Call& call) {
   if (started_at_) heard_.insert(call.gateway);
-  if (!started_at_ || now - *started_at_ < call.lifetime / 2) return std::nullopt;
+  if (!started_at_ || now - *started_at_ < call.lifetime / 2) {
+    ++figures_.refused;
+    return std::nullopt;
+  }
   while (!by_expiry_.empty() && by_expiry_.begin()->first <= now) {
     counters_.erase(by_expiry_.begin()->second);
     by_expiry_.erase(by_expiry_.begin());
@@ -107,10 +110,14 @@
   if (it == counters_.end()) {
     if (counters_.size() >= kMaxCounters) return std::nullopt;
     const TimePoint expires = now + std::max<Duration>(call.lifetime, std::chrono::milliseconds(1));
-    it = counters_.emplace(call.name, Counter{Reserved(now, call), expires}).first;
+    const double reserved = Reserved(now, call);
+    it = counters_.emplace(call.name, Counter{reserved, expires}).first;
+    figures_.reserved_units += reserved;
     by_expiry_.emplace(expires, call.name);
   }
   RecordUse(now, call);
+  ++figures_.counted;
+  figures_.units += call.amount;
   return it->second.total += call.amount;
 }
 
--- a/src/quota/quota_counters.hpp
+++ b/src/quota/quota_counters.hpp
@@ -49,6 +49,13 @@
   std::optional<double> Add(TimePoint now, const Call& call);
   std::size_t size() const { return counters_.size(); }
 
+  struct Figures {
+    std::uint64_t counted = 0;             // adds
+    std::uint64_t refused = 0;             // adds, while this member doesn't count yet or any more
+    double units = 0, reserved_units = 0;  // counted, and reserved for gateways that are not heard
+  };
+  const Figures& figures() const { return figures_; }
+
  private:
   struct Counter {
     double total = 0;
@@ -73,6 +80,7 @@
   std::set<std::pair<TimePoint, CounterName>> by_expiry_;
   std::unordered_map<std::string, std::map<std::string, Usage>> tenants_;  // by gateway
   std::size_t usage_count_ = 0;
+  Figures figures_;
 };
 
 }  // namespace curlewdoor::quota
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -334,6 +334,7 @@
   std::unordered_map<std::uint64_t, Adding> addings_;
   std::uint64_t next_number_ = rng_();  // no two processes begin alike
   quota::QuotaCounters counts_{settings_.bounds.quota_slack};
+  std::uint64_t adds_by_other_clock_ = 0, adds_elsewhere_ = 0;  // refused here
 
   // Of the latest order here, until it is refused or in force.
   std::shared_ptr<const policy::Policy> checked_;
--- a/src/system/node_count.cpp
+++ b/src/system/node_count.cpp
@@ -25,7 +25,10 @@
                                     Duration lifetime, double amount) {
   const CoreMember* holder = Holder(tenant);
   const bool here = holder != nullptr && holder->name == settings_.node_name && holder->disk == disk_;
-  if (!here || !had_majority_) return std::nullopt;
+  if (!here || !had_majority_) {
+    ++adds_elsewhere_;
+    return std::nullopt;
+  }
   const auto plan = front_.PlanOf(tenant);
   return counts_.Add(Net(Now()), {tenant, gateway, name, lifetime, amount, plan != nullptr ? plan->burst : 0,
                                   plan != nullptr && plan->no_burst_headroom});
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -209,6 +209,7 @@
   // Whoever goes by another clock goes by other windows: its units would be counted apart from all others'.
   const bool in_step =
       std::abs(message.clock_us - Microseconds(Now())) <= kMostAstray / std::chrono::microseconds(1);
+  adds_by_other_clock_ += !in_step;
   const auto total = !in_step ? std::nullopt
                               : AddHere(message.tenant, stream.name, CounterName{message.count},
                                         std::chrono::microseconds(message.lifetime_us), message.amount);
