Quota: holders allocate shares, each counter fails alone, and windows aren't given twice

Callers of a tenant got more than its limit where the members that count were lost, or began anew, while a large fleet asked for more than the limit. Cause: three ways in which a quota was given out besides the count. (1) Whether a gateway goes by share was one state for all tenants, left by one probe per 0.5 to 1.5 x n / 100 s, and calls were rationed by a rate that any failure cut; members that counted again gave out whole quotas to those that asked, beside the shares of those that didn't. (2) A gateway's share was its own last use over what it had seen of all others', which adds up to more than one in a large fleet. (3) The window in which a member is lost, and the one in which it counts again, were given by count and by shares. Change: (1) calls fail for one tenant alone and are made again after 100 ms; no ration in the system. (2) The member that counts allocates shares with its answers (ShareAllocator): a third of the quota evenly over all gateways, the rest by use, each taken until it has expired or is reported smaller, so the sum never exceeds one; what unreachable gateways hold is reserved exactly, and a member that has just begun only renews what is reported. (3) A member counts windows that begin after it; what was let in by share in a window that may have been counted is taken off the next one. AddUnits and Total have fields behind for it.

--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -77,8 +77,7 @@
   double price = 1;
   double excess_worth = 0;
   double excess_cost = 0;
-  Duration window{};               // of its counter; zero: burst / rate
-  bool no_burst_headroom = false;  // no burst absorbs shares that sum to more than one
+  Duration window{};  // of its counter; zero: burst / rate
   bool operator==(const Plan&) const = default;
 };
 
@@ -238,6 +237,7 @@
   Outcome outcome = Outcome::kOk;  // kError: added, but the total is unreadable
   double total = 0;
   Duration latency{};
+  double share = 0;  // of the quota, allocated to this gateway by the counter's holder
 };
 
 // The fraction of the usual gateways that share this gateway's counter. Below 1 the counter is partitioned:
@@ -312,6 +312,8 @@
   CounterName name;
   Duration lifetime{};
   double amount = 0;
+  double use = 0;         // smoothed units admitted here, and those that are asked for now
+  double held_share = 0;  // of the quota, allocated by an earlier reply and still valid
 };
 
 struct WriteLogLine {
--- a/src/logic/leases.cpp
+++ b/src/logic/leases.cpp
@@ -22,6 +22,7 @@
 
 // Share fallback.
 constexpr double kSharePrior = 1.0 / 4;  // of a window's quota: weight of the initial even share
+constexpr double kShareFloor = 0.02;     // set by the specification: no gateway is starved for good
 const double Leases::kShareMemory = 2;   // windows: older use says little about the current routing
 constexpr int kFailuresAllowed = 3;      // failed calls in a row; one or two are chance
 constexpr Duration kProbeInterval = milliseconds(200);  // between probes of an unresponsive counter
@@ -125,14 +126,6 @@
 
 // ---- Leases and windows -------------------------------------------------------------------------------
 
-double Leases::Burst(const Customer& c) const {  // a part still admits any request that fits the whole
-  return std::max(c.visible_fraction * c.plan->burst, std::min(c.plan->burst, options_.largest_request));
-}
-
-double Leases::Refill(const Customer& c) const {
-  return options_.fixed_windows ? 0 : Rate(c) * Seconds(now_ - c.level_at);
-}
-
 // Charges units to the quota: the siblings' since the last charge, and `units` now. Unless windows are fixed,
 // the quota refills evenly, as the plan promises, not in full at each edge: that would refuse while half has
 // refilled and admit twice the quota across an edge. Unseen use of siblings makes it err towards admitting.
@@ -141,11 +134,6 @@
   c.level_at = now_;
 }
 
-void Leases::ChargeLease(Customer& c, double units) {  // non-exempt units first
-  c.leased -= units;
-  c.exempt = std::min(c.exempt, std::max(0.0, c.leased));
-}
-
 // While the counter is partitioned (CounterPartition, where presence is counted), each side gives out only
 // its part of the refill, so the quota is not given out once per side. Both sides saw what was left and
 // admitted as if alone until detection, so the other side's part of both is removed. Harmful, until clients
@@ -162,12 +150,6 @@
   c.visible_fraction = state_.visible_fraction;
 }
 
-std::int64_t Leases::Clock(const Customer& c) const {
-  const auto length = static_cast<std::uint64_t>(Window(*c.plan).count());
-  const TimePoint there = now_ + port_.ClockOffset(c.name);
-  return there.time_since_epoch().count() + static_cast<std::int64_t>(StableHash(c.name) % length);
-}
-
 // Moves the customer to the current window. Unspent leased units expire with the old one.
 void Leases::AdvanceWindow(Customer& c) {
   const std::int64_t length = Window(*c.plan).count(), clock = Clock(c), window = clock / length;
@@ -182,6 +164,7 @@
     c.unposted = c.own_spent;
     return;
   }
+  const double carried = CarriedOver(c, window);
   c.refilled_at = began;
   if (c.leased > c.lease_size / 2) c.lease_size = std::max(kFirstLease, c.lease_size / 2);
   Charge(c, -c.leased, 0);
@@ -190,8 +173,9 @@
     c.level = Burst(c);
   }
   c.window = window;
-  c.leased = c.exempt = c.total = c.local_added = c.own_spent = 0;
-  c.unposted = c.assumed_use = 0;  // of the old counter; siblings charged it by share already
+  c.leased = c.exempt = c.total = c.local_added = c.assumed_use = 0;
+  c.unposted = c.own_spent = carried;  // else of the old counter; siblings charged it by share already
+  if (carried > 0) Charge(c, carried, 0);
 }
 
 bool Leases::SpendLease(Claim& claim) {
@@ -204,6 +188,7 @@
   claim.charged = true;
   claim.window = c.window;
   ++figures_.by_lease;
+  RecordUse(c, claim.units);
   RecordAdmitted(claim.units, claim.units);
   return true;
 }
@@ -245,7 +230,8 @@
   const CounterName name{StableHash(c.name, static_cast<std::uint64_t>(c.window)) >> 1 | 1};
   calls_[name] = &c;
   const Duration lifetime = std::min(2 * Window(*c.plan), options_.max_counter_lifetime);
-  port_.Add(c.name, {name, lifetime, c.call_lease + c.call_unposted});
+  const double held = c.allocated.Held(now_, ShareLifetime(c));
+  port_.Add(c.name, {name, lifetime, c.call_lease + c.call_unposted, DecayedUse(c) + need, held});
   if (!c.waiting.empty()) port_.StartTimer({TimerToken{name.value}, WaitLeft(c)});
 }
 
@@ -259,7 +245,8 @@
   const bool ok = event.outcome == Outcome::kOk, unreadable = event.outcome == Outcome::kError;
   const bool may_be_posted = ok || unreadable || event.outcome == Outcome::kTimeout;
   if (ok || unreadable || !c.given_up) RecordReply(ok || unreadable);
-  if (ok || c.failed_since == TimePoint{}) c.failed_since = ok ? TimePoint{} : now_;
+  if (ok) c.allocated.OnReply(event.share, c.lease_at);
+  if (!ok) c.allocated.OnFailure(now_, ShareLifetime(c));
   // An add that timed out may have arrived, so it is not repeated.
   if (may_be_posted) MarkPosted(c, c.call_unposted);
   if (ok && c.call_window == c.window) ApplyTotal(c, event.total);
@@ -282,8 +269,9 @@
   c.total += grown;
   // Assumes that siblings count the same part of their admissions as this gateway does, which is less than
   // all where calls are scarce. The total replaces the assumed use.
-  const double others =
-      std::max(0.0, grown - added) / std::clamp(state_.mean_counted / state_.mean_admitted, kMinCounted, 1.0);
+  const double counted =
+      FailAlone() ? 1 : std::clamp(state_.mean_counted / state_.mean_admitted, kMinCounted, 1.0);
+  const double others = std::max(0.0, grown - added) / counted;
   Charge(c, c.call_lease, others - std::exchange(c.assumed_use, 0));
   if (!lost && UnderCeiling(c, total)) c.exempt += c.call_lease;
   c.leased += c.call_lease;
@@ -294,6 +282,7 @@
   // adds this gateway's earlier units once more.
   if (lost) c.unposted += std::exchange(c.local_added, 0);
   c.local_added += added;
+  if (options_.even_share > 0) return;
   const double keep = Kept(now_ - c.usage_at, Window(*c.plan));
   c.local_use = c.local_use * keep + added;
   c.total_use = c.total_use * keep + added + others;
@@ -359,16 +348,11 @@
 // ---- Share fallback -----------------------------------------------------------------------------------
 
 double Leases::Share(const Customer& c) const {
-  const TimePoint until = c.failed_since != TimePoint{} ? c.failed_since : now_;
-  const double kept = c.plan->no_burst_headroom ? Kept(until - c.usage_at, Window(*c.plan)) : 1;
-  return ShareOf(kept * c.local_use, c.total_use, *c.plan, c.set_size, options_);
-}
-
-// Records unposted units that are, or may be, in the counter now.
-void Leases::MarkPosted(Customer& c, double units) {
-  const double paid = std::min(units, c.unposted);
-  c.unposted -= paid;
-  state_.mean_counted += paid;
+  const double even = 1.0 / std::max(1, c.set_size);
+  if (options_.even_share > 0)
+    return std::min(1.0, options_.even_share * even + c.allocated.Held(now_, ShareLifetime(c)));
+  const double measured = c.total_use > 0 ? c.local_use / c.total_use : even;
+  return std::clamp(measured, std::min(kShareFloor, even), 1.0);
 }
 
 // Records units admitted here, and how many of them the counters show to siblings.
@@ -378,6 +362,7 @@
 }
 
 void Leases::RecordReply(bool answered) {
+  if (FailAlone()) return;
   if (!state_.counter_down)
     state_.call_rate =
         std::max(kCallRateMin / Gateways(), state_.call_rate * (answered ? kCallRateGrowth : kCallRateCut));
@@ -398,6 +383,8 @@
 // others are decided by share at once. Keeps gateways from overloading the counter; harmful if failures have
 // other causes.
 bool Leases::MayCall(const Claim& claim) {
+  const auto failed_at = claim.customer->allocated.failed_at();
+  if (FailAlone()) return !failed_at || now_ >= *failed_at + options_.retry_interval;
   const double most = kCallTokens + kCallBurst * state_.call_rate;
   const double saved = state_.call_rate * Seconds(now_ - state_.call_tokens_at);
   state_.call_tokens = std::min(most, state_.call_tokens + saved);
@@ -418,13 +405,11 @@
   Customer& c = *claim.customer;
   AdvanceWindow(c);
   if (SpendLease(claim)) return port_.Admit(claim);
+  claim.by_share = true;
   if (const auto over = OverCeiling(now_, claim)) return port_.Deny(claim, *over);
   const double share = options_.share_factor * Share(c);
-  // In fixed windows a gateway admits at most its share, leases included, so nothing is given out twice when
-  // the counter fails within a window. A small share still admits one.
-  const double left = options_.fixed_windows ? share * Burst(c) - c.own_spent : share * Level(c);
-  const bool untouched =
-      options_.fixed_windows ? c.own_spent <= 0 && Chance(c) < share * Burst(c) : Level(c) >= Burst(c);
+  const double left = options_.fixed_windows ? LeftByShare(c, share) : share * Level(c);
+  const bool untouched = !options_.fixed_windows && Level(c) >= Burst(c);  // a small share still admits one
   if (left < claim.units && !untouched) {
     RefuseBeyondQuota(claim, left, Rate(c) * share);
   } else {
@@ -435,6 +420,7 @@
     claim.charged = true;
     claim.window = c.window;
     ++figures_.by_share[static_cast<std::size_t>(ReasonFor(claim))];
+    RecordUse(c, claim.units);
     if (!state_.counter_down) RecordAdmitted(claim.units, 0);
     port_.Admit(claim);
   }
--- a/src/logic/leases.hpp
+++ b/src/logic/leases.hpp
@@ -21,6 +21,7 @@
 #include <vector>
 
 #include "logic.hpp"
+#include "logic/allocated_share.hpp"
 #include "util/hash.hpp"
 #include "util/lru_map.hpp"
 #include "util/seconds.hpp"
@@ -42,6 +43,7 @@
     TimePoint arrived;
     bool charged = false;     // its units were taken from the quota ...
     bool exempt = false;      // ... and counted by all gateways while under the ceiling
+    bool by_share = false;    // last decided by share
     std::int64_t window = 0;  // in which they were charged
   };
 
@@ -54,10 +56,10 @@
     std::int64_t call_window = 0;
     double call_lease = 0, call_unposted = 0;
     std::deque<Claim*> waiting;
-    int open = 0;              // outstanding attempts
-    double own_spent = 0;      // admitted here in this window, by lease or share
-    TimePoint refilled_at{};   // fixed windows: start of the window of the last refill
-    TimePoint failed_since{};  // fixed windows: first failed call since a reply
+    int open = 0;             // outstanding attempts
+    double own_spent = 0;     // admitted here in this window, by lease or share
+    TimePoint refilled_at{};  // fixed windows: start of the window of the last refill
+    AllocatedShare allocated;
   };
 
   struct Options {
@@ -69,14 +71,16 @@
     // True: the quota is refilled at each window's start only, so no window gives more than one quota.
     // False: it refills evenly, so any span gives at most the burst plus the rate during the span.
     bool fixed_windows = false;
-    // Of a window's quota: weight of an even share as the prior of the measured one. Prevents a share that is
-    // based on a few units, read just after this gateway added its own.
-    double share_prior = 0;
-    double share_floor = 0.02;       // floor set by the specification: no gateway is starved for good
-    double min_use = 0;              // lower bound of the use by all gateways, in windows of quota
-    double min_use_no_headroom = 0;  // the same where no_burst_headroom is set
-    std::uint64_t salt = 0;          // differs per gateway: spreads the single admissions of small shares
-    double share_factor = 1;         // of the share, admitted while the other gateways' use is unknown
+    // Above zero: each customer's counter is held by a member of its own, which may fail alone. A call that
+    // failed is repeated after this time. Zero: one counter, which fails for all customers, and calls to it
+    // are rationed.
+    Duration retry_interval{};
+    // Above zero: holders allocate shares with their replies. This part of the quota is split evenly over all
+    // gateways, without an allocation. Zero: each gateway measures its share.
+    double even_share = 0;
+    Duration share_lifetime{};  // of an allocation, at the least; also two windows
+    std::uint64_t salt = 0;     // differs per gateway: spreads the single admissions of small shares
+    double share_factor = 1;    // of the share, admitted while the other gateways' use is unknown
   };
 
   // Callbacks, made from within the functions below. They may call only Release, OverCeiling and
@@ -140,16 +144,11 @@
   void Release(TimePoint now, Claim& claim);                      // admitted but unused
   void Settle(TimePoint now, Claim& claim, double actual_units);  // books the difference
 
-  // This gateway's part of what all gateways admit. With no_burst_headroom the local use decays, since last
-  // uses of different ages sum to more than the quota; it stops decaying while calls fail.
+  // This gateway's part of what all gateways admit.
   double Share(const Customer& c) const;
-  // The same for one of `gateways` gateways with smoothed use `own` of `all`.
-  static double ShareOf(double own, double all, const Plan& plan, int gateways, const Options& options) {
-    const double prior = options.share_prior * plan.burst, even = 1.0 / std::max(1, gateways);
-    const double of =
-        std::max(all, (plan.no_burst_headroom ? options.min_use_no_headroom : options.min_use) * plan.burst) +
-        prior;
-    return std::clamp(of > 0 ? (own + prior * even) / of : even, std::min(options.share_floor, even), 1.0);
+  // How long the customer's window at `at` has lasted, where windows are that long.
+  static Duration WindowAge(const std::string& customer, TimePoint at, Duration window) {
+    return Duration(WindowClock(customer, at, window) % window.count());
   }
   // Decay factor of smoothed use after `since`, for windows of this length.
   static double Kept(Duration since, Duration window) {
@@ -182,22 +181,64 @@
     const Customer& c = *claim.customer;
     if (state_.counter_down || !options_.counter) return ShareReason::kSilent;
     if (c.calling || now_ >= claim.arrived + options_.wait) return ShareReason::kWaitOver;
-    return c.failed_since != TimePoint{} ? ShareReason::kCallFailed : ShareReason::kCallsRationed;
+    return c.allocated.failed_at() ? ShareReason::kCallFailed : ShareReason::kCallsRationed;
   }
   void DecideWaiting(Customer& c, void (Leases::*decide)(Claim&));
+  // In fixed windows a gateway admits at most its share, leases included, and its share of what was left at
+  // the last reply, so little is given out twice when the counter fails within a window. A part of a unit is
+  // one by chance, drawn once a window.
+  double LeftByShare(const Customer& c, double share) const {
+    const double by_lease = c.own_spent - c.unposted, open = Level(c) + c.assumed_use + c.unposted;
+    const double most = std::min(share * Burst(c) - by_lease, share * open);
+    return std::floor(std::max(0.0, most) + Chance(c)) - c.unposted;
+  }
+  // Units admitted by share in a window that a holder may have counted without them: they are taken off the
+  // next window.
+  double CarriedOver(const Customer& c, std::int64_t window) const {
+    if (!FailAlone() || window != c.window + 1) return 0;
+    const auto failing_since = c.allocated.failing_since();
+    return !failing_since || *failing_since >= c.refilled_at ? c.unposted : 0;
+  }
+  bool FailAlone() const { return options_.retry_interval > Duration::zero(); }
+  Duration ShareLifetime(const Customer& c) const {
+    return std::max(options_.share_lifetime, 2 * Window(*c.plan));
+  }
+  double DecayedUse(const Customer& c) const {
+    return c.local_use * Kept(now_ - c.usage_at, Window(*c.plan));
+  }
+  // Where shares are allocated, use is what is admitted here, by lease or by share.
+  void RecordUse(Customer& c, double units) {
+    if (options_.even_share <= 0) return;
+    c.local_use = DecayedUse(c) + units;
+    c.usage_at = now_;
+  }
   void SetPlan(Customer& c, std::shared_ptr<const Plan> plan);
   Duration Window(const Plan& plan) const;      // length; default: the time to refill the burst
   Duration RefillTime(const Plan& plan) const;  // until quota and ceiling are full again
-  std::int64_t Clock(const Customer& c) const;  // time that determines the window
+  // Time that determines the window.
+  static std::int64_t WindowClock(const std::string& customer, TimePoint at, Duration window) {
+    const auto length = static_cast<std::uint64_t>(window.count());
+    return at.time_since_epoch().count() + static_cast<std::int64_t>(StableHash(customer) % length);
+  }
+  std::int64_t Clock(const Customer& c) const {
+    return WindowClock(c.name, now_ + port_.ClockOffset(c.name), Window(*c.plan));
+  }
   void AdvanceWindow(Customer& c);
   double Rate(const Customer& c) const { return c.visible_fraction * c.plan->rate; }
-  double Burst(const Customer& c) const;
-  double Refill(const Customer& c) const;
+  double Burst(const Customer& c) const {  // a part still admits any request that fits the whole
+    return std::max(c.visible_fraction * c.plan->burst, std::min(c.plan->burst, options_.largest_request));
+  }
+  double Refill(const Customer& c) const {
+    return options_.fixed_windows ? 0 : Rate(c) * Seconds(now_ - c.level_at);
+  }
   double Level(const Customer& c) const { return std::min(Burst(c), c.level + Refill(c)); }
   double Tokens(const Customer& c) const { return c.leased + std::min(0.0, Level(c)); }
   void ApplyPartition(Customer& c);
   void Charge(Customer& c, double units, double by_others);
-  void ChargeLease(Customer& c, double units);
+  void ChargeLease(Customer& c, double units) {  // non-exempt units first
+    c.leased -= units;
+    c.exempt = std::min(c.exempt, std::max(0.0, c.leased));
+  }
   bool SpendLease(Claim& claim);
   void CallCounter(Customer& c);
   void ApplyTotal(Customer& c, double total);
@@ -205,7 +246,12 @@
     return std::max(Duration::zero(), c.waiting.front()->arrived + options_.wait - now_);
   }
   void RefuseBeyondQuota(Claim& claim, double tokens, double rate);
-  void MarkPosted(Customer& c, double units);
+  // Records unposted units that are, or may be, in the counter now.
+  void MarkPosted(Customer& c, double units) {
+    const double paid = std::min(units, c.unposted);
+    c.unposted -= paid;
+    state_.mean_counted += paid;
+  }
   void RecordAdmitted(double units, double counted);
   void RecordReply(bool answered);
   bool MayCall(const Claim& claim);
--- a/src/quota/quota_counters.cpp
+++ b/src/quota/quota_counters.cpp
@@ -2,103 +2,81 @@
 
 #include <algorithm>
 
+#include "logic/leases.hpp"
 #include "quota/quota_plan.hpp"
 
 namespace curlewdoor::quota {
 namespace {
 
-constexpr Duration kGracePeriod =
-    std::chrono::seconds(3);  // after the start: by then all reachable gateways have called
-constexpr Duration kDetectionTime = std::chrono::seconds(2);  // until an unreachable gateway is detected
+constexpr Duration kExpireInterval = std::chrono::seconds(1);
 constexpr double kMaxReserved = 0.9;  // of a quota: reachable gateways are never starved
 
-double Decayed(double units, Duration since, Duration window) {
-  return units * Leases::Kept(since, std::max<Duration>(window, std::chrono::milliseconds(1)));
-}
-
 }  // namespace
 
 void QuotaCounters::Begin(TimePoint now) {
   counters_.clear();
   by_expiry_.clear();
-  tenants_.clear();
+  shares_.clear();
   heard_.clear();
-  usage_count_ = 0;
-  started_at_ = now;
+  share_count_ = 0;
+  started_at_ = shares_expire_at_ = now;
 }
 
-void QuotaCounters::SetUnreachable(TimePoint now, const std::set<std::string>& unreachable,
-                                   std::set<std::string> all) {
-  std::erase_if(unreachable_, [&](const auto& each) { return !unreachable.contains(each.first); });
-  for (const std::string& gateway : unreachable) unreachable_.try_emplace(gateway, now);
+void QuotaCounters::SetUnreachable(std::set<std::string> unreachable, std::set<std::string> all) {
+  unreachable_ = std::move(unreachable);
   all_ = std::move(all);
 }
 
-// Shares that unreachable gateways may still admit, each as the gateway itself measured it last. It may not
-// have seen all use, and goes by its share from its first failed call on, before its loss is detected here.
-double QuotaCounters::Reserved(TimePoint now, const Call& call) const {
-  if (call.quota <= 0) return 0;
-  // Just after the start, gateways that have not called yet still go by their shares.
-  const bool early = now - *started_at_ < kGracePeriod;
-  if (unreachable_.empty() && !early) return 0;
-  const Leases::Options options = MakeLeaseOptions(static_cast<int>(all_.size()), {}, 0, slack_);
-  const double even = call.quota / static_cast<double>(std::max<std::size_t>(1, all_.size()));
-  Plan plan;
-  plan.burst = call.quota;
-  plan.no_burst_headroom = call.no_burst_headroom;
-  const double all = call.no_burst_headroom ? 0 : TotalUse(call);
+// What unreachable gateways may admit. Of one that has not been heard since the start only the mean is known.
+double QuotaCounters::Reserved(const Call& call) const {
+  if (call.quota <= 0 || unreachable_.empty()) return 0;
+  const double even = 1.0 / static_cast<double>(std::max<std::size_t>(1, all_.size()));
+  const auto shares = shares_.find(call.tenant);
   double reserved = 0;
-  const auto reserve = [&](const std::string& gateway, TimePoint since) {
-    if (call.no_burst_headroom && !heard_.contains(gateway)) {  // its share dates from before the start
-      reserved += even;
-      return;
-    }
-    // Otherwise as of its last add: it has not seen later use.
-    const double own =
-        LocalUse(gateway, call, call.no_burst_headroom ? since - kDetectionTime : TimePoint::min());
-    reserved += call.quota * Leases::ShareOf(own, std::max(own, all), plan, options.gateways, options);
-  };
-  for (const auto& [gateway, since] : unreachable_) reserve(gateway, since);
-  if (early) {
-    for (const std::string& gateway : all_)
-      if (!unreachable_.contains(gateway) && !heard_.contains(gateway)) reserve(gateway, now);
+  for (const std::string& gateway : unreachable_) {
+    const double held = shares != shares_.end() ? shares->second.Held(gateway) : 0;
+    reserved += heard_.contains(gateway) ? kEvenShare * even + held : even;
   }
-  return std::min(reserved, kMaxReserved * call.quota);
+  return std::min(kShareFactor * reserved, kMaxReserved) * call.quota;
 }
 
-double QuotaCounters::LocalUse(const std::string& gateway, const Call& call, TimePoint at) const {
-  const auto tenant = tenants_.find(call.tenant);
-  if (tenant == tenants_.end()) return 0;
-  const auto use = tenant->second.find(gateway);
-  if (use == tenant->second.end()) return 0;
-  return at <= use->second.at ? use->second.units
-                              : Decayed(use->second.units, at - use->second.at, call.lifetime / 2);
+ShareAllocator* QuotaCounters::SharesOf(const Call& call) {
+  const auto known = shares_.find(call.tenant);
+  const bool first = known == shares_.end() || !known->second.Knows(call.gateway);
+  if (first && share_count_ >= kMaxShares) return nullptr;
+  share_count_ += first;
+  return known != shares_.end() ? &known->second : &shares_[call.tenant];
 }
 
-double QuotaCounters::TotalUse(const Call& call) const {
-  const auto tenant = tenants_.find(call.tenant);
-  if (tenant == tenants_.end()) return 0;
-  TimePoint last{};
-  for (const auto& [gateway, use] : tenant->second) last = std::max(last, use.at);
-  double all = 0;
-  for (const auto& [gateway, use] : tenant->second)
-    all += Decayed(use.units, last - use.at, call.lifetime / 2);
-  return all;
+void QuotaCounters::ExpireShares(TimePoint now) {
+  if (now < shares_expire_at_) return;
+  shares_expire_at_ = now + kExpireInterval;
+  share_count_ = 0;
+  const auto unreachable = [this](const std::string& gateway) { return unreachable_.contains(gateway); };
+  for (auto it = shares_.begin(); it != shares_.end();) {
+    it->second.Expire(now, unreachable);
+    share_count_ += it->second.size();
+    it = it->second.size() == 0 ? shares_.erase(it) : std::next(it);
+  }
 }
 
-void QuotaCounters::RecordUse(TimePoint now, const Call& call) {
-  auto& tenant = tenants_[call.tenant];
-  if (!tenant.contains(call.gateway) && usage_count_ >= kMaxUsageEntries) return;
-  const auto [it, first] = tenant.try_emplace(call.gateway);
-  usage_count_ += first;
-  Usage& use = it->second;
-  use.units = Decayed(use.units, now - use.at, call.lifetime / 2) + call.amount;
-  use.at = now;
+bool QuotaCounters::KnowsAllocations(TimePoint now, Duration window) const {
+  return now - *started_at_ >= ShareLifetime(window) + kUnreachableDetection &&
+         std::includes(heard_.begin(), heard_.end(), unreachable_.begin(), unreachable_.end());
 }
 
-std::optional<double> QuotaCounters::Add(TimePoint now, const Call& call) {
-  if (started_at_) heard_.insert(call.gateway);
-  if (!started_at_ || now - *started_at_ < call.lifetime / 2) {
+std::optional<QuotaCounters::Added> QuotaCounters::Add(TimePoint now, const Call& call) {
+  if (!started_at_) {
+    ++figures_.refused;
+    return std::nullopt;
+  }
+  heard_.insert(call.gateway);
+  ExpireShares(now);
+  ShareAllocator* shares = SharesOf(call);
+  if (shares != nullptr)
+    shares->Record(now, call.gateway, {call.use, call.held_share, call.quota, call.lifetime / 2});
+  const Duration window = std::max<Duration>(call.lifetime / 2, std::chrono::milliseconds(1));
+  if (now - Leases::WindowAge(call.tenant, now, window) <= *started_at_) {
     ++figures_.refused;
     return std::nullopt;
   }
@@ -110,15 +88,19 @@
   if (it == counters_.end()) {
     if (counters_.size() >= kMaxCounters) return std::nullopt;
     const TimePoint expires = now + std::max<Duration>(call.lifetime, std::chrono::milliseconds(1));
-    const double reserved = Reserved(now, call);
+    const double reserved = Reserved(call);
     it = counters_.emplace(call.name, Counter{reserved, expires}).first;
     figures_.reserved_units += reserved;
     by_expiry_.emplace(expires, call.name);
   }
-  RecordUse(now, call);
   ++figures_.counted;
   figures_.units += call.amount;
-  return it->second.total += call.amount;
+  it->second.total += call.amount;
+  Added added{it->second.total};
+  if (shares != nullptr)
+    added.share = KnowsAllocations(now, call.lifetime / 2) ? shares->Allocate(now, call.gateway)
+                                                           : shares->Renew(now, call.gateway);
+  return added;
 }
 
 }  // namespace curlewdoor::quota
--- a/src/quota/quota_counters.hpp
+++ b/src/quota/quota_counters.hpp
@@ -1,8 +1,10 @@
 // Quota counters that one core member holds for all gateways: an add to a counter returns its new total,
-// until the counter expires. Pure: time is an argument. docs/system.md, "Count".
+// until the counter expires, and the share that the gateway may go by without this member. Pure: time is an
+// argument. docs/system.md, "Count".
 //
-// An unreachable gateway continues with its measured share. So each new counter starts with the shares of the
-// unreachable gateways already added, and what they may admit is not given out a second time.
+// An unreachable gateway continues with its share. So each new counter starts with the shares of the
+// unreachable gateways already added, and what they may admit is not given out a second time. A gateway that
+// is reachable asks before it admits.
 #pragma once
 
 #include <cstddef>
@@ -15,16 +17,14 @@
 #include <utility>
 
 #include "logic.hpp"
+#include "quota/share_allocator.hpp"
 
 namespace curlewdoor::quota {
 
-// Holds counters and, per tenant, the smoothed use of each gateway.
 class QuotaCounters {
  public:
-  explicit QuotaCounters(double slack = 20) : slack_(slack) {}  // of the quota rule, in requests
-
   static constexpr std::size_t kMaxCounters = 65'536;  // about 100 bytes each; no further counter is created
-  static constexpr std::size_t kMaxUsageEntries = 65'536;  // entries by tenant and gateway
+  static constexpr std::size_t kMaxShares = 65'536;    // entries by tenant and gateway
 
   // One add by a gateway.
   struct Call {
@@ -32,21 +32,25 @@
     CounterName name;
     Duration lifetime{};  // twice the window
     double amount = 0;
-    double quota = 0;                // of a window; 0: unknown
-    bool no_burst_headroom = false;  // of the plan (logic.hpp)
+    double quota = 0;       // of a window; 0: unknown
+    double use = 0;         // ShareReport
+    double held_share = 0;  // ShareReport
+  };
+  struct Added {
+    double total = 0;
+    double share = 0;  // of the quota, allocated to the gateway
   };
 
-  // Starts without knowledge of earlier adds: a counter counts only after every window that may have started
-  // before has ended.
+  // Starts without knowledge of earlier adds: only windows that begin from now on are counted.
   void Begin(TimePoint now);
   bool started() const { return started_at_.has_value(); }
   void Stop() { started_at_.reset(); }  // the member no longer holds the counters, or cannot know
   // Sets the gateways that may be running but are not heard here. `all`: all that may be running, with this
   // one.
-  void SetUnreachable(TimePoint now, const std::set<std::string>& unreachable, std::set<std::string> all);
+  void SetUnreachable(std::set<std::string> unreachable, std::set<std::string> all);
 
   // nullopt: nothing was added.
-  std::optional<double> Add(TimePoint now, const Call& call);
+  std::optional<Added> Add(TimePoint now, const Call& call);
   std::size_t size() const { return counters_.size(); }
 
   struct Figures {
@@ -61,25 +65,20 @@
     double total = 0;
     TimePoint expires;
   };
-  struct Usage {  // smoothed units
-    double units = 0;
-    TimePoint at;
-  };
-  // Smoothed use of a gateway at `at`, or at its last add if that is later.
-  double LocalUse(const std::string& gateway, const Call& call, TimePoint at) const;
-  double TotalUse(const Call& call) const;  // as of the last add
-  double Reserved(TimePoint now, const Call& call) const;
-  void RecordUse(TimePoint now, const Call& call);
+  ShareAllocator* SharesOf(const Call& call);  // nullptr: there is no room for another entry
+  void ExpireShares(TimePoint now);
+  // Whether every allocation of an earlier holder has been reported here or has expired.
+  bool KnowsAllocations(TimePoint now, Duration window) const;
+  double Reserved(const Call& call) const;
 
-  double slack_;
   std::optional<TimePoint> started_at_;
-  std::map<std::string, TimePoint> unreachable_;  // since when each is unreachable
-  std::set<std::string> all_;
-  std::set<std::string> heard_;  // since the start: they count again
+  std::set<std::string> unreachable_, all_;
+  std::set<std::string> heard_;  // since the start
   std::map<CounterName, Counter> counters_;
   std::set<std::pair<TimePoint, CounterName>> by_expiry_;
-  std::unordered_map<std::string, std::map<std::string, Usage>> tenants_;  // by gateway
-  std::size_t usage_count_ = 0;
+  std::unordered_map<std::string, ShareAllocator> shares_;  // by tenant
+  std::size_t share_count_ = 0;
+  TimePoint shares_expire_at_{};
   Figures figures_;
 };
 
--- a/src/quota/quota_plan.hpp
+++ b/src/quota/quota_plan.hpp
@@ -10,6 +10,9 @@
 
 // How long a request waits for a lease before the measured share decides.
 inline constexpr Duration kCounterWait = std::chrono::milliseconds(50);
+// Of its share, what a gateway admits while the others' use is unknown. The rest covers the window in which a
+// counter is lost, which is given out in part by the counter and in part by shares.
+inline constexpr double kShareFactor = 0.85;
 
 // Chooses the tenant's counter window: `span`, the quota rule's window, is divided so that one more window,
 // which a span of that length may touch, is no more than the burst. A tenant without a burst gets windows of
@@ -18,8 +21,7 @@
 // rate of 0 means no limit.
 Plan MakePlan(const std::string& name, double rate_per_s, double burst_size, Duration span, double slack);
 
-// Options for a gateway where `gateways` share the counters, itself included. `salt` differs per gateway;
-// `slack` is the rule's, in requests.
-Leases::Options MakeLeaseOptions(int gateways, Duration wait, std::uint64_t salt, double slack);
+// Options for a gateway where `gateways` share the counters, itself included. `salt` differs per gateway.
+Leases::Options MakeLeaseOptions(int gateways, Duration wait, std::uint64_t salt);
 
 }  // namespace curlewdoor::quota
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -100,7 +100,7 @@
   index_ = index;
   in_zone_ = in_zone;
   const Duration wait = OneRegion(settings_) ? quota::kCounterWait : kFarCountWait;
-  leases_.Configure(Now(), quota::MakeLeaseOptions(gateways_, wait, salt_, settings_.bounds.quota_slack));
+  leases_.Configure(Now(), quota::MakeLeaseOptions(gateways_, wait, salt_));
   for (auto& [name, service] : services_) service->budget.SetGateways(gateways_);
   return moved;
 }
@@ -215,11 +215,8 @@
   const auto it = requests_.find(claim.id);
   if (it == requests_.end()) return;
   // What a share refuses says nothing of the units that are left elsewhere.
-  const Leases::Customer& customer = *claim.customer;
-  const bool by_count = !leases_.state().counter_down && !(customer.calling && customer.given_up) &&
-                        Now() < claim.arrived + leases_.options().wait;
-  if (by_count && it->second.steps == 0)
-    pressure_.RecordRefusal(Now(), it->second.tenant, customer.plan->window);
+  if (!claim.by_share && it->second.steps == 0)
+    pressure_.RecordRefusal(Now(), it->second.tenant, claim.customer->plan->window);
   Refuse(it->second, retry_after);
 }
 
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -21,9 +21,9 @@
 auto Fields(Config& m) { return std::tie(m.version, m.text); }
 auto Fields(Members& m) { return std::tie(m.epoch, m.members, m.gateways); }
 auto Fields(AddUnits& m) {
-  return std::tie(m.number, m.tenant, m.count, m.lifetime_us, m.amount, m.clock_us);
+  return std::tie(m.number, m.tenant, m.count, m.lifetime_us, m.amount, m.clock_us, m.use, m.held_share);
 }
-auto Fields(Total& m) { return std::tie(m.number, m.counted, m.total); }
+auto Fields(Total& m) { return std::tie(m.number, m.counted, m.total, m.share); }
 auto Fields(CoreBytes& m) { return std::tie(m.bytes); }
 auto Fields(Digest& m) { return std::tie(m.hosts); }
 auto Fields(AskHosts& m) { return std::tie(m.number); }
@@ -59,6 +59,10 @@
 constexpr std::size_t kLater<Members> = 1;
 template <>
 constexpr std::size_t kLater<HostsReplicated> = 4;
+template <>
+constexpr std::size_t kLater<AddUnits> = 2;
+template <>
+constexpr std::size_t kLater<Total> = 1;
 
 template <typename T>
 bool Sound(const T&) {
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -75,12 +75,14 @@
   std::uint64_t count = 0;  // its name
   std::int64_t lifetime_us = 0;
   double amount = 0;
-  std::int64_t clock_us = 0;  // the holder's time, as the asker has it: its windows go by that
+  std::int64_t clock_us = 0;       // the holder's time, as the asker has it: its windows go by that
+  double use = 0, held_share = 0;  // quota::ShareReport
 };
 struct Total {
   std::uint64_t number = 0;
   bool counted = false;  // false: nothing was added
   double total = 0;
+  double share = 0;  // of the quota, allocated to the asker
 };
 struct CoreBytes {  // of the agreement
   std::string bytes;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -214,6 +214,7 @@
   for (auto it = addings_.begin(); it != addings_.end();) {
     const bool late = now >= it->second.ends;
     if (late) unanswered.push_back(it->second.name);
+    if (late) NoteCounter(it->second.member, false);
     it = late ? addings_.erase(it) : std::next(it);
   }
   for (const CounterName name : unanswered) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -75,6 +75,7 @@
   };
   struct Adding {
     CounterName name;
+    std::string member;  // that counts
     std::uint64_t stream = 0;
     Steady ends;
   };
@@ -256,8 +257,10 @@
   const CoreMember* Holder(const std::string& tenant) const;
   void AddToCount(const std::string& tenant, const AddToCounter& call);
   Duration ClockOffset(const std::string& tenant) const;
-  std::optional<double> AddHere(const std::string& tenant, const std::string& gateway, CounterName name,
-                                Duration lifetime, double amount);
+  std::optional<quota::QuotaCounters::Added> AddHere(const std::string& tenant, const std::string& gateway,
+                                                     const AddToCounter& call);
+  // Keeps the log's word of each member that counts: whether it answers.
+  void NoteCounter(const std::string& member, bool counted);
   void LookWhoIsAway();
   static bool MayBeAtWork(const fleet::Member& member);
 
@@ -333,7 +336,8 @@
   std::unordered_map<std::uint64_t, Replication> replications_;
   std::unordered_map<std::uint64_t, Adding> addings_;
   std::uint64_t next_number_ = rng_();  // no two processes begin alike
-  quota::QuotaCounters counts_{settings_.bounds.quota_slack};
+  quota::QuotaCounters counts_;
+  std::map<std::string, int> failed_adds_;                      // in a row, by the member that counts
   std::uint64_t adds_by_other_clock_ = 0, adds_elsewhere_ = 0;  // refused here
 
   // Of the latest order here, until it is refused or in force.
--- a/src/system/node_count.cpp
+++ b/src/system/node_count.cpp
@@ -21,8 +21,9 @@
   return best;
 }
 
-std::optional<double> Node::AddHere(const std::string& tenant, const std::string& gateway, CounterName name,
-                                    Duration lifetime, double amount) {
+std::optional<quota::QuotaCounters::Added> Node::AddHere(const std::string& tenant,
+                                                         const std::string& gateway,
+                                                         const AddToCounter& call) {
   const CoreMember* holder = Holder(tenant);
   const bool here = holder != nullptr && holder->name == settings_.node_name && holder->disk == disk_;
   if (!here || !had_majority_) {
@@ -30,8 +31,20 @@
     return std::nullopt;
   }
   const auto plan = front_.PlanOf(tenant);
-  return counts_.Add(Net(Now()), {tenant, gateway, name, lifetime, amount, plan != nullptr ? plan->burst : 0,
-                                  plan != nullptr && plan->no_burst_headroom});
+  return counts_.Add(Net(Now()), {tenant, gateway, call.name, call.lifetime, call.amount,
+                                  plan != nullptr ? plan->burst : 0, call.use, call.held_share});
+}
+
+void Node::NoteCounter(const std::string& member, bool counted) {
+  int& failed = failed_adds_[member];
+  if (counted) {
+    if (failed >= kCounterSilentAfter)
+      Say(Event::kCounterSilent, "counter at " + member + " answers again: back to leases");
+    failed = 0;
+    return;
+  }
+  if (++failed == kCounterSilentAfter)
+    Say(Event::kCounterSilent, "counter at " + member + " silent: its tenants' quotas held by share");
 }
 
 // It has not said that it leaves, and was there not long ago.
@@ -52,7 +65,7 @@
     all.insert(name);
     if (!heard.contains(name)) away.insert(name);
   }
-  counts_.SetUnreachable(Net(Now()), away, std::move(all));
+  counts_.SetUnreachable(std::move(away), std::move(all));
 }
 
 void Node::AddToCount(const std::string& tenant, const AddToCounter& call) {
@@ -63,16 +76,19 @@
   const auto offset = holder != nullptr ? offsets_.find(holder->name) : offsets_.end();
   if (stream != nullptr && offset != offsets_.end() && addings_.size() < kMostAddings) {
     const std::uint64_t number = next_number_++;
-    addings_[number] = {call.name, stream->number, Now() + kAddEnds};
+    addings_[number] = {call.name, holder->name, stream->number, Now() + kAddEnds};
     const auto lifetime = std::chrono::duration_cast<std::chrono::microseconds>(call.lifetime).count();
-    return stream->Send(Encode(AddUnits{number, tenant, call.name.value, lifetime, call.amount,
-                                        Microseconds(Now() + offset->second.offset)}));
+    return stream->Send(
+        Encode(AddUnits{number, tenant, call.name.value, lifetime, call.amount,
+                        Microseconds(Now() + offset->second.offset), call.use, call.held_share}));
   }
   // Answered from the loop, never from within.
-  const auto total =
-      here ? AddHere(tenant, settings_.node_name, call.name, call.lifetime, call.amount) : std::nullopt;
-  front_.CountLater(
-      {call.name, total ? Outcome::kOk : Outcome::kConnectFailed, total.value_or(0), Duration{}});
+  const auto added = here ? AddHere(tenant, settings_.node_name, call) : std::nullopt;
+  if (holder != nullptr) NoteCounter(holder->name, added.has_value());
+  CounterReply reply{call.name, added ? Outcome::kOk : Outcome::kConnectFailed};
+  if (added) reply.total = added->total;
+  if (added) reply.share = added->share;
+  front_.CountLater(reply);
 }
 
 Duration Node::ClockOffset(const std::string& tenant) const {
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -39,6 +39,7 @@
     200};                               // then core members that haven't answered are sent it again
 inline constexpr int kMostStrayed = 2;  // digests in a row: news may just be on its way
 inline constexpr milliseconds kAddEnds{400};
+inline constexpr int kCounterSilentAfter = 3;  // failed adds in a row
 inline constexpr milliseconds kMostAstray{
     200};  // of a gateway's idea of a holder's clock, its message's way included
 inline constexpr std::size_t kMostReplications = 1024, kMostAddings = 4096;
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -74,6 +74,7 @@
   for (auto it = addings_.begin(); it != addings_.end();) {
     const bool of_it = it->second.stream == stream.number;
     if (of_it) lost.push_back(it->second.name);
+    if (of_it) NoteCounter(it->second.member, false);
     it = of_it ? addings_.erase(it) : std::next(it);
   }
   for (const CounterName name : lost) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
@@ -210,20 +211,24 @@
   const bool in_step =
       std::abs(message.clock_us - Microseconds(Now())) <= kMostAstray / std::chrono::microseconds(1);
   adds_by_other_clock_ += !in_step;
-  const auto total = !in_step ? std::nullopt
-                              : AddHere(message.tenant, stream.name, CounterName{message.count},
-                                        std::chrono::microseconds(message.lifetime_us), message.amount);
-  stream.Send(Encode(Total{message.number, total.has_value(), total.value_or(0)}));
+  const AddToCounter call{CounterName{message.count}, std::chrono::microseconds(message.lifetime_us),
+                          message.amount, message.use, message.held_share};
+  const auto added = in_step ? AddHere(message.tenant, stream.name, call) : std::nullopt;
+  Total answer{message.number, added.has_value()};
+  if (added) answer.total = added->total;
+  if (added) answer.share = added->share;
+  stream.Send(Encode(answer));
 }
 
 void Node::Handle(Link::Stream& stream, Total& message) {
   const auto it = addings_.find(message.number);
   if (it == addings_.end() || it->second.stream != stream.number) return;
-  const Adding adding = it->second;
+  const Adding adding = std::move(it->second);
   addings_.erase(it);
   const Duration latency = Now() - (adding.ends - kAddEnds);
-  front_.OnCount(
-      {adding.name, message.counted ? Outcome::kOk : Outcome::kConnectFailed, message.total, latency});
+  NoteCounter(adding.member, message.counted);
+  front_.OnCount({adding.name, message.counted ? Outcome::kOk : Outcome::kConnectFailed, message.total,
+                  latency, message.share});
 }
 
 void Node::Handle(Link::Stream&, CoreBytes& message) {
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -1,5 +1,6 @@
 # The whole gateway: one node, and its program.
 add_library(curlewdoor_node STATIC src/quota/quota_counters.cpp src/quota/priority_throttle.cpp src/quota/quota_plan.cpp
+                                   src/quota/share_allocator.cpp
                                    src/system/call_door.cpp src/system/command.cpp src/system/config_feed.cpp
                                    src/system/config_source.cpp src/system/coordination_calls.cpp
                                    src/system/coordination_host.cpp src/system/coordination_http.cpp src/system/core_calls.cpp src/system/founding_host.cpp
@@ -26,6 +27,7 @@
 target_compile_definitions(curlewdoor-system PRIVATE CURLEWDOOR_VERSION="${PROJECT_VERSION}")
 system_test(pressure_test tests/quota/pressure_test.cpp curlewdoor_node)
 system_test(held_counts_test tests/quota/held_counts_test.cpp curlewdoor_node)
+system_test(share_allocator_test tests/quota/share_allocator_test.cpp curlewdoor_node)
 if(NOT CURLEWDOOR_SANITIZE)  # searches of many seeds and states: too many for a sanitized build
   system_test(quota_test tests/quota/quota_test.cpp curlewdoor_node)
   system_test(quota_fleet_test tests/quota/quota_fleet_test.cpp curlewdoor_node)
