Quota: a gateway tells when its window began, so that members needn't compute it

A member took the beginning of a window from its length, which an add carries in microseconds; windows of 5 s / 3, say, aren't whole microseconds, so its idea of the edges drifts from the gateways' with the machine's running time. A member that was back within a window could then take it for a new one and give it out again. Found by reading, not seen in a run.

--- a/src/logic.hpp
+++ b/src/logic.hpp
@@ -312,8 +312,9 @@
   CounterName name;
   Duration lifetime{};
   double amount = 0;
-  double use = 0;         // smoothed units admitted here, and those that are asked for now
-  double held_share = 0;  // of the quota, allocated by an earlier reply and still valid
+  double use = 0;            // smoothed units admitted here, and those that are asked for now
+  double held_share = 0;     // of the quota, allocated by an earlier reply and still valid
+  TimePoint window_began{};  // by the counter's clock
 };
 
 struct WriteLogLine {
--- a/src/logic/leases.cpp
+++ b/src/logic/leases.cpp
@@ -231,7 +231,8 @@
   calls_[name] = &c;
   const Duration lifetime = std::min(2 * Window(*c.plan), options_.max_counter_lifetime);
   const double held = c.allocated.Held(now_, ShareLifetime(c));
-  port_.Add(c.name, {name, lifetime, c.call_lease + c.call_unposted, DecayedUse(c) + need, held});
+  port_.Add(c.name,
+            {name, lifetime, c.call_lease + c.call_unposted, DecayedUse(c) + need, held, WindowBegan(c)});
   if (!c.waiting.empty()) port_.StartTimer({TimerToken{name.value}, WaitLeft(c)});
 }
 
--- a/src/logic/leases.hpp
+++ b/src/logic/leases.hpp
@@ -146,10 +146,6 @@
 
   // This gateway's part of what all gateways admit.
   double Share(const Customer& c) const;
-  // How long the customer's window at `at` has lasted, where windows are that long.
-  static Duration WindowAge(const std::string& customer, TimePoint at, Duration window) {
-    return Duration(WindowClock(customer, at, window) % window.count());
-  }
   // Decay factor of smoothed use after `since`, for windows of this length.
   static double Kept(Duration since, Duration window) {
     return std::exp(-Seconds(since) / (kShareMemory * Seconds(window)));
@@ -213,15 +209,15 @@
     c.usage_at = now_;
   }
   void SetPlan(Customer& c, std::shared_ptr<const Plan> plan);
-  Duration Window(const Plan& plan) const;      // length; default: the time to refill the burst
-  Duration RefillTime(const Plan& plan) const;  // until quota and ceiling are full again
-  // Time that determines the window.
-  static std::int64_t WindowClock(const std::string& customer, TimePoint at, Duration window) {
-    const auto length = static_cast<std::uint64_t>(window.count());
-    return at.time_since_epoch().count() + static_cast<std::int64_t>(StableHash(customer) % length);
+  Duration Window(const Plan& plan) const;       // length; default: the time to refill the burst
+  Duration RefillTime(const Plan& plan) const;   // until quota and ceiling are full again
+  std::int64_t Clock(const Customer& c) const {  // time that determines the window
+    const auto length = static_cast<std::uint64_t>(Window(*c.plan).count());
+    const TimePoint there = now_ + port_.ClockOffset(c.name);
+    return there.time_since_epoch().count() + static_cast<std::int64_t>(StableHash(c.name) % length);
   }
-  std::int64_t Clock(const Customer& c) const {
-    return WindowClock(c.name, now_ + port_.ClockOffset(c.name), Window(*c.plan));
+  TimePoint WindowBegan(const Customer& c) const {  // by the counter's clock
+    return now_ + port_.ClockOffset(c.name) - Duration(Clock(c) % Window(*c.plan).count());
   }
   void AdvanceWindow(Customer& c);
   double Rate(const Customer& c) const { return c.visible_fraction * c.plan->rate; }
--- a/src/quota/quota_counters.cpp
+++ b/src/quota/quota_counters.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "logic/leases.hpp"
 #include "quota/quota_plan.hpp"
 
 namespace curlewdoor::quota {
@@ -75,8 +74,7 @@
   ShareAllocator* shares = SharesOf(call);
   if (shares != nullptr)
     shares->Record(now, call.gateway, {call.use, call.held_share, call.quota, call.lifetime / 2});
-  const Duration window = std::max<Duration>(call.lifetime / 2, std::chrono::milliseconds(1));
-  if (now - Leases::WindowAge(call.tenant, now, window) <= *started_at_) {
+  if (call.window_began <= *started_at_) {
     ++figures_.refused;
     return std::nullopt;
   }
--- a/src/quota/quota_counters.hpp
+++ b/src/quota/quota_counters.hpp
@@ -32,9 +32,10 @@
     CounterName name;
     Duration lifetime{};  // twice the window
     double amount = 0;
-    double quota = 0;       // of a window; 0: unknown
-    double use = 0;         // ShareReport
-    double held_share = 0;  // ShareReport
+    double quota = 0;          // of a window; 0: unknown
+    double use = 0;            // ShareReport
+    double held_share = 0;     // ShareReport
+    TimePoint window_began{};  // by this member's clock
   };
   struct Added {
     double total = 0;
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -21,7 +21,8 @@
 auto Fields(Config& m) { return std::tie(m.version, m.text); }
 auto Fields(Members& m) { return std::tie(m.epoch, m.members, m.gateways); }
 auto Fields(AddUnits& m) {
-  return std::tie(m.number, m.tenant, m.count, m.lifetime_us, m.amount, m.clock_us, m.use, m.held_share);
+  return std::tie(m.number, m.tenant, m.count, m.lifetime_us, m.amount, m.clock_us, m.use, m.held_share,
+                  m.window_began_us);
 }
 auto Fields(Total& m) { return std::tie(m.number, m.counted, m.total, m.share); }
 auto Fields(CoreBytes& m) { return std::tie(m.bytes); }
@@ -60,7 +61,7 @@
 template <>
 constexpr std::size_t kLater<HostsReplicated> = 4;
 template <>
-constexpr std::size_t kLater<AddUnits> = 2;
+constexpr std::size_t kLater<AddUnits> = 3;
 template <>
 constexpr std::size_t kLater<Total> = 1;
 
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -75,8 +75,9 @@
   std::uint64_t count = 0;  // its name
   std::int64_t lifetime_us = 0;
   double amount = 0;
-  std::int64_t clock_us = 0;       // the holder's time, as the asker has it: its windows go by that
-  double use = 0, held_share = 0;  // quota::ShareReport
+  std::int64_t clock_us = 0;         // the holder's time, as the asker has it: its windows go by that
+  double use = 0, held_share = 0;    // quota::ShareReport
+  std::int64_t window_began_us = 0;  // by the holder's time; 0: not told
 };
 struct Total {
   std::uint64_t number = 0;
--- a/src/system/node_count.cpp
+++ b/src/system/node_count.cpp
@@ -31,8 +31,9 @@
     return std::nullopt;
   }
   const auto plan = front_.PlanOf(tenant);
-  return counts_.Add(Net(Now()), {tenant, gateway, call.name, call.lifetime, call.amount,
-                                  plan != nullptr ? plan->burst : 0, call.use, call.held_share});
+  return counts_.Add(
+      Net(Now()), {tenant, gateway, call.name, call.lifetime, call.amount, plan != nullptr ? plan->burst : 0,
+                   call.use, call.held_share, call.window_began});
 }
 
 void Node::NoteCounter(const std::string& member, bool counted) {
@@ -75,9 +76,9 @@
     const std::uint64_t number = next_number_++;
     addings_[number] = {call.name, holder->name, stream->number, Now() + kAddEnds};
     const auto lifetime = std::chrono::duration_cast<std::chrono::microseconds>(call.lifetime).count();
-    return stream->Send(
-        Encode(AddUnits{number, tenant, call.name.value, lifetime, call.amount,
-                        Microseconds(Now() + offset->second.offset), call.use, call.held_share}));
+    return stream->Send(Encode(AddUnits{
+        number, tenant, call.name.value, lifetime, call.amount, Microseconds(Now() + offset->second.offset),
+        call.use, call.held_share, Microseconds(Steady(call.window_began.time_since_epoch()))}));
   }
   // Answered from the loop, never from within.
   const auto added = here ? AddHere(tenant, settings_.node_name, call) : std::nullopt;
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -211,8 +211,12 @@
   const bool in_step =
       std::abs(message.clock_us - Microseconds(Now())) <= kMostAstray / std::chrono::microseconds(1);
   adds_by_other_clock_ += !in_step;
-  const AddToCounter call{CounterName{message.count}, std::chrono::microseconds(message.lifetime_us),
-                          message.amount, message.use, message.held_share};
+  AddToCounter call{CounterName{message.count}, std::chrono::microseconds(message.lifetime_us),
+                    message.amount, message.use, message.held_share};
+  // An earlier version doesn't tell when its window began: a whole window ago at the most.
+  call.window_began = message.window_began_us != 0
+                          ? TimePoint(std::chrono::microseconds(message.window_began_us))
+                          : Net(Now()) - call.lifetime / 2;
   const auto added = in_step ? AddHere(message.tenant, stream.name, call) : std::nullopt;
   Total answer{message.number, added.has_value()};
   if (added) answer.total = added->total;
--- a/tests/quota/held_counts_test.cpp
+++ b/tests/quota/held_counts_test.cpp
@@ -3,7 +3,6 @@
 #include <set>
 #include <string>
 
-#include "logic/leases.hpp"
 #include "quota/quota_counters.hpp"
 
 namespace curlewdoor::quota {
@@ -12,12 +11,12 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const TimePoint kSome{seconds(1000)};
-const TimePoint kStart = kSome - Leases::WindowAge("anna", kSome, seconds(1));  // a window's edge
+constexpr TimePoint kStart{seconds(1000)};
+constexpr TimePoint kCounted = kStart + std::chrono::hours(1);  // of windows that begin behind every start
 
 QuotaCounters::Call AddBy(const std::string& gateway, std::uint64_t name, double amount, double quota = 0,
                           double use = 0, double held_share = 0) {
-  return {"anna", gateway, CounterName{name}, seconds(2), amount, quota, use, held_share};
+  return {"anna", gateway, CounterName{name}, seconds(2), amount, quota, use, held_share, kCounted};
 }
 
 std::set<std::string> Names(int gateways) {
@@ -30,17 +29,22 @@
 
 BOOST_AUTO_TEST_CASE(NothingIsCountedBeforeBeginNorInAWindowThatHadBegunBefore) {
   QuotaCounters counts;
-  BOOST_TEST(!counts.Add(kStart, AddBy("g1", 1, 5)));
+  const auto add = [&](Duration at, Duration window_began) {
+    QuotaCounters::Call call = AddBy("g1", 1, 5);
+    call.window_began = kStart + window_began;
+    return counts.Add(kStart + at, call);
+  };
+  BOOST_TEST(!add(seconds(0), seconds(0)));
   counts.Begin(kStart + milliseconds(1));
-  BOOST_TEST(!counts.Add(kStart + milliseconds(1), AddBy("g1", 1, 5)));
-  BOOST_TEST(!counts.Add(kStart + milliseconds(999), AddBy("g1", 1, 5)));
-  BOOST_TEST(counts.Add(kStart + seconds(1), AddBy("g1", 1, 5)).value().total ==
-             5);  // refused adds are not included
+  BOOST_TEST(!add(milliseconds(1), seconds(0)));
+  BOOST_TEST(!add(milliseconds(999), seconds(0)));
+  BOOST_TEST(!add(milliseconds(999), milliseconds(1)));                // at the start itself
+  BOOST_TEST(add(milliseconds(1000), seconds(1)).value().total == 5);  // refused adds are not included
   counts.Begin(kStart + milliseconds(2500));
-  BOOST_TEST(!counts.Add(kStart + milliseconds(2999), AddBy("g1", 1, 5)));
-  BOOST_TEST(counts.Add(kStart + milliseconds(3000), AddBy("g1", 1, 5)).value().total == 5);
+  BOOST_TEST(!add(milliseconds(2999), seconds(2)));
+  BOOST_TEST(add(milliseconds(3000), seconds(3)).value().total == 5);
   counts.Stop();
-  BOOST_TEST(!counts.Add(kStart + seconds(9), AddBy("g1", 1, 5)));
+  BOOST_TEST(!add(seconds(9), seconds(9)));
 }
 
 BOOST_AUTO_TEST_CASE(TotalsAreOfOneNameUntilItsTimeIsUp) {
--- a/tests/quota/model_check_test.cpp
+++ b/tests/quota/model_check_test.cpp
@@ -201,7 +201,7 @@
     Holder& h = holders_[holder];
     if (holder != holder_index_ && mutation_ != Mutation::kKeepBothCounts) return std::nullopt;
     const auto added = h.counts.Add(now_, {"anna", "g" + std::to_string(gateway), add.name, add.lifetime,
-                                           add.amount, kQuota, add.use, add.held_share});
+                                           add.amount, kQuota, add.use, add.held_share, add.window_began});
     if (added) h.adds.emplace_back(gateway, now_, add.name.value, add.amount);
     return added;
   }
--- a/tests/quota/quota_simulation.hpp
+++ b/tests/quota/quota_simulation.hpp
@@ -267,7 +267,7 @@
 
   std::optional<QuotaCounters::Added> Add(const Gateway& by, const AddToCounter& call) {
     return counts_.Add(now_, {"anna", by.name, call.name, call.lifetime, call.amount, plan_->burst, call.use,
-                              call.held_share});
+                              call.held_share, call.window_began});
   }
   void UpdateReachability() {
     std::set<std::string> unreachable, all;
--- a/tests/system/message_test.cpp
+++ b/tests/system/message_test.cpp
@@ -40,7 +40,7 @@
           Done{4, 503, "late\n"},
           Config{9, std::string(70'000, '{')},
           Members{3, {{"core-1", kMost, "10.0.0.1:7001"}, {"core-2", 0, ""}}},
-          AddUnits{5, "anna", kMost, 2'000'000, 12.25, 77, 3.5, 0.25},
+          AddUnits{5, "anna", kMost, 2'000'000, 12.25, 77, 3.5, 0.25, 76},
           Total{6, true, 99.5, 0.125},
           CoreBytes{kBytes},
           Digest{kMost},
