--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -30,7 +30,6 @@
 system_test(share_allocator_test tests/quota/share_allocator_test.cpp curlewdoor_node)
 if(NOT CURLEWDOOR_SANITIZE)  # searches of many seeds and states: too many for a sanitized build
   system_test(quota_test tests/quota/quota_test.cpp curlewdoor_node)
-  system_test(quota_fleet_test tests/quota/quota_fleet_test.cpp curlewdoor_node)
   system_test(count_model_check_test tests/quota/model_check_test.cpp curlewdoor_node)
 endif()
 system_test(message_test tests/system/message_test.cpp curlewdoor_node)
