How long an allocation is valid is computed in one place

Gateways and the members that count each had the formula; if one were changed, a share could be given to another while it is still held. Both call AllocatedShare::Lifetime.

--- a/src/logic/allocated_share.hpp
+++ b/src/logic/allocated_share.hpp
@@ -14,6 +14,9 @@
 // fractions of the quota, from 0 to 1.
 class AllocatedShare {
  public:
+  // Of an allocation where windows are this long.
+  static Duration Lifetime(Duration least, Duration window) { return std::max(least, 2 * window); }
+
   void OnReply(double share, TimePoint called_at) {
     share_ = std::clamp(share, 0.0, 1.0);
     called_at_ = called_at;
--- a/src/logic/leases.hpp
+++ b/src/logic/leases.hpp
@@ -197,7 +197,7 @@
   }
   bool FailAlone() const { return options_.retry_interval > Duration::zero(); }
   Duration ShareLifetime(const Customer& c) const {
-    return std::max(options_.share_lifetime, 2 * Window(*c.plan));
+    return AllocatedShare::Lifetime(options_.share_lifetime, Window(*c.plan));
   }
   double DecayedUse(const Customer& c) const {
     return c.local_use * Kept(now_ - c.usage_at, Window(*c.plan));
--- a/src/quota/share_allocator.hpp
+++ b/src/quota/share_allocator.hpp
@@ -3,13 +3,13 @@
 // while they cannot reach the holder. Pure: times are arguments.
 #pragma once
 
-#include <algorithm>
 #include <cstddef>
 #include <functional>
 #include <map>
 #include <string>
 
 #include "logic.hpp"
+#include "logic/allocated_share.hpp"
 
 namespace curlewdoor::quota {
 
@@ -20,7 +20,7 @@
 // After a lifetime: until a gateway is known to be unreachable, and its allocation kept for it.
 inline constexpr Duration kUnreachableDetection = std::chrono::seconds(2);
 
-inline Duration ShareLifetime(Duration window) { return std::max<Duration>(kShareLifetime, 2 * window); }
+inline Duration ShareLifetime(Duration window) { return AllocatedShare::Lifetime(kShareLifetime, window); }
 
 // What a gateway reports with an add.
 struct ShareReport {
