Quota counters: who is unreachable and unheard is known, not searched with each add

Each add compared all gateways that were heard with all that are unreachable, some 300 names on a large deployment. The difference is kept, and changes with the two.

--- a/src/quota/quota_counters.cpp
+++ b/src/quota/quota_counters.cpp
@@ -1,6 +1,7 @@
 #include "quota/quota_counters.hpp"
 
 #include <algorithm>
+#include <iterator>
 
 #include "quota/quota_plan.hpp"
 
@@ -17,6 +18,7 @@
   by_expiry_.clear();
   shares_.clear();
   heard_.clear();
+  unheard_ = unreachable_;
   share_count_ = 0;
   started_at_ = shares_expire_at_ = now;
 }
@@ -24,6 +26,13 @@
 void QuotaCounters::SetUnreachable(std::set<std::string> unreachable, std::set<std::string> all) {
   unreachable_ = std::move(unreachable);
   all_ = std::move(all);
+  unheard_.clear();
+  std::set_difference(unreachable_.begin(), unreachable_.end(), heard_.begin(), heard_.end(),
+                      std::inserter(unheard_, unheard_.end()));
+}
+
+void QuotaCounters::MarkHeard(const std::string& gateway) {
+  if (heard_.insert(gateway).second) unheard_.erase(gateway);
 }
 
 // What unreachable gateways may admit. Of one that has not been heard since the start only the mean is known.
@@ -34,7 +43,7 @@
   double reserved = 0;
   for (const std::string& gateway : unreachable_) {
     const double held = shares != shares_.end() ? shares->second.Held(gateway) : 0;
-    reserved += heard_.contains(gateway) ? kEvenShare * even + held : even;
+    reserved += unheard_.contains(gateway) ? even : kEvenShare * even + held;
   }
   return std::min(kShareFactor * reserved, kMaxReserved) * call.quota;
 }
@@ -60,8 +69,7 @@
 }
 
 bool QuotaCounters::KnowsAllocations(TimePoint now, Duration window) const {
-  return now - *started_at_ >= ShareLifetime(window) + kUnreachableDetection &&
-         std::includes(heard_.begin(), heard_.end(), unreachable_.begin(), unreachable_.end());
+  return unheard_.empty() && now - *started_at_ >= ShareLifetime(window) + kUnreachableDetection;
 }
 
 std::optional<QuotaCounters::Added> QuotaCounters::Add(TimePoint now, const Call& call) {
@@ -69,7 +77,7 @@
     ++figures_.refused;
     return std::nullopt;
   }
-  heard_.insert(call.gateway);
+  MarkHeard(call.gateway);
   ExpireShares(now);
   ShareAllocator* shares = SharesOf(call);
   if (shares != nullptr)
--- a/src/quota/quota_counters.hpp
+++ b/src/quota/quota_counters.hpp
@@ -68,13 +68,15 @@
   };
   ShareAllocator* SharesOf(const Call& call);  // nullptr: there is no room for another entry
   void ExpireShares(TimePoint now);
+  void MarkHeard(const std::string& gateway);
   // Whether every allocation of an earlier holder has been reported here or has expired.
   bool KnowsAllocations(TimePoint now, Duration window) const;
   double Reserved(const Call& call) const;
 
   std::optional<TimePoint> started_at_;
   std::set<std::string> unreachable_, all_;
-  std::set<std::string> heard_;  // since the start
+  std::set<std::string> heard_;    // since the start
+  std::set<std::string> unheard_;  // of the unreachable ones, those that are not in heard_
   std::map<CounterName, Counter> counters_;
   std::set<std::pair<TimePoint, CounterName>> by_expiry_;
   std::unordered_map<std::string, ShareAllocator> shares_;  // by tenant
