Figures of shares: without the reasons that can't occur any more

The state for all tenants and the ration of calls are gone from the system, so two reasons of quota_by_share_total were always 0, and one value stood for none. Late and not counted are left, in two figures; the page's two functions are one.

--- a/src/logic/leases.cpp
+++ b/src/logic/leases.cpp
@@ -420,7 +420,8 @@
     c.own_spent += claim.units;
     claim.charged = true;
     claim.window = c.window;
-    ++figures_.by_share[static_cast<std::size_t>(ReasonFor(claim))];
+    const bool late = c.calling || now_ >= claim.arrived + options_.wait;
+    ++(late ? figures_.by_share_late : figures_.by_share_not_counted);
     RecordUse(c, claim.units);
     if (!state_.counter_down) RecordAdmitted(claim.units, 0);
     port_.Admit(claim);
--- a/src/logic/leases.hpp
+++ b/src/logic/leases.hpp
@@ -6,7 +6,6 @@
 #pragma once
 
 #include <algorithm>
-#include <array>
 #include <chrono>
 #include <cmath>
 #include <cstdint>
@@ -97,12 +96,10 @@
     virtual Duration ClockOffset(const std::string& /*customer*/) const { return Duration::zero(); }
   };
 
-  // Why a claim was decided by share and not by its counter.
-  enum class ShareReason : std::uint8_t { kNone, kSilent, kWaitOver, kCallFailed, kCallsRationed, kCount };
-  // Claims admitted since the start.
+  // Claims admitted since the start: by leased units, and by share where the counter did not answer within
+  // the wait, or did not count.
   struct Figures {
-    std::uint64_t by_lease = 0;
-    std::array<std::uint64_t, static_cast<std::size_t>(ShareReason::kCount)> by_share{};
+    std::uint64_t by_lease = 0, by_share_late = 0, by_share_not_counted = 0;
   };
   const Figures& figures() const { return figures_; }
 
@@ -173,12 +170,6 @@
  private:
   void Decide(Claim& claim);
   void DecideByShare(Claim& claim);
-  ShareReason ReasonFor(const Claim& claim) const {
-    const Customer& c = *claim.customer;
-    if (state_.counter_down || !options_.counter) return ShareReason::kSilent;
-    if (c.calling || now_ >= claim.arrived + options_.wait) return ShareReason::kWaitOver;
-    return c.allocated.failed_at() ? ShareReason::kCallFailed : ShareReason::kCallsRationed;
-  }
   void DecideWaiting(Customer& c, void (Leases::*decide)(Claim&));
   // In fixed windows a gateway admits at most its share, leases included, and its share of what was left at
   // the last reply, so little is given out twice when the counter fails within a window. A part of a unit is
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -127,24 +127,17 @@
 }
 
 // Which way requests of tenants with a limit were let in, and what this member counted for other gateways.
-void AddQuota(Page& page, const Leases::Figures& gateway, const quota::QuotaCounters::Figures& member) {
-  using Reason = Leases::ShareReason;
-  const auto by_share = [&](Reason reason) { return gateway.by_share[static_cast<std::size_t>(reason)]; };
+void AddQuota(Page& page, const Leases::Figures& gateway, const quota::QuotaCounters::Figures& member,
+              std::uint64_t other_clock, std::uint64_t elsewhere) {
   page.Counter("quota_by_lease_total", gateway.by_lease, "Requests let in by units that a member counted.");
   page.Head("quota_by_share_total", "counter",
             "Requests let in by this gateway's share of a quota, by why not by the count.");
-  page.Line(by_share(Reason::kSilent), "reason=\"silent\"");
-  page.Line(by_share(Reason::kWaitOver), "reason=\"wait_over\"");
-  page.Line(by_share(Reason::kCallFailed), "reason=\"call_failed\"");
-  page.Line(by_share(Reason::kCallsRationed), "reason=\"calls_rationed\"");
+  page.Line(gateway.by_share_late, "reason=\"wait_over\"");
+  page.Line(gateway.by_share_not_counted, "reason=\"call_failed\"");
   page.Counter("quota_units_counted_total", static_cast<std::uint64_t>(member.units),
                "Units that this member counted.");
   page.Counter("quota_units_reserved_total", static_cast<std::uint64_t>(member.reserved_units),
                "Units that this member left to gateways that it does not hear.");
-}
-
-void AddQuotaCalls(Page& page, const quota::QuotaCounters::Figures& member, std::uint64_t other_clock,
-                   std::uint64_t elsewhere) {
   page.Head("quota_adds_total", "counter",
             "Adds of gateways to counts of this member, by what became of them.");
   page.Line(member.counted, "result=\"counted\"");
@@ -398,8 +391,7 @@
   page.Counter("passed_total", figures.passed, "Answers of hosts passed on.");
   page.Counter("declined_total", figures.declined, "Declined with 503: not run, come again.");
   page.Counter("beyond_quota_total", figures.beyond_quota, "Refused with 429, beyond the tenant's quota.");
-  AddQuota(page, front_.quota_figures(), counts_.figures());
-  AddQuotaCalls(page, counts_.figures(), adds_by_other_clock_, adds_elsewhere_);
+  AddQuota(page, front_.quota_figures(), counts_.figures(), adds_by_other_clock_, adds_elsewhere_);
   page.Counter("failed_total", figures.failed, "Answered 502 or 504: may have run.");
   page.Counter("again_total", figures.again, "Further attempts at another host.");
   page.Counter("no_route_total", figures.no_route, "Answered 404.");
