--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -210,14 +210,7 @@
   core_calls_.Tick(now);
   TickCoordination();
   TickReplications();
-  std::vector<CounterName> unanswered;
-  for (auto it = addings_.begin(); it != addings_.end();) {
-    const bool late = now >= it->second.ends;
-    if (late) unanswered.push_back(it->second.name);
-    if (late) NoteCounter(it->second.member, false);
-    it = late ? addings_.erase(it) : std::next(it);
-  }
-  for (const CounterName name : unanswered) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
+  FailAdds([now](const Adding& adding) { return now >= adding.ends; });
   if (ticks_ % kSecondTicks == 0) {
     if (const auto proved = registry_lease_.proved_at()) directory_.ConfirmDepartures(*proved);
     directory_.PurgeExpired(now);
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -259,6 +259,8 @@
   Duration ClockOffset(const std::string& tenant) const;
   std::optional<quota::QuotaCounters::Added> AddHere(const std::string& tenant, const std::string& gateway,
                                                      const AddToCounter& call);
+  // Adds that are out and are not answered any more.
+  void FailAdds(const std::function<bool(const Adding&)>& failed);
   // Keeps the log's word of each member that counts: whether it answers.
   void NoteCounter(const std::string& member, bool counted);
   void LookWhoIsAway();
--- a/src/system/node_count.cpp
+++ b/src/system/node_count.cpp
@@ -83,10 +83,22 @@
   // Answered from the loop, never from within.
   const auto added = here ? AddHere(tenant, settings_.node_name, call) : std::nullopt;
   if (holder != nullptr) NoteCounter(holder->name, added.has_value());
-  CounterReply reply{call.name, added ? Outcome::kOk : Outcome::kConnectFailed};
-  if (added) reply.total = added->total;
-  if (added) reply.share = added->share;
-  front_.CountLater(reply);
+  const auto [total, share] = added.value_or(quota::QuotaCounters::Added{});
+  front_.CountLater({call.name, added ? Outcome::kOk : Outcome::kConnectFailed, total, Duration{}, share});
+}
+
+void Node::FailAdds(const std::function<bool(const Adding&)>& failed) {
+  std::vector<CounterName> names;
+  for (auto it = addings_.begin(); it != addings_.end();) {
+    if (!failed(it->second)) {
+      ++it;
+      continue;
+    }
+    NoteCounter(it->second.member, false);
+    names.push_back(it->second.name);
+    it = addings_.erase(it);
+  }
+  for (const CounterName name : names) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
 }
 
 Duration Node::ClockOffset(const std::string& tenant) const {
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -70,14 +70,7 @@
   source_.OnDown(stream.number);
   if (stream.dialled()) feed_.OnDown(Now(), stream.name);
   if (stream.dialled()) Say(Event::kLinkDown, stream.to().ToText() + " " + stream.name);
-  std::vector<CounterName> lost;
-  for (auto it = addings_.begin(); it != addings_.end();) {
-    const bool of_it = it->second.stream == stream.number;
-    if (of_it) lost.push_back(it->second.name);
-    if (of_it) NoteCounter(it->second.member, false);
-    it = of_it ? addings_.erase(it) : std::next(it);
-  }
-  for (const CounterName name : lost) front_.OnCount({name, Outcome::kTimeout, 0, kAddEnds});
+  FailAdds([&](const Adding& adding) { return adding.stream == stream.number; });
   core_calls_.OnStreamDown(Now(), stream.number);
   coordination_calls_.OnStreamDown(Now(), stream.number);
   if (coordination_) coordination_->OnStreamDown(stream.number);
@@ -218,10 +211,8 @@
                           ? TimePoint(std::chrono::microseconds(message.window_began_us))
                           : Net(Now()) - call.lifetime / 2;
   const auto added = in_step ? AddHere(message.tenant, stream.name, call) : std::nullopt;
-  Total answer{message.number, added.has_value()};
-  if (added) answer.total = added->total;
-  if (added) answer.share = added->share;
-  stream.Send(Encode(answer));
+  const auto [total, share] = added.value_or(quota::QuotaCounters::Added{});
+  stream.Send(Encode(Total{message.number, added.has_value(), total, share}));
 }
 
 void Node::Handle(Link::Stream& stream, Total& message) {
