Kit: settings by hand, ends in order, lost disks and figures are the kit's

Three tests read the program and numbers from the environment by code of their own, the third written again for the quota's soak, which also had a SIGTERM that EndAll() didn't know, its own reader of figures and a second text for a tenant with a limit. They stand in systemkit (Setting, ProgramToPlay, Troubles::EndInOrder and LoseDisk, FiguresWatch, one limited tenant). The quota's tests also ask that each quota is used, half of it at the least in the best span, so that they can't pass with nothing let in.

--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -2,7 +2,7 @@
 # Uses the kit's process and server: with -DCURLEWDOOR_KIT=ON only.
 if(CURLEWDOOR_KIT)
   add_library(curlewdoor_systemkit STATIC EXCLUDE_FROM_ALL
-    src/systemkit/calls.cpp src/systemkit/clients.cpp src/systemkit/coordination_history.cpp src/systemkit/host.cpp src/systemkit/machines.cpp
+    src/systemkit/calls.cpp src/systemkit/clients.cpp src/systemkit/coordination_history.cpp src/systemkit/figures_watch.cpp src/systemkit/host.cpp src/systemkit/machines.cpp
     src/systemkit/operator.cpp src/systemkit/relays.cpp src/systemkit/register_history.cpp src/systemkit/sightings.cpp src/systemkit/troubles.cpp
     src/systemkit/world.cpp)
   target_link_libraries(curlewdoor_systemkit PUBLIC curlewdoor_playing nlohmann_json::nlohmann_json)
--- a/src/systemkit/troubles.cpp
+++ b/src/systemkit/troubles.cpp
@@ -39,6 +39,20 @@
   });
 }
 
+void Troubles::LoseDisk(int machine, double seconds) {
+  Kill({machine}, seconds);
+  world_.machines.WipeDisk(machine);
+}
+
+void Troubles::EndInOrder(int machine, double seconds) {
+  ending_.insert(machine);
+  world_.machines.Signal(machine, SIGTERM);
+  Later(seconds, [this, machine] {
+    ending_.erase(machine);
+    if (!world_.machines.Running(machine)) world_.machines.Start(machine, false);
+  });
+}
+
 void Troubles::Cut(int machine, const std::vector<int>& others, bool one_way, double seconds) {
   std::vector<std::pair<int, int>> ways;
   for (const int other : others) {
--- a/src/systemkit/troubles.hpp
+++ b/src/systemkit/troubles.hpp
@@ -20,6 +20,11 @@
   void Stop(int machine, double seconds);
   // SIGKILL of all at the same moment; they start again after so many seconds, with their disks.
   void Kill(const std::vector<int>& machines, double seconds);
+  // The same for one that loses its disk meanwhile.
+  void LoseDisk(int machine, double seconds);
+  // SIGTERM; it starts again after so many seconds, once it has ended. Until then it isn't troubled
+  // otherwise.
+  void EndInOrder(int machine, double seconds);
   // The ways from the one to each of the others and, unless it is one way only, back.
   void Cut(int machine, const std::vector<int>& others, bool one_way, double seconds);
   // All streams of the machine are reset.
@@ -28,6 +33,7 @@
   void EndDue();  // to be called again and again
   void EndAll();
 
+  bool Ending(int machine) const { return ending_.contains(machine); }
   bool Stopped(int machine) const { return stopped_.contains(machine); }
   bool Runs(int machine) const { return world_.machines.Running(machine) && !Stopped(machine); }
   // Both ways.
@@ -43,7 +49,7 @@
 
   World& world_;
   std::multimap<double, std::function<void()>> ends_;  // by their time
-  std::set<int> stopped_;
+  std::set<int> stopped_, ending_;
   std::map<std::pair<int, int>, int> cuts_;  // how many hold each way cut
   double last_reset_ = -1;
 };
--- a/src/systemkit/world.cpp
+++ b/src/systemkit/world.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr char kSite[] = "shop.example";
-constexpr char kGoldKey[] = "gold4k2key", kMeteredKey[] = "metered7key";
+constexpr char kGoldKey[] = "gold4k2key";
 constexpr double kStarts_s = 25;  // generous: the machine may be busy
 constexpr double kSettles_s = 10;
 
@@ -19,6 +19,9 @@
   return control;
 }
 
+// Of a tenant with a limit.
+std::string KeyOf(const std::string& tenant) { return tenant + "7key"; }
+
 Clients::Kind OfGold(const char* prefix, double rate, bool repeatable) {
   return {kSite, prefix, "gold", kGoldKey, repeatable, rate, 4, 3000};
 }
@@ -32,9 +35,9 @@
 Clients::Kind Writes(double rate) { return OfGold("/write/", rate, false); }
 Clients::Kind Moving(double rate) { return OfGold("/moving/", rate, true); }
 Clients::Kind Added(double rate) { return OfGold("/added/", rate, true); }
-Clients::Kind Metered(double rate) { return {kSite, "/read/", "metered", kMeteredKey, true, rate, 1, 3000}; }
+Clients::Kind Metered(double rate) { return Limited("metered", rate); }
 Clients::Kind Limited(const std::string& tenant, double rate) {
-  return {kSite, "/read/", tenant, "key4" + tenant, true, rate, 1, 3000};
+  return {kSite, "/read/", tenant, KeyOf(tenant), true, rate, 1, 3000};
 }
 
 std::string ConfigText(const ConfigOptions& options) {
@@ -60,18 +63,16 @@
   json routes = {route("read", "idempotent", "first"), route("write", "non_idempotent", "second"),
                  route("moving", "idempotent", options.moving)};
   if (options.added_route) routes.push_back(route("added", "idempotent", "second"));
-  json tenants = json::array({json{{"name", "gold"}, {"api_keys", json::array({kGoldKey})}, {"priority", 0}},
-                              json{{"name", "metered"},
-                                   {"api_keys", json::array({kMeteredKey})},
-                                   {"priority", 1},
-                                   {"rate_per_s", options.metered_rate},
-                                   {"burst_size", options.metered_burst}}});
-  for (const ConfigOptions::Limit& limit : options.limits)
-    tenants.push_back(json{{"name", limit.tenant},
-                           {"api_keys", json::array({Limited(limit.tenant, 0).key})},
-                           {"priority", 1},
-                           {"rate_per_s", limit.rate_per_s},
-                           {"burst_size", limit.burst_size}});
+  const auto limited = [](const ConfigOptions::Limit& limit) {
+    return json{{"name", limit.tenant},
+                {"api_keys", json::array({KeyOf(limit.tenant)})},
+                {"priority", 1},
+                {"rate_per_s", limit.rate_per_s},
+                {"burst_size", limit.burst_size}};
+  };
+  json tenants = {json{{"name", "gold"}, {"api_keys", json::array({kGoldKey})}, {"priority", 0}},
+                  limited({"metered", options.metered_rate, options.metered_burst})};
+  for (const ConfigOptions::Limit& limit : options.limits) tenants.push_back(limited(limit));
   const json config = {{"config_version", options.version},
                        {"services", json::array({service("first"), service("second")})},
                        {"limits",
--- a/tests/system/coordination_history_test.cpp
+++ b/tests/system/coordination_history_test.cpp
@@ -8,13 +8,13 @@
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
 
 #include "../coordination/history/applications.hpp"
 #include "systemkit/calls.hpp"
+#include "systemkit/environment.hpp"
 #include "systemkit/machines.hpp"
 #include "systemkit/relays.hpp"
 #include "systemkit/world.hpp"
@@ -112,8 +112,7 @@
  private:
   static Machines::Options OptionsOf(const Deployment& deployment) {
     Machines::Options options;
-    const char* program = std::getenv("CURLEWDOOR_SOAK_PROGRAM");  // another version, to see it fail
-    options.program = program != nullptr ? program : CURLEWDOOR_PROGRAM;
+    options.program = ProgramToPlay(CURLEWDOOR_PROGRAM);
     options.core = deployment.core;
     options.others = deployment.others;
     options.machine_failures = deployment.tolerance;
@@ -372,11 +371,6 @@
   std::set<int> stopped_;
 };
 
-int Setting(const char* name, int usual) {
-  const char* told = std::getenv(name);
-  return told != nullptr ? std::atoi(told) : usual;
-}
-
 BOOST_AUTO_TEST_CASE(of_three_members_keeps_all_rules) { Play({3, 2, 1}, 1).Run(8); }
 BOOST_AUTO_TEST_CASE(of_five_members_keeps_all_rules) { Play({5, 1, 2}, 2).Run(8); }
 BOOST_AUTO_TEST_CASE(of_eight_members_keeps_all_rules) { Play({8, 0, 2}, 3).Run(8); }
--- a/tests/system/leave_soak_test.cpp
+++ b/tests/system/leave_soak_test.cpp
@@ -15,6 +15,7 @@
 #include <set>
 #include <vector>
 
+#include "systemkit/environment.hpp"
 #include "systemkit/troubles.hpp"
 #include "systemkit/world.hpp"
 
@@ -30,15 +31,9 @@
 constexpr double kLeaveEvery = 0.3;
 constexpr std::size_t kMostLeavers = 24;  // at once
 
-int Setting(const char* name, int usual) {
-  const char* told = std::getenv(name);
-  return told != nullptr ? std::atoi(told) : usual;
-}
-
 Machines::Options Deployment() {
   Machines::Options options;
-  const char* program = std::getenv("CURLEWDOOR_SOAK_PROGRAM");  // another version, to see it fail
-  options.program = program != nullptr ? program : CURLEWDOOR_PROGRAM;
+  options.program = ProgramToPlay(CURLEWDOOR_PROGRAM);
   options.core = kCore;
   options.others = kOthers;
   options.relayed = true;
--- a/tests/system/quota_series_test.cpp
+++ b/tests/system/quota_series_test.cpp
@@ -13,11 +13,11 @@
 #include <cstdlib>
 #include <map>
 #include <random>
-#include <set>
-#include <sstream>
 #include <string>
 #include <vector>
 
+#include "systemkit/environment.hpp"
+#include "systemkit/figures_watch.hpp"
 #include "systemkit/troubles.hpp"
 #include "systemkit/world.hpp"
 
@@ -35,11 +35,6 @@
 constexpr double kWindow = 5;             // seconds
 constexpr double kFigureEvery = 0.5, kTakenInAgain = 6, kEnded = 6.5;
 
-int Setting(const char* name, int usual) {
-  const char* told = std::getenv(name);
-  return told != nullptr ? std::atoi(told) : usual;
-}
-
 class Series {
  public:
   Series(int gateways, int seed)
@@ -55,7 +50,7 @@
 
   bool Begin() {
     if (!world_.Start(config_)) return false;
-    world_.For(kWindow + 1);  // counts begin a window after the core's members
+    world_.For(kWindow + 1);
     Load(kWindow + 1);
     return true;
   }
@@ -67,17 +62,20 @@
     for (double next = world_.pace.Now(); world_.pace.Now() < ends; Load(0.005)) {
       if (world_.pace.Now() < next) continue;
       const double away = Draw(0.2, 2);
-      const int member = static_cast<int>(random_() % kCore);
-      troubles_.Kill({member}, away);
-      if (wiped) world_.machines.WipeDisk(member);
+      const int member = Pick(kCore);
+      if (wiped) {
+        troubles_.LoseDisk(member, away);
+      } else {
+        troubles_.Kill({member}, away);
+      }
       next = world_.pace.Now() + away + Draw(1, 3);
     }
     troubles_.EndAll();
     Load(2);
   }
 
-  // Kills, wiped disks, pauses, ends in order, new settings and new configurations, which overlap; at most
-  // one member of the core at a time is troubled, and one other gateway.
+  // Kills, wiped disks, pauses, ends in order, new settings and new configurations, which overlap: one
+  // member of the core at a time is troubled, and one other gateway.
   void Soak(double seconds) {
     const double ends = world_.pace.Now() + seconds;
     double next = 0, next_other = 0;
@@ -98,6 +96,7 @@
       BOOST_TEST_MESSAGE(limit.tenant << ": " << world_.sightings.RunsOf(limit.tenant) << " ran, at most "
                                       << most << " in " << kWindow << " s, " << allowed << " allowed");
       BOOST_TEST(most <= allowed, limit.tenant << ": " << most << " of " << allowed);
+      BOOST_TEST(most >= limit.rate_per_s * kWindow / 2, limit.tenant << ": its quota is used");
     }
     const auto breaches = world_.sightings.Breaches();
     BOOST_TEST(breaches.size() == 0u, (breaches.empty() ? "" : breaches.front()));
@@ -106,8 +105,7 @@
  private:
   static Machines::Options Deployment(int gateways) {
     Machines::Options options;
-    const char* program = std::getenv("CURLEWDOOR_SOAK_PROGRAM");  // another version, to see it fail
-    options.program = program != nullptr ? program : CURLEWDOOR_PROGRAM;
+    options.program = ProgramToPlay(CURLEWDOOR_PROGRAM);
     options.core = kCore;
     options.others = gateways - kCore;
     options.machine_failures = Setting("CURLEWDOOR_QUOTA_FAILURES", 2);
@@ -123,7 +121,7 @@
 
   // Seconds that it lasts.
   double Trouble(int machine, bool member) {
-    if (!troubles_.Runs(machine) || ending_.contains(machine)) return 0;
+    if (!troubles_.Runs(machine) || troubles_.Ending(machine)) return 0;
     const double lasts = Draw(0.1, 2.5);
     switch (Pick(7)) {
       case 0:
@@ -134,9 +132,14 @@
         troubles_.Stop(machine, lasts);
         return lasts;
       case 3:
-        return member ? LoseDisk(machine, lasts) : 0;
+        // Not before the core has taken in the member that lost the one before.
+        if (!member || world_.pace.Now() < disk_lost_at_ + kTakenInAgain) return 0;
+        disk_lost_at_ = world_.pace.Now();
+        troubles_.LoseDisk(machine, lasts);
+        return lasts;
       case 4:
-        return EndInOrder(machine);
+        troubles_.EndInOrder(machine, kEnded);
+        return kEnded;
       case 5:
         world_.machines.ChangeSettings(machine);
         world_.machines.Signal(machine, SIGHUP);
@@ -147,25 +150,12 @@
         return 0;
     }
   }
-  // Not before the core has taken in the member that lost the one before.
-  double LoseDisk(int member, double lasts) {
-    if (world_.pace.Now() < disk_lost_at_ + kTakenInAgain) return 0;
-    disk_lost_at_ = world_.pace.Now();
-    troubles_.Kill({member}, lasts);
-    world_.machines.WipeDisk(member);
-    return lasts;
-  }
-  // It is used until it is gone, and starts again.
-  double EndInOrder(int machine) {
-    ending_.insert(machine);
-    world_.machines.Signal(machine, SIGTERM);
-    world_.pace.After(kEnded, [this, machine] {
-      if (ending_.erase(machine) > 0 && !world_.machines.Running(machine))
-        world_.machines.Start(machine, false);
-    });
-    return kEnded;
+  int AnyThatRuns() {
+    int gateway = 0;
+    do gateway = Pick(gateways_);
+    while (!troubles_.Runs(gateway));
+    return gateway;
   }
-
   // Even demand through all gateways that run; of kGathered through the last one alone.
   void Load(double seconds) {
     const double ends = world_.pace.Now() + seconds;
@@ -176,9 +166,7 @@
         double& due = due_[limit.tenant];
         for (due += demand_ * limit.rate_per_s * passed; due >= 1; due -= 1) {
           int gateway = gateways_ - 1;
-          if (limit.tenant != kGathered) do
-              gateway = static_cast<int>(random_() % static_cast<std::uint64_t>(gateways_));
-            while (!troubles_.Runs(gateway));
+          if (limit.tenant != kGathered) gateway = AnyThatRuns();
           world_.clients.AskAt(Limited(limit.tenant, 0), gateway);
         }
       }
@@ -197,32 +185,10 @@
       const int ran = world_.sightings.RunsOf(limit.tenant);
       line += fmt::format(" {} {}", limit.tenant, ran - std::exchange(ran_[limit.tenant], ran));
     }
-    std::map<std::string, double> sums;
-    for (auto& [gateway, figures] : figures_)
-      for (const auto& [name, value] : figures) sums[name] += value;
-    for (const auto& [name, value] : sums) {
-      const double more = value - std::exchange(sums_[name], value);
-      if (more != 0) line += fmt::format(" {}+{:.0f}", name, more);
-    }
+    line += figures_.Growth();
     for (int m = 0; m < kCore; ++m) line += world_.machines.Running(m) ? " up" : " down";
     BOOST_TEST_MESSAGE(line);
-    for (int m = 0; m < gateways_; ++m) {
-      if (!troubles_.Runs(m)) continue;
-      const std::string request =
-          RequestText("GET", "/v1/system/figures", world_.machines.control(m).ToText(), "", "");
-      world_.calls.Call(world_.machines.control(m), request, kFigureEvery, true,
-                        [this, m, life = world_.machines.life(m)](const Answer& answer) {
-                          if (answer.good()) Read(m, life, answer.body);
-                        });
-    }
-  }
-  void Read(int gateway, int life, const std::string& page) {
-    std::istringstream lines(page);
-    for (std::string line; std::getline(lines, line);) {
-      if (!line.starts_with("curlewdoor_quota_")) continue;
-      const auto space = line.rfind(' ');
-      figures_[{gateway, life}][line.substr(17, space - 17)] = std::atof(line.c_str() + space);
-    }
+    figures_.Ask([this](int gateway) { return troubles_.Runs(gateway); });
   }
 
   const int gateways_;
@@ -232,11 +198,10 @@
   World world_;
   Troubles troubles_{world_};
   double loaded_at_ = 0, figures_at_ = 0;
-  std::set<int> ending_;
+  FiguresWatch figures_{world_, "curlewdoor_quota_"};
   double disk_lost_at_ = 0;
-  std::map<std::string, double> due_, sums_;
+  std::map<std::string, double> due_;
   std::map<std::string, int> ran_;
-  std::map<std::pair<int, int>, std::map<std::string, double>> figures_;  // by gateway and life
 };
 
 BOOST_AUTO_TEST_CASE(no_tenant_gets_more_than_its_limit_while_members_are_killed_in_series) {
--- a/tests/system/return_test.cpp
+++ b/tests/system/return_test.cpp
@@ -6,11 +6,11 @@
 #include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
-#include <cstdlib>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "systemkit/environment.hpp"
 #include "systemkit/troubles.hpp"
 #include "systemkit/world.hpp"
 
@@ -38,8 +38,7 @@
 
 Machines::Options Deployment(const Away& away) {
   Machines::Options options;
-  const char* program = std::getenv("CURLEWDOOR_SOAK_PROGRAM");
-  options.program = program != nullptr ? program : CURLEWDOOR_PROGRAM;
+  options.program = ProgramToPlay(CURLEWDOOR_PROGRAM);
   options.core = 3;
   options.others = 2;
   options.relayed = true;
