--- a/src/quota/quota_counters.cpp
+++ b/src/quota/quota_counters.cpp
@@ -105,7 +105,7 @@
   Added added{it->second.total};
   if (shares != nullptr)
     added.share = KnowsAllocations(now, call.lifetime / 2) ? shares->Allocate(now, call.gateway)
-                                                           : shares->Renew(now, call.gateway);
+                                                           : shares->Held(call.gateway);  // as reported
   return added;
 }
 
--- a/src/quota/share_allocator.cpp
+++ b/src/quota/share_allocator.cpp
@@ -42,12 +42,6 @@
   return share;
 }
 
-double ShareAllocator::Renew(TimePoint now, const std::string& gateway) {
-  Entry& entry = entries_[gateway];
-  Take(entry, entry.share, now);
-  return entry.share;
-}
-
 double ShareAllocator::Held(const std::string& gateway) const {
   const auto entry = entries_.find(gateway);
   return entry != entries_.end() ? entry->second.share : 0;
--- a/src/quota/share_allocator.hpp
+++ b/src/quota/share_allocator.hpp
@@ -39,8 +39,6 @@
   void Record(TimePoint now, const std::string& gateway, const ShareReport& report);
   // The new share, as a fraction of the quota, of a gateway whose report was just recorded.
   double Allocate(TimePoint now, const std::string& gateway);
-  // The same by a holder that may not know all allocations yet: the gateway keeps what it holds.
-  double Renew(TimePoint now, const std::string& gateway);
   // What the gateway may hold.
   double Held(const std::string& gateway) const;
   // Drops expired allocations, except those of unreachable gateways, which may still go by them.
