review: a gateway takes a request after its SIGTERM and ends before its answer

Callers see: a renewal that was sent 3.2 s after the SIGTERM of the machine is passed on to its host, runs there, and the connection is closed without an answer 2.4 s later, 2.6 s before its deadline (rule LOST, planned work).

Cause, as far as known: the process ends at grace_s - 0.35 s at all events (Node::KeepHouse), and until then takes what comes on open connections, whatever time it has left; it doesn't decline what it can't finish.

--- a/review/standin/host.cpp
+++ b/review/standin/host.cpp
@@ -60,7 +60,10 @@
         return;
       continue;
     }
-    std::this_thread::sleep_for(std::chrono::milliseconds(options.work_ms));
+    log.Write(std::to_string(NowMs()) + " " + id + " " + target + " runs");
+    const auto told = target.find("?work_ms=");
+    const int work_ms = told == std::string::npos ? options.work_ms : std::atoi(target.c_str() + told + 9);
+    std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
     const bool in_trouble = ::access(options.trouble_file.c_str(), F_OK) == 0;
     const bool cut = in_trouble && ++answers_in_trouble % options.cut_every == 0;
     log.Write(std::to_string(NowMs()) + " " + id + " " + target + (cut ? " broken off" : " whole"));
