Figures of releases: which holds a finish ended, by whether they had been extended

Change: coordination_releases_total{hold="unextended"|"extended"|"none"}, counted by the leader that applies a release. No behaviour changes; StateMachine::FindHold is public and const, as the leader looks up the hold before the release.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -156,6 +156,9 @@
 void Coordinator::ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOutput& out) {
   const auto command = DecodeCommand(entry.command);
   if (!command) return;  // from a later version; no replica of this version can apply it
+  const auto pending = pending_commands_.find(entry.index);
+  const auto* release = std::get_if<ReleaseLock>(&*command);
+  if (release != nullptr && pending != pending_commands_.end()) CountRelease(*release);
   const CommandResult result = state_.Apply(entry.logged_time, *command);
   const auto* put = std::get_if<PutKey>(&*command);
   if (put != nullptr && std::holds_alternative<KeyPut>(result))
@@ -166,7 +169,6 @@
           if (replica_.serving()) UpdateHoldDeadline(now, each.lock);
       },
       *command);
-  const auto pending = pending_commands_.find(entry.index);
   if (pending == pending_commands_.end()) return;
   const PendingCommand call = pending->second;
   pending_commands_.erase(pending);
@@ -179,6 +181,18 @@
 
 // ---- Holds ----
 
+// Called before the release is applied.
+void Coordinator::CountRelease(const ReleaseLock& release) {
+  const StateMachine::Hold* hold = state_.FindHold(release.lock, release.holder, release.fence);
+  if (hold == nullptr) {
+    ++release_counts_.none;
+  } else if (hold->renewals == 0) {
+    ++release_counts_.unextended;
+  } else {
+    ++release_counts_.extended;
+  }
+}
+
 // Updates a lock's deadline from its hold in the state.
 void Coordinator::UpdateHoldDeadline(Time now, const std::string& lock) {
   const auto held_lock = state_.holds().find(lock);
--- a/src/coordination/coordinator.hpp
+++ b/src/coordination/coordinator.hpp
@@ -59,6 +59,13 @@
   std::vector<std::string> log_lines;
 };
 
+// Releases that a member applied as the leader that had accepted them, by what they ended.
+struct ReleaseCounts {
+  std::uint64_t unextended = 0;  // a hold that no AcquireLock or RenewLock had extended
+  std::uint64_t extended = 0;    // a hold that one had
+  std::uint64_t none = 0;        // no hold with that holder and fence
+};
+
 // One member. See the top of this file.
 class Coordinator {
  public:
@@ -81,6 +88,7 @@
 
   const Replica& replica() const { return replica_; }
   const StateMachine& state() const { return state_; }
+  const ReleaseCounts& release_counts() const { return release_counts_; }
   std::size_t pending() const { return pending_commands_.size() + pending_reads_.size() + watches_.size(); }
 
  private:
@@ -98,6 +106,7 @@
   void RestoreSnapshot(const std::string& snapshot, std::vector<std::string>& log_lines);
   void HandleReplicaOutput(Time now, ReplicaOutput& replica_output, CoordinatorOutput& out);
   void ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOutput& out);
+  void CountRelease(const ReleaseLock& release);
   void UpdateHoldDeadline(Time now, const std::string& lock);
   void StartServing(Time now);
   void StopServing(CoordinatorOutput& out);
@@ -121,6 +130,7 @@
   std::unordered_map<CallId, Call> pending_reads_;
   WatchTable watches_;
   std::map<std::string, HoldDeadline> hold_deadlines_;  // by lock, while serving
+  ReleaseCounts release_counts_;
   bool shutting_down_ = false;
   // The replica's snapshot could not be restored, so the state does not match the log. The member serves no
   // calls and transfers leadership away until it receives a readable snapshot.
--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -109,15 +109,13 @@
 }
 
 CommandResult StateMachine::Execute(LoggedTime, const RenewLock& renew) {
-  const auto found = FindHold(renew.lock, renew.holder, renew.fence);
-  if (found == holds_.end()) return LockRefused{};
-  ExtendHold(found->second, renew.hold_ms);
+  if (FindHold(renew.lock, renew.holder, renew.fence) == nullptr) return LockRefused{};
+  ExtendHold(holds_.at(renew.lock), renew.hold_ms);
   return Done{};
 }
 
 CommandResult StateMachine::Execute(LoggedTime, const ReleaseLock& release) {
-  const auto found = FindHold(release.lock, release.holder, release.fence);
-  if (found != holds_.end()) holds_.erase(found);
+  if (FindHold(release.lock, release.holder, release.fence) != nullptr) holds_.erase(release.lock);
   return Done{};
 }
 
@@ -129,12 +127,12 @@
   return Done{};
 }
 
-StateMachine::HoldsByLock::iterator StateMachine::FindHold(const std::string& lock, const std::string& holder,
-                                                           FencingToken fence) {
+const StateMachine::Hold* StateMachine::FindHold(const std::string& lock, const std::string& holder,
+                                                 FencingToken fence) const {
   const auto found = holds_.find(lock);
-  if (found == holds_.end()) return found;
-  const bool matches = found->second.holder == holder && found->second.fence == fence;
-  return matches ? found : holds_.end();
+  if (found == holds_.end()) return nullptr;
+  const Hold& hold = found->second;
+  return hold.holder == holder && hold.fence == fence ? &hold : nullptr;
 }
 
 void StateMachine::ExtendHold(Hold& hold, std::uint64_t hold_ms) {
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -84,6 +84,8 @@
   CommandResult Apply(LoggedTime at, const Command& command);
 
   const std::map<std::string, Hold>& holds() const { return holds_; }  // by lock
+  // The lock's hold, if it belongs to this holder under this fence; else nullptr.
+  const Hold* FindHold(const std::string& lock, const std::string& holder, FencingToken fence) const;
   std::optional<VersionedValue> Find(const std::string& key) const;
   // The puts of a group after revision `after`. 0 returns only the current revision, without events. Stops
   // before the event that would bring names and values above `max_bytes`, but returns at least one event.
@@ -127,7 +129,6 @@
   CommandResult Execute(LoggedTime at, const ExpireLock& expire);
   CommandResult Execute(LoggedTime at, const TakeNumber& take);
   CommandResult Execute(LoggedTime at, const PutKey& put);
-  HoldsByLock::iterator FindHold(const std::string& lock, const std::string& holder, FencingToken fence);
   static void ExtendHold(Hold& hold, std::uint64_t hold_ms);
   std::optional<Revision> FindAppliedRevision(const PutKey& put, const KeyState* key) const;
   bool FitsLimits(const PutKey& put, const KeyState* key) const;
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -123,6 +123,12 @@
              "Entries behind the snapshot.");
   page.Gauge("coordination_uncommitted", replica.log_last() - replica.applied(),
              "Entries that no majority is known to hold.");
+  page.Head("coordination_releases_total", "counter",
+            "Releases of locks that this member applied, by the hold that they ended.");
+  const coordination::ReleaseCounts& releases = host->coordinator().release_counts();
+  page.Line(releases.unextended, "hold=\"unextended\"");
+  page.Line(releases.extended, "hold=\"extended\"");
+  page.Line(releases.none, "hold=\"none\"");
   page.Gauge("coordination_locks_held", host->coordinator().state().holds().size(), "Locks that are held.");
 }
 
