Coordination: a late finish ends no hold that was begun again

Cause: a release names holder and fence. The fence proves that it was sent after the grant; a begin by the holder changes the hold under the same fence, so a release from before it can't be told from one from after it. Any delay at a gateway or a member, or the order of two streams, is enough.

The model check's mutant without the condition is caught by begin-A, finish-A held up, begin-A, finish arrives, begin-B.

Where the hold was extended more often the leader answers ReleaseUnproven, and the gateway sends the release again with that number only if the caller's connection is open with nothing unread: callers send one call after another, so who waits for a finish hasn't begun again since. No time is compared. Holds that were begun twice or renewed are still given back at once.

The callers of the history tests waited 8 s after an unanswered finish; that pause is gone, and some die after a finish and begin again at once.

--- a/src/coordination/call.cpp
+++ b/src/coordination/call.cpp
@@ -15,6 +15,7 @@
 inline auto Fields(HistoryExpired&) { return std::tie(); }
 inline auto Fields(NotServed& v) { return std::tie(v.leader); }
 inline auto Fields(OutcomeUnknown&) { return std::tie(); }
+inline auto Fields(ReleaseUnproven& v) { return std::tie(v.renewals); }
 
 std::string Encode(const Call& call) { return packing::Pack(call); }
 std::optional<Call> DecodeCall(std::string_view bytes) { return packing::Unpack<Call>(bytes); }
--- a/src/coordination/call.hpp
+++ b/src/coordination/call.hpp
@@ -30,6 +30,12 @@
 // ExpireLock is proposed by the leader only and is not a call.
 using Call = std::variant<AcquireLock, RenewLock, ReleaseLock, TakeNumber, PutKey, ReadKey, WatchGroup>;
 
+// How often a hold had been extended (StateMachine::Hold::renewals) when a ReleaseLock call was sent, at the
+// least. The fence that the call names proves 0: its caller learnt it from the grant. A gateway proves more
+// by what it knows of its caller. nullopt: sent by a version that proves nothing; the release is applied
+// unconditionally.
+using ProvenRenewals = std::optional<std::uint64_t>;
+
 // The result of ReadKey.
 struct ReadResult {
   std::string value;
@@ -57,7 +63,15 @@
 struct OutcomeUnknown {
   bool operator==(const OutcomeUnknown&) const = default;
 };
-using Reply = std::variant<CommandResult, ReadResult, WatchResult, HistoryExpired, NotServed, OutcomeUnknown>;
+// Answers a ReleaseLock call: nothing was done, because the hold has been extended more often than is proven
+// to be known to the caller. Such a release may have been sent before its holder acquired the lock again.
+struct ReleaseUnproven {
+  std::uint64_t renewals = 0;  // of the hold by now
+  bool operator==(const ReleaseUnproven&) const = default;
+};
+// In the order of their numbers on the wire.
+using Reply = std::variant<CommandResult, ReadResult, WatchResult, HistoryExpired, NotServed, OutcomeUnknown,
+                           ReleaseUnproven>;
 
 std::string Encode(const Call& call);
 std::optional<Call> DecodeCall(std::string_view bytes);
--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -78,7 +78,8 @@
 
 // ---- Calls ----
 
-void Coordinator::OnCall(Time now, CallId id, const Call& call, CoordinatorOutput& out) {
+void Coordinator::OnCall(Time now, CallId id, const Call& call, ProvenRenewals proven,
+                         CoordinatorOutput& out) {
   if (HasFault(Fault::kReadAtFollower) && std::holds_alternative<ReadKey>(call)) {
     pending_reads_[id] = call;
     return ReplyToRead(now, id, out);
@@ -89,23 +90,41 @@
     return;
   }
   ReplicaOutput replica_output;
-  if (const auto command = ToCommand(call)) {
-    Execute(now, id, *command, replica_output, out);
+  if (const auto* release = std::get_if<ReleaseLock>(&call)) {
+    Release(now, id, *release, proven, replica_output, out);
+  } else if (const auto command = ToCommand(call)) {
+    Propose(now, {id, replica_.term(), std::nullopt}, *command, replica_output, out);
   } else {
     StartRead(now, id, call, replica_output, out);
   }
   HandleReplicaOutput(now, replica_output, out);
 }
 
-void Coordinator::Execute(Time now, CallId id, const Command& command, ReplicaOutput& replica_output,
-                          CoordinatorOutput& out) {
-  const std::uint64_t term = replica_.term();
+void Coordinator::Propose(Time now, PendingCommand pending, const Command& command,
+                          ReplicaOutput& replica_output, CoordinatorOutput& out) {
   const auto index = replica_.Propose(now, Encode(command), replica_output);
   if (!index) {
-    out.replies.emplace_back(id, NotServedReply());
+    out.replies.emplace_back(pending.id, NotServedReply());
+    return;
+  }
+  pending_commands_[*index] = std::move(pending);
+}
+
+// A hold that is not in the state of a serving leader has ended for good, since fences are never reused: the
+// release is then logged as it is and does nothing.
+void Coordinator::Release(Time now, CallId id, const ReleaseLock& release, ProvenRenewals proven,
+                          ReplicaOutput& replica_output, CoordinatorOutput& out) {
+  const auto renewals = RenewalsOf(release);
+  PendingCommand pending{id, replica_.term(), release};
+  const bool unconditional = !proven || HasFault(Fault::kReleaseUnconditional);
+  if (!renewals || unconditional) return Propose(now, std::move(pending), release, replica_output, out);
+  if (*renewals > *proven) {
+    ++release_counts_.unproven;
+    out.replies.emplace_back(id, ReleaseUnproven{*renewals});
     return;
   }
-  pending_commands_[*index] = {id, term};
+  const ExpireLock expire{release.lock, release.fence, *proven};
+  Propose(now, std::move(pending), expire, replica_output, out);
 }
 
 void Coordinator::StartRead(Time now, CallId id, const Call& call, ReplicaOutput& replica_output,
@@ -156,10 +175,13 @@
 void Coordinator::ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOutput& out) {
   const auto command = DecodeCommand(entry.command);
   if (!command) return;  // from a later version; no replica of this version can apply it
-  const auto pending = pending_commands_.find(entry.index);
-  const auto* release = std::get_if<ReleaseLock>(&*command);
-  if (release != nullptr && pending != pending_commands_.end()) CountRelease(*release);
+  std::optional<PendingCommand> pending;
+  if (auto found = pending_commands_.extract(entry.index)) pending = std::move(found.mapped());
+  const bool is_own_entry = pending && pending->term == entry.term;
+  const bool is_release = is_own_entry && pending->release;
+  const auto renewals_before = is_release ? RenewalsOf(*pending->release) : std::nullopt;
   const CommandResult result = state_.Apply(entry.logged_time, *command);
+  if (is_release) CountRelease(renewals_before, RenewalsOf(*pending->release));
   const auto* put = std::get_if<PutKey>(&*command);
   if (put != nullptr && std::holds_alternative<KeyPut>(result))
     ReplyToReadyWatches(std::string(StateMachine::GroupOf(put->key)), out);
@@ -169,30 +191,41 @@
           if (replica_.serving()) UpdateHoldDeadline(now, each.lock);
       },
       *command);
-  if (pending == pending_commands_.end()) return;
-  const PendingCommand call = pending->second;
-  pending_commands_.erase(pending);
-  if (call.term == entry.term) {
-    out.replies.emplace_back(call.id, ToReply(result));
-  } else {  // another leader's entry took its index
-    out.replies.emplace_back(call.id, OutcomeUnknown{});
+  if (!pending) return;
+  if (!is_own_entry) {  // another leader's entry took its index
+    out.replies.emplace_back(pending->id, OutcomeUnknown{});
+  } else {
+    out.replies.emplace_back(pending->id, is_release ? ReplyToRelease(*pending->release) : ToReply(result));
   }
 }
 
 // ---- Holds ----
 
-// Called before the release is applied.
-void Coordinator::CountRelease(const ReleaseLock& release) {
+std::optional<std::uint64_t> Coordinator::RenewalsOf(const ReleaseLock& release) const {
   const StateMachine::Hold* hold = state_.FindHold(release.lock, release.holder, release.fence);
-  if (hold == nullptr) {
+  return hold == nullptr ? std::nullopt : std::optional(hold->renewals);
+}
+
+// The renewals of the hold before and after the release was applied.
+void Coordinator::CountRelease(std::optional<std::uint64_t> before, std::optional<std::uint64_t> after) {
+  if (after) {
+    ++release_counts_.unproven;
+  } else if (!before) {
     ++release_counts_.none;
-  } else if (hold->renewals == 0) {
+  } else if (*before == 0) {
     ++release_counts_.unextended;
   } else {
     ++release_counts_.extended;
   }
 }
 
+// Called once the release has been applied: the hold is still there if it was extended before that.
+Reply Coordinator::ReplyToRelease(const ReleaseLock& release) const {
+  const auto renewals = RenewalsOf(release);
+  if (renewals) return ReleaseUnproven{*renewals};
+  return CommandResult(Done{});
+}
+
 // Updates a lock's deadline from its hold in the state.
 void Coordinator::UpdateHoldDeadline(Time now, const std::string& lock) {
   const auto held_lock = state_.holds().find(lock);
--- a/src/coordination/coordinator.hpp
+++ b/src/coordination/coordinator.hpp
@@ -7,6 +7,11 @@
 // and therefore later than for the caller. A new leader knows no earlier start, so it restarts each hold when
 // it starts to serve. The end itself is a command in the log, which does nothing if the hold was renewed
 // before.
+//
+// A release ends a hold only as it was when the release was sent. AcquireLock by the holder extends its hold
+// under the same fence, so the fence alone does not tell a release that was sent before from one that was
+// sent after. Each release therefore comes with the number of renewals that it is proven to have been sent
+// after, and is proposed as ExpireLock for exactly that number.
 #pragma once
 
 #include <cstdint>
@@ -38,6 +43,7 @@
     kNewLeaderExpiresHolds,    // ends the holds of an earlier leader at once
     kHoldExpiresEarly,         // a hold ends before the time that its caller counts
     kRenewalIgnored,           // a renewal does not extend the hold
+    kReleaseUnconditional,     // a release ends its hold however often that was extended since
     kRefusedAfterProposal,     // NotServed for a command that may still be committed
     kReadWithoutConfirmation,  // a leader answers reads without confirming its leadership
     kReadAtFollower,           // any member answers reads from its own state
@@ -64,6 +70,7 @@
   std::uint64_t unextended = 0;  // a hold that no AcquireLock or RenewLock had extended
   std::uint64_t extended = 0;    // a hold that one had
   std::uint64_t none = 0;        // no hold with that holder and fence
+  std::uint64_t unproven = 0;    // nothing: the hold had been extended more often than was proven
 };
 
 // One member. See the top of this file.
@@ -80,8 +87,8 @@
   std::optional<Time> NextDue() const;
 
   // Leads to one reply with this id, at once or later, unless Forget() is called first. A command or a read
-  // is answered within a few seconds.
-  void OnCall(Time now, CallId id, const Call& call, CoordinatorOutput& out);
+  // is answered within a few seconds. `proven` matters for ReleaseLock only.
+  void OnCall(Time now, CallId id, const Call& call, ProvenRenewals proven, CoordinatorOutput& out);
   void Forget(CallId id);  // drops the reply; a command still takes effect
   // Transfers leadership because the process is about to end. Complete once this member no longer leads.
   void BeginShutdown(Time now, CoordinatorOutput& out);
@@ -95,6 +102,7 @@
   struct PendingCommand {  // a command that waits for the entry at its index
     CallId id = 0;
     std::uint64_t term = 0;
+    std::optional<ReleaseLock> release;  // as it was called, if it is one
   };
   struct HoldDeadline {  // the earliest time at which this leader ends a hold
     FencingToken fence = 0;
@@ -106,7 +114,10 @@
   void RestoreSnapshot(const std::string& snapshot, std::vector<std::string>& log_lines);
   void HandleReplicaOutput(Time now, ReplicaOutput& replica_output, CoordinatorOutput& out);
   void ApplyEntry(Time now, const CommittedEntry& entry, CoordinatorOutput& out);
-  void CountRelease(const ReleaseLock& release);
+  std::optional<std::uint64_t> RenewalsOf(
+      const ReleaseLock& release) const;  // nullopt: there is no such hold
+  void CountRelease(std::optional<std::uint64_t> before, std::optional<std::uint64_t> after);
+  Reply ReplyToRelease(const ReleaseLock& release) const;
   void UpdateHoldDeadline(Time now, const std::string& lock);
   void StartServing(Time now);
   void StopServing(CoordinatorOutput& out);
@@ -115,8 +126,10 @@
   void ReplyToReadyWatches(const std::string& group, CoordinatorOutput& out);
   void ExpireHolds(Time now, ReplicaOutput& replica_output);
   void MaybeCompact(Time now, ReplicaOutput& replica_output);
-  void Execute(Time now, CallId id, const Command& command, ReplicaOutput& replica_output,
+  void Propose(Time now, PendingCommand pending, const Command& command, ReplicaOutput& replica_output,
                CoordinatorOutput& out);
+  void Release(Time now, CallId id, const ReleaseLock& release, ProvenRenewals proven,
+               ReplicaOutput& replica_output, CoordinatorOutput& out);
   void StartRead(Time now, CallId id, const Call& call, ReplicaOutput& replica_output,
                  CoordinatorOutput& out);
   NotServed NotServedReply() const;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -60,7 +60,7 @@
   Client(struct ev_loop* loop, Client& parent, std::string_view bytes);
 
   const http::Message& request() const { return request_; }
-  int socket() const { return descriptor_.fd(); }
+  int socket() const { return parent_ != nullptr ? parent_->socket() : descriptor_.fd(); }
   // Writes the final answer. The pieces of `head` are whole header lines.
   void Answer(int status, std::span<const iovec> head, std::string_view body);
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -116,10 +116,7 @@
   if (result.written > 0) owner_.OnWritten(*this);
 }
 
-bool Connection::Quiet() const {
-  char byte;
-  return in_.empty() && ::recv(descriptor_.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
-}
+bool Connection::Quiet() const { return in_.empty() && Peek(descriptor_.fd()) == ReadStatus::kNothing; }
 
 void Connection::ReadSome() {
   const ReadStatus status = ReadInto(descriptor_.fd(), in_, streaming_ ? kStreamRead : kUsualRead);
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -154,6 +154,14 @@
   return client.id;
 }
 
+Door::ClientState Door::StateOf(RequestId id) const {
+  const auto it = waiting_.find(id);
+  if (it == waiting_.end()) return ClientState::kGone;
+  const ReadStatus status = Peek(it->second->socket());
+  if (Over(status)) return ClientState::kGone;
+  return status == ReadStatus::kNothing ? ClientState::kSilent : ClientState::kSending;
+}
+
 const http::Message* Door::RequestOf(RequestId id) const {
   const auto it = waiting_.find(id);
   return it != waiting_.end() ? &it->second->request() : nullptr;
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -32,6 +32,13 @@
   void StopListening();
   std::uint16_t port() const { return port_; }
 
+  // The connection of a request that waits for its answer, as the system knows it by now.
+  enum class ClientState {
+    kSilent,   // open, with nothing unread
+    kSending,  // with bytes that were not read yet; its end may stand behind them
+    kGone      // ended or broken, or the request waits no more
+  };
+  ClientState StateOf(RequestId id) const;
   // The client's message that a request came in, while it waits for its answer.
   const http::Message* RequestOf(RequestId id) const;
   void Deliver(RequestId id, const http::Message& answer);
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -112,6 +112,11 @@
   return StatusOf(::recv(fd, nobodys.data(), nobodys.size(), MSG_DONTWAIT));
 }
 
+ReadStatus Peek(int fd) {
+  char byte = 0;
+  return StatusOf(::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT));
+}
+
 void LimitSilence(int socket, Duration longest) {
   const auto set = [&](int level, int option, int value) {
     ::setsockopt(socket, level, option, &value, sizeof value);
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -36,6 +36,8 @@
 inline bool Over(ReadStatus status) { return status == ReadStatus::kEnd || status == ReadStatus::kBroken; }
 // The same for bytes that nobody wants.
 ReadStatus Discard(int fd);
+// What a read would meet now: bytes, nothing yet, the other side's end or a broken connection. Reads nothing.
+ReadStatus Peek(int fd);
 
 // A TCP connection breaks where what was sent is not acknowledged for so long, and where the other side's
 // machine is silent for about as long while nothing is sent (whole seconds: one at the least).
--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -74,8 +74,10 @@
     watch->wait_ms = static_cast<std::uint32_t>(std::max<std::int64_t>(0, left.count()));
   }
   waiting.next = now + options_.next_member + WaitOf(waiting.call);
-  if (member.here()) return owner_.CallHere(number, coordination::Call(waiting.call));
-  owner_.SendTo(member.stream, CoordinationCall{number, coordination::Encode(waiting.call)});
+  if (member.here())
+    return owner_.CallHere(number, coordination::Call(waiting.call), waiting.proven_renewals);
+  owner_.SendTo(member.stream, CoordinationCall{number, coordination::Encode(waiting.call),
+                                                static_cast<std::int64_t>(waiting.proven_renewals)});
 }
 
 void CoordinationCalls::OnReply(Time now, std::uint64_t stream, std::uint64_t number, Reply reply) {
@@ -91,6 +93,11 @@
     if (waiting.asking == stream) AskNext(now, number);
     return;
   }
+  if (const auto* unproven = std::get_if<coordination::ReleaseUnproven>(&reply)) {
+    waiting.out.erase(out);
+    if (waiting.asking == stream) OnReleaseUnproven(now, number, unproven->renewals);
+    return;
+  }
   if (std::holds_alternative<coordination::OutcomeUnknown>(reply)) {
     // It stays in `out`: the command may take effect there. Whoever leads next finds out by a second one.
     if (Does(Options::Fault::kUnclearIsNothingDone)) waiting.out.erase(out);
@@ -109,6 +116,20 @@
   OnReply(now, 0, number, std::move(reply));
 }
 
+// The member that replied is asked again. If the caller cannot be seen to wait, that is later and without a
+// proof.
+void CoordinationCalls::OnReleaseUnproven(Time now, std::uint64_t number, std::uint64_t renewals) {
+  Waiting& waiting = waiting_.at(number);
+  waiting.asked.clear();
+  if (owner_.CallerWaits(number)) {
+    waiting.proven_renewals = std::max(waiting.proven_renewals, renewals);
+    return AskNext(now, number);
+  }
+  waiting.asking = 0;
+  waiting.next = now + waiting.pause;
+  waiting.pause = std::min(2 * waiting.pause, options_.next_member);
+}
+
 bool CoordinationCalls::NothingIsOut(const Waiting& waiting) const {
   return waiting.out.empty() || !IsCommand(waiting.call) || Does(Options::Fault::kRefusesWhatIsOut);
 }
--- a/src/system/coordination_calls.hpp
+++ b/src/system/coordination_calls.hpp
@@ -8,6 +8,12 @@
 // from then on it is never answered 503 or 429; without a clear reply in time it ends as kUnclear.
 //
 // A reply counts only on a stream that its call went out on.
+//
+// A release is sent with the number of renewals of its hold that it is proven to have been sent after: at
+// first 0, which its fence proves. If the leader replies that the hold has been extended more often, and the
+// caller still waits for its answer at that moment, the caller has not begun the lock again since: all those
+// renewals came before its release, which is sent again with their number. A release whose caller has gone
+// proves no more and ends nothing that was begun again.
 #pragma once
 
 #include <chrono>
@@ -69,7 +75,10 @@
     virtual std::vector<Candidate> ReachedMembers() = 0;  // in the roster's order
     virtual void SendTo(std::uint64_t stream, const Message& message) = 0;
     // This process's own member; it ends in OnReplyHere(), which may come at once.
-    virtual void CallHere(std::uint64_t number, const coordination::Call& call) = 0;
+    virtual void CallHere(std::uint64_t number, const coordination::Call& call,
+                          coordination::ProvenRenewals proven) = 0;
+    // Whether the caller is known to wait for its answer at this moment. False if it cannot be told.
+    virtual bool CallerWaits(std::uint64_t number) = 0;
     virtual void ForgetHere(std::uint64_t number) = 0;
   };
 
@@ -92,6 +101,7 @@
  private:
   struct Waiting {
     coordination::Call call;
+    std::uint64_t proven_renewals = 0;  // of a release
     OnAnswer answer;
     Time ends, next;
     Duration pause{};                // before all are asked once more
@@ -102,6 +112,7 @@
 
   void AskNext(Time now, std::uint64_t number);
   void Ask(Time now, std::uint64_t number, const Candidate& member);
+  void OnReleaseUnproven(Time now, std::uint64_t number, std::uint64_t renewals);
   void Finish(std::uint64_t number, Answer answer);
   void FinishLate(std::uint64_t number);  // its time is over
   void TellForgotten(std::uint64_t stream, std::uint64_t number);
--- a/src/system/coordination_host.cpp
+++ b/src/system/coordination_host.cpp
@@ -56,13 +56,14 @@
   Execute(std::move(out));
 }
 
-void CoordinationHost::OnCall(std::uint64_t stream, std::uint64_t number, const coordination::Call& call) {
+void CoordinationHost::OnCall(std::uint64_t stream, std::uint64_t number, const coordination::Call& call,
+                              coordination::ProvenRenewals proven) {
   const coordination::CallId id = next_id_++;
   const Origin origin{stream, number};
   origins_[id] = origin;
   ids_.emplace(origin, id);
   CoordinatorOutput out;
-  coordinator_.OnCall(Now(), id, call, out);
+  coordinator_.OnCall(Now(), id, call, proven, out);
   Execute(std::move(out));
 }
 
--- a/src/system/coordination_host.hpp
+++ b/src/system/coordination_host.hpp
@@ -39,7 +39,8 @@
   void Tick();
   // `stream`: that the call came on; 0: from this process. Answered once by SendTo() or
   // OnCoordinationReply().
-  void OnCall(std::uint64_t stream, std::uint64_t number, const coordination::Call& call);
+  void OnCall(std::uint64_t stream, std::uint64_t number, const coordination::Call& call,
+              coordination::ProvenRenewals proven);
   void Forget(std::uint64_t stream, std::uint64_t number);
   void OnStreamDown(std::uint64_t stream);
   void Leave();  // the process is about to end
--- a/src/system/coordination_http.cpp
+++ b/src/system/coordination_http.cpp
@@ -149,6 +149,7 @@
   HttpAnswer operator()(const HistoryExpired&) const { return {410, "{}"}; }
   HttpAnswer operator()(const NotServed&) const { return {503, "{}"}; }
   HttpAnswer operator()(const OutcomeUnknown&) const { return {504, "{}"}; }
+  HttpAnswer operator()(const ReleaseUnproven&) const { return {503, "{}"}; }
 };
 
 }  // namespace
--- a/src/system/message.cpp
+++ b/src/system/message.cpp
@@ -42,7 +42,7 @@
 }
 
 auto Fields(CoordinationBytes& m) { return std::tie(m.bytes); }
-auto Fields(CoordinationCall& m) { return std::tie(m.number, m.call); }
+auto Fields(CoordinationCall& m) { return std::tie(m.number, m.call, m.proven_renewals); }
 auto Fields(CoordinationReply& m) { return std::tie(m.number, m.reply); }
 auto Fields(CoordinationLeader& m) { return std::tie(m.term, m.name); }
 auto Fields(CoordinationForget& m) { return std::tie(m.number); }
@@ -64,6 +64,8 @@
 constexpr std::size_t kLater<AddUnits> = 3;
 template <>
 constexpr std::size_t kLater<Total> = 1;
+template <>
+constexpr std::size_t kLater<CoordinationCall> = 1;
 
 template <typename T>
 bool Sound(const T&) {
--- a/src/system/message.hpp
+++ b/src/system/message.hpp
@@ -147,6 +147,7 @@
 struct CoordinationCall {
   std::uint64_t number = 0;
   std::string call;
+  std::int64_t proven_renewals = -1;  // coordination::ProvenRenewals of a release; below 0: not told
 };
 struct CoordinationReply {  // coordination::Reply
   std::uint64_t number = 0;
--- a/src/system/node_coordination.cpp
+++ b/src/system/node_coordination.cpp
@@ -39,9 +39,11 @@
   }
   const std::uint64_t number = next_number_++;
   coordination_numbers_[call.id] = number;
+  coordination_callers_.emplace(number, call.id);
   coordination_calls_.Begin(Now(), number, std::move(*decoded),
-                            [this, id = call.id](const CoordinationCalls::Answer& answer) {
+                            [this, number, id = call.id](const CoordinationCalls::Answer& answer) {
                               coordination_numbers_.erase(id);
+                              coordination_callers_.erase(number);
                               const HttpAnswer http = EncodeAnswer(answer);
                               ++coordination_ends_.answered[http.status];
                               ReplyJson(id, http.status, http.body);
@@ -64,7 +66,10 @@
   if (!call || !coordination_ || call_pause_watch_.InputMayBeOld(Now()))
     return stream.Send(Encode(CoordinationReply{
         message.number, coordination::Encode(coordination::Reply(coordination::NotServed{}))}));
-  coordination_->OnCall(stream.number, message.number, *call);
+  // Versions before this one prove nothing of a release.
+  const auto proven = message.proven_renewals < 0 ? coordination::ProvenRenewals()
+                                                  : static_cast<std::uint64_t>(message.proven_renewals);
+  coordination_->OnCall(stream.number, message.number, *call, proven);
 }
 
 void Node::Handle(Link::Stream& stream, CoordinationReply& message) {
@@ -116,8 +121,16 @@
   return members;
 }
 
-void Node::CallHere(std::uint64_t number, const coordination::Call& call) {
-  coordination_->OnCall(0, number, call);
+void Node::CallHere(std::uint64_t number, const coordination::Call& call,
+                    coordination::ProvenRenewals proven) {
+  coordination_->OnCall(0, number, call, proven);
+}
+
+// Bytes that were not read yet may hide the connection's end.
+bool Node::CallerWaits(std::uint64_t number) {
+  const auto caller = coordination_callers_.find(number);
+  return caller != coordination_callers_.end() &&
+         control_.StateOf(caller->second) == net::Door::ClientState::kSilent;
 }
 
 // The core may have been closed since the call.
--- a/tests/coordination/cluster.hpp
+++ b/tests/coordination/cluster.hpp
@@ -151,13 +151,13 @@
   std::function<void(std::size_t member)> on_step;
 
   // Sends a call to this member. Does nothing if it is not running; there may never be a reply.
-  void Call(std::size_t i, const coordination::Call& call, OnReply on_reply) {
-    RunInProcess(i, [this, i, call, on_reply = std::move(on_reply)] {
+  void Call(std::size_t i, const coordination::Call& call, OnReply on_reply, ProvenRenewals proven = 0) {
+    RunInProcess(i, [this, i, call, proven, on_reply = std::move(on_reply)] {
       Node& node = *nodes_[i];
       const CallId id = ++last_call_;
       node.pending_replies[id] = on_reply;
       CoordinatorOutput out;
-      node.coordinator->OnCall(now_, id, call, out);
+      node.coordinator->OnCall(now_, id, call, proven, out);
       HandleOutput(i, std::move(out));
     });
   }
--- a/tests/coordination/coordinator_test.cpp
+++ b/tests/coordination/coordinator_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace curlewdoor::coordination {
 namespace {
@@ -29,15 +30,26 @@
       HandleOutput(out);
     }
   }
-  std::optional<Reply> CallAndWait(const Call& call) {
+  std::optional<Reply> CallAndWait(const Call& call, ProvenRenewals proven = 0) {
     const CallId id = ++last_id_;
     CoordinatorOutput out;
-    member_.OnCall(now_, id, call, out);
+    member_.OnCall(now_, id, call, proven, out);
     HandleOutput(out);
     Run(milliseconds(100));
     const auto found = replies_.find(id);
     return found == replies_.end() ? std::nullopt : std::optional(found->second);
   }
+  // Calls that come in one moment, before any of them is applied.
+  std::vector<Reply> CallTogether(const std::vector<Call>& calls) {
+    const CallId first = last_id_ + 1;
+    CoordinatorOutput out;
+    for (const Call& call : calls) member_.OnCall(now_, ++last_id_, call, 0, out);
+    HandleOutput(out);
+    Run(milliseconds(100));
+    std::vector<Reply> replies;
+    for (CallId id = first; id <= last_id_; ++id) replies.push_back(replies_.at(id));
+    return replies;
+  }
   const Coordinator& member() const { return member_; }
 
   static inline const Member kSelf{{"core-1", 1}, "10.0.0.1:1"};
@@ -59,6 +71,46 @@
   std::map<CallId, Reply> replies_;
 };
 
+// Guards against a late release that ends a hold which its holder began again (ONE), at the leader.
+BOOST_AUTO_TEST_CASE(a_release_ends_a_hold_only_as_it_was_when_the_release_was_sent) {
+  SingleMember member;
+  const AcquireLock acquire{"l", "x", 20'000};
+  BOOST_TEST((member.CallAndWait(acquire) == Reply(CommandResult(LockGranted{1}))));
+  BOOST_TEST((member.CallAndWait(acquire) == Reply(CommandResult(LockGranted{1}))));
+  BOOST_TEST((member.CallAndWait(RenewLock{"l", "x", 1, 20'000}) == Reply(CommandResult(Done{}))));
+  const ReleaseLock release{"l", "x", 1};
+  BOOST_TEST((member.CallAndWait(release) == Reply(ReleaseUnproven{2})));
+  BOOST_TEST((member.CallAndWait(release, 1) == Reply(ReleaseUnproven{2})));
+  BOOST_TEST(member.member().state().holds().size() == 1u);
+  BOOST_TEST((member.CallAndWait(release, 2) == Reply(CommandResult(Done{}))));
+  BOOST_TEST(member.member().state().holds().empty());
+  BOOST_TEST((member.CallAndWait(release) == Reply(CommandResult(Done{}))));
+  BOOST_TEST(member.member().release_counts().extended == 1u);
+  BOOST_TEST(member.member().release_counts().unproven == 2u);
+  BOOST_TEST(member.member().release_counts().none == 1u);
+}
+
+// The renewal is in the log before the release, and applied by the time that both are committed.
+BOOST_AUTO_TEST_CASE(a_release_that_was_proposed_behind_a_renewal_does_nothing) {
+  SingleMember member;
+  const AcquireLock acquire{"l", "x", 20'000};
+  member.CallAndWait(acquire);
+  const auto replies = member.CallTogether({acquire, ReleaseLock{"l", "x", 1}});
+  BOOST_TEST((replies[0] == Reply(CommandResult(LockGranted{1}))));
+  BOOST_TEST((replies[1] == Reply(ReleaseUnproven{1})));
+  BOOST_TEST(member.member().state().holds().size() == 1u);
+}
+
+// A gateway of an earlier version proves nothing.
+BOOST_AUTO_TEST_CASE(a_release_without_a_proof_is_unconditional) {
+  SingleMember member;
+  const AcquireLock acquire{"l", "x", 20'000};
+  member.CallAndWait(acquire);
+  member.CallAndWait(acquire);
+  BOOST_TEST((member.CallAndWait(ReleaseLock{"l", "x", 1}, std::nullopt) == Reply(CommandResult(Done{}))));
+  BOOST_TEST(member.member().state().holds().empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_watch_of_many_events_is_told_them_in_parts_that_join) {
   CoordinatorOptions options;
   options.max_watch_bytes = 1000;
--- a/tests/coordination/explorer.hpp
+++ b/tests/coordination/explorer.hpp
@@ -35,6 +35,8 @@
   kAcquireB,
   kRenewA,
   kReleaseA,
+  kReleaseLateA,  // caller A sends a release and dies; the release is held up
+  kLateReleaseArrives,
   kNumber,
   kPut,          // a new value, expecting the newest revision known to the caller
   kResend,       // the newest put again, whatever its reply was
@@ -189,7 +191,9 @@
   // False if the caller has no reason for this action now.
   bool CanIssue(CallerAction action) const {
     if (action == CallerAction::kRenewA) return callers_[0].fence != 0 && now_ < callers_[0].until;
-    if (action == CallerAction::kReleaseA) return callers_[0].fence != 0;
+    if (action == CallerAction::kReleaseA || action == CallerAction::kReleaseLateA)
+      return callers_[0].fence != 0;
+    if (action == CallerAction::kLateReleaseArrives) return !late_releases_.empty();
     if (action == CallerAction::kResend) return !puts_.empty();
     if (action == CallerAction::kResendFirst) return puts_.size() > 1;
     return true;
@@ -199,17 +203,20 @@
       case CallerAction::kAcquireA:
       case CallerAction::kAcquireB: {
         const std::size_t caller = action == CallerAction::kAcquireB;
+        if (caller == 0) NoteCallerGone();
         return Send(member, {action, caller}, AcquireLock{"l", Holder(caller), Milliseconds(kHoldTime)});
       }
       case CallerAction::kRenewA:
         return Send(member, {action, 0}, RenewLock{"l", "A", callers_[0].fence, Milliseconds(kHoldTime)});
-      case CallerAction::kReleaseA: {
-        const FencingToken fence = callers_[0].fence;
-        callers_[0] = {};
-        std::erase_if(calls_, [](const auto& each) {
-          return each.second.action == CallerAction::kAcquireA || each.second.action == CallerAction::kRenewA;
-        });
-        return Send(member, {action, 0}, ReleaseLock{"l", "A", fence});
+      case CallerAction::kReleaseA:
+        return SendRelease(member, EndHoldOfA(), 0, true);
+      case CallerAction::kReleaseLateA:
+        late_releases_.push_back(EndHoldOfA());
+        return;
+      case CallerAction::kLateReleaseArrives: {
+        const FencingToken fence = late_releases_.front();
+        late_releases_.erase(late_releases_.begin());
+        return SendRelease(member, fence, 0, false);
       }
       case CallerAction::kNumber:
         return Send(member, {action, 0, highest_number_}, TakeNumber{"n"});
@@ -265,6 +272,10 @@
     Time sent{};
     std::size_t member = 0;
     bool lost = false;
+    // Of a release:
+    FencingToken fence = 0;
+    std::uint64_t proven_renewals = 0;
+    bool caller_waits = false;  // for its answer; else its process has ended
   };
   struct Caller {
     FencingToken fence = 0;
@@ -342,9 +353,35 @@
     const CallId id = ++last_call_;
     calls_[id] = pending;
     CoordinatorOutput out;
-    nodes_[member].coordinator->OnCall(now_, id, call, out);
+    nodes_[member].coordinator->OnCall(now_, id, call, pending.proven_renewals, out);
     HandleOutput(member, std::move(out));
   }
+  // Caller A counts itself holder no more. Returns its fence.
+  FencingToken EndHoldOfA() {
+    const FencingToken fence = callers_[0].fence;
+    callers_[0] = {};
+    std::erase_if(calls_, [](const auto& each) {
+      return each.second.action == CallerAction::kAcquireA || each.second.action == CallerAction::kRenewA;
+    });
+    return fence;
+  }
+  // A caller sends one call after another: one that acquires the lock waits for no earlier release.
+  void NoteCallerGone() {
+    for (auto& [id, call] : calls_) call.caller_waits = false;
+  }
+  void SendRelease(std::size_t member, FencingToken fence, std::uint64_t proven, bool caller_waits) {
+    PendingCall pending;
+    pending.action = CallerAction::kReleaseA;
+    pending.fence = fence;
+    pending.proven_renewals = proven;
+    pending.caller_waits = caller_waits;
+    Send(member, pending, ReleaseLock{"l", "A", fence});
+  }
+  // As CoordinationCalls does.
+  void OnReleaseUnproven(const PendingCall& pending, std::uint64_t renewals) {
+    if (pending.caller_waits && running(pending.member))
+      SendRelease(pending.member, pending.fence, renewals, true);
+  }
   void SendPut(std::size_t member, std::size_t number) {
     Put& put = puts_[number];
     ++put.open;
@@ -360,6 +397,8 @@
     calls_.erase(found);
     ++answered_;
     if (pending.action == CallerAction::kPut) return OnPut(pending, reply);
+    if (const auto* unproven = std::get_if<ReleaseUnproven>(&reply))
+      return OnReleaseUnproven(pending, unproven->renewals);
     if (const auto* read = std::get_if<ReadResult>(&reply)) return OnRead(pending, *read);
     if (const auto* watched = std::get_if<WatchResult>(&reply)) return OnWatched(pending, *watched);
     if (std::holds_alternative<HistoryExpired>(reply)) {
@@ -496,6 +535,7 @@
   std::string violation_;
   // What the callers know.
   std::vector<Caller> callers_{2};
+  std::vector<FencingToken> late_releases_;  // of caller A, which are held up
   std::map<FencingToken, FencedGrant> grants_by_fence_;
   std::set<std::uint64_t> numbers_;
   std::uint64_t highest_number_ = 0;
@@ -575,9 +615,18 @@
   }
 
   bool ExploreCalls(const SimulatedCluster& cluster, const Remaining& remaining, int depth) {
-    static const std::vector<std::string> kNames = {"begin-A", "begin-B", "renew-A", "finish-A",
-                                                    "number",  "put",     "resend",  "resend-first",
-                                                    "read",    "watch"};
+    static const std::vector<std::string> kNames = {"begin-A",
+                                                    "begin-B",
+                                                    "renew-A",
+                                                    "finish-A",
+                                                    "finish-A-held-up",
+                                                    "held-up-finish-arrives",
+                                                    "number",
+                                                    "put",
+                                                    "resend",
+                                                    "resend-first",
+                                                    "read",
+                                                    "watch"};
     for (const CallerAction action : bounds_.actions) {
       if (!cluster.CanIssue(action)) continue;
       std::set<std::size_t> members;
--- a/tests/coordination/history/applications.hpp
+++ b/tests/coordination/history/applications.hpp
@@ -28,6 +28,7 @@
 class Applications {
  public:
   static constexpr double kResendSeconds = 3;  // retries of one call
+  static constexpr double kDiesAfterSeconds = 0.02;
 
   Applications(Environment& environment, const ApplicationOptions& options)
       : environment_(environment), options_(options) {
@@ -88,7 +89,9 @@
   static double HoldEnd(const Seen& call) { return call.sent + static_cast<double>(call.hold_ms) / 1000; }
 
   void Acquire(const std::string& holder) {
-    const std::string lock = fmt::format("l{}", environment_.Pick(options_.locks));
+    AcquireLockNamed(fmt::format("l{}", environment_.Pick(options_.locks)), holder);
+  }
+  void AcquireLockNamed(const std::string& lock, const std::string& holder) {
     const std::uint64_t hold_ms = 300 + environment_.Pick(1700);
     environment_.SendUntilClear(
         LockSeen(Kind::kBegin, lock, holder, hold_ms, 0), AcquireLock{lock, holder, hold_ms}, kResendSeconds,
@@ -126,13 +129,18 @@
   }
   void Release(const Seen& begin) {
     const Seen seen = LockSeen(Kind::kFinish, begin.name, begin.holder, 0, begin.fence);
-    environment_.SendUntilClear(seen, ReleaseLock{seen.name, seen.holder, seen.fence}, kResendSeconds,
-                                [=, this](const Seen& answered) {
-                                  // An unanswered release may arrive late and end the next hold if that has
-                                  // the same fence. Wait until no hold can have this fence.
-                                  const double pause = answered.good() ? 0 : 8;
-                                  RunAfter(pause, pause + 0.3, [=, this] { Acquire(begin.holder); });
-                                });
+    const ReleaseLock release{seen.name, seen.holder, seen.fence};
+    if (environment_.Pick(3) == 0) return DieAfter(seen, release);
+    environment_.SendUntilClear(seen, release, kResendSeconds, [=, this](const Seen&) {
+      RunAfter(0, 0.3, [=, this] { Acquire(begin.holder); });
+    });
+  }
+  // Dies soon after it has sent the release, starts again and acquires the same lock: the release may arrive
+  // after that and must not end the new hold.
+  void DieAfter(const Seen& seen, const ReleaseLock& release) {
+    environment_.SendUntilClear(seen, release, kDiesAfterSeconds, [=, this](const Seen&) {
+      RunAfter(0.01, 0.05, [=, this] { AcquireLockNamed(release.lock, release.holder); });
+    });
   }
 
   // ---- Numbers
--- a/tests/coordination/history/simulation.hpp
+++ b/tests/coordination/history/simulation.hpp
@@ -51,12 +51,13 @@
     for (Connection& connection : connections_) connection = {};
   }
   void Freeze() { frozen_ = calls_ != nullptr; }
-  // Handles the deferred events in order. Calls that arrived meanwhile are refused, as their callers gave up.
+  // Handles the deferred events and the calls that arrived meanwhile, in order. A caller that has gone is not
+  // known to have: its call is passed on.
   void Thaw() {
     frozen_ = false;
     auto deferred = std::exchange(deferred_, {});
     auto deferred_calls = std::exchange(deferred_calls_, {});
-    for (auto& answer : deferred_calls) answer({CoordinationCalls::End::kNothingDone, std::nullopt});
+    for (ArrivedCall& arrived : deferred_calls) Call(std::move(arrived));
     for (auto& action : deferred) action();
   }
 
@@ -83,12 +84,20 @@
     }
   }
 
-  void Call(const coordination::Call& call, OnAnswer answer) {
+  // A call, and whether its caller still waits for the answer.
+  struct ArrivedCall {
+    coordination::Call call;
+    std::function<bool()> caller_waits;
+    OnAnswer answer;
+  };
+  void Call(ArrivedCall arrived) {
     if (frozen_) {
-      deferred_calls_.push_back(std::move(answer));
+      deferred_calls_.push_back(std::move(arrived));
       return;
     }
-    calls_->Begin(cluster_.now(), ++last_number_, call, std::move(answer));
+    const std::uint64_t number = ++last_number_;
+    callers_[number] = std::move(arrived.caller_waits);
+    calls_->Begin(cluster_.now(), number, std::move(arrived.call), std::move(arrived.answer));
   }
   void NotifyLeader(std::uint64_t term, const std::string& name) {
     RunInProcess([this, term, name] { calls_->OnLeader(cluster_.now(), term, name); });
@@ -115,20 +124,24 @@
     const auto* sent = std::get_if<system::CoordinationCall>(&message);
     if (sent == nullptr) return;  // a CoordinationForget
     const std::size_t member = MemberOf(stream);
-    SendThrough(member, stream, true, [this, member, stream, number = sent->number, bytes = sent->call] {
-      cluster_.Call(member, *DecodeCall(bytes), [this, member, stream, number](const Reply& reply) {
+    SendThrough(member, stream, true, [this, member, stream, sent = *sent] {
+      const auto on_reply = [this, member, stream, number = sent.number](const Reply& reply) {
         SendThrough(member, stream, false, [this, stream, number, reply] {
           RunInProcess(
               [this, stream, number, reply] { calls_->OnReply(cluster_.now(), stream, number, reply); });
         });
-      });
+      };
+      cluster_.Call(member, *DecodeCall(sent.call), on_reply,
+                    static_cast<std::uint64_t>(sent.proven_renewals));
     });
   }
-  void CallHere(std::uint64_t number, const coordination::Call& call) override {
-    cluster_.Call(*local_member_, call, [this, number, process = process_](const Reply& reply) {
+  void CallHere(std::uint64_t number, const coordination::Call& call, ProvenRenewals proven) override {
+    const auto on_reply = [this, number, process = process_](const Reply& reply) {
       if (process == process_ && calls_) calls_->OnReplyHere(cluster_.now(), number, reply);
-    });
+    };
+    cluster_.Call(*local_member_, call, on_reply, proven);
   }
+  bool CallerWaits(std::uint64_t number) override { return callers_.at(number)(); }
   void ForgetHere(std::uint64_t) override {}
 
  private:
@@ -192,7 +205,8 @@
   std::unique_ptr<CoordinationCalls> calls_;
   std::vector<Connection> connections_;
   std::vector<std::function<void()>> deferred_;
-  std::vector<OnAnswer> deferred_calls_;
+  std::vector<ArrivedCall> deferred_calls_;
+  std::map<std::uint64_t, std::function<bool()>> callers_;  // whether they wait, by the call's number
   bool frozen_ = false;
   std::uint64_t process_ = 0, last_stream_ = 0, last_number_ = 0;
 };
@@ -259,20 +273,21 @@
       on_seen(answered);
     };
     cluster.At(Draw(patience, patience), [seen, end] { end(seen); });
-    cluster.At(Draw(0.0003, 0.003), [this, seen, call, end] {
+    cluster.At(Draw(0.0003, 0.003), [this, seen, call, over, end] {
       SimulatedGateway& gateway = *gateways[Pick(gateways.size())];
       if (!gateway.running()) {
         cluster.At(milliseconds(1), [seen, end] { end(seen); });  // refused
         return;
       }
-      gateway.Call(call, [this, seen, end](const CoordinationCalls::Answer& answer) {
+      const auto on_answer = [this, seen, end](const CoordinationCalls::Answer& answer) {
         Seen answered = seen;
         Fill(answered, answer);
         cluster.At(Draw(0.0003, 0.003), [this, answered, end]() mutable {
           answered.answered = Seconds();
           end(answered);
         });
-      });
+      };
+      gateway.Call({call, [over] { return !*over; }, on_answer});
     });
   }
   // Retries at random gateways until there is a definite answer or `patience` seconds have passed.
--- a/tests/coordination/history_search_test.cpp
+++ b/tests/coordination/history_search_test.cpp
@@ -348,6 +348,10 @@
   return SeedThatFinds(
       [fault](SimulationOptions& options) { options.cluster.coordinator.replica.fault = fault; }, names);
 }
+std::uint64_t Finds(CoordinatorOptions::Fault fault, std::vector<const char*> names) {
+  return SeedThatFinds([fault](SimulationOptions& options) { options.cluster.coordinator.fault = fault; },
+                       names);
+}
 std::uint64_t Finds(StateMachineLimits::Fault fault, std::vector<const char*> names) {
   return SeedThatFinds(
       [fault](SimulationOptions& options) { options.cluster.coordinator.limits.fault = fault; }, names);
@@ -357,6 +361,9 @@
   BOOST_TEST(SeedThatFinds([](SimulationOptions& options) { options.returns_503_after_send = true; },
                            {"kills", "cuts"}) > 0U);
 }
+BOOST_AUTO_TEST_CASE(finds_a_late_release_that_ends_a_hold_acquired_again) {
+  BOOST_TEST(Finds(CoordinatorOptions::Fault::kReleaseUnconditional, {"freezes", "three", "cuts"}) > 0U);
+}
 BOOST_AUTO_TEST_CASE(finds_a_resend_applied_twice) {
   BOOST_TEST(Finds(StateMachineLimits::Fault::kResendAppliedTwice, {"kills", "cuts"}) > 0U);
 }
--- a/tests/coordination/model_check_test.cpp
+++ b/tests/coordination/model_check_test.cpp
@@ -44,6 +44,12 @@
   fences.waits = 2;
   fences.restarts = fences.wipes = fences.kills = 1;
   fences.compact_after_entries = 1;
+  auto& late = add("a lock, late releases of a caller that died, slow messages, a killed leader",
+                   {CallerAction::kAcquireA, CallerAction::kAcquireB, CallerAction::kReleaseA,
+                    CallerAction::kReleaseLateA, CallerAction::kLateReleaseArrives});
+  late.in_flight = 2;
+  late.rounds = 2;
+  late.waits = late.kills = 1;
   auto& puts = add("puts and retries, an isolated leader",
                    {CallerAction::kPut, CallerAction::kResend, CallerAction::kRead});
   puts.waits = 2;
@@ -159,6 +165,10 @@
   of_coordinator(CoordinatorFault::kRenewalIgnored, "a renewal does not extend the hold",
                  {CallerAction::kAcquireA, CallerAction::kAcquireB, CallerAction::kRenewA})
       .waits = 3;
+  of_coordinator(CoordinatorFault::kReleaseUnconditional,
+                 "a late release ends a hold that was acquired again",
+                 {CallerAction::kAcquireA, CallerAction::kAcquireB, CallerAction::kReleaseLateA,
+                  CallerAction::kLateReleaseArrives});
   auto& refused =
       of_coordinator(CoordinatorFault::kRefusedAfterProposal, "rejects a command that it has proposed",
                      {CallerAction::kPut, CallerAction::kRead});
--- a/tests/system/coordination_calls_test.cpp
+++ b/tests/system/coordination_calls_test.cpp
@@ -26,18 +26,21 @@
   struct Asked {
     std::uint64_t stream = 0, number = 0;
     Call call;
+    ProvenRenewals proven;
   };
   std::vector<CoordinationCalls::Candidate> ReachedMembers() override { return members; }
   void SendTo(std::uint64_t stream, const Message& message) override {
     if (const auto* call = std::get_if<CoordinationCall>(&message))
-      asked.push_back({stream, call->number, *DecodeCall(call->call)});
+      asked.push_back(
+          {stream, call->number, *DecodeCall(call->call), static_cast<std::uint64_t>(call->proven_renewals)});
     if (const auto* forget = std::get_if<CoordinationForget>(&message))
       forgotten.emplace_back(stream, forget->number);
   }
-  void CallHere(std::uint64_t number, const Call& call) override {
-    asked.push_back({kHere, number, call});
+  void CallHere(std::uint64_t number, const Call& call, ProvenRenewals proven) override {
+    asked.push_back({kHere, number, call, proven});
     if (on_here) on_here(number);
   }
+  bool CallerWaits(std::uint64_t) override { return caller_waits; }
   void ForgetHere(std::uint64_t number) override { forgotten.emplace_back(kHere, number); }
 
   void Begin(std::uint64_t number, Call call = TakeNumber{"n"}) {
@@ -64,6 +67,7 @@
 
   std::vector<CoordinationCalls::Candidate> members{{"a", 1}, {"b", 2}, {"c", 3}};
   std::vector<Asked> asked;
+  bool caller_waits = true;
   std::vector<std::pair<std::uint64_t, std::uint64_t>> forgotten;  // stream, number
   std::map<std::uint64_t, CoordinationCalls::Answer> answers;
   std::function<void(std::uint64_t)> on_here, on_answer;
@@ -87,6 +91,32 @@
   BOOST_TEST(gateway.last() == 3u);
 }
 
+// Guards against a late release that ends a hold which its holder began again (ONE), at the gateway.
+BOOST_AUTO_TEST_CASE(a_release_proves_later_renewals_only_while_its_caller_waits) {
+  for (const bool caller_waits : {true, false}) {
+    Gateway gateway;
+    gateway.caller_waits = caller_waits;
+    gateway.Begin(1, ReleaseLock{"l", "x", 5});
+    BOOST_TEST(gateway.asked.back().proven.value() == 0u);
+    gateway.Reply(gateway.last(), 1, ReleaseUnproven{3});
+    gateway.Pass(milliseconds(400));
+    BOOST_TEST(gateway.asked.size() > 1u);
+    BOOST_TEST(gateway.asked.back().proven.value() == (caller_waits ? 3u : 0u));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_unproven_release_has_done_nothing) {
+  Gateway gateway;
+  gateway.members = {{"a", 1}};
+  gateway.caller_waits = false;
+  gateway.Begin(1, ReleaseLock{"l", "x", 5});
+  for (int i = 0; i < 200 && !gateway.EndOf(1); ++i) {
+    gateway.Reply(1, 1, ReleaseUnproven{1});
+    gateway.Pass(milliseconds(10));
+  }
+  BOOST_TEST((gateway.EndOf(1) == End::kNothingDone));
+}
+
 BOOST_AUTO_TEST_CASE(hints_in_a_circle_end_and_nothing_was_done) {
   Gateway gateway;
   gateway.Begin(1);
@@ -349,7 +379,8 @@
   void SendTo(std::uint64_t stream, const Message& message) override {
     if (std::holds_alternative<CoordinationCall>(message)) copies_.push_back({stream});
   }
-  void CallHere(std::uint64_t, const Call&) override { copies_.push_back({kHere}); }
+  void CallHere(std::uint64_t, const Call&, ProvenRenewals) override { copies_.push_back({kHere}); }
+  bool CallerWaits(std::uint64_t) override { return true; }
   void ForgetHere(std::uint64_t) override {}
 
   bool Up(std::uint64_t stream) const {
