--- a/src/events/events.hpp
+++ b/src/events/events.hpp
@@ -103,7 +103,8 @@
     Entry{Event::kTermReceived, Level::kInfo, "term-received", "SIGTERM came; no new connections are taken"},
     Entry{Event::kDrained, Level::kInfo, "drained", "all requests in flight are answered"},
     Entry{Event::kDrainCutShort, Level::kWarn, "drain-cut-short",
-          "requests were still open at the end of the time for draining"},
+          "requests were still open at the end of the time for draining: how many, how many of them at "
+          "hosts, and when the last one was taken"},
     Entry{Event::kEnded, Level::kInfo, "ended", "the process ends by itself"},
     Entry{Event::kFailed, Level::kError, "failed", "the process ends by an error that it can't go on after"},
     Entry{Event::kProcessPaused, Level::kWarn, "process-paused",
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -456,6 +456,16 @@
     it->second.course.MarkBodyReleased();
 }
 
+Front::OpenWork Front::CountOpenWork() const {
+  OpenWork work;
+  work.requests = requests_.size();
+  for (const auto& [id, request] : requests_) {
+    if (request.course.state() == retry::AttemptState::kSent) ++work.at_hosts;
+    work.last_arrival = std::max(work.last_arrival, request.arrived);
+  }
+  return work;
+}
+
 // ---- Times --------------------------------------------------------------------------------------------
 
 void Front::StartTimer(const SetTimer& timer) {
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -68,6 +68,13 @@
   // Frees what was closed. Not from within an event of a connection.
   void ReapAll();
   std::size_t open_requests() const { return requests_.size(); }
+  // Requests that wait for their answer.
+  struct OpenWork {
+    std::size_t requests = 0;
+    std::size_t at_hosts = 0;  // of these, written whole to a host
+    TimePoint last_arrival{};  // of the youngest
+  };
+  OpenWork CountOpenWork() const;
 
   struct Figures {
     std::uint64_t requests = 0, passed = 0, declined = 0, beyond_quota = 0, failed = 0, again = 0;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -267,8 +267,20 @@
   fleet::ProtocolOutput out;
   fleet_->Leave(Now(), out);
   ExecuteFleet(out);
-  Say(front_.owes_anything() ? Event::kDrainCutShort : Event::kDrained, settings_.node_name);
+  if (front_.owes_anything()) {
+    Say(Event::kDrainCutShort, settings_.node_name + DescribeOpenWork());
+  } else {
+    Say(Event::kDrained, settings_.node_name);
+  }
   ev_break(loop_, EVBREAK_ALL);
 }
 
+std::string Node::DescribeOpenWork() const {
+  const Front::OpenWork work = front_.CountOpenWork();
+  if (work.requests == 0) return ": connections only";
+  const auto last = std::chrono::duration_cast<milliseconds>(work.last_arrival - Net(term_at_));
+  return ": " + std::to_string(work.requests) + " requests, " + std::to_string(work.at_hosts) +
+         " at hosts, the last taken " + std::to_string(last.count()) + " ms after SIGTERM";
+}
+
 }  // namespace curlewdoor::system
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -278,6 +278,7 @@
   void SetReady();
   void OnTerm();
   void End();
+  std::string DescribeOpenWork() const;  // for the log
 
   struct ev_loop* loop_;
   settings::NodeSettings settings_;
