A leaving gateway passes on only what can be answered before it ends

Cause: nothing that takes a request in or begins an attempt knew when the process ends, and the end cut everything, also what no host had yet.

Change: net::DrainSchedule, pure, says for the time after a SIGTERM what may be given to a host: what expires before the last answers, and for the 2 s in which the platform still brings connections what is likely to end in time. Bodies that are still coming then and outlast the process are declined after 2 s; 0.2 s before the end what no host has whole is declined; at the end itself nothing more is passed on. What can be finished is served. Figure too_late_total.

--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -191,6 +191,7 @@
   ArmTimer();
   const std::size_t service = split_sequence_.Next(*request.route);
   request.service = &ServiceOf(request.policy->services()[service].name);
+  if (!MayFinish(request)) return ConcludeTooLate(request);
   request.service->budget.OnRequest(Now());
   const auto plan = plans_.find(request.tenant);
   if (request.tenant.empty() || plan == plans_.end()) return Dispatch(request);
@@ -257,6 +258,7 @@
 
 void Front::Attempt(Request& request) {
   const TimePoint now = Now();
+  if (!MayFinish(request)) return ConcludeTooLate(request);
   const auto host = request.service->chooser.Choose(now, request.tried);
   if (!host) {
     events::Say(events::Event::kNoHost, request.service->name);
@@ -272,6 +274,54 @@
   if (!uploads_.Start({attempt, *host, info.address, request.expires})) Post(AttemptFailed{attempt});
 }
 
+// ---- Shutdown -----------------------------------------------------------------------------------------
+
+void Front::BeginShutdown(const net::DrainSchedule& schedule) {
+  drain_schedule_ = schedule;
+  Drain();
+}
+
+void Front::EndShutdown() {
+  if (drain_schedule_) drain_schedule_->Close(Now());
+  DeclineUnfinishable();
+}
+
+// Whether this process lives until the request's final answer, if a host gets it now.
+bool Front::MayFinish(const Request& request) {
+  if (!drain_schedule_) return true;
+  return drain_schedule_->MayPassOn(Now(), request.expires + kExpiryMargin, FromSeconds(Mean(request)));
+}
+
+// A host that has a whole request may still answer it. One whose body is coming has not begun: how long that
+// takes is its client's affair, so only its expiry says when it ends.
+bool Front::IsUnfinishable(const Request& request) {
+  if (request.course.state() == retry::AttemptState::kSent) return false;
+  const TimePoint now = Now();
+  if (drain_schedule_->Over(now)) return true;
+  return uploading(request.id) && !drain_schedule_->InLikelyTime(now) && !MayFinish(request);
+}
+
+void Front::DeclineUnfinishable() {
+  if (!drain_schedule_) return;
+  std::vector<RequestId> unfinishable;
+  for (const auto& [id, request] : requests_)
+    if (IsUnfinishable(request)) unfinishable.push_back(id);
+  Run([&] {
+    for (const RequestId id : unfinishable)
+      if (Request* request = Find(id)) ConcludeTooLate(*request);
+  });
+  if (!drain_schedule_->Over(Now())) return;
+  for (const Arrived& each : std::exchange(not_taken_in_, {})) Decline(each.id, 503, {});
+}
+
+// Its client may turn to another gateway at once.
+void Front::ConcludeTooLate(Request& request) {
+  ++figures_.too_late;
+  if (request.claim.customer != nullptr && !request.held_open) leases_.Cancel(request.claim);
+  GiveUp(request, load_balancing::AttemptFeedback::kCancelled);
+  Conclude(request, Duration::zero(), 502);
+}
+
 // ---- Attempts -----------------------------------------------------------------------------------------
 
 template <typename Do>
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -17,6 +17,7 @@
 #include "load_balancing/load_balancer.hpp"
 #include "logic/leases.hpp"
 #include "net/door.hpp"
+#include "net/drain_schedule.hpp"
 #include "net/uploads.hpp"
 #include "net/upstream.hpp"
 #include "policy/policy.hpp"
@@ -63,6 +64,14 @@
   void OnCount(const CounterReply& answer);
   void CountLater(const CounterReply& answer);  // the same from within AddToCount: from the loop
 
+  // The process has been told to end: from now on requests are passed on only as the schedule allows, and
+  // connections end with their request.
+  void BeginShutdown(const net::DrainSchedule& schedule);
+  // Declines what can no longer be answered in time and is at no host. Regularly during the shutdown.
+  void DeclineUnfinishable();
+  // The process ends at once: nothing more is passed on.
+  void EndShutdown();
+
   // What is to be done now and then: times, idle connections.
   void KeepHouse();
   // Frees what was closed. Not from within an event of a connection.
@@ -81,6 +90,7 @@
     std::uint64_t no_route = 0, no_key = 0, expired = 0, left = 0;
     std::uint64_t waited = 0;    // until what is known here was proved
     std::uint64_t unproved = 0;  // attempts sent though it couldn't be had
+    std::uint64_t too_late = 0;  // declined because the process is about to end
     // Attempts written to a host although the list says that it leaves, or is neither proved nor given up:
     // none, unless the process is paused in the microseconds between the choice and the write.
     std::uint64_t written_to_leaving = 0;
@@ -178,6 +188,9 @@
   void Begin(RequestId id);
   void Dispatch(Request& request);
   void Attempt(Request& request);
+  bool MayFinish(const Request& request);
+  bool IsUnfinishable(const Request& request);
+  void ConcludeTooLate(Request& request);
   bool MaySendNow() const { return knowledge_.hosts == nullptr || knowledge_.hosts->MaySend(RegistryNow()); }
   bool MayTakeIn() const {
     return MaySendNow() && (!knowledge_.config_is_current || knowledge_.config_is_current());
@@ -227,6 +240,7 @@
   std::vector<CounterReply> counted_;
   std::deque<Input> inputs_queue_;
   bool running_ = false;
+  std::optional<net::DrainSchedule> drain_schedule_;  // once the process has been told to end
   int gateways_ = 1;
   std::size_t index_ = 0, in_zone_ = 1;
   const std::uint64_t salt_;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -229,6 +229,7 @@
   if (!leaving_) return;
   const auto since = now - term_at_;
   if (since >= kStopListening) front_.StopListening();
+  front_.DeclineUnfinishable();
   // A member goes on voting until the others hold what it holds.
   const bool drained = since >= kStopListening && !front_.owes_anything();
   if (drained && core_) core_->Leave();
@@ -259,11 +260,19 @@
   term_at_ = Now();
   Say(Event::kTermReceived, settings_.node_name);
   SetReady();
-  front_.Drain();
+  front_.BeginShutdown(DrainScheduleFrom(term_at_));
   if (coordination_) coordination_->Leave();
 }
 
+net::DrainSchedule Node::DrainScheduleFrom(Steady term_at) const {
+  const Duration last_answer = settings_.bounds.grace - kEndMargin - kLastAnswers;
+  return net::DrainSchedule({.begun_at = Net(term_at),
+                             .likely_for = kStillBrought,
+                             .answers_end_at = Net(term_at) + std::max(Duration::zero(), last_answer)});
+}
+
 void Node::End() {
+  front_.EndShutdown();
   fleet::ProtocolOutput out;
   fleet_->Leave(Now(), out);
   ExecuteFleet(out);
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -277,6 +277,7 @@
   void LookWhetherAlone();
   void SetReady();
   void OnTerm();
+  net::DrainSchedule DrainScheduleFrom(Steady term_at) const;
   void End();
   std::string DescribeOpenWork() const;  // for the log
 
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -46,8 +46,11 @@
 inline constexpr double kSilentBeats = 3.5;  // a host that has missed so many is silent
 inline constexpr milliseconds kStopListening{
     2600};  // after SIGTERM: the platform has seen by then that we don't serve
-inline constexpr milliseconds kEndMargin{350};  // before the platform's SIGKILL
-inline constexpr seconds kAwayFor{60};          // a gateway that isn't heard may go on by its share
+inline constexpr milliseconds kEndMargin{350};    // before the platform's SIGKILL
+inline constexpr milliseconds kLastAnswers{200};  // before that: for the last answers to be written and read
+// After SIGTERM the platform goes on bringing new connections until it has asked twice in vain for readiness.
+inline constexpr milliseconds kStillBrought{2000};
+inline constexpr seconds kAwayFor{60};  // a gateway that isn't heard may go on by its share
 inline constexpr std::size_t kMostConfig =
     3 * 1024 * 1024;  // storage takes many times that: 64 MB are granted
 inline constexpr milliseconds kApplyPause{250};
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -55,6 +55,7 @@
 system_test(attempt_path_test tests/system/attempt_path_test.cpp curlewdoor_node)
 system_test(pipeline_test tests/system/pipeline_test.cpp curlewdoor_node)
 system_test(front_verdict_test tests/system/front_verdict_test.cpp curlewdoor_node)
+system_test(front_shutdown_test tests/system/front_shutdown_test.cpp curlewdoor_node)
 if(CURLEWDOOR_TESTS)
   add_test(NAME three_machines COMMAND ${CMAKE_SOURCE_DIR}/tests/system/three.sh $<TARGET_FILE:curlewdoor-system>)
   add_test(NAME three_without_disks
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -411,6 +411,8 @@
   page.Counter(
       "written_to_leaving_total", figures.written_to_leaving,
       "Attempts written to a host that leaves, or by a list neither proved nor done without: never.");
+  page.Counter("too_late_total", figures.too_late,
+               "Requests declined because the process was told to end and might not live to their answer.");
   page.Counter("leaves_acknowledged_total", leaves_acknowledged_, "Leaves of hosts that a majority holds.");
   page.Counter("leaves_not_acknowledged_total", leaves_not_acknowledged_,
                "Leaves that no majority held in time; the hosts go on to another gateway.");
--- a/src/systemkit/host.cpp
+++ b/src/systemkit/host.cpp
@@ -75,11 +75,19 @@
   waiting_.push_back(work);
 }
 
+// In seconds: what the target asks for ("?work_ms=3000"), else drawn.
+double Host::WorkTime(const std::string& target) {
+  constexpr std::string_view kWork = "?work_ms=";
+  if (const auto at = target.find(kWork); at != std::string::npos)
+    return std::atof(target.c_str() + at + kWork.size()) / 1000;
+  return std::uniform_real_distribution<double>(options_.work_least_s, options_.work_most_s)(random_);
+}
+
 void Host::Begin(Work work) {
   sightings_.run(work.run).ran = true;
-  std::uniform_real_distribution<double> time(options_.work_least_s, options_.work_most_s);
   const std::uint64_t number = next_work_++;
-  const double takes = std::clamp(work.deadline - pace_.Now(), 0.0, time(random_));
+  const double takes =
+      std::clamp(work.deadline - pace_.Now(), 0.0, WorkTime(sightings_.run(work.run).target));
   working_[number] = work;
   pace_.After(takes, [this, number] { End(number); });
 }
--- a/src/systemkit/host.hpp
+++ b/src/systemkit/host.hpp
@@ -1,4 +1,5 @@
-// A stand-in host, from PROTOCOL.md: works on requests, says so by heartbeats, leaves in order or crashes.
+// A stand-in host, from PROTOCOL.md: works on requests, says so by heartbeats, leaves in order or crashes. A
+// target that ends in "?work_ms=N" has it work for so long.
 #pragma once
 
 #include <cstdint>
@@ -58,6 +59,7 @@
   void OnClose(playing::ConnectionId connection);
   void Refuse(playing::ConnectionId connection, int status, const std::string& id);
   void Begin(Work work);
+  double WorkTime(const std::string& target);
   void End(std::uint64_t number);
   void TakeNext();
   void Beat();
--- a/src/systemkit/world.cpp
+++ b/src/systemkit/world.cpp
@@ -42,11 +42,11 @@
 
 std::string ConfigText(const ConfigOptions& options) {
   using nlohmann::json;
-  const auto route = [](const std::string& name, const std::string& type, const std::string& service) {
+  const auto route = [&](const std::string& name, const std::string& type, const std::string& service) {
     return json{{"name", name},
                 {"path_prefix", "/" + name + "/"},
                 {"route_type", type},
-                {"timeout_ms", 3000},
+                {"timeout_ms", options.timeout_ms},
                 {"target_latency_ms", 300},
                 {"priority", 1},
                 {"service", service},
--- a/src/systemkit/world.hpp
+++ b/src/systemkit/world.hpp
@@ -32,6 +32,7 @@
   std::string moving = "first";
   double metered_rate = 50, metered_burst = 50;
   bool added_route = false;  // /added/ at `second`
+  int timeout_ms = 3000;     // of all routes
   // Further tenants with a limit; the key is Limited()'s.
   struct Limit {
     std::string tenant;
--- a/tests/system/stand_caller.hpp
+++ b/tests/system/stand_caller.hpp
@@ -20,6 +20,8 @@
  public:
   // `buffer`: bytes that its system takes for it; 0: as usual.
   Caller(struct ev_loop* loop, std::uint16_t port, bool reads = true, int buffer = 0)
+      : Caller(loop, Address{0x7f000001, port}, reads, buffer) {}
+  Caller(struct ev_loop* loop, const Address& address, bool reads = true, int buffer = 0)
       : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), io_(loop, [this](int events) {
           if ((events & EV_WRITE) != 0) Flush();
           if ((events & EV_READ) != 0) Take(64 * 1024);
@@ -27,7 +29,7 @@
     if (buffer > 0) LimitBuffer(fd_, SO_RCVBUF, buffer);
     const int on = 1;
     ::setsockopt(fd_, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    const sockaddr_in to = Address{0x7f000001, port}.ToSocket();
+    const sockaddr_in to = address.ToSocket();
     if (::connect(fd_, reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) over = true;
     reads_ = reads;
     Want();
