The program in service declines after a SIGTERM what may outlive it, too

Callers of `curlewdoor` could lose a request in the same way: the platform kills the process from the longest deadline and 0.7 s after the SIGTERM on and owes an answer to what came more than 0.7 s after it (PROTOCOL.md, "Figures"), but whatever came on a connection that had not carried a request yet was taken, also with a time that ends after that.

Evidence: service_test's WhatMayOutliveTheProcessIsDeclinedAfterASigterm with the check taken out fails: a request of 5 s that comes 0.8 s after the SIGTERM goes to its host and gets no 503.

Change: Listener asks the same net::DrainSchedule, built from the deadlines of the classes in force; such a request gets 503 before anything is counted for it. Once the process ends nothing that the loop still finds is taken.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -13,6 +13,13 @@
 constexpr std::string_view kLoadHeader = "X-Server-Load";
 constexpr std::initializer_list<std::string_view> kLoad{kLoadHeader};
 
+// After SIGTERM the platform kills the process no sooner than the longest deadline, counted as
+// kLongestCounted where it is longer, and kKillAfter. What came within kKillAfter isn't owed by then
+// (PROTOCOL.md, "Figures").
+constexpr Duration kKillAfter = std::chrono::milliseconds(700);
+constexpr Duration kLongestCounted = std::chrono::seconds(3);
+constexpr Duration kLastAnswers = std::chrono::milliseconds(100);  // for the last ones to be written and read
+
 }  // namespace
 
 Listener::Listener(struct ev_loop* loop, const Settings& settings, Descriptors& descriptors, Inputs& inputs,
@@ -42,6 +49,7 @@
   RequestArrived& request = std::get<RequestArrived>(read);
   client.figures = &by_class_[request.request_class];
   request.time_left = std::max(Duration::zero(), request.time_left - inputs_.Unseen(client.socket()));
+  if (!MayTake(request)) return Decline(client.id, 503, {});
   inputs_.Post(RequestRead{std::move(request), !client.uploading()});
 }
 
@@ -63,6 +71,32 @@
                                : figures.aborted);
 }
 
+// ---- Shutdown -----------------------------------------------------------------------------------------
+
+void Listener::BeginShutdown(TimePoint begun_at) {
+  drain_schedule_.emplace(DrainSchedule::Times{.begun_at = begun_at,
+                                               .likely_for = kKillAfter,
+                                               .answers_end_at = EarliestKill(begun_at) - kLastAnswers});
+  Drain();
+}
+
+void Listener::EndShutdown() {
+  if (drain_schedule_) drain_schedule_->Close(inputs_.Now());
+}
+
+TimePoint Listener::EarliestKill(TimePoint begun_at) const {
+  Duration longest{};
+  for (const RequestClass& kind : settings_.classes) longest = std::max(longest, kind.deadline);
+  return begun_at + std::min(longest, kLongestCounted) + kKillAfter;
+}
+
+// Its final answer comes when its time is over, at the latest.
+bool Listener::MayTake(const RequestArrived& request) {
+  if (!drain_schedule_) return true;
+  const TimePoint now = inputs_.Now();
+  return drain_schedule_->MayPassOn(now, now + request.time_left, Duration::zero());
+}
+
 // ---- Upgrades -----------------------------------------------------------------------------------------
 
 void Listener::Hold() {
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -4,12 +4,14 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_set>
 #include <vector>
 
 #include "admin/admin.hpp"
 #include "net/door.hpp"
+#include "net/drain_schedule.hpp"
 
 namespace curlewdoor::net {
 
@@ -22,6 +24,12 @@
   void SetHealthy(bool healthy) { healthy_ = healthy; }
   void Refuse(RequestId id, Duration retry_after) { Decline(id, 429, retry_after); }
 
+  // The process has been told to end: requests are taken only as the schedule allows, and connections end
+  // with their request.
+  void BeginShutdown(TimePoint begun_at);
+  // The process ends at once: nothing more is taken.
+  void EndShutdown();
+
   // An upgrade. Nothing is accepted and no request is taken until Resume().
   void Hold();
   // Each client is given to `pass` as soon as nothing is owed to it, those for which that is so at once.
@@ -55,11 +63,14 @@
   bool holding() const override { return holding_; }
   void OnHeld(Client& client) override;
   void AnswerHealth(Client& client);
+  bool MayTake(const RequestArrived& request);
+  TimePoint EarliestKill(TimePoint begun_at) const;
 
   const Settings& settings_;
   std::unordered_set<std::string> open_ids_;  // the clients' own, of those that wait
   std::unordered_set<std::string> foreign_ids_;
   PassClient pass_;
+  std::optional<DrainSchedule> drain_schedule_;  // once the process has been told to end
   bool healthy_ = false, holding_ = false;
   ByClass by_class_;
 };
--- a/src/net/shutdown.cpp
+++ b/src/net/shutdown.cpp
@@ -28,7 +28,7 @@
   if (begun_) return;
   begun_ = true;
   begun_at_ = inputs_.Now();
-  listener_.Drain();
+  listener_.BeginShutdown(begun_at_);
   on_begin_();
   check_timer_.StartIn(kCheck, kCheck);
 }
@@ -36,11 +36,17 @@
 // What the system has accepted by the last look is still answered: it counts as taken.
 void Shutdown::Check() {
   if (handed_on_()) {
-    if (!listener_.owes_anything()) ev_break(loop_, EVBREAK_ALL);
+    if (!listener_.owes_anything()) End();
     return;
   }
   if (inputs_.Now() < begun_at_ + kLeast || !listener_.Drained(kQuiet)) return;
-  if (listener_.AcceptLast()) ev_break(loop_, EVBREAK_ALL);
+  if (listener_.AcceptLast()) End();
+}
+
+// The loop still handles what it has found ready: no request of that may be taken.
+void Shutdown::End() {
+  listener_.EndShutdown();
+  ev_break(loop_, EVBREAK_ALL);
 }
 
 }  // namespace curlewdoor::net
--- a/src/net/shutdown.hpp
+++ b/src/net/shutdown.hpp
@@ -19,6 +19,7 @@
 
  private:
   void Check();
+  void End();
 
   struct ev_loop* loop_;
   Listener& listener_;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -752,6 +752,34 @@
 
 // ---- Shutdown -----------------------------------------------------------------------------------------
 
+// Guards against requests that are passed on after a SIGTERM and outlive the process (LOST).
+TEST_F(ServiceTest, WhatMayOutliveTheProcessIsDeclinedAfterASigterm) {
+  Start();
+  Peer& early = NewClient();
+  Peer& late = NewClient();
+  Peer& brief = NewClient();
+  Peer& busy = NewClient();
+  busy.Send(Get("r1"));
+  Peer* host = PeerThatSaid(*host_, 0, "r1");
+  ASSERT_NE(host, nullptr);
+  service_->Stop();
+  early.Send(Get("r2"));  // within 0.7 s: passed on, whatever it takes
+  ASSERT_NE(PeerThatSaid(*host_, 1, "r2"), nullptr);
+  bool passed = false;
+  TimerWatcher later(loop_, [&](int) { passed = true; });
+  later.StartIn(std::chrono::milliseconds(800));
+  ASSERT_TRUE(Until([&] { return passed; }));
+  late.Send(Get("r3"));
+  ASSERT_TRUE(UntilGot(late, "HTTP/1.1 503"));
+  EXPECT_TRUE(late.Got("Connection: close"));
+  EXPECT_EQ(host_->peers.size(), 2U);
+  brief.Send(Get("r4", "", "500m"));  // it ends before the process does
+  Peer* third = PeerThatSaid(*host_, 2, "r4");
+  ASSERT_NE(third, nullptr);
+  third->Send(kOk);
+  EXPECT_TRUE(UntilGot(brief, "serve"));
+}
+
 TEST_F(ServiceTest, DrainsBeforeItEnds) {
   Start();
   Peer& idle = NewClient();
