Coordination: a call whose caller has gone when it is read is not begun

Callers saw a lock held for a minute by a caller that had died before any answer, and a value of such a caller over one that was put and acknowledged later: their begin and put lay at a gateway that stood still for 0.1 s or more, and were passed on when it went on.

Cause: a gateway that goes on reads a call first and the end of its connection after that.

Change: before a call is passed on the gateway looks whether its connection has ended; such a call counts as left.

--- a/src/system/node_coordination.cpp
+++ b/src/system/node_coordination.cpp
@@ -31,6 +31,11 @@
   if (!Coordinates()) return false;
   auto decoded = ReadCoordinationCall(call);
   if (!decoded) return false;
+  // Nobody waits for it: it was read late, and must not take effect behind what came since.
+  if (control_.StateOf(call.id) == net::Door::ClientState::kGone) {
+    ++coordination_ends_.left;
+    return true;
+  }
   // Its caller has given up waiting, and may have gone on meanwhile.
   if (call_pause_watch_.InputMayBeOld(Now())) {
     ++coordination_ends_.answered[503];
--- a/tests/system/coordination_deployment.hpp
+++ b/tests/system/coordination_deployment.hpp
@@ -52,6 +52,9 @@
   return {"POST", "/v1/cells/" + key + "/replace",
           fmt::format(R"({{"value":"{}","enabled":{}}})", value, expected)};
 }
+inline AppCall Put(const std::string& key, const std::string& value) {
+  return {"POST", "/v1/cells/" + key + "/replace", fmt::format(R"({{"value":"{}"}})", value)};
+}
 inline AppCall ReadKey(const std::string& key) { return {"GET", "/v1/cells/" + key + "/read", ""}; }
 inline AppCall Watch(const std::string& group, std::uint64_t after, int wait_ms) {
   return {"GET", fmt::format("/v1/watch/{}?after={}&wait_ms={}", group, after, wait_ms), ""};
--- a/tests/system/late_finish_test.cpp
+++ b/tests/system/late_finish_test.cpp
@@ -41,6 +41,9 @@
   bool IsGranted(int machine, const std::string& lock, const std::string& holder) {
     return At(machine, Begin(lock, holder, kShortHoldMs), kSilence).status == 200;
   }
+  void Wait(double seconds) {
+    Until([] { return false; }, std::max(0.0, seconds));
+  }
   void CheckFreed(const std::string& lock) {
     BOOST_TEST(Until([&] { return IsGranted(kCore, lock, "next"); }, kReleased), lock << " is still held");
   }
@@ -70,9 +73,6 @@
     BOOST_TEST(Repeated(Finish(lock, "x", second)).status == 200);
     CheckFreed(lock);
   }
-  void Wait(double seconds) {
-    Until([] { return false; }, std::max(0.0, seconds));
-  }
   int locks_ = 0;
 };
 
@@ -97,6 +97,29 @@
   }
 }
 
+// Guards against calls of callers that have died which take effect after all: a lock that nobody holds, a
+// value that overwrites a later one.
+BOOST_AUTO_TEST_CASE(a_call_that_lay_at_a_paused_gateway_is_not_begun_once_its_caller_has_gone) {
+  constexpr int kPaused = 3;
+  LateFinish deployment;
+  BOOST_REQUIRE(deployment.Start());
+  for (const double pause_s : {0.1, 0.35}) {
+    const std::string lock = fmt::format("abandoned-{}", pause_s);
+    deployment.machines.Signal(kPaused, SIGSTOP);
+    deployment.Send(kPaused, Begin(lock, "dead", kLongHoldMs), kDiesAfter, [](const Answer&) {});
+    deployment.Send(kPaused, Put("g.a", "early" + lock), kDiesAfter, [](const Answer&) {});
+    deployment.Wait(kDiesAfter);
+    BOOST_TEST(deployment.Repeated(Put("g.a", "late" + lock)).status == 200);
+    deployment.Wait(pause_s - kDiesAfter);
+    deployment.machines.Signal(kPaused, SIGCONT);
+    deployment.Wait(kStartsAfter);
+    BOOST_TEST(deployment.At(kPaused, TakeNumber("n"), kSilence).whole());  // it goes on
+    deployment.CheckFreed(lock);
+    const Answer read = deployment.Repeated(ReadKey("g.a"));
+    BOOST_TEST(read.body.find("late" + lock) != std::string::npos, "read " << read.body);
+  }
+}
+
 // Guards against locks that stay held after their finish, however often and wherever the hold was begun or
 // renewed.
 BOOST_AUTO_TEST_CASE(a_finish_ends_a_hold_that_was_begun_twice_and_renewed) {
