--- a/tests/system/coordination_deployment.hpp
+++ b/tests/system/coordination_deployment.hpp
@@ -4,7 +4,6 @@
 
 #include <fmt/format.h>
 
-#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdint>
 #include <functional>
@@ -12,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "logs_on_failure.hpp"
 #include "systemkit/world.hpp"
 
 namespace curlewdoor::systemkit {
@@ -69,11 +69,8 @@
 class Deployment {
  public:
   explicit Deployment(const Machines::Options& options)
-      : machines(options), pace(owner.loop), calls(owner.loop, pace), failed_before_(Failed()) {}
-  ~Deployment() {
-    if (Failed() > failed_before_) BOOST_TEST_MESSAGE(machines.Logs());
-    machines.Kill(machines.all());
-  }
+      : machines(options), pace(owner.loop), calls(owner.loop, pace) {}
+  ~Deployment() { machines.Kill(machines.all()); }
   Deployment(const Deployment&) = delete;
   Deployment& operator=(const Deployment&) = delete;
 
@@ -141,11 +138,7 @@
   Calls calls;
 
  private:
-  static unsigned long Failed() {
-    using namespace boost::unit_test;
-    return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
-  }
-  const unsigned long failed_before_;
+  const LogsOnFailure logs_{machines};
   int next_ = 0;
 };
 
--- a/tests/system/core_scene.hpp
+++ b/tests/system/core_scene.hpp
@@ -5,7 +5,6 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <functional>
@@ -15,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "logs_on_failure.hpp"
 #include "systemkit/world.hpp"
 
 namespace curlewdoor::systemkit {
@@ -27,11 +27,8 @@
   static constexpr int kMostOpen = 6;                   // calls at one machine
 
   explicit CoreScene(const Machines::Options& options)
-      : machines(options), pace(owner.loop), calls(owner.loop, pace), open_(Size()), in_force_(Size()) {
-    failed_before_ = Failed();
-  }
+      : machines(options), pace(owner.loop), calls(owner.loop, pace), open_(Size()), in_force_(Size()) {}
   ~CoreScene() {
-    if (Failed() > failed_before_) BOOST_TEST_MESSAGE(machines.Logs());
     // Frozen ones too.
     std::vector<int> all;
     for (int m = 0; m < machines.count(); ++m) all.push_back(m);
@@ -184,10 +181,6 @@
   Calls calls;
 
  private:
-  static unsigned long Failed() {
-    using namespace boost::unit_test;
-    return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
-  }
   std::size_t Size() const { return static_cast<std::size_t>(machines.count()); }
   static std::size_t At(int machine) { return static_cast<std::size_t>(machine); }
   bool Asked(int machine) {
@@ -311,7 +304,7 @@
     }
   }
 
-  unsigned long failed_before_ = 0;
+  const LogsOnFailure logs_{machines};
   bool asking_ = false, putting_ = true, answered_503_ = false, spread_ = false;
   double stepped_ = 0, last_at_ = 0, worst_spread_ = 0;
   int steps_ = 0, reads_ = 0;
--- a/tests/system/history_scene.cpp
+++ b/tests/system/history_scene.cpp
@@ -5,7 +5,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <boost/test/results_collector.hpp>
 #include <csignal>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -45,17 +44,11 @@
   return options;
 }
 
-unsigned long HistoryScene::Failed() {
-  using namespace boost::unit_test;
-  return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
-}
-
 HistoryScene::HistoryScene(int core, int others, int spares)
     : machines(MachinesOf(core, others, spares)),
       pace(owner.loop),
       calls(owner.loop, pace),
       relays(owner.loop, machines.ends(), machines.internal_port()),
-      failed_before_(Failed()),
       open_(At(machines.count())),
       started_(At(machines.count())),
       served_(At(machines.count())) {
@@ -63,7 +56,6 @@
 }
 
 HistoryScene::~HistoryScene() {
-  if (Failed() > failed_before_) BOOST_TEST_MESSAGE(machines.Logs());
   std::vector<int> all;  // frozen ones too
   for (int m = 0; m < machines.count(); ++m) all.push_back(m);
   machines.Kill(all);
--- a/tests/system/history_scene.hpp
+++ b/tests/system/history_scene.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "logs_on_failure.hpp"
 #include "systemkit/register_history.hpp"
 #include "systemkit/relays.hpp"
 #include "systemkit/world.hpp"
@@ -127,7 +128,6 @@
 
   static Machines::Options MachinesOf(int core, int others, int spares);
   static std::size_t At(int machine) { return static_cast<std::size_t>(machine); }
-  static unsigned long Failed();
   void Step();
   void StepOperator(Operator& each);
   int Pick();  // a machine that may be called; -1: none
@@ -137,7 +137,7 @@
   void OnReadEnd(Asked& asked, const Answer& answer);
   std::optional<Sent> Recognize(const std::string& body) const;
 
-  unsigned long failed_before_ = 0;
+  const LogsOnFailure logs_{machines};
   std::mt19937_64 rng_{48};
   Load load_{0, false, false};
   std::vector<Operator> operators_;
--- a/tests/system/leave_test.cpp
+++ b/tests/system/leave_test.cpp
@@ -1,11 +1,11 @@
 // A leave that was acknowledged binds every gateway: later than drain_ms no request reaches that host. Played
 // by real processes of curlewdoor-system with relays between them; judged by what hosts and clients have
 // seen.
-#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <vector>
 
+#include "logs_on_failure.hpp"
 #include "systemkit/world.hpp"
 
 namespace curlewdoor::systemkit {
@@ -27,15 +27,10 @@
 }
 
 struct LeaveWorld : World {
-  LeaveWorld(int core, int others) : World(Deployment(core, others)), failed_before(Failed()) {}
+  LeaveWorld(int core, int others) : World(Deployment(core, others)) {}
   ~LeaveWorld() {
-    if (Failed() > failed_before) BOOST_TEST_MESSAGE(machines.Logs());
     machines.Kill(machines.all());  // stopped ones too
   }
-  static unsigned long Failed() {
-    using namespace boost::unit_test;
-    return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
-  }
 
   // A host that serves on for long after its leave was acknowledged.
   Host& AddLeaver(bool deregisters_first = false) {
@@ -71,7 +66,7 @@
     BOOST_TEST(!sightings.runs().empty());
   }
 
-  const unsigned long failed_before;
+  const LogsOnFailure logs{machines};
 };
 
 // Just after the cut the member believes that it has a majority still.
--- a/tests/system/planned_end_test.cpp
+++ b/tests/system/planned_end_test.cpp
@@ -3,7 +3,6 @@
 // processes, judged from outside.
 #include <fmt/format.h>
 
-#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <memory>
@@ -11,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "logs_on_failure.hpp"
 #include "stand_caller.hpp"
 #include "systemkit/environment.hpp"
 #include "systemkit/world.hpp"
@@ -42,10 +42,7 @@
 
 class PlannedEnd {
  public:
-  PlannedEnd() : world(Options()), failed_before_(Failed()) {}
-  ~PlannedEnd() {
-    if (Failed() > failed_before_) BOOST_TEST_MESSAGE(world.machines.Logs());
-  }
+  PlannedEnd() : world(Options()) {}
 
   std::string NextId() { return "end-" + std::to_string(++last_id_); }
   static std::string Request(const std::string& id, const std::string& route, int work_ms, int deadline_ms,
@@ -132,10 +129,6 @@
     options.others = kOthers;
     return options;
   }
-  static unsigned long Failed() {
-    using namespace boost::unit_test;
-    return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
-  }
   void Step(Client& client, int machine, double since) {
     if (client.caller == nullptr && since >= client.opens_at)
       client.caller = std::make_unique<system::Caller>(world.owner.loop, world.machines.data_plane(machine));
@@ -144,7 +137,7 @@
       client.caller->Write(client.pieces[client.sent++].bytes);
   }
 
-  const unsigned long failed_before_;
+  const LogsOnFailure logs_{world.machines};
   int last_id_ = 0;
 };
 
--- a/tests/system/return_test.cpp
+++ b/tests/system/return_test.cpp
@@ -3,13 +3,13 @@
 //
 // CURLEWDOOR_SOAK_PROGRAM=FILE plays another version, to see it fail.
 #include <algorithm>
-#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "logs_on_failure.hpp"
 #include "systemkit/environment.hpp"
 #include "systemkit/troubles.hpp"
 #include "systemkit/world.hpp"
@@ -117,18 +117,13 @@
     }
   }
   void Judge() {
-    const unsigned long failed = Failed();
+    const LogsOnFailure logs(world_.machines);
     BOOST_TEST(world_.Settle());
     const auto breaches = world_.sightings.Breaches();
     BOOST_TEST(breaches.empty(), breaches.size() << " breaches");
     for (std::size_t i = 0; i < breaches.size() && i < 5; ++i) BOOST_TEST_MESSAGE(breaches[i]);
     for (const int gateway : world_.machines.all())
       BOOST_TEST(world_.sightings.Ran("/read/", gateway, "first", 0) > 0);
-    if (Failed() > failed) BOOST_TEST_MESSAGE(world_.machines.Logs());
-  }
-  static unsigned long Failed() {
-    using namespace boost::unit_test;
-    return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
   }
 
   const Away away_;
--- a/tests/system/two_builds_test.cpp
+++ b/tests/system/two_builds_test.cpp
@@ -2,7 +2,6 @@
 // other opens. CURLEWDOOR_OTHER_PROGRAM names the program of the other build; without it both are this one.
 #include <fmt/format.h>
 
-#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -12,6 +11,7 @@
 #include <optional>
 #include <string>
 
+#include "logs_on_failure.hpp"
 #include "systemkit/world.hpp"
 
 namespace curlewdoor::systemkit {
@@ -66,11 +66,7 @@
 
 class TwoBuilds {
  public:
-  TwoBuilds(int core, int others)
-      : core_(core), world_(Deployment(launcher_.path(), core, others)), failed_before_(Failed()) {}
-  ~TwoBuilds() {
-    if (Failed() > failed_before_) BOOST_TEST_MESSAGE(world_.machines.Logs());
-  }
+  TwoBuilds(int core, int others) : core_(core), world_(Deployment(launcher_.path(), core, others)) {}
 
   void Assign(int machine, Build build) {
     builds_[machine] = build;
@@ -186,10 +182,6 @@
   }
 
  private:
-  static unsigned long Failed() {
-    using namespace boost::unit_test;
-    return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
-  }
   static std::string LockBody(const std::string& holder, std::uint64_t fence) {
     return fmt::format(R"({{"holder":"{}",{}"hold_ms":{}}})", holder,
                        fence > 0 ? fmt::format("\"fence\":{},", fence) : "", kLongHoldMs);
@@ -252,7 +244,7 @@
   const int core_;
   Launcher launcher_;
   World world_;
-  const unsigned long failed_before_;
+  const LogsOnFailure logs_{world_.machines};
   std::map<int, Build> builds_;
   std::uint64_t version_ = 1, last_number_ = 0, last_fence_ = 0, revision_ = 0;
 };
--- a/tests/system/whole_path_test.cpp
+++ b/tests/system/whole_path_test.cpp
@@ -1,13 +1,13 @@
 // The whole path, played by real processes of curlewdoor-system on loopback: clients and hosts, an operator
 // and the platform are stand-ins written from the protocol, and only what they saw from outside is judged.
 #include <algorithm>
-#include <boost/test/results_collector.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "logs_on_failure.hpp"
 #include "systemkit/world.hpp"
 
 namespace curlewdoor::systemkit {
@@ -25,15 +25,7 @@
 
 // A world whose gateways' logs are printed where a check has failed.
 struct Played : World {
-  explicit Played(const Machines::Options& options, const Host::Options& like = {})
-      : World(options, like), failed_before(Failed()) {}
-  ~Played() {
-    if (Failed() > failed_before) BOOST_TEST_MESSAGE(machines.Logs());
-  }
-  static unsigned long Failed() {
-    using namespace boost::unit_test;
-    return results_collector.results(framework::current_test_case().p_id).p_assertions_failed;
-  }
+  explicit Played(const Machines::Options& options, const Host::Options& like = {}) : World(options, like) {}
   // The rules that hold for every scenario.
   void Judge() {
     BOOST_TEST(Settle());
@@ -70,7 +62,7 @@
         kSoon);
   }
 
-  const unsigned long failed_before;
+  const LogsOnFailure logs{machines};
 };
 
 // A calm day in short: all start together, a configuration is taken, hosts are known, requests are served by
