--- a/tests/system/message_test.cpp
+++ b/tests/system/message_test.cpp
@@ -234,5 +234,16 @@
   BOOST_TEST(!Take(head + std::string("\x08\x93\x01\xcf\x7f\xff\xff\xff\xff\xff\xff\xff\xa0", 13)));
 }
 
+// An older gateway tells nothing of when a release was sent; this version's field takes one byte more at
+// first.
+BOOST_AUTO_TEST_CASE(a_coordination_call_of_an_earlier_version_proves_nothing) {
+  const std::string earlier = "\x93\x01\x17\x92\x07\xa1x";  // version, kind, number and call
+  const auto read = Decode(earlier);
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(std::get<CoordinationCall>(*read).number == 7u);
+  BOOST_TEST(std::get<CoordinationCall>(*read).proven_renewals < 0);
+  BOOST_TEST(Encode(CoordinationCall{7, "x", 0}).size() == earlier.size() + 1);
+}
+
 }  // namespace
 }  // namespace curlewdoor::system
