Coordination: a call brings along who waits for it, and a hold says whose it is

Read-through of the change: Node kept a second map, the inverse of the first, only to find a call's connection by its number, and each owner of CoordinationCalls had to answer CallerWaits(). Begin() now takes the caller: whether it waits, and its answer. Renewals and releases looked a hold up twice; Hold::BelongsTo() replaces FindHold(). No behaviour changes, and no check of a test.

--- a/src/coordination/coordinator.cpp
+++ b/src/coordination/coordinator.cpp
@@ -202,8 +202,10 @@
 // ---- Holds ----
 
 std::optional<std::uint64_t> Coordinator::RenewalsOf(const ReleaseLock& release) const {
-  const StateMachine::Hold* hold = state_.FindHold(release.lock, release.holder, release.fence);
-  return hold == nullptr ? std::nullopt : std::optional(hold->renewals);
+  const auto found = state_.holds().find(release.lock);
+  if (found == state_.holds().end() || !found->second.BelongsTo(release.holder, release.fence))
+    return std::nullopt;
+  return found->second.renewals;
 }
 
 // The renewals of the hold before and after the release was applied.
--- a/src/coordination/state_machine.cpp
+++ b/src/coordination/state_machine.cpp
@@ -109,13 +109,15 @@
 }
 
 CommandResult StateMachine::Execute(LoggedTime, const RenewLock& renew) {
-  if (FindHold(renew.lock, renew.holder, renew.fence) == nullptr) return LockRefused{};
-  ExtendHold(holds_.at(renew.lock), renew.hold_ms);
+  const auto found = holds_.find(renew.lock);
+  if (found == holds_.end() || !found->second.BelongsTo(renew.holder, renew.fence)) return LockRefused{};
+  ExtendHold(found->second, renew.hold_ms);
   return Done{};
 }
 
 CommandResult StateMachine::Execute(LoggedTime, const ReleaseLock& release) {
-  if (FindHold(release.lock, release.holder, release.fence) != nullptr) holds_.erase(release.lock);
+  const auto found = holds_.find(release.lock);
+  if (found != holds_.end() && found->second.BelongsTo(release.holder, release.fence)) holds_.erase(found);
   return Done{};
 }
 
@@ -127,14 +129,6 @@
   return Done{};
 }
 
-const StateMachine::Hold* StateMachine::FindHold(const std::string& lock, const std::string& holder,
-                                                 FencingToken fence) const {
-  const auto found = holds_.find(lock);
-  if (found == holds_.end()) return nullptr;
-  const Hold& hold = found->second;
-  return hold.holder == holder && hold.fence == fence ? &hold : nullptr;
-}
-
 void StateMachine::ExtendHold(Hold& hold, std::uint64_t hold_ms) {
   hold.hold_ms = std::max(hold.hold_ms, hold_ms);
   ++hold.renewals;
--- a/src/coordination/state_machine.hpp
+++ b/src/coordination/state_machine.hpp
@@ -66,6 +66,9 @@
     FencingToken fence = 0;
     std::uint64_t hold_ms = 0;   // the longest duration requested since the lock was granted
     std::uint64_t renewals = 0;  // number of AcquireLock and RenewLock commands that extended it
+    bool BelongsTo(const std::string& caller, FencingToken token) const {
+      return holder == caller && fence == token;
+    }
     bool operator==(const Hold&) const = default;
   };
   struct VersionedValue {
@@ -84,8 +87,6 @@
   CommandResult Apply(LoggedTime at, const Command& command);
 
   const std::map<std::string, Hold>& holds() const { return holds_; }  // by lock
-  // The lock's hold, if it belongs to this holder under this fence; else nullptr.
-  const Hold* FindHold(const std::string& lock, const std::string& holder, FencingToken fence) const;
   std::optional<VersionedValue> Find(const std::string& key) const;
   // The puts of a group after revision `after`. 0 returns only the current revision, without events. Stops
   // before the event that would bring names and values above `max_bytes`, but returns at least one event.
--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -28,13 +28,13 @@
 
 }  // namespace
 
-void CoordinationCalls::Begin(Time now, std::uint64_t number, Call call, OnAnswer answer) {
-  if (waiting_.size() >= options_.most_calls) return answer({End::kNoRoom, std::nullopt});
+void CoordinationCalls::Begin(Time now, std::uint64_t number, Call call, Caller caller) {
+  if (waiting_.size() >= options_.most_calls) return caller.answer({End::kNoRoom, std::nullopt});
   Waiting& waiting = waiting_[number];
   waiting.ends = now + options_.ends + WaitOf(call);
   waiting.pause = options_.all_anew;
   waiting.call = std::move(call);
-  waiting.answer = std::move(answer);
+  waiting.caller = std::move(caller);
   AskNext(now, number);
 }
 
@@ -121,7 +121,7 @@
 void CoordinationCalls::OnReleaseUnproven(Time now, std::uint64_t number, std::uint64_t renewals) {
   Waiting& waiting = waiting_.at(number);
   waiting.asked.clear();
-  if (owner_.CallerWaits(number)) {
+  if (waiting.caller.waits()) {
     waiting.proven_renewals = std::max(waiting.proven_renewals, renewals);
     return AskNext(now, number);
   }
@@ -142,7 +142,7 @@
 
 void CoordinationCalls::Finish(std::uint64_t number, Answer answer) {
   const auto found = waiting_.find(number);
-  const OnAnswer on_answer = std::move(found->second.answer);
+  const OnAnswer on_answer = std::move(found->second.caller.answer);
   const std::vector<std::uint64_t> out = std::move(found->second.out);
   waiting_.erase(found);
   for (const std::uint64_t stream : out) TellForgotten(stream, number);
--- a/src/system/coordination_calls.hpp
+++ b/src/system/coordination_calls.hpp
@@ -46,6 +46,11 @@
     std::optional<coordination::Reply> reply;  // of kReply
   };
   using OnAnswer = std::function<void(Answer answer)>;
+  // Whoever waits for a call.
+  struct Caller {
+    std::function<bool()> waits;  // whether it is known to wait at this moment; false if it cannot be told
+    OnAnswer answer;
+  };
 
   struct Options {
     Duration ends = std::chrono::milliseconds(850);         // of a call; a watch has its wait on top
@@ -77,15 +82,13 @@
     // This process's own member; it ends in OnReplyHere(), which may come at once.
     virtual void CallHere(std::uint64_t number, const coordination::Call& call,
                           coordination::ProvenRenewals proven) = 0;
-    // Whether the caller is known to wait for its answer at this moment. False if it cannot be told.
-    virtual bool CallerWaits(std::uint64_t number) = 0;
     virtual void ForgetHere(std::uint64_t number) = 0;
   };
 
   CoordinationCalls(Owner& owner, const Options& options) : owner_(owner), options_(options) {}
 
   // `number`: of no other call.
-  void Begin(Time now, std::uint64_t number, coordination::Call call, OnAnswer answer);
+  void Begin(Time now, std::uint64_t number, coordination::Call call, Caller caller);
   void OnReply(Time now, std::uint64_t stream, std::uint64_t number, coordination::Reply reply);
   void OnReplyHere(Time now, std::uint64_t number, coordination::Reply reply);
   void OnStreamDown(Time now, std::uint64_t stream);
@@ -102,7 +105,7 @@
   struct Waiting {
     coordination::Call call;
     std::uint64_t proven_renewals = 0;  // of a release
-    OnAnswer answer;
+    Caller caller;
     Time ends, next;
     Duration pause{};                // before all are asked once more
     std::uint64_t asking = 0;        // the stream that it went out on last; 0: this process, or none
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -92,7 +92,6 @@
     const auto waiting = coordination_numbers_.extract(id);
     if (!waiting) return;
     ++coordination_ends_.left;
-    coordination_callers_.erase(waiting.mapped());
     coordination_calls_.Forget(waiting.mapped());
   });
   control_.StartAccepting();
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -252,7 +252,6 @@
   std::vector<CoordinationCalls::Candidate> ReachedMembers() override;
   void CallHere(std::uint64_t number, const coordination::Call& call,
                 coordination::ProvenRenewals proven) override;
-  bool CallerWaits(std::uint64_t number) override;
   void ForgetHere(std::uint64_t number) override;
 
   // Count.
@@ -338,7 +337,6 @@
   CoordinationCalls coordination_calls_{*this, {}};
   CallEnds coordination_ends_;
   std::unordered_map<RequestId, std::uint64_t, IdHash> coordination_numbers_;  // of calls that wait here
-  std::unordered_map<std::uint64_t, RequestId> coordination_callers_;          // by these numbers
   CoreCalls core_calls_{*this, {}};
   std::unordered_map<std::uint64_t, Replication> replications_;
   std::unordered_map<std::uint64_t, Adding> addings_;
--- a/src/system/node_coordination.cpp
+++ b/src/system/node_coordination.cpp
@@ -44,15 +44,15 @@
   }
   const std::uint64_t number = next_number_++;
   coordination_numbers_[call.id] = number;
-  coordination_callers_.emplace(number, call.id);
-  coordination_calls_.Begin(Now(), number, std::move(*decoded),
-                            [this, number, id = call.id](const CoordinationCalls::Answer& answer) {
-                              coordination_numbers_.erase(id);
-                              coordination_callers_.erase(number);
-                              const HttpAnswer http = EncodeAnswer(answer);
-                              ++coordination_ends_.answered[http.status];
-                              ReplyJson(id, http.status, http.body);
-                            });
+  // Bytes that were not read yet may hide the connection's end.
+  const auto waits = [this, id = call.id] { return control_.StateOf(id) == net::Door::ClientState::kSilent; };
+  const auto answer = [this, id = call.id](const CoordinationCalls::Answer& ended) {
+    coordination_numbers_.erase(id);
+    const HttpAnswer http = EncodeAnswer(ended);
+    ++coordination_ends_.answered[http.status];
+    ReplyJson(id, http.status, http.body);
+  };
+  coordination_calls_.Begin(Now(), number, std::move(*decoded), {waits, answer});
   return true;
 }
 
@@ -131,13 +131,6 @@
   coordination_->OnCall(0, number, call, proven);
 }
 
-// Bytes that were not read yet may hide the connection's end.
-bool Node::CallerWaits(std::uint64_t number) {
-  const auto caller = coordination_callers_.find(number);
-  return caller != coordination_callers_.end() &&
-         control_.StateOf(caller->second) == net::Door::ClientState::kSilent;
-}
-
 // The core may have been closed since the call.
 void Node::ForgetHere(std::uint64_t number) {
   if (coordination_) coordination_->Forget(0, number);
--- a/tests/coordination/history/simulation.hpp
+++ b/tests/coordination/history/simulation.hpp
@@ -24,7 +24,7 @@
 // A gateway, with or without a member in its own process (`local_member`).
 class SimulatedGateway : public CoordinationCalls::Owner {
  public:
-  using OnAnswer = CoordinationCalls::OnAnswer;
+  using Caller = CoordinationCalls::Caller;
 
   SimulatedGateway(Cluster& cluster, std::optional<std::size_t> local_member)
       : cluster_(cluster), local_member_(local_member), connections_(cluster.size()) {
@@ -57,7 +57,7 @@
     frozen_ = false;
     auto deferred = std::exchange(deferred_, {});
     auto deferred_calls = std::exchange(deferred_calls_, {});
-    for (ArrivedCall& arrived : deferred_calls) Call(std::move(arrived));
+    for (auto& [call, caller] : deferred_calls) Call(call, std::move(caller));
     for (auto& action : deferred) action();
   }
 
@@ -84,20 +84,12 @@
     }
   }
 
-  // A call, and whether its caller still waits for the answer.
-  struct ArrivedCall {
-    coordination::Call call;
-    std::function<bool()> caller_waits;
-    OnAnswer answer;
-  };
-  void Call(ArrivedCall arrived) {
+  void Call(const coordination::Call& call, Caller caller) {
     if (frozen_) {
-      deferred_calls_.push_back(std::move(arrived));
+      deferred_calls_.emplace_back(call, std::move(caller));
       return;
     }
-    const std::uint64_t number = ++last_number_;
-    callers_[number] = std::move(arrived.caller_waits);
-    calls_->Begin(cluster_.now(), number, std::move(arrived.call), std::move(arrived.answer));
+    calls_->Begin(cluster_.now(), ++last_number_, call, std::move(caller));
   }
   void NotifyLeader(std::uint64_t term, const std::string& name) {
     RunInProcess([this, term, name] { calls_->OnLeader(cluster_.now(), term, name); });
@@ -141,7 +133,6 @@
     };
     cluster_.Call(*local_member_, call, on_reply, proven);
   }
-  bool CallerWaits(std::uint64_t number) override { return callers_.at(number)(); }
   void ForgetHere(std::uint64_t) override {}
 
  private:
@@ -205,8 +196,7 @@
   std::unique_ptr<CoordinationCalls> calls_;
   std::vector<Connection> connections_;
   std::vector<std::function<void()>> deferred_;
-  std::vector<ArrivedCall> deferred_calls_;
-  std::map<std::uint64_t, std::function<bool()>> callers_;  // whether they wait, by the call's number
+  std::vector<std::pair<coordination::Call, Caller>> deferred_calls_;
   bool frozen_ = false;
   std::uint64_t process_ = 0, last_stream_ = 0, last_number_ = 0;
 };
@@ -287,7 +277,7 @@
           end(answered);
         });
       };
-      gateway.Call({call, [over] { return !*over; }, on_answer});
+      gateway.Call(call, {[over] { return !*over; }, on_answer});
     });
   }
   // Retries at random gateways until there is a definite answer or `patience` seconds have passed.
--- a/tests/system/coordination_calls_test.cpp
+++ b/tests/system/coordination_calls_test.cpp
@@ -40,14 +40,14 @@
     asked.push_back({kHere, number, call, proven});
     if (on_here) on_here(number);
   }
-  bool CallerWaits(std::uint64_t) override { return caller_waits; }
   void ForgetHere(std::uint64_t number) override { forgotten.emplace_back(kHere, number); }
 
   void Begin(std::uint64_t number, Call call = TakeNumber{"n"}) {
-    calls.Begin(now, number, std::move(call), [this, number](CoordinationCalls::Answer answer) {
-      answers.emplace(number, std::move(answer));
+    const auto answer = [this, number](CoordinationCalls::Answer ended) {
+      answers.emplace(number, std::move(ended));
       if (on_answer) on_answer(number);
-    });
+    };
+    calls.Begin(now, number, std::move(call), {[this] { return caller_waits; }, answer});
   }
   void Reply(std::uint64_t stream, std::uint64_t number, coordination::Reply reply) {
     calls.OnReply(now, stream, number, std::move(reply));
@@ -330,8 +330,9 @@
  public:
   Play(Fault fault, bool first_is_here) : calls_(*this, WithFault(fault)), first_is_here_(first_is_here) {
     streams_ = {first_is_here ? kHere : next_stream_++, next_stream_++};
-    calls_.Begin(now_, 1, TakeNumber{"n"},
-                 [this](const CoordinationCalls::Answer& answer) { OnAnswer(answer); });
+    calls_.Begin(
+        now_, 1, TakeNumber{"n"},
+        {[] { return true; }, [this](const CoordinationCalls::Answer& answer) { OnAnswer(answer); }});
   }
 
   // Does one of the things that may happen now; `choose`(n): below n. False: the call is over.
@@ -381,7 +382,6 @@
     if (std::holds_alternative<CoordinationCall>(message)) copies_.push_back({stream});
   }
   void CallHere(std::uint64_t, const Call&, ProvenRenewals) override { copies_.push_back({kHere}); }
-  bool CallerWaits(std::uint64_t) override { return true; }
   void ForgetHere(std::uint64_t) override {}
 
   bool Up(std::uint64_t stream) const {
