Figures of releases: those that were not proven are shown too

The leader counted them, and coordination_releases_total left them out, so that an operator couldn't see a finish that ended nothing. Read in the change; no behaviour changes.

--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -129,6 +129,7 @@
   page.Line(releases.unextended, "hold=\"unextended\"");
   page.Line(releases.extended, "hold=\"extended\"");
   page.Line(releases.none, "hold=\"none\"");
+  page.Line(releases.unproven, "hold=\"unproven\"");
   page.Gauge("coordination_locks_held", host->coordinator().state().holds().size(), "Locks that are held.");
 }
 
