--- a/tests/system/planned_end_test.cpp
+++ b/tests/system/planned_end_test.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <csignal>
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
@@ -141,55 +142,53 @@
   int last_id_ = 0;
 };
 
-// A gateway without a disk, then a member of the core.
-constexpr int kEnding[] = {3, 1};
-
-bool StartWithLongTimeouts(PlannedEnd& end) { return end.world.Start({.timeout_ms = 10'000}); }
-
-// Keeps the gateway at work until shortly before its end.
-void AddBusyClient(PlannedEnd& end) { end.Add(-0.3, "read", 5500, 9000); }
-
-// Guards against requests that a leaving gateway passes on and leaves without an answer (LOST, planned work).
-BOOST_AUTO_TEST_CASE(a_request_after_a_sigterm_is_answered_or_declined_whenever_it_comes) {
+// Around the SIGTERM of a gateway without a disk, then of a member of the core: the clients that `add` adds
+// beside one that keeps the gateway at work until shortly before its end. `look` has further looks at their
+// answers.
+void PlayAll(const std::function<void(PlannedEnd&)>& add, const std::function<void(PlannedEnd&)>& look = {}) {
   PlannedEnd end;
-  BOOST_REQUIRE(StartWithLongTimeouts(end));
-  for (const int machine : kEnding) {
+  BOOST_REQUIRE(end.world.Start({.timeout_ms = 10'000}));
+  for (const int machine : {3, 1}) {
     end.clients.clear();
-    AddBusyClient(end);
-    for (const double at : {0.6, 1.5, 2.1, 2.6, 3.2, 3.8, 4.4, 5.0, 5.2})
-      for (const char* route : {"read", "write"}) end.Add(at, route, kSlowMs, kLongDeadlineMs);
+    end.Add(-0.3, "read", 5500, 9000);
+    add(end);
     end.Play(machine);
     end.Judge();
-    BOOST_TEST(PlannedEnd::StatusOf(end.clients[0]) == 200);
-    BOOST_TEST(PlannedEnd::StatusOf(end.clients[1]) == 200);  // at 0.6 s: there is time enough
-    BOOST_TEST(PlannedEnd::StatusOf(end.clients[2]) == 200);
+    if (look) look(end);
   }
 }
 
+// Guards against requests that a leaving gateway passes on and leaves without an answer (LOST, planned work).
+BOOST_AUTO_TEST_CASE(a_request_after_a_sigterm_is_answered_or_declined_whenever_it_comes) {
+  PlayAll(
+      [](PlannedEnd& end) {
+        for (const double at : {0.6, 1.5, 2.1, 2.6, 3.2, 3.8, 4.4, 5.0, 5.2})
+          for (const char* route : {"read", "write"}) end.Add(at, route, kSlowMs, kLongDeadlineMs);
+      },
+      [](PlannedEnd& end) {
+        BOOST_TEST(PlannedEnd::StatusOf(end.clients[0]) == 200);
+        BOOST_TEST(PlannedEnd::StatusOf(end.clients[1]) == 200);  // at 0.6 s: there is time enough
+        BOOST_TEST(PlannedEnd::StatusOf(end.clients[2]) == 200);
+      });
+}
+
 // Guards against a leaving gateway that declines what it could have finished.
 BOOST_AUTO_TEST_CASE(a_request_after_a_sigterm_that_can_be_finished_is_served) {
-  PlannedEnd end;
-  BOOST_REQUIRE(StartWithLongTimeouts(end));
-  for (const int machine : kEnding) {
-    end.clients.clear();
-    AddBusyClient(end);
-    for (const double at : {0.6, 2.1, 3.2, 4.4})
-      for (const char* route : {"read", "write"}) end.Add(at, route, 100, 900);
-    end.Play(machine);
-    end.Judge();
-    for (const Client& client : end.clients)
-      BOOST_TEST(PlannedEnd::StatusOf(client) == 200, client.name << " isn't served");
-  }
+  PlayAll(
+      [](PlannedEnd& end) {
+        for (const double at : {0.6, 2.1, 3.2, 4.4})
+          for (const char* route : {"read", "write"}) end.Add(at, route, 100, 900);
+      },
+      [](PlannedEnd& end) {
+        for (const Client& client : end.clients)
+          BOOST_TEST(PlannedEnd::StatusOf(client) == 200, client.name << " isn't served");
+      });
 }
 
 // Guards against the same loss where a body is still coming at the SIGTERM or long after it.
 BOOST_AUTO_TEST_CASE(a_request_whose_body_comes_during_the_shutdown_is_answered_or_declined) {
-  constexpr std::size_t kShort = 400, kLong = 400'000;
-  PlannedEnd end;
-  BOOST_REQUIRE(StartWithLongTimeouts(end));
-  for (const int machine : kEnding) {
-    end.clients.clear();
-    AddBusyClient(end);
+  PlayAll([](PlannedEnd& end) {
+    constexpr std::size_t kShort = 400, kLong = 400'000;
     for (const std::size_t size : {kShort, kLong}) {
       for (const auto& [begins, goes_on] : {std::pair(-0.2, 2.0), std::pair(1.0, 3.2), std::pair(2.3, 4.5)}) {
         const std::string id = end.NextId(), half(size / 2, 'b');
@@ -198,18 +197,12 @@
             {{begins, PlannedEnd::Request(id, "write", kSlowMs, 8000, size) + half}, {goes_on, half}}, {id});
       }
     }
-    end.Play(machine);
-    end.Judge();
-  }
+  });
 }
 
 // Guards against the same loss of requests that were sent ahead or behind an answer under way.
 BOOST_AUTO_TEST_CASE(requests_behind_another_answer_are_answered_or_not_read) {
-  PlannedEnd end;
-  BOOST_REQUIRE(StartWithLongTimeouts(end));
-  for (const int machine : kEnding) {
-    end.clients.clear();
-    AddBusyClient(end);
+  PlayAll([](PlannedEnd& end) {
     for (const auto& [first, second] : {std::pair(-0.2, -0.1), std::pair(-0.2, 3.2), std::pair(0.7, 3.4)}) {
       const std::string one = end.NextId(), other = end.NextId();
       end.AddClient(fmt::format("a request at {} s behind one at {} s", second, first),
@@ -217,9 +210,7 @@
                      {second, PlannedEnd::Request(other, "read", kSlowMs, kLongDeadlineMs)}},
                     {one, other});
     }
-    end.Play(machine);
-    end.Judge();
-  }
+  });
 }
 
 }  // namespace
