A leaving gateway sends the answers that stand behind one it can't wait for

No excuse covers these.

An answer is held back until those before it on its connection are out, and nobody asked at the end what an unanswered request holds back.

Change: at the end Client::BlockingAnswers() names the requests that wait while a later one of their connection is answered; they get 502, which promises nothing and counts as the cut that it replaces, and what is answered behind them is written. The shutdown of Front has a file of its own.

Why it works: an answer is sent only behind those before it; when the process ends, nothing is left before it that could still come. Behind an answer that has begun and isn't whole nothing can be sent; that stays.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -183,6 +183,19 @@
   FinishAnswer();
 }
 
+// Behind an answer that has begun and isn't whole nothing can be sent, whatever waits there.
+std::vector<RequestId> Client::BlockingAnswers() const {
+  std::vector<RequestId> waiting, blocking;
+  if (state_ == State::kStreaming) return blocking;
+  if (state_ == State::kWaiting) waiting.push_back(id);
+  for (const Client& next : behind_) {
+    if (next.state_ == State::kWaiting) waiting.push_back(next.id);
+    if (next.ended_) blocking = waiting;
+    if (next.state_ == State::kStreaming && !next.ended_) break;
+  }
+  return blocking;
+}
+
 void Client::CloseBehind() {
   for (Client& each : behind_) {
     const bool waiting = each.state_ == State::kWaiting;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <vector>
 
 #include "admin/admin.hpp"
 #include "handover/frames.hpp"
@@ -109,6 +110,9 @@
   // Ends what takes too long: slow senders, stalled readers, idle connections.
   void CheckTime(TimePoint now);
 
+  // Requests of this connection that wait while a later one has been answered, which is held back for them.
+  std::vector<RequestId> BlockingAnswers() const;
+
   // A request that was taken ahead of its turn, which has no connection of its own.
   bool ahead_of_turn() const { return parent_ != nullptr; }
 
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -270,6 +270,15 @@
   return !owes_anything();
 }
 
+std::vector<RequestId> Door::BlockingAnswers() const {
+  std::vector<RequestId> blocking;
+  for (const Client& client : clients_) {
+    const std::vector<RequestId> of_client = client.BlockingAnswers();
+    blocking.insert(blocking.end(), of_client.begin(), of_client.end());
+  }
+  return blocking;
+}
+
 bool Door::AcceptLast() {
   const std::uint64_t before = counts_.accepted;
   if (accepting_) Accept();
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -65,6 +65,8 @@
   void Drain();
   // Whether nothing is owed, and no client has come for a while.
   bool Drained(Duration quiet_for) const;
+  // Requests that wait while a later one on their connection has been answered.
+  std::vector<RequestId> BlockingAnswers() const;
   // Takes in what the system has accepted meanwhile. Tells whether that was nothing.
   bool AcceptLast();
 
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -23,13 +23,12 @@
     milliseconds(120);                                 // within a region: some round trips and a slot's turn
 constexpr Duration kFarCountWait = milliseconds(150);  // for a count that may stand in another region
 constexpr Duration kFarConnectTimeout = milliseconds(400);  // where hosts may be in another region
-constexpr Duration kKeepIdle = seconds(8);            // connections to hosts, unless they tell otherwise
-constexpr Duration kExpiryMargin = milliseconds(20);  // a host's own answer at the deadline goes first
-constexpr std::size_t kMostAhead = 64 * 1024;         // bytes of one long body that are held
-constexpr std::size_t kMostPipelined = 8;             // requests of one client ahead of their turn
-constexpr std::size_t kMostRequests = 4096;           // open at once; more are declined
-constexpr double kMeanStep = 0.05;                    // weight of one answer in a route's mean
-constexpr double kFirstMean = 0.1;                    // seconds, until answers have told
+constexpr Duration kKeepIdle = seconds(8);     // connections to hosts, unless they tell otherwise
+constexpr std::size_t kMostAhead = 64 * 1024;  // bytes of one long body that are held
+constexpr std::size_t kMostPipelined = 8;      // requests of one client ahead of their turn
+constexpr std::size_t kMostRequests = 4096;    // open at once; more are declined
+constexpr double kMeanStep = 0.05;             // weight of one answer in a route's mean
+constexpr double kFirstMean = 0.1;             // seconds, until answers have told
 
 constexpr std::string_view kBodyTooLarge = "too large\n";
 
@@ -274,69 +273,8 @@
   if (!uploads_.Start({attempt, *host, info.address, request.expires})) Post(AttemptFailed{attempt});
 }
 
-// ---- Shutdown -----------------------------------------------------------------------------------------
-
-void Front::BeginShutdown(const net::DrainSchedule& schedule) {
-  drain_schedule_ = schedule;
-  Drain();
-}
-
-void Front::EndShutdown() {
-  if (drain_schedule_) drain_schedule_->Close(Now());
-  DeclineUnfinishable();
-}
-
-// Whether this process lives until the request's final answer, if a host gets it now.
-bool Front::MayFinish(const Request& request) {
-  if (!drain_schedule_) return true;
-  return drain_schedule_->MayPassOn(Now(), request.expires + kExpiryMargin, FromSeconds(Mean(request)));
-}
-
-// A host that has a whole request may still answer it. One whose body is coming has not begun: how long that
-// takes is its client's affair, so only its expiry says when it ends.
-bool Front::IsUnfinishable(const Request& request) {
-  if (request.course.state() == retry::AttemptState::kSent) return false;
-  const TimePoint now = Now();
-  if (drain_schedule_->Over(now)) return true;
-  return uploading(request.id) && !drain_schedule_->InLikelyTime(now) && !MayFinish(request);
-}
-
-void Front::DeclineUnfinishable() {
-  if (!drain_schedule_) return;
-  std::vector<RequestId> unfinishable;
-  for (const auto& [id, request] : requests_)
-    if (IsUnfinishable(request)) unfinishable.push_back(id);
-  Run([&] {
-    for (const RequestId id : unfinishable)
-      if (Request* request = Find(id)) ConcludeTooLate(*request);
-  });
-  if (!drain_schedule_->Over(Now())) return;
-  for (const Arrived& each : std::exchange(not_taken_in_, {})) Decline(each.id, 503, {});
-}
-
-// Its client may turn to another gateway at once.
-void Front::ConcludeTooLate(Request& request) {
-  ++figures_.too_late;
-  if (request.claim.customer != nullptr && !request.held_open) leases_.Cancel(request.claim);
-  GiveUp(request, load_balancing::AttemptFeedback::kCancelled);
-  Conclude(request, Duration::zero(), 502);
-}
-
 // ---- Attempts -----------------------------------------------------------------------------------------
 
-template <typename Do>
-void Front::Run(Do&& act) {
-  if (running_) return act();
-  running_ = true;
-  act();
-  while (!inputs_queue_.empty()) {
-    const Input next = std::move(inputs_queue_.front());
-    inputs_queue_.pop_front();
-    Handle(next);
-  }
-  running_ = false;
-}
-
 void Front::Post(Input input) {
   if (running_) {
     inputs_queue_.push_back(std::move(input));
@@ -506,16 +444,6 @@
     it->second.course.MarkBodyReleased();
 }
 
-Front::OpenWork Front::CountOpenWork() const {
-  OpenWork work;
-  work.requests = requests_.size();
-  for (const auto& [id, request] : requests_) {
-    if (request.course.state() == retry::AttemptState::kSent) ++work.at_hosts;
-    work.last_arrival = std::max(work.last_arrival, request.arrived);
-  }
-  return work;
-}
-
 // ---- Times --------------------------------------------------------------------------------------------
 
 void Front::StartTimer(const SetTimer& timer) {
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -104,6 +104,8 @@
  private:
   // What no configuration's limit goes beyond here; the limit in force is looked at with each request.
   static constexpr std::uint64_t kLargestOfAll = std::uint64_t{1} << 30;
+  // A host's own answer at the deadline goes first.
+  static constexpr Duration kExpiryMargin = std::chrono::milliseconds(20);
 
   struct Service {
     std::string name;
@@ -191,6 +193,7 @@
   bool MayFinish(const Request& request);
   bool IsUnfinishable(const Request& request);
   void ConcludeTooLate(Request& request);
+  void FailWhatBlocksAnswers();
   bool MaySendNow() const { return knowledge_.hosts == nullptr || knowledge_.hosts->MaySend(RegistryNow()); }
   bool MayTakeIn() const {
     return MaySendNow() && (!knowledge_.config_is_current || knowledge_.config_is_current());
@@ -250,4 +253,17 @@
   mutable Figures figures_;  // the check at the write counts too
 };
 
+template <typename Do>
+void Front::Run(Do&& act) {
+  if (running_) return act();
+  running_ = true;
+  act();
+  while (!inputs_queue_.empty()) {
+    const Input next = std::move(inputs_queue_.front());
+    inputs_queue_.pop_front();
+    Handle(next);
+  }
+  running_ = false;
+}
+
 }  // namespace curlewdoor::system
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -4,7 +4,7 @@
                                    src/system/call_door.cpp src/system/command.cpp src/system/config_feed.cpp
                                    src/system/config_source.cpp src/system/coordination_calls.cpp
                                    src/system/coordination_host.cpp src/system/coordination_http.cpp src/system/core_calls.cpp src/system/founding_host.cpp
-                                   src/system/front.cpp src/system/front_dialect.cpp src/system/front_in_force.cpp
+                                   src/system/front.cpp src/system/front_dialect.cpp src/system/front_in_force.cpp src/system/front_shutdown.cpp
                                    src/system/link.cpp src/system/message.cpp src/system/node.cpp src/system/node_calls.cpp
                                    src/system/node_coordination.cpp src/system/node_core.cpp src/system/node_count.cpp
                                    src/system/node_directory.cpp src/system/node_feed.cpp
--- a/tests/system/planned_end_test.cpp
+++ b/tests/system/planned_end_test.cpp
@@ -213,5 +213,30 @@
   });
 }
 
+// Guards against answers that are lost behind one that outlasts the process (LOST): their own hosts were
+// done.
+BOOST_AUTO_TEST_CASE(answers_behind_one_that_outlasts_the_process_are_delivered) {
+  constexpr int kOutlastsMs = 9000, kQuickMs = 100;
+  PlayAll(
+      [](PlannedEnd& end) {
+        for (const char* first : {"read", "write"}) {
+          std::vector<std::string> ids{end.NextId(), end.NextId(), end.NextId()};
+          std::vector<Piece> pieces{{-0.3, PlannedEnd::Request(ids[0], first, kOutlastsMs, kOutlastsMs)},
+                                    {-0.2, PlannedEnd::Request(ids[1], "read", kQuickMs, kOutlastsMs)},
+                                    {-0.1, PlannedEnd::Request(ids[2], "read", kQuickMs, kOutlastsMs)}};
+          end.AddClient(fmt::format("two requests behind a {} that outlasts the process", first),
+                        std::move(pieces), std::move(ids));
+        }
+      },
+      [](PlannedEnd& end) {
+        for (std::size_t i = 1; i < end.clients.size(); ++i) {
+          const auto answers = PlannedEnd::AnswersOf(end.clients[i]);
+          BOOST_TEST(answers.size() == 3U, end.clients[i].name << ": " << answers.size() << " answers");
+          for (std::size_t behind = 1; behind < answers.size(); ++behind)
+            BOOST_TEST(answers[behind].status == 200);
+        }
+      });
+}
+
 }  // namespace
 }  // namespace curlewdoor::systemkit
