--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -48,7 +48,7 @@
     # Histories of the register, judged from outside; each scenario a test, as above.
     set(histories cut orders loss changes reset)
     list(TRANSFORM histories REPLACE "(.+)" "tests/system/history_\\1_test.cpp" OUTPUT_VARIABLE history_sources)
-    add_executable(history_test tests/system/history_scene.cpp tests/system/history_test_main.cpp ${history_sources})
+    add_executable(history_test tests/system/disk_probe.cpp tests/system/history_scene.cpp tests/system/history_test_main.cpp ${history_sources})
     target_link_libraries(history_test PRIVATE curlewdoor_systemkit Boost::unit_test_framework)
     target_compile_definitions(history_test PRIVATE BOOST_TEST_DYN_LINK
                                                     CURLEWDOOR_PROGRAM="$<TARGET_FILE:curlewdoor-system>")
