A leaving gateway answers the calls on control that it has taken before it ends

Callers of locks, numbers and keys saw a closed connection while their call was done: a gateway took it after its SIGTERM, passed it on to the member that leads, and ended before the reply. So it was at a gateway, at a member and at the leader, with no trouble but the SIGTERM at the latter. Watches always ended so.

Cause: the end asked what is owed to clients of the data plane alone. Whatever came on `control` was taken up to the last moment.

Change: once nothing else is owed, or a second before the end at all events, CallDoor declines whole calls with 503 (nothing was done) and watches that wait get 503; the process ends when no call waits for its answer. A second is what callers wait, and more than each call's own time. Node's shutdown has a file of its own.

Why it works: a call is either passed on while the process waits for its reply, or declined before anything is done.

--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -59,7 +59,8 @@
   bool delivers(RequestId id) const { return streams_.contains(id); }
 
   bool owes_anything() const { return owed() > 0; }
-  std::size_t owed() const;  // connections that are not between requests
+  std::size_t owed() const;                                // connections that are not between requests
+  std::size_t waiting() const { return waiting_.size(); }  // requests that wait for their answer
 
   // From now on connections end with their request; those that carry none are closed, if they ever did.
   void Drain();
--- a/src/system/call_door.cpp
+++ b/src/system/call_door.cpp
@@ -21,9 +21,19 @@
     return BeginUpload(id, std::move(call), request.length() ? static_cast<std::size_t>(length) : most_body_);
   if (request.body().size() > most_body_) return RefuseLength(id);
   call.body = request.body();
+  Take(std::move(call));
+}
+
+// The one place where whole calls go on from here.
+void CallDoor::Take(Call call) {
+  if (declines_) return Refuse(call.id, 503, "this gateway is about to end\n");
   on_call_(std::move(call));
 }
 
+void CallDoor::DeclineCalls() {
+  if (!std::exchange(declines_, true)) Drain();
+}
+
 // All that the body may become is set aside at once, so that nothing is copied as it grows: what isn't
 // written to takes no memory.
 void CallDoor::BeginUpload(RequestId id, Call call, std::size_t size) {
@@ -71,7 +81,7 @@
   Call call = std::move(it->second.call);
   uploads_.erase(it);
   if (call.body.size() < call.body.capacity() / 2) call.body.shrink_to_fit();
-  on_call_(std::move(call));
+  Take(std::move(call));
 }
 
 // Answered, refused, or left by its client.
--- a/src/system/call_door.hpp
+++ b/src/system/call_door.hpp
@@ -26,6 +26,9 @@
   // Told of each call whose client has gone before its Reply().
   void SetOnLeft(std::function<void(RequestId)> on_left) { on_left_ = std::move(on_left); }
   void Reply(RequestId id, int status, std::string_view body = {}, std::string_view type = {});
+  // The process is about to end: calls that come from now on are declined with 503, which is true as nothing
+  // was done, and connections end with their answer.
+  void DeclineCalls();
   // Bytes that calls with long bodies may take by now.
   std::size_t held() const { return held_; }
 
@@ -52,12 +55,14 @@
   void BeginUpload(RequestId id, Call call, std::size_t size);
   bool Append(RequestId id, Upload& upload);
   void Finish(RequestId id);
+  void Take(Call call);
   void Refuse(RequestId id, int status, const std::string& text);
   void RefuseLength(RequestId id);
 
   const OnCall on_call_;
   std::function<void(RequestId)> on_left_;
   const std::size_t most_body_;
+  bool declines_ = false;
   std::unordered_map<RequestId, Upload, IdHash> uploads_;
   std::unordered_map<RequestId, std::size_t, IdHash> reserved_;  // by calls with long bodies, until answered
   std::size_t held_ = 0;                                         // the sum of these
--- a/src/system/coordination_calls.cpp
+++ b/src/system/coordination_calls.cpp
@@ -196,6 +196,13 @@
   for (const std::uint64_t stream : out) TellForgotten(stream, number);
 }
 
+void CoordinationCalls::EndWatches() {
+  std::vector<std::uint64_t> watches;
+  for (const auto& [number, waiting] : waiting_)
+    if (std::holds_alternative<coordination::WatchGroup>(waiting.call)) watches.push_back(number);
+  for (const std::uint64_t number : watches) FinishLate(number);
+}
+
 void CoordinationCalls::Tick(Time now) {
   std::vector<std::uint64_t> over, due;
   for (const auto& [number, waiting] : waiting_) {
--- a/src/system/coordination_calls.hpp
+++ b/src/system/coordination_calls.hpp
@@ -94,7 +94,10 @@
   void OnStreamDown(Time now, std::uint64_t stream);
   void OnLeader(Time now, std::uint64_t term, std::string name);  // told by the member that leads
   void Forget(std::uint64_t number);                              // its caller is gone
-  void Tick(Time now);                                            // regularly
+  // The process is about to end: watches that wait here are answered 503, so that their callers go on
+  // elsewhere.
+  void EndWatches();
+  void Tick(Time now);  // regularly
 
   const std::string& leader() const { return leader_; }  // empty: not known
   std::size_t size() const { return waiting_.size(); }
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -1,4 +1,4 @@
-// Start, periodic work and end of a Node.
+// Start and periodic work of a Node.
 #include "system/node.hpp"
 
 #include <algorithm>
@@ -225,16 +225,7 @@
   if (told_hosts_ != directory_.version() || !owed_beats_.empty()) PublishHosts();
   KeepLeaves();
   TickLease();
-  if (!leaving_) return;
-  const auto since = now - term_at_;
-  if (since >= kStopListening) front_.StopListening();
-  front_.DeclineUnfinishable();
-  // A member goes on voting until the others hold what it holds.
-  const bool drained = since >= kStopListening && !front_.owes_anything();
-  if (drained && core_) core_->Leave();
-  const bool leads = coordination_ && coordination_->has_lead_to_hand_over();
-  const bool ended = drained && !leads && (!core_ || core_->HandedOver(now));
-  if (ended || since >= settings_.bounds.grace - kEndMargin) End();
+  if (leaving_) AdvanceShutdown(now);
 }
 
 void Node::LookAtSettings() {
@@ -253,42 +244,4 @@
   }
 }
 
-void Node::OnTerm() {
-  if (leaving_) return;
-  leaving_ = true;
-  term_at_ = Now();
-  Say(Event::kTermReceived, settings_.node_name);
-  SetReady();
-  front_.BeginShutdown(DrainScheduleFrom(term_at_));
-  if (coordination_) coordination_->Leave();
-}
-
-net::DrainSchedule Node::DrainScheduleFrom(Steady term_at) const {
-  const Duration last_answer = settings_.bounds.grace - kEndMargin - kLastAnswers;
-  return net::DrainSchedule({.begun_at = Net(term_at),
-                             .likely_for = kStillBrought,
-                             .answers_end_at = Net(term_at) + std::max(Duration::zero(), last_answer)});
-}
-
-void Node::End() {
-  front_.EndShutdown();
-  fleet::ProtocolOutput out;
-  fleet_->Leave(Now(), out);
-  ExecuteFleet(out);
-  if (front_.owes_anything()) {
-    Say(Event::kDrainCutShort, settings_.node_name + DescribeOpenWork());
-  } else {
-    Say(Event::kDrained, settings_.node_name);
-  }
-  ev_break(loop_, EVBREAK_ALL);
-}
-
-std::string Node::DescribeOpenWork() const {
-  const Front::OpenWork work = front_.CountOpenWork();
-  if (work.requests == 0) return ": connections only";
-  const auto last = std::chrono::duration_cast<milliseconds>(work.last_arrival - Net(term_at_));
-  return ": " + std::to_string(work.requests) + " requests, " + std::to_string(work.at_hosts) +
-         " at hosts, the last taken " + std::to_string(last.count()) + " ms after SIGTERM";
-}
-
 }  // namespace curlewdoor::system
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -275,8 +275,12 @@
   std::vector<Address> FleetSeeds() const;
   void LookWhetherAlone();
   void SetReady();
+
+  // Its end (node_shutdown.cpp).
   void OnTerm();
   net::DrainSchedule DrainScheduleFrom(Steady term_at) const;
+  void AdvanceShutdown(Steady now);
+  void DeclineCalls();
   void End();
   std::string DescribeOpenWork() const;  // for the log
 
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -63,6 +63,8 @@
 inline constexpr std::uint64_t kFoundingWrite = kHostsWrite - 1;
 inline constexpr std::uint64_t kLeavesWrite = kHostsWrite - 2;
 inline constexpr std::uint64_t kLogWrite = kHostsWrite - 3;
+// Whoever calls on `control` turns to another gateway after so long without an answer.
+inline constexpr milliseconds kCallerWaits{1000};
 // An application gives a call up after a second and may go on: what lay in a socket for a good part of it is
 // not passed on.
 inline constexpr milliseconds kCallPause{500}, kCallPauseDrained{300};
--- a/src/system/package.cmake
+++ b/src/system/package.cmake
@@ -9,7 +9,7 @@
                                    src/system/node_coordination.cpp src/system/node_core.cpp src/system/node_count.cpp
                                    src/system/node_directory.cpp src/system/node_feed.cpp
                                    src/system/node_membership.cpp
-                                   src/system/node_messages.cpp src/system/node_registry.cpp
+                                   src/system/node_messages.cpp src/system/node_registry.cpp src/system/node_shutdown.cpp
                                    src/system/report.cpp src/util/text_delta.cpp)
 target_include_directories(curlewdoor_node SYSTEM PRIVATE ${MSGPACK})
 target_compile_definitions(curlewdoor_node PRIVATE MSGPACK_NO_BOOST)
--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -41,6 +41,7 @@
     scenario_tests(coordination_path 2)
     scenario_tests(late_finish 2)
     scenario_tests(planned_end 2)
+    scenario_tests(planned_end_calls 2)
     scenario_tests(shutdown_soak 2)
     scenario_tests(two_builds 2)
     # The longest, which mostly waits: begun first.
--- a/tests/system/call_door_test.cpp
+++ b/tests/system/call_door_test.cpp
@@ -115,6 +115,33 @@
     }
 }
 
+// Guards against calls that a gateway takes although it is about to end, also where a body becomes whole
+// then.
+BOOST_AUTO_TEST_CASE(OnceCallsAreDeclinedOnlyWhatWasTakenIsAnswered) {
+  Stand stand;
+  stand.at_once = false;
+  Plain taken(stand.loop.get(), stand.door.port()), uploads(stand.loop.get(), stand.door.port());
+  taken.Write(WithLength("/taken", "x"));
+  BOOST_REQUIRE(stand.loop.Until([&] { return stand.calls.size() == 1u; }));
+  const std::string body = WithLength("/long", Text(kMost));
+  Feed(stand, uploads, body.substr(0, body.size() / 2), 16'384);
+  BOOST_REQUIRE(stand.loop.Until([&] { return stand.door.waiting() == 2u; }));
+
+  stand.door.DeclineCalls();
+  Feed(stand, uploads, body.substr(body.size() / 2), 16'384);
+  Plain late(stand.loop.get(), stand.door.port());
+  late.Write(WithLength("/late", "x"));
+  BOOST_REQUIRE(stand.Await(late, 1) && stand.Await(uploads, 1));
+  BOOST_TEST(late.came.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(uploads.came.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(stand.calls.size() == 1u);
+  BOOST_TEST(stand.door.waiting() == 1u);
+  stand.Answer(stand.calls[0]);
+  BOOST_REQUIRE(stand.Await(taken, 1));
+  BOOST_TEST(taken.came.starts_with("HTTP/1.1 200 "));
+  RequireCleanEnd(stand, taken);
+}
+
 BOOST_AUTO_TEST_CASE(OverTheBoundIs413) {
   const std::string body = Text(kMost + 1);
   for (const std::string& bytes : {Chunked(body, 4'000), Chunked(body, 70'000), WithLength("/c", body)}) {
--- a/tests/system/coordination_calls_test.cpp
+++ b/tests/system/coordination_calls_test.cpp
@@ -303,6 +303,19 @@
   BOOST_TEST((gateway.EndOf(1) == End::kReply));
 }
 
+// Guards against watches that hold up the end of a process, or end with it unanswered.
+BOOST_AUTO_TEST_CASE(watches_end_with_the_process_and_commands_go_on) {
+  Gateway gateway;
+  gateway.Begin(1, WatchGroup{"g.", 4, 2000});
+  gateway.Begin(2);
+  gateway.calls.EndWatches();
+  BOOST_TEST((gateway.EndOf(1) == End::kNothingDone));
+  BOOST_TEST(gateway.forgotten.size() == 1u);
+  BOOST_TEST(!gateway.EndOf(2).has_value());
+  gateway.Reply(gateway.last(), 2, Number(7));
+  BOOST_TEST((gateway.EndOf(2) == End::kReply));
+}
+
 BOOST_AUTO_TEST_CASE(whoever_leaves_is_forgotten_everywhere) {
   Gateway gateway;
   gateway.Begin(1, WatchGroup{"g.", 4, 2000});
