Tests: the bound on a repair is sync_time_s again; the disks of its machines are in memory

A bound comes from the target and from no measured figure, and the probe's own threshold would have let a slow repair pass on a busy disk.

By hand without that TMPDIR they run on the disk as before.

--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -49,7 +49,7 @@
     # Histories of the register, judged from outside; each scenario a test, as above.
     set(histories cut orders loss changes reset)
     list(TRANSFORM histories REPLACE "(.+)" "tests/system/history_\\1_test.cpp" OUTPUT_VARIABLE history_sources)
-    add_executable(history_test tests/system/disk_probe.cpp tests/system/history_scene.cpp tests/system/history_test_main.cpp ${history_sources})
+    add_executable(history_test tests/system/history_scene.cpp tests/system/history_test_main.cpp ${history_sources})
     target_link_libraries(history_test PRIVATE curlewdoor_systemkit Boost::unit_test_framework)
     target_compile_definitions(history_test PRIVATE BOOST_TEST_DYN_LINK
                                                     CURLEWDOOR_PROGRAM="$<TARGET_FILE:curlewdoor-system>")
@@ -57,6 +57,13 @@
     foreach(history ${histories})
       test_cases(history_test tests/system/history_${history}_test.cpp history_${history} TIMEOUT 120 PROCESSORS 1)
     endforeach()
+    # Their bound is a machine's whose disk works (sync_time_s): the disks are in memory, as others may keep this
+    # computer's disk busy.
+    if(IS_DIRECTORY /dev/shm)
+      foreach(members three five eight)
+        set_tests_properties(history_loss_second_loss_after_a_repair_of_${members} PROPERTIES ENVIRONMENT TMPDIR=/dev/shm)
+      endforeach()
+    endif()
   endif()
 endif()
 
--- a/tests/system/history_loss_test.cpp
+++ b/tests/system/history_loss_test.cpp
@@ -1,7 +1,6 @@
 // A second loss right after a repair, members lost while they catch up, members that leave as planned.
 #include <csignal>
 
-#include "disk_probe.hpp"
 #include "history_scene.hpp"
 
 namespace curlewdoor::systemkit {
@@ -14,13 +13,11 @@
 void PlaySecondLoss(int core) {
   HistoryScene scene(core, 1);
   BOOST_REQUIRE(scene.Begin({}));
-  DiskProbe disk;
   const int at_once = (core - 1) / 2;
   for (int round = 0; round < 3; ++round) {
     std::vector<int> lost;
     for (int i = 0; i < at_once; ++i) lost.push_back((round * at_once + i) % core);
     BOOST_REQUIRE(scene.AtConfirmation([&](int) { scene.KillAndWipe(lost); }));
-    (void)disk.TakeStalled();
     for (const int m : lost) scene.Start(m);
     double longest = 0;
     for (const int m : lost) {
@@ -28,10 +25,9 @@
       BOOST_TEST(took >= 0);
       longest += took;
     }
-    const double stalled = disk.TakeStalled();
     BOOST_TEST_MESSAGE(core << " members, loss " << round + 1 << " of " << at_once << ": redundant again "
-                            << longest << " s after the return; the disk stalled for " << stalled << " s");
-    BOOST_TEST(longest <= kSyncTime + stalled);
+                            << longest << " s after the return");
+    BOOST_TEST(longest <= kSyncTime);
   }
   BOOST_TEST(scene.Confirms(2));
   scene.Judge();
