Tests: a caller of STATUS that has its answer is closed before the next one asks

Cause: UntilSays() opened a connection for each question, without a pause, and closed none of them: some 10,000 in the 0.3 s of one upgrade. strace of the test shows accept4 and openat failing with EMFILE at this machine's limit of 20,000 descriptors; the gateways themselves had handed over and answered OK. Change: a caller that has had another answer is closed, and the next one comes 5 ms later at the earliest. What is asked, and what has to be answered, is as before.

--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -116,13 +116,19 @@
       SendNext(load_.back().first, load_.back().second);
     }
   }
-  // Asks until the answer begins with `yes`, under load.
+  // Asks until the answer begins with `yes`, under load. A caller that has another answer is closed, and the next one
+  // comes a little later: thousands of them would take all descriptors of this process.
   [[nodiscard]] bool UntilSays(Child& child, const std::string& line, const std::string& yes = "OK") {
+    constexpr milliseconds kAgain{5};
     Peer* caller = nullptr;
+    std::chrono::steady_clock::time_point asked;
     return Run([&] {
       if (caller != nullptr && !caller->ended) return false;
       if (caller != nullptr && caller->got.starts_with(yes)) return true;
+      if (caller != nullptr) caller->Close();
+      if (std::chrono::steady_clock::now() - asked < kAgain) return false;
       if (const auto port = child.AdminPort()) {
+        asked = std::chrono::steady_clock::now();
         caller = clients_.emplace_back(ConnectTo(loop_, port)).get();
         caller->Send(line + "\n");
       }
