--- a/src/systemkit/host.cpp
+++ b/src/systemkit/host.cpp
@@ -83,6 +83,14 @@
   return std::uniform_real_distribution<double>(options_.work_least_s, options_.work_most_s)(random_);
 }
 
+// In bytes: what the target asks for ("answer_bytes=60000"), else drawn.
+std::size_t Host::AnswerSize(const std::string& target) {
+  constexpr std::string_view kSize = "answer_bytes=";
+  if (const auto at = target.find(kSize); at != std::string::npos)
+    return static_cast<std::size_t>(std::atol(target.c_str() + at + kSize.size()));
+  return 20 + random_() % 2000;
+}
+
 void Host::Begin(Work work) {
   sightings_.run(work.run).ran = true;
   const std::uint64_t number = next_work_++;
@@ -105,7 +113,7 @@
   Run& run = sightings_.run(work.run);
   run.status = pace_.Now() >= work.deadline ? 504 : 200;
   run.seal = fmt::format("{}.{}.{:08x}", options_.instance, ++seals_, random_() & 0xffffffff);
-  run.answer_body.assign(20 + random_() % 2000, ' ');
+  run.answer_body.assign(AnswerSize(run.target), ' ');
   for (char& letter : run.answer_body) letter = static_cast<char>('a' + random_() % 26);
   const bool closes = draining_ || seals_ % kClosesEvery == 0;
   const auto connection = work.connection;
--- a/src/systemkit/host.hpp
+++ b/src/systemkit/host.hpp
@@ -1,5 +1,6 @@
 // A stand-in host, from PROTOCOL.md: works on requests, says so by heartbeats, leaves in order or crashes. A
-// target that ends in "?work_ms=N" has it work for so long.
+// target with "?work_ms=N" has it work for so long; one with "answer_bytes=N" behind the question mark has
+// its answer hold so many bytes.
 #pragma once
 
 #include <cstdint>
@@ -60,6 +61,7 @@
   void Refuse(playing::ConnectionId connection, int status, const std::string& id);
   void Begin(Work work);
   double WorkTime(const std::string& target);
+  std::size_t AnswerSize(const std::string& target);
   void End(std::uint64_t number);
   void TakeNext();
   void Beat();
--- a/src/systemkit/machines.cpp
+++ b/src/systemkit/machines.cpp
@@ -101,7 +101,7 @@
   text += fmt::format("bootstrap: {}\nquorum_member: {}\n", bootstrap, own.disk);
   if (own.disk) text += fmt::format("data_directory: \"{}\"\n", DiskOf(machine));
   text += fmt::format(
-      "limits:\n  cpu_share: 0.35\n  cpu_cores: 1\n  memory_mb: 260\n  fd_limit: {}\n"
+      "limits:\n  cpu_share: 0.35\n  cpu_cores: 1\n  memory_mb: {}\n  fd_limit: {}\n"
       "  link_mbps: 1000.0\n  disk_mb: 64\n"
       "discovery_source: \"self_register\"\nentry_mode: \"virtual_ip\"\nheartbeat_ms: {}\n"
       "registry_period_ms: {}\n"
@@ -110,7 +110,7 @@
       "fault_tolerance:\n  machine_failures: {}\n  zones: 0\n  region_failures: 0\n"
       "bounds:\n  drain_ms: 2000\n  grace_s: {}\n  config_apply_ms: 2000\n  quota_window_s: {}\n"
       "  quota_overrun: 0.1\n  quota_slack: 20\nconfig_mode: \"highest\"\n",
-      options_.fd_limit, options_.heartbeat_ms, options_.registry_period_ms,
+      options_.memory_mb, options_.fd_limit, options_.heartbeat_ms, options_.registry_period_ms,
       options_.coordinates ? "  - \"coord\"\n" : "", options_.machine_failures, options_.grace_s,
       options_.quota_window_s);
   return text;
--- a/src/systemkit/machines.hpp
+++ b/src/systemkit/machines.hpp
@@ -26,6 +26,7 @@
     int registry_period_ms = 20'000;
     int grace_s = 6;
     int fd_limit = 4100;
+    double memory_mb = 260;
     bool relayed = false;      // reached through relays: ends()
     bool coordinates = false;  // with the contract of locks, numbers, keys and watches
   };
--- a/src/systemkit/world.cpp
+++ b/src/systemkit/world.cpp
@@ -78,7 +78,7 @@
                        {"limits",
                         {{"max_header_bytes", 16384},
                          {"max_body_bytes", 67108864},
-                         {"header_timeout_ms", 3000},
+                         {"header_timeout_ms", options.header_timeout_ms},
                          {"idle_timeout_ms", 15000}}},
                        {"tenants", tenants},
                        {"backend_hosts", json::array({json{{"host", kSite}, {"url_paths", routes}}})}};
--- a/src/systemkit/world.hpp
+++ b/src/systemkit/world.hpp
@@ -33,6 +33,7 @@
   double metered_rate = 50, metered_burst = 50;
   bool added_route = false;  // /added/ at `second`
   int timeout_ms = 3000;     // of all routes
+  int header_timeout_ms = 3000;
   // Further tenants with a limit; the key is Limited()'s.
   struct Limit {
     std::string tenant;
