--- a/src/http/buffer.hpp
+++ b/src/http/buffer.hpp
@@ -1,4 +1,5 @@
-// A growing run of bytes, read into at the end and consumed from the front.
+// A growing run of bytes, read into at the end and consumed from the front. What it allocates is counted in
+// an account, where it is given one.
 #pragma once
 
 #include <algorithm>
@@ -8,22 +9,23 @@
 #include <string_view>
 #include <utility>
 
+#include "memory/account.hpp"
+
 namespace curlewdoor::http {
 
 class Buffer {
  public:
   Buffer() = default;
-  // A moved-from buffer is empty and can be used again.
+  // The account must outlive the buffer.
+  explicit Buffer(memory::Account* account) : account_(account) {}
+  ~Buffer() { SetCapacity(0); }
+  // A moved-from buffer is empty and can be used again. The bytes are counted where they were.
   Buffer(Buffer&& other) noexcept
-      : bytes_(std::move(other.bytes_)),
+      : account_(other.account_),
+        bytes_(std::move(other.bytes_)),
         size_(std::exchange(other.size_, 0)),
         capacity_(std::exchange(other.capacity_, 0)) {}
-  Buffer& operator=(Buffer&& other) noexcept {
-    bytes_ = std::move(other.bytes_);
-    size_ = std::exchange(other.size_, 0);
-    capacity_ = std::exchange(other.capacity_, 0);
-    return *this;
-  }
+  Buffer& operator=(Buffer&&) = delete;
 
   char* data() { return bytes_.get(); }
   std::size_t size() const { return size_; }
@@ -51,13 +53,14 @@
     std::memmove(bytes_.get() + at, bytes_.get() + at + count, size_ - at - count);
     size_ -= count;
   }
+
   void Truncate(std::size_t size) { size_ = std::min(size, size_); }
 
   void Consume(std::size_t count) {
     size_ -= count;
     if (size_ > 0) std::memmove(bytes_.get(), bytes_.get() + count, size_);
     // What a large message took is given back: hundreds of connections stay open and idle.
-    if (size_ == 0 && capacity_ > kKept) *this = Buffer();
+    if (size_ == 0 && capacity_ > kKept) Free();
   }
 
  private:
@@ -68,9 +71,20 @@
     auto bytes = std::make_unique_for_overwrite<char[]>(capacity);
     if (size_ > 0) std::memcpy(bytes.get(), bytes_.get(), size_);
     bytes_ = std::move(bytes);
+    SetCapacity(capacity);
+  }
+  void Free() {
+    bytes_.reset();
+    size_ = 0;
+    SetCapacity(0);
+  }
+  void SetCapacity(std::size_t capacity) {
+    if (account_ != nullptr && capacity > capacity_) account_->Add(capacity - capacity_);
+    if (account_ != nullptr && capacity < capacity_) account_->Remove(capacity_ - capacity);
     capacity_ = capacity;
   }
 
+  memory::Account* account_ = nullptr;
   std::unique_ptr<char[]> bytes_;
   std::size_t size_ = 0;
   std::size_t capacity_ = 0;
