Requests that were sent ahead are freed once they are answered, and copied alone

What callers saw: a gateway that ran out of memory: 50 clients, each with a slow GET and 1,500 whole heads behind it, took 513 MB (three gateways of 260 MB, seen from outside). Cause: each request that is taken ahead of its turn began with a copy of all bytes behind it, up to 84 KB, and when it was answered it went to a list that was emptied at the connection's next event. While as much as is kept had been read, the connection waits for no event: the list grew by every head that the buffer held. Change: only the head is copied; the door frees what has ended before the loop waits again.

--- a/src/http/buffer.hpp
+++ b/src/http/buffer.hpp
@@ -54,8 +54,6 @@
     size_ -= count;
   }
 
-  void Truncate(std::size_t size) { size_ = std::min(size, size_); }
-
   void Consume(std::size_t count) {
     size_ -= count;
     if (size_ > 0) std::memmove(bytes_.get(), bytes_.get() + count, size_);
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -18,6 +18,7 @@
 constexpr Duration kLongestLinger = seconds(3);  // ... and while it still sends what nobody wants
 // Bytes kept of what a client sends ahead of an answer.
 constexpr std::size_t kMostAhead = http::kMostHead + http::kMostBody + 4096;
+constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 }  // namespace
 
@@ -126,17 +127,17 @@
   };
   while (may()) {
     const std::string_view rest = request_.rest();
-    if (rest.find("\r\n\r\n") == std::string_view::npos) return;
+    const std::size_t end = rest.find(kHeadEnd);
+    if (end == std::string_view::npos) return;
     if (!behind_.empty() && !behind_.back().request_.keep_alive()) return;
     const std::size_t at = in_.size() - rest.size();
+    const std::string_view head = rest.substr(0, end + kHeadEnd.size());
     std::list<Client> taken;
-    Client& next = taken.emplace_back(loop_, *this, rest);
+    Client& next = taken.emplace_back(loop_, *this, head);
     if (next.request_.Read() != http::Progress::kDone || !next.request_.body().empty() ||
-        !owner_.MayGoAhead(next.request_))
+        !next.request_.rest().empty() || !owner_.MayGoAhead(next.request_))
       return;  // it is read in its turn
-    const std::size_t size = rest.size() - next.request_.rest().size();
-    next.in_.Truncate(size);
-    in_.Erase(at, size);
+    in_.Erase(at, head.size());
     behind_.splice(behind_.end(), taken);
     next.state_ = State::kWaiting;
     owner_.OnRequest(next);
@@ -175,6 +176,7 @@
     }
     close_after_ = next.close_after_;
     spent_.splice(spent_.end(), behind_, behind_.begin());
+    owner_.OnSpent(*this);
     if (close_after_) CloseBehind();
   }
   serving_ = false;
@@ -203,10 +205,10 @@
     owner_.OnClosed(each, waiting);
   }
   spent_.splice(spent_.end(), behind_);
+  owner_.OnSpent(*this);
 }
 
 void Client::OnEvent(int events) {
-  spent_.clear();
   if ((events & EV_WRITE) != 0) Flush();
   if ((events & EV_READ) != 0 && state_ != State::kWriting && state_ != State::kClosed) ReadSome();
 }
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -41,6 +41,8 @@
     virtual std::size_t ahead() const = 0;  // bytes of one long body that are held
     // Closed. `waiting`: before the answer that it was owed.
     virtual void OnClosed(Client& client, bool waiting) = 0;
+    // Requests that were taken ahead have ended: FreeSpent() is owed once none of them is in an event.
+    virtual void OnSpent(Client& client) = 0;
     virtual bool closing() const = 0;  // whether connections end with their present request
     virtual bool holding() const = 0;  // whether no request is taken for now
     // Between two requests, while holding.
@@ -113,6 +115,8 @@
   // Requests of this connection that wait while a later one has been answered, which is held back for them.
   std::vector<RequestId> BlockingAnswers() const;
 
+  void FreeSpent() { spent_.clear(); }
+
   // A request that was taken ahead of its turn, which has no connection of its own.
   bool ahead_of_turn() const { return parent_ != nullptr; }
 
@@ -148,7 +152,7 @@
   Owner& owner_;
   struct ev_loop* loop_;
   Client* const parent_ = nullptr;
-  std::list<Client> behind_, spent_;  // taken ahead of their turn, in order; answered
+  std::list<Client> behind_, spent_;  // taken ahead of their turn, in order; ended and not freed yet
   bool ended_ = false;                // of one of these: all of its answer is in out_
   bool serving_ = false;
   Descriptor descriptor_;
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -144,7 +144,10 @@
   if (accepting_ && !io_.active()) io_.Want(fd_, EV_READ);
 }
 
-void Door::Reap() { retired_.clear(); }
+void Door::Reap() {
+  for (Client* client : std::exchange(with_spent_, {})) client->FreeSpent();
+  retired_.clear();
+}
 
 // ---- Requests and answers -----------------------------------------------------------------------------
 
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -95,6 +95,7 @@
   bool closing() const override { return draining_; }
   bool holding() const override { return false; }
   void OnHeld(Client&) override {}
+  void OnSpent(Client& client) override { with_spent_.push_back(&client); }
   TimePoint Now() override { return inputs_.Now(); }
 
   // From now on the client waits for the answer to this request.
@@ -124,6 +125,7 @@
   std::uint16_t port_ = 0;
   IoWatcher io_;
   std::list<Client> clients_, retired_;
+  std::vector<Client*> with_spent_;  // of both; once for each of their ends
   std::unordered_map<RequestId, Client*, IdHash> waiting_;
   bool accepting_ = false;
 };
