Bodies in fine chunks are held without what frames them

What callers saw: 1,000 POSTs in chunks of one byte took 292 MB, 3,000 took 391 MB (three gateways of 260 MB). Cause: the chunks of a request that isn't whole stay as they came, since an upgrade may pass them on: six bytes or more and a span of eight for one byte of the body, up to 64 KiB of body. A chunk may have an extension of 16 KB, so that a body of 64 KiB could take a gigabyte. Once a body was gathered, the framing stayed in the buffer until the body was taken. Change: at most 512 chunks, and 64 KiB with their framing, stay as they came; a body that is framed more finely is gathered and taken in pieces, as a long one is. Framing behind a gathered body goes out of the buffer at once.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -111,6 +111,7 @@
   length_ = kUnknown;
   body_bytes_ = 0;
   as_it_came_ = kind_ == Kind::kRequest;
+  reframed_ = false;
   in_chunk_ = false;
   chunks_.clear();
 }
@@ -216,6 +217,21 @@
   return 0;
 }
 
+// A body may come in so many chunks, or with so much between them, that its framing takes many times its
+// bytes.
+bool Message::TooFinelyFramed() const {
+  const std::size_t framed = body_.size > 0 ? parsed_ - body_.begin : 0;
+  return as_it_came_ && (chunks_.size() > kMostChunksAsTheyCame || framed > kMostBody);
+}
+
+// Takes the framing behind the gathered body out of the buffer; nothing refers to it.
+void Message::DropFraming() {
+  const std::size_t end = body_.begin + body_.size;
+  if (as_it_came_ || done_ || body_.size == 0 || parsed_ <= end) return;
+  buffer_.Erase(end, parsed_ - end);
+  parsed_ = end;
+}
+
 void Message::GatherBody() {
   as_it_came_ = false;
   std::size_t end = body_.begin;
@@ -253,8 +269,12 @@
   const http_errno error = HTTP_PARSER_ERRNO(&parser_);
   if (error == HPE_OK) {
     const bool full = bodies_ == Bodies::kStreamed && body_.size >= kMostBody;
-    if (full) GatherBody();
-    return full ? Progress::kFull : parsed_ < buffer_.size() ? Read() : Progress::kMore;
+    reframed_ = reframed_ || (bodies_ == Bodies::kStreamed && TooFinelyFramed());
+    if (full || reframed_) GatherBody();
+    DropFraming();
+    if (full) return Progress::kFull;
+    if (parsed_ < buffer_.size()) return Read();
+    return reframed_ ? Progress::kFull : Progress::kMore;
   }
   error_status_ = error == HPE_HEADER_OVERFLOW ? 431 : 400;
   return Progress::kBad;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -21,9 +21,11 @@
 inline constexpr std::size_t kMostBody = 64 * 1024;        // held whole
 inline constexpr std::uint64_t kLargestBody = 40'000'000;  // passed on in pieces
 inline constexpr std::size_t kMostHeaders = 64;
+inline constexpr std::size_t kMostChunksAsTheyCame = 512;  // of a body that is not whole
 
 enum class Kind { kRequest, kResponse };
-// kFull: the body holds as much as is kept; more of it may have come. Only where a message may be streamed.
+// kFull: the body, or what frames its chunks, is as much as is kept; more of it may have come. Only where a
+// message may be streamed.
 enum class Progress { kMore, kDone, kBad, kFull };
 enum class Bodies { kWhole, kStreamed };  // whether longer ones than kMostBody are taken in pieces
 
@@ -93,6 +95,8 @@
   int OnHeadersComplete();
   int OnBody(const char* at, std::size_t size);
   bool CheckHead();
+  bool TooFinelyFramed() const;
+  void DropFraming();
   void Reset();
   Progress Outcome();
 
@@ -110,6 +114,7 @@
   // Chunks of a request that is not whole: its bytes stay as they came, since an upgrade may pass them on.
   std::vector<Span> chunks_;
   bool as_it_came_ = true;
+  bool reframed_ = false;  // gathered before it was full, as its framing was too fine
   bool in_chunk_ = false;
   std::size_t header_count_ = 0;
   std::size_t head_end_ = 0;  // behind the blank line
--- a/tests/http_test.cpp
+++ b/tests/http_test.cpp
@@ -258,6 +258,47 @@
   }
 }
 
+// Guards against bodies whose chunks take many times their bytes, whether they are taken in pieces or not.
+TEST(StreamedMessage, FineChunksTakeLittleMoreThanTheirBytes) {
+  for (const std::string& extension : {std::string(), ";e=" + std::string(60, 'x')}) {
+    for (const bool taken : {false, true}) {
+      Buffer buffer;
+      Message message(Kind::kRequest, buffer, Bodies::kStreamed);
+      buffer.Append("POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+      std::string sent, came;
+      std::size_t most = 0;
+      for (int i = 0; i < 30'000; ++i) {
+        sent += static_cast<char>('a' + i % 26);
+        buffer.Append("1" + extension + "\r\n" + sent.back() + "\r\n");
+        ASSERT_NE(message.Read(), Progress::kBad) << i;
+        most = std::max(most, buffer.capacity());
+        if (!taken || i % 5000 != 4999) continue;
+        came += message.body();
+        message.ConsumeBody();
+      }
+      buffer.Append("0\r\n\r\n");
+      ASSERT_EQ(message.Read(), Progress::kDone);
+      EXPECT_EQ(came + std::string(message.body()), sent);
+      EXPECT_LE(most, 2 * kMostBody);
+    }
+  }
+}
+
+// So that a request which isn't whole can be passed on; then it is to be taken in pieces.
+TEST(StreamedMessage, OnlySoManyChunksStayAsTheyCame) {
+  Buffer buffer;
+  Message message(Kind::kRequest, buffer, Bodies::kStreamed);
+  std::string text = "POST /p HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (std::size_t i = 0; i < kMostChunksAsTheyCame; ++i) text += "1\r\nb\r\n";
+  buffer.Append(text);
+  EXPECT_EQ(message.Read(), Progress::kMore);
+  EXPECT_EQ(buffer.view(), text);
+  buffer.Append("1\r\nc\r\n");
+  EXPECT_EQ(message.Read(), Progress::kFull);
+  EXPECT_EQ(message.body(), std::string(kMostChunksAsTheyCame, 'b') + "c");
+  EXPECT_LT(buffer.size(), text.size() / 2);
+}
+
 TEST(StreamedMessage, LengthsThatDifferOrStandBesideChunksAreRefused) {
   for (const char* head :
        {"Content-Length: 5\r\nContent-Length: 6\r\n", "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
