What is held for a client is counted, and who holds most goes first

What callers saw: a gateway that ran out of memory beside clients that send ahead, wait, or don't read: 716 MB, 1,046 MB and 199 MB in tests where 64 are granted, the rest of it in sockets. Cause: bytes read ahead, waiting their turn, answered and not taken, arrived and not read were counted by nobody. The system lets each socket take megabytes each way, those not accepted yet included. Where the share is met, whoever holds most is closed, before the loop waits again; from half of it on nothing is read or taken ahead. Sockets of clients have receive buffers of 16 to 64 KiB, by the share, and take up 32 KiB that aren't sent; as many connections may wait to be accepted as a thirty-second of the memory holds. At most a head (20 KB) is read ahead, where 84 KB were. Why this works: a client that holds less than the share divided by all clients is never the largest, so it doesn't go.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -8,10 +8,11 @@
 
 constexpr Duration kHouseEvery = std::chrono::milliseconds(250);  // what it looks after is in seconds
 constexpr Duration kFiguresEvery = std::chrono::seconds(10);
+constexpr std::size_t kMiB = 1024 * 1024;
 
 // What is held of one long body: a fourth of the memory, shared out over as many clients as there may be.
 std::size_t Ahead(const config::Config& config, const net::Descriptors& descriptors) {
-  constexpr std::size_t kLeast = 8 * 1024, kMiB = 1024 * 1024;
+  constexpr std::size_t kLeast = 8 * 1024;
   const auto clients = static_cast<std::size_t>(std::max(1, descriptors.most(net::Use::kClient)));
   return std::clamp(static_cast<std::size_t>(config.memory_mb) * kMiB / 4 / clients, kLeast, http::kMostBody);
 }
@@ -29,8 +30,9 @@
       config_(config),
       reload_(std::move(reload)),
       logger_(logger),
+      memory_(static_cast<std::size_t>(config.memory_mb) * kMiB),
       descriptors_(config.sockets, config.admin.has_value(), config.listen_fd && !config.scratch.empty(),
-                   config.fleet.has_value()),
+                   config.fleet.has_value(), &memory_),
       reducer_(make_core(config_.settings, config_.seed)),
       listener_(loop, config_.settings, descriptors_, *this, Ahead(config, descriptors_)),
       upstream_(loop, config_.settings, descriptors_, *this, dialect_),
@@ -237,6 +239,7 @@
 // Runs before each wait: frees what was closed, and sees to it that the loop wakes when something is due.
 void Service::BeforeWait() {
   handing_.Look();
+  listener_.RelieveMemory();
   listener_.Reap();
   upstream_.Reap();
   counter_.Reap();
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -110,6 +110,7 @@
   log::Logger& logger_;
   WallClock clock_;
   StallMeter stalls_;
+  memory::Budget memory_;
   net::Descriptors descriptors_;
   const std::unique_ptr<GatewayCore> reducer_;
   net::Listener listener_;
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -16,8 +16,8 @@
 constexpr Duration kSlowestAnswer = seconds(5);  // for the client to take it
 constexpr Duration kLinger = seconds(1);         // for the client to read the last answer before the end ...
 constexpr Duration kLongestLinger = seconds(3);  // ... and while it still sends what nobody wants
-// Bytes kept of what a client sends ahead of an answer.
-constexpr std::size_t kMostAhead = http::kMostHead + http::kMostBody + 4096;
+// Bytes kept of what a client sends ahead of an answer: a head is taken ahead whole, a body is not.
+constexpr std::size_t kMostAhead = http::kMostHead + 4096;
 constexpr std::string_view kHeadEnd = "\r\n\r\n";
 
 }  // namespace
@@ -25,13 +25,16 @@
 Client::Client(struct ev_loop* loop, Descriptor descriptor, Owner& owner)
     : owner_(owner),
       loop_(loop),
+      account_(&owner.account()),
       descriptor_(std::move(descriptor)),
       io_(loop, [this](int events) { OnEvent(events); }) {
   Enter(State::kReading);
 }
 
 Client::Client(struct ev_loop* loop, Client& parent, std::string_view bytes)
-    : owner_(parent.owner_), loop_(loop), parent_(&parent), io_(loop, [](int) {}) {
+    : owner_(parent.owner_), loop_(loop), parent_(&parent), account_(&parent.account_), io_(loop, [](int) {
+      }) {
+  own_.Set(sizeof(Client));
   in_.Append(bytes);
   since_ = owner_.Now();
 }
@@ -46,11 +49,51 @@
   if (state_ == State::kClosed || parent_ != nullptr) return;
   const bool behind = state_ == State::kBehind;
   const bool ahead = state_ == State::kWaiting || state_ == State::kStreaming || behind;
-  const bool full = ahead && (uploading_ ? upload_full() : in_.size() > kMostAhead);
+  const std::size_t most_ahead = owner_.account().tight() ? kUsualRead : kMostAhead;
+  const bool full = ahead && (uploading_ ? upload_full() : request_.rest().size() > most_ahead);
   const bool held = state_ == State::kReading && owner_.holding();
   const int reads = full || held ? 0 : EV_READ;
   const bool writes = (state_ == State::kStreaming || behind) && !out_.empty();
   io_.Want(descriptor_.fd(), state_ == State::kWriting ? EV_WRITE : writes ? reads | EV_WRITE : reads);
+  CountMemory();
+}
+
+void Client::CountMemory() {
+  const SocketLimits& limits = owner_.socket_limits();
+  own_.Set(sizeof(Client) + limits.receive + (out_.empty() ? 0 : limits.unsent));
+}
+
+memory::ConnectionState Client::StateForEviction(TimePoint now) const {
+  memory::ConnectionState state;
+  state.served = served_any_;
+  state.held = account_.held();
+  state.waited = now - since_;
+  switch (state_) {
+    case State::kReading:
+      state.phase = request_.started() ? memory::Phase::kReceiving : memory::Phase::kIdle;
+      break;
+    case State::kWaiting:
+      state.phase = uploading_ && !upload_full() ? memory::Phase::kReceiving : memory::Phase::kServing;
+      if (state.phase == memory::Phase::kReceiving) state.waited = now - pace_.moved_at();
+      break;
+    case State::kSkipping:
+      state.phase = memory::Phase::kReceiving;
+      state.waited = now - pace_.moved_at();
+      break;
+    case State::kWriting:
+      state.phase = memory::Phase::kSending;
+      break;
+    case State::kStreaming:
+    case State::kBehind:
+      state.phase = out_.empty() ? memory::Phase::kServing : memory::Phase::kSending;
+      state.waited = now - pace_.moved_at();
+      break;
+    case State::kLingering:
+    case State::kClosed:
+      state.phase = memory::Phase::kClosing;
+      break;
+  }
+  return state;
 }
 
 void Client::LookAgain() {
@@ -121,8 +164,8 @@
 void Client::TakeAhead() {
   const auto may = [&] {
     const bool waits = state_ == State::kWaiting || state_ == State::kStreaming || state_ == State::kBehind;
-    return parent_ == nullptr && waits && !uploading_ && !close_after_ && !owner_.closing() &&
-           !owner_.holding() && behind_.size() < owner_.pipelined() &&
+    return parent_ == nullptr && waits && !owner_.account().tight() && !uploading_ && !close_after_ &&
+           !owner_.closing() && !owner_.holding() && behind_.size() < owner_.pipelined() &&
            (state_ == State::kBehind || request_.keep_alive());
   };
   while (may()) {
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -12,6 +12,8 @@
 #include "http/buffer.hpp"
 #include "http/message.hpp"
 #include "logic.hpp"
+#include "memory/account.hpp"
+#include "memory/eviction.hpp"
 #include "net/descriptors.hpp"
 #include "net/pace.hpp"
 #include "net/socket_io.hpp"
@@ -43,6 +45,9 @@
     virtual void OnClosed(Client& client, bool waiting) = 0;
     // Requests that were taken ahead have ended: FreeSpent() is owed once none of them is in an event.
     virtual void OnSpent(Client& client) = 0;
+    // What connections hold is counted there; and what the system may hold for one of them, in bytes.
+    virtual memory::Account& account() = 0;
+    virtual const SocketLimits& socket_limits() const = 0;
     virtual bool closing() const = 0;  // whether connections end with their present request
     virtual bool holding() const = 0;  // whether no request is taken for now
     // Between two requests, while holding.
@@ -108,7 +113,11 @@
   // Between requests: nothing of a next one has come.
   bool between_requests() const { return state_ == State::kReading && !request_.started(); }
   bool served_any() const { return served_any_; }
+  memory::Account& account() { return account_; }
   TimePoint since() const { return since_; }  // the present state's beginning
+  // For who decides which connections go when descriptors or memory run out. `repeats` is the owner's to
+  // tell.
+  memory::ConnectionState StateForEviction(TimePoint now) const;
   // Ends what takes too long: slow senders, stalled readers, idle connections.
   void CheckTime(TimePoint now);
 
@@ -148,10 +157,14 @@
   void CloseBehind();
   void Enter(State state);
   void WantEvents();
+  void CountMemory();
 
   Owner& owner_;
   struct ev_loop* loop_;
   Client* const parent_ = nullptr;
+  // All that is held for the connection; of a request ahead of its turn: a part of its connection's.
+  memory::Account account_;
+  memory::Charge own_{&account_};     // this object, and what the system may hold
   std::list<Client> behind_, spent_;  // taken ahead of their turn, in order; ended and not freed yet
   bool ended_ = false;                // of one of these: all of its answer is in out_
   bool serving_ = false;
@@ -159,7 +172,7 @@
   IoWatcher io_;
   State state_ = State::kReading;
   TimePoint since_, last_discarded_;
-  http::Buffer in_, out_;
+  http::Buffer in_{&account_}, out_{&account_};
   http::Message request_{http::Kind::kRequest, in_, http::Bodies::kStreamed, owner_.largest_body()};
   TimePoint head_at_;  // when the present request's head was whole
   Pace pace_;          // of a long body, or of who takes a long answer
--- a/src/net/descriptors.hpp
+++ b/src/net/descriptors.hpp
@@ -1,5 +1,5 @@
 // The one budget for descriptors, and the owner of each: a slot is taken before a descriptor is opened and
-// given back when it is closed.
+// given back when it is closed. It leads to the accounts that the memory of its connections is counted in.
 #pragma once
 
 #include <unistd.h>
@@ -9,6 +9,8 @@
 #include <optional>
 #include <utility>
 
+#include "memory/budget.hpp"
+
 namespace curlewdoor::net {
 
 enum class Use { kClient, kHost, kCounter, kDiscovery, kAdmin, kFleet };
@@ -52,8 +54,10 @@
   // `total` is all that the process may hold, standard streams and the loop's own included. Clients get at
   // most half of what is left, so that what they ask for can always be sent on.
   // Where upgrades are possible, what a next process needs before it takes over is left free too.
+  // `memory`: where connections count what they hold; it must outlive this. nullptr: without limits.
   explicit Descriptors(int total, bool with_admin = false, bool with_upgrades = false,
-                       bool with_fleet = false) {
+                       bool with_fleet = false, memory::Budget* memory = nullptr)
+      : memory_(memory != nullptr ? *memory : unlimited_) {
     constexpr int kOwn = 16;  // standard streams, epoll, wake-up and signal descriptors, listeners, list file
     const int callers = with_admin ? std::min(kMostCallers, total / kCallersPart) : 0;
     const int own = with_upgrades ? 2 * kOwn : kOwn;
@@ -66,6 +70,8 @@
              callers,
              with_fleet ? kMostExchanges : 0};
   }
+  Descriptors(const Descriptors&) = delete;
+  Descriptors& operator=(const Descriptors&) = delete;
 
   std::optional<Descriptor> Take(Use use) {
     if (held(use) >= most(use)) return std::nullopt;
@@ -82,6 +88,8 @@
     change(Use::kClient, -(aside_ - aside_ / 2));
     change(Use::kHost, -(aside_ / 2));
   }
+  memory::Budget& memory() const { return memory_; }
+
   int held(Use use) const { return held_[static_cast<std::size_t>(use)]; }
   int most(Use use) const { return most_[static_cast<std::size_t>(use)]; }
 
@@ -94,6 +102,8 @@
   std::array<int, kUses> held_{};
   std::array<int, kUses> most_{};
   int aside_ = 0;
+  memory::Budget unlimited_;
+  memory::Budget& memory_;
 };
 
 void Descriptor::Close() {
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -16,13 +16,18 @@
 
 constexpr int kAcceptAtOnce = 64;                           // then others get their turn
 constexpr Duration kSoon = std::chrono::milliseconds(500);  // whoever connects to ask does so sooner
+constexpr std::size_t kUnsent = 32 * 1024;                  // bytes in a client's socket that aren't sent yet
 
 }  // namespace
 
-Door::Door(struct ev_loop* loop, Descriptors& descriptors, Inputs& inputs, std::size_t ahead)
-    : inputs_(inputs), loop_(loop), descriptors_(descriptors), ahead_(ahead), io_(loop, [this](int) {
-        Accept();
-      }) {}
+Door::Door(struct ev_loop* loop, Descriptors& descriptors, Inputs& inputs, std::size_t ahead, Kind kind)
+    : inputs_(inputs),
+      loop_(loop),
+      descriptors_(descriptors),
+      ahead_(ahead),
+      kind_(kind),
+      account_(descriptors.memory().account(kind.share)),
+      io_(loop, [this](int) { Accept(); }) {}
 
 Door::~Door() {
   if (fd_ >= 0) ::close(fd_);
@@ -33,6 +38,7 @@
   fd_ = ListenOn(address, bound, error);
   if (fd_ < 0) return false;
   port_ = bound.port;
+  LimitSockets();
   return true;
 }
 
@@ -40,9 +46,20 @@
   if (!CheckInherited(fd, address, error)) return false;
   fd_ = fd;
   port_ = address.port;
+  LimitSockets();
   return true;
 }
 
+// What the system may hold for connections, those that were not accepted yet included, is a part of their
+// share.
+void Door::LimitSockets() {
+  const auto most = static_cast<std::size_t>(std::max(1, descriptors_.most(kind_.use)));
+  const auto buffers = memory::SocketBuffersFor(descriptors_.memory(), most);
+  socket_limits_ = {buffers.client_receive, kUnsent};
+  LimitSocket(fd_, socket_limits_);
+  LimitBacklog(fd_, buffers.backlog);
+}
+
 void Door::StartAccepting() {
   if (fd_ < 0) return;  // a gateway needn't serve here
   accepting_ = true;
@@ -87,10 +104,10 @@
   return true;
 }
 
-// For one more client, at the cost of an idle one where it must be.
+// For one more client, at the cost of another one where it must be.
 std::optional<Descriptor> Door::MakeRoom() {
-  auto descriptor = descriptors_.Take(Use::kClient);
-  if (!descriptor && ShedIdle()) descriptor = descriptors_.Take(Use::kClient);
+  auto descriptor = descriptors_.Take(kind_.use);
+  if (!descriptor && ShedIdle()) descriptor = descriptors_.Take(kind_.use);
   return descriptor;
 }
 
@@ -100,6 +117,16 @@
   return client;
 }
 
+std::vector<memory::ConnectionState> Door::StatesOf(const std::vector<Client*>& clients) {
+  const TimePoint now = inputs_.Now();
+  std::vector<memory::ConnectionState> states;
+  states.reserve(clients.size());
+  for (const Client* client : clients) {
+    states.push_back(client->StateForEviction(now));
+  }
+  return states;
+}
+
 // Closes the connection that has carried nothing for longest: of those that never asked, then of those that
 // did, and last of those that have just come, whose first request may be on its way.
 bool Door::ShedIdle() {
@@ -120,6 +147,16 @@
   return true;
 }
 
+void Door::RelieveMemory() {
+  const std::size_t excess = memory::ExcessOf(account_);
+  if (excess == 0) return;
+  const std::vector<Client*> present = Present();
+  for (const std::size_t chosen : memory::ChooseForMemory(StatesOf(present), excess)) {
+    ++counts_.evicted;
+    present[chosen]->Close();
+  }
+}
+
 // Those that are here now: what is done to one of them may close others, which live on until they are reaped.
 std::vector<Client*> Door::Present() {
   std::vector<Client*> present;
@@ -130,7 +167,7 @@
 void Door::CheckTimes() {
   const TimePoint now = inputs_.Now();
   for (Client* client : Present()) client->CheckTime(now);
-  if (accepting_ && descriptors_.held(Use::kClient) < descriptors_.most(Use::kClient)) io_.Want(fd_, EV_READ);
+  if (accepting_ && descriptors_.held(kind_.use) < descriptors_.most(kind_.use)) io_.Want(fd_, EV_READ);
 }
 
 void Door::OnClosed(Client& client, bool waiting) {
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -16,11 +16,20 @@
 class Door : protected Client::Owner {
  public:
   struct Counts {
-    std::uint64_t accepted = 0, requests = 0, rejected = 0, shed = 0;
+    std::uint64_t accepted = 0, requests = 0, rejected = 0;
+    std::uint64_t shed = 0;     // closed for a descriptor
+    std::uint64_t evicted = 0;  // ... for memory
+  };
+  // Whose connections these are.
+  struct Kind {
+    Use use = Use::kClient;
+    memory::Share share = memory::Share::kClients;
   };
 
   // `ahead`: bytes of one long body that are held.
-  Door(struct ev_loop* loop, Descriptors& descriptors, Inputs& inputs, std::size_t ahead);
+  Door(struct ev_loop* loop, Descriptors& descriptors, Inputs& inputs, std::size_t ahead, Kind kind);
+  Door(struct ev_loop* loop, Descriptors& descriptors, Inputs& inputs, std::size_t ahead)
+      : Door(loop, descriptors, inputs, ahead, Kind{}) {}
   ~Door() override;
 
   // Tells in `error` why it can't listen.
@@ -73,6 +82,9 @@
 
   // Ends what takes too long, and accepts again where that had stopped. To be called now and then.
   void CheckTimes();
+  // Closes connections where all of them hold more than their share. Not from within an event of one of them.
+  void RelieveMemory();
+  // Frees what was closed. The same.
   void Reap();
   std::size_t connections() const { return clients_.size(); }
   const Counts& counts() const { return counts_; }
@@ -92,6 +104,8 @@
   void OnUpload(Client& client) override { inputs_.OnUpload(client.id); }
   void OnAnswerRoom(Client& client) override { inputs_.OnAnswerRoom(client.id); }
   std::size_t ahead() const override { return ahead_; }
+  memory::Account& account() override { return account_; }
+  const SocketLimits& socket_limits() const override { return socket_limits_; }
   bool closing() const override { return draining_; }
   bool holding() const override { return false; }
   void OnHeld(Client&) override {}
@@ -117,10 +131,15 @@
   void Accept();
   bool AcceptOne();
   bool ShedIdle();
+  void LimitSockets();
+  std::vector<memory::ConnectionState> StatesOf(const std::vector<Client*>& clients);
 
   struct ev_loop* loop_;
   Descriptors& descriptors_;
   const std::size_t ahead_;
+  const Kind kind_;
+  memory::Account& account_;
+  SocketLimits socket_limits_;
   int fd_ = -1;
   std::uint16_t port_ = 0;
   IoWatcher io_;
--- a/src/net/pace.hpp
+++ b/src/net/pace.hpp
@@ -22,6 +22,7 @@
     moved_at_ = now;
     bytes_ += bytes;
   }
+  TimePoint moved_at() const { return moved_at_; }
   // `ready`: the gateway waits for this side. Else its time does not count, and it begins anew.
   bool TooSlow(TimePoint now, bool ready, Duration longest_pause = kLongestPause) {
     if (!ready) return Begin(now), false;
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -54,6 +54,14 @@
   return fd;
 }
 
+void LimitSocket(int socket, const SocketLimits& limits) {
+  const int receive = static_cast<int>(limits.receive), unsent = static_cast<int>(limits.unsent);
+  if (receive > 0) ::setsockopt(socket, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
+  if (unsent > 0) ::setsockopt(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent, sizeof unsent);
+}
+
+void LimitBacklog(int listening_socket, int backlog) { ::listen(listening_socket, backlog); }
+
 bool CheckInherited(int fd, const Address& address, std::string& error) {
   const auto fail = [&](const std::string& what) {
     error = fmt::format("inherited descriptor {} {}", fd, what);
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -17,6 +17,17 @@
 // it listens. Below 0, `error` says why not.
 int ListenOn(const Address& address, Address& bound, std::string& error);
 
+// Bytes that the system holds for one connection, at most about so many each way. 0: its own bounds,
+// megabytes.
+struct SocketLimits {
+  std::size_t receive = 0;  // arrived and not read
+  std::size_t unsent = 0;   // taken from us and not sent yet; what is on its way comes on top
+};
+// Of a socket that listens: the connections that come to it have these limits from their beginning.
+void LimitSocket(int socket, const SocketLimits& limits);
+// How many connections may wait to be accepted.
+void LimitBacklog(int listening_socket, int backlog);
+
 // Whether `fd` is an open TCP socket that listens on `address`; it is set not to block. `error` says why not.
 bool CheckInherited(int fd, const Address& address, std::string& error);
 
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -501,6 +501,7 @@
 }
 
 void Front::ReapAll() {
+  Run([this] { RelieveMemory(); });
   Reap();
   upstream_.Reap();
 }
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -74,7 +74,7 @@
 
   // What is to be done now and then: times, idle connections.
   void KeepHouse();
-  // Frees what was closed. Not from within an event of a connection.
+  // Closes what holds too much, and frees what was closed. Not from within an event of a connection.
   void ReapAll();
   std::size_t open_requests() const { return requests_.size(); }
   // Requests that wait for their answer.
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -32,8 +32,9 @@
       rng_(seed),
       fleet_address_{settings_.ip_address, settings_.internal_ports.first},
       link_address_{settings_.ip_address, static_cast<std::uint16_t>(settings_.internal_ports.first + 1)},
-      front_descriptors_(Descriptors(settings_) * 7 / 10),
-      link_descriptors_(Descriptors(settings_) * 3 / 10, false, false, true),
+      memory_(MemoryOf(settings_)),
+      front_descriptors_(Descriptors(settings_) * 7 / 10, false, false, false, &memory_),
+      link_descriptors_(Descriptors(settings_) * 3 / 10, false, false, true, &memory_),
       fleet_link_(loop, link_descriptors_, *this),
       fleet_timer_(loop,
                    [this](int) {
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -291,6 +291,7 @@
   const bool bootstrap_;  // this process began with the whole system
   std::mt19937_64 rng_;
   const Address fleet_address_, link_address_;
+  memory::Budget memory_;
   net::Descriptors front_descriptors_, link_descriptors_;
 
   std::unique_ptr<storage::Storage> storage_;
--- a/src/system/node_limits.hpp
+++ b/src/system/node_limits.hpp
@@ -106,6 +106,12 @@
   return options;
 }
 
+// Bytes that the process may take.
+inline std::size_t MemoryOf(const settings::NodeSettings& settings) {
+  constexpr double kMegabyte = 1024.0 * 1024.0;
+  return static_cast<std::size_t>(settings.limits.memory_mb * kMegabyte);
+}
+
 inline int Descriptors(const settings::NodeSettings& settings) {
   return std::max(256, static_cast<int>(settings.limits.fd_limit) - kReserved);
 }
