A connection that keeps the gateway waiting makes room for a new one

What callers saw: beside 3,000 silent half requests an ordinary request got no answer for some 5 s; beside those that last as long as header_timeout_ms allows, none at all. Cause: where all descriptors of clients are taken, only a connection between two requests made room. One that had sent a part of a head or body, didn't take its answer, or had been answered and lingered stayed until its time-out, and new connections waited in the system's queue. Change: the choice is that of memory::ChooseForDescriptor: connections that never asked, then those that have kept the gateway waiting for half a second, idle ones, and those at work, the one that has waited longest each time. A request that waits for its answer stays, and so does a connection that came less than 100 ms ago. With all descriptors taken, a new connection is read at once, as its request may have waited with it; where none can go, the door looks again 10 ms later, not after 100. Evidence: misbehaving_clients_half_heads, _half_heads_of_a_few_bytes and _half_bodies: 600 clients where 232 are taken in, header_timeout_ms 60 s; an ordinary request had no answer in 20 s. eviction_test has the order.

--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -273,6 +273,10 @@
   owner_.OnAnswerRoom(*this);
 }
 
+void Client::ReadNow() {
+  if (state_ == State::kReading && !owner_.holding()) ReadSome();
+}
+
 void Client::ReadSome() {
   if (state_ == State::kLingering) return DiscardSome();
   const bool next = between_requests() && served_any_;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -91,6 +91,9 @@
   void TakeUpload();
   void Close();
 
+  // Reads what is there already, without waiting for the loop to tell.
+  void ReadNow();
+
   // Holding has begun or ended: looks again at what to wait for.
   void LookAgain();
   // Whether its connection can be passed to another process, and what goes with it: nothing is owed on it.
@@ -114,7 +117,6 @@
   bool between_requests() const { return state_ == State::kReading && !request_.started(); }
   bool served_any() const { return served_any_; }
   memory::Account& account() { return account_; }
-  TimePoint since() const { return since_; }  // the present state's beginning
   // For who decides which connections go when descriptors or memory run out. `repeats` is the owner's to
   // tell.
   memory::ConnectionState StateForEviction(TimePoint now) const;
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -14,9 +14,9 @@
 namespace curlewdoor::net {
 namespace {
 
-constexpr int kAcceptAtOnce = 64;                           // then others get their turn
-constexpr Duration kSoon = std::chrono::milliseconds(500);  // whoever connects to ask does so sooner
-constexpr std::size_t kUnsent = 32 * 1024;                  // bytes in a client's socket that aren't sent yet
+constexpr int kAcceptAtOnce = 64;                                  // then others get their turn
+constexpr Duration kLooksForRoom = std::chrono::milliseconds(10);  // where there was none to accept
+constexpr std::size_t kUnsent = 32 * 1024;  // bytes in a client's socket that aren't sent yet
 
 }  // namespace
 
@@ -27,7 +27,10 @@
       ahead_(ahead),
       kind_(kind),
       account_(descriptors.memory().account(kind.share)),
-      io_(loop, [this](int) { Accept(); }) {}
+      io_(loop, [this](int) { Accept(); }),
+      accept_again_(loop, [this](int) {
+        if (accepting_) io_.Want(fd_, EV_READ);
+      }) {}
 
 Door::~Door() {
   if (fd_ >= 0) ::close(fd_);
@@ -69,6 +72,7 @@
 void Door::AcceptNoMore() {
   accepting_ = false;
   io_.Stop();
+  accept_again_.Stop();
 }
 
 void Door::StopListening() {
@@ -88,6 +92,7 @@
   auto descriptor = MakeRoom();
   if (!descriptor) {
     io_.Stop();
+    accept_again_.StartIn(kLooksForRoom);
     return false;
   }
   const int fd = ::accept4(fd_, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -98,16 +103,19 @@
   descriptor->Set(fd);
   const int on = 1;
   ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-  Add(std::move(*descriptor));
+  const bool crowded = descriptors_.held(kind_.use) >= descriptors_.most(kind_.use);
+  Client& client = Add(std::move(*descriptor));
   ++counts_.accepted;
   last_came_ = inputs_.Now();
+  // Its request may have waited with it, and a whole one is no longer closed for those that come behind.
+  if (crowded) client.ReadNow();
   return true;
 }
 
 // For one more client, at the cost of another one where it must be.
 std::optional<Descriptor> Door::MakeRoom() {
   auto descriptor = descriptors_.Take(kind_.use);
-  if (!descriptor && ShedIdle()) descriptor = descriptors_.Take(kind_.use);
+  if (!descriptor && ShedOne()) descriptor = descriptors_.Take(kind_.use);
   return descriptor;
 }
 
@@ -123,27 +131,17 @@
   states.reserve(clients.size());
   for (const Client* client : clients) {
     states.push_back(client->StateForEviction(now));
+    states.back().repeats = kind_.repeats;
   }
   return states;
 }
 
-// Closes the connection that has carried nothing for longest: of those that never asked, then of those that
-// did, and last of those that have just come, whose first request may be on its way.
-bool Door::ShedIdle() {
-  const TimePoint soon = inputs_.Now() - kSoon;
-  const auto rank = [&](const Client& client) {
-    return client.served_any() ? 1 : client.since() <= soon ? 0 : 2;
-  };
-  Client* oldest = nullptr;
-  for (Client& client : clients_) {
-    if (!client.between_requests()) continue;
-    if (oldest == nullptr ||
-        std::pair(rank(client), client.since()) < std::pair(rank(*oldest), oldest->since()))
-      oldest = &client;
-  }
-  if (oldest == nullptr) return false;
+bool Door::ShedOne() {
+  const std::vector<Client*> present = Present();
+  const auto chosen = memory::ChooseForDescriptor(StatesOf(present));
+  if (!chosen) return false;
   ++counts_.shed;
-  oldest->Close();
+  present[*chosen]->Close();
   return true;
 }
 
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -24,6 +24,7 @@
   struct Kind {
     Use use = Use::kClient;
     memory::Share share = memory::Share::kClients;
+    bool repeats = false;  // who calls here asks at once, and elsewhere after a second without an answer
   };
 
   // `ahead`: bytes of one long body that are held.
@@ -130,7 +131,7 @@
  private:
   void Accept();
   bool AcceptOne();
-  bool ShedIdle();
+  bool ShedOne();
   void LimitSockets();
   std::vector<memory::ConnectionState> StatesOf(const std::vector<Client*>& clients);
 
@@ -143,6 +144,7 @@
   int fd_ = -1;
   std::uint16_t port_ = 0;
   IoWatcher io_;
+  TimerWatcher accept_again_;
   std::list<Client> clients_, retired_;
   std::vector<Client*> with_spent_;  // of both; once for each of their ends
   std::unordered_map<RequestId, Client*, IdHash> waiting_;
