What connections to hosts hold is counted, and the one that holds most is broken first

What callers saw: beside clients that don't take long answers, memory that no bound of the clients' side explains. Change: an account for each, under the hosts' share; sockets with receive buffers of 32 KiB that take up 32 KiB that aren't sent. Where the share is met, the connection that holds most is broken: its attempt fails, or its answer is cut. Evidence: ServiceTest.TheHostConnectionThatHoldsMostIsBrokenForMemory; the program before this has no such bound.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -240,6 +240,7 @@
 void Service::BeforeWait() {
   handing_.Look();
   listener_.RelieveMemory();
+  upstream_.RelieveMemory();
   listener_.Reap();
   upstream_.Reap();
   counter_.Reap();
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -12,13 +12,18 @@
 
 constexpr int kMostInterim = 16;  // 1xx answers before the one that is meant
 constexpr std::size_t kUsualRead = 2048, kStreamRead = 16 * 1024;
+// Bytes in the socket of a connection that is counted.
+constexpr SocketLimits kSocketLimits{.receive = 32 * 1024, .unsent = 32 * 1024};
 constexpr std::size_t kPassOnFrom =
     16 * 1024;  // of an answer without a length: shorter ones mostly come whole
 
 }  // namespace
 
-Connection::Connection(struct ev_loop* loop, Owner& owner, http::Bodies bodies, std::uint64_t largest)
+Connection::Connection(struct ev_loop* loop, Owner& owner, http::Bodies bodies, std::uint64_t largest,
+                       memory::Account* account)
     : owner_(owner),
+      counted_(account != nullptr),
+      account_(account),
       io_(loop, [this](int events) { OnEvent(events); }),
       connect_timer_(loop, [this](int) { Break(); }),
       answer_(http::Kind::kResponse, in_, bodies, largest) {
@@ -31,6 +36,7 @@
                          Duration unacknowledged) {
   descriptor_ = std::move(descriptor);
   descriptor_.Set(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (counted_ && descriptor_.open()) LimitSocket(descriptor_.fd(), kSocketLimits);
   const sockaddr_in to = address.ToSocket();
   const bool begun = descriptor_.open() &&
                      (::connect(descriptor_.fd(), reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0 ||
@@ -81,6 +87,8 @@
 void Connection::WantEvents() {
   const int reads = streaming_ && !owner_.WantsBytes() ? 0 : EV_READ;
   io_.Want(descriptor_.fd(), !up_ ? EV_WRITE : unwritten_.empty() ? reads : reads | EV_WRITE);
+  own_.Set(sizeof(Connection) + (reads == 0 ? kSocketLimits.receive : 0) +
+           (unwritten_.empty() ? 0 : kSocketLimits.unsent));
 }
 
 void Connection::OnEvent(int events) {
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -9,6 +9,7 @@
 #include "http/buffer.hpp"
 #include "http/message.hpp"
 #include "logic.hpp"
+#include "memory/account.hpp"
 #include "net/descriptors.hpp"
 #include "net/watcher.hpp"
 #include "util/address.hpp"
@@ -36,8 +37,10 @@
     virtual void OnBroken(Connection& connection) = 0;
   };
 
+  // `account`: where what it holds is counted, and from which on its socket is held to a bound; nullptr:
+  // nowhere.
   Connection(struct ev_loop* loop, Owner& owner, http::Bodies bodies = http::Bodies::kWhole,
-             std::uint64_t largest = http::kLargestBody);
+             std::uint64_t largest = http::kLargestBody, memory::Account* account = nullptr);
 
   // Begins to connect; it ends in OnUp or, in `timeout` at the latest, in OnBroken. OnBroken is never called
   // from within: a connection that fails at once says so from the loop.
@@ -53,6 +56,8 @@
   }
   void AdoptStream(Descriptor descriptor, std::string_view rest);
 
+  // Bytes that it holds, of the system's too.
+  std::size_t held() const { return account_.held(); }
   bool up() const { return up_; }
   bool open() const { return descriptor_.open(); }
 
@@ -84,12 +89,16 @@
   void WantEvents();
 
   Owner& owner_;
+  const bool counted_;
+  memory::Account account_;
+  memory::Charge own_{
+      &account_};  // this object, and what the system holds while we don't read or it isn't sent
   Descriptor descriptor_;
   IoWatcher io_;
   TimerWatcher connect_timer_;
   bool up_ = false;
   std::uint64_t written_ = 0;
-  http::Buffer unwritten_, in_;
+  http::Buffer unwritten_{&account_}, in_{&account_};
   http::Message answer_;
   bool streaming_ = false;  // an answer is passed on in pieces
   int interim_ = 0;         // answers in a row that are none yet
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <charconv>
 
+#include "memory/eviction.hpp"
 #include "net/load_report.hpp"
 
 namespace curlewdoor::net {
@@ -32,6 +33,7 @@
     : loop_(loop),
       settings_(settings),
       descriptors_(descriptors),
+      account_(descriptors.memory().account(memory::Share::kHosts)),
       inputs_(inputs),
       dialect_(dialect),
       // Half of the limit: what is written to a connection just as the host closes it ends as a reset.
@@ -123,6 +125,7 @@
   if (!link.connection.up()) {
     link.head = Joined(head);
     link.body = body;
+    link.waiting.Set(link.head.capacity() + link.body.capacity());
     return;
   }
   const Duration left = std::max(Duration::zero(), link.expires - inputs_.Now());
@@ -179,6 +182,7 @@
   const std::string head = std::move(link.head), body = std::move(link.body);
   link.head.clear();
   link.body.clear();
+  link.waiting.Set(0);
   const iovec piece = http::Piece(head);
   Send(link, {&piece, 1}, body);
 }
@@ -419,6 +423,21 @@
   return true;
 }
 
+// A long answer that its client doesn't take, or a body that its host doesn't, ends here.
+void Upstream::RelieveMemory() {
+  const std::size_t excess = memory::ExcessOf(account_);
+  if (excess == 0) return;
+  const TimePoint now = inputs_.Now();
+  std::vector<Link*> present;
+  std::vector<memory::ConnectionState> states;
+  for (Link& link : links_) {
+    present.push_back(&link);
+    states.push_back({.waited = now - link.moved_at, .held = link.connection.held() + link.waiting.bytes()});
+  }
+  for (const std::size_t chosen : memory::ChooseForMemory(states, excess))
+    if (present[chosen]->connection.open()) OnBroken(*present[chosen]);
+}
+
 // Kept ones, and those whose host has stopped in the middle of a long body or answer.
 void Upstream::CloseIdle() {
   for (auto it = links_.begin(); it != links_.end();) {
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -64,7 +64,9 @@
   bool CloseOldestKept();
   // Closes the kept connections that have stood idle for too long. To be called now and then.
   void CloseIdle();
-  // Frees what was closed. Not to be called from within a connection's own events.
+  // Breaks connections where all of them hold more than their share. Not from within their events.
+  void RelieveMemory();
+  // Frees what was closed. The same.
   void Reap() { retired_.clear(); }
 
   std::size_t connections() const { return links_.size(); }
@@ -79,7 +81,8 @@
 
   struct Link : Connection::Owner {
     Link(Upstream& owner, struct ev_loop* loop)
-        : upstream(owner), connection(loop, *this, http::Bodies::kStreamed, owner.dialect_.LargestBody()) {}
+        : upstream(owner),
+          connection(loop, *this, http::Bodies::kStreamed, owner.dialect_.LargestBody(), &owner.account_) {}
     bool Streams() const override { return std::holds_alternative<AttemptId>(task); }
     void OnAnswerBegun(Connection&, const http::Message& answer) override { upstream.OnBegun(*this, answer); }
     void OnAnswerBytes(Connection&, std::string_view bytes) override { upstream.OnBytes(*this, bytes); }
@@ -97,8 +100,9 @@
     Address address;
     Task task;
     TimePoint expires;
-    std::string head, body;    // what waits for the connection to come up
-    std::uint64_t length = 0;  // of its request's body, unless that is chunked
+    std::string head, body;                      // what waits for the connection to come up
+    memory::Charge waiting{&upstream.account_};  // for both
+    std::uint64_t length = 0;                    // of its request's body, unless that is chunked
     // Of the connection's bytes: where the task's first one stands, and behind its last one.
     std::uint64_t task_begin = 0, task_end = 0;
     bool begun = false, written = false;
@@ -134,6 +138,7 @@
   struct ev_loop* loop_;
   const Settings& settings_;
   Descriptors& descriptors_;
+  memory::Account& account_;
   Inputs& inputs_;
   const Dialect& dialect_;
   Links links_, retired_;
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -501,7 +501,10 @@
 }
 
 void Front::ReapAll() {
-  Run([this] { RelieveMemory(); });
+  Run([this] {
+    RelieveMemory();
+    upstream_.RelieveMemory();
+  });
   Reap();
   upstream_.Reap();
 }
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -670,6 +670,47 @@
   EXPECT_TRUE(UntilGot(late, "HTTP/1.1 200"));
 }
 
+// Guards against answers that aren't whole, of many hosts at once, in more memory than host connections are
+// granted.
+TEST_F(ServiceTest, TheHostConnectionThatHoldsMostIsBrokenForMemory) {
+  constexpr std::size_t kTotal = 1024 * 1024, kLongPart = 60'000, kShortPart = 20'000;
+  Recorder told;
+  ASSERT_NO_FATAL_FAILURE(ReadConfig());
+  memory::Budget memory(kTotal);
+  const memory::Account& held = memory.account(memory::Share::kHosts);
+  Descriptors descriptors(128, false, false, false, &memory);
+  const PlatformDialect dialect(config_->settings);
+  Upstream upstream(loop_, config_->settings, descriptors, told, dialect);
+  http::Buffer buffer;
+  http::Message request(http::Kind::kRequest, buffer);
+  buffer.Append(Get("r1"));
+  ASSERT_EQ(request.Read(), http::Progress::kDone);
+  for (std::uint64_t id = 1; id <= 3; ++id)
+    upstream.Start(StartAttempt{{RequestId{id}, 0}, HostId{id}, host_->address, told.Now() + seconds(9)},
+                   request);
+  ASSERT_TRUE(Until([&] {
+    return host_->peers.size() == 3 &&
+           std::all_of(host_->peers.begin(), host_->peers.end(), [](auto& peer) { return peer->Got("r1"); });
+  }));
+  const auto send_part = [&](std::size_t peer, std::size_t size) {
+    host_->peers[peer]->Send("HTTP/1.1 200 OK\r\nContent-Length: 65000\r\n\r\n" + std::string(size, 'b'));
+  };
+  send_part(0, kShortPart);
+  send_part(1, kShortPart);
+  ASSERT_TRUE(Until([&] { return held.held() > 2 * kShortPart; }));
+  upstream.RelieveMemory();
+  EXPECT_EQ(told.Count<AttemptFailed>(), 0u);
+  send_part(2, kLongPart);
+  ASSERT_TRUE(Until([&] { return held.over(); }));
+  upstream.RelieveMemory();
+  EXPECT_EQ(told.Count<AttemptFailed>(), 1u);
+  upstream.Reap();
+  EXPECT_FALSE(held.over());
+  EXPECT_EQ(upstream.connections(), 2u);
+  ASSERT_TRUE(Until([&] { return host_->peers[2]->ended; }));
+  EXPECT_FALSE(host_->peers[0]->ended);
+}
+
 // The part alone: which hosts the module would choose does not matter here.
 TEST_F(ServiceTest, HostConnectionsThatNobodyUsesMakeRoom) {
   Recorder told;
