Control and readiness have descriptors and memory of their own

What callers saw: beside callers of `control` that send half a call, or watch, neither readiness nor the configuration gave an answer; the platform would have taken the gateway out. Cause: control, readiness and other gateways' connections took from one lot of descriptors, and a door makes room only at the cost of its own connections: 85 callers of one of them left none for the others. Watches may wait for a minute, and were as many as there were descriptors. Bodies that were set aside and answers as long as a configuration were bounded by number, or not at all. Change: of the descriptors for calls and peers, an eighth (at least 10) dials peers, a sixteenth (2 to 16) is for readiness, a fourth for control, the rest for peers that come (before: half for those that are dialled, which are a few members of the core). A caller that has waited for a second asks elsewhere, so it may go; a watch that would take more than half of control's descriptors is answered 429. Bodies set aside count with their connection; an answer of over 16 KiB is given only where control's share has room, else 503 with Retry-After. Three unit tests (call_door_test, net_test).

--- a/src/net/descriptors.hpp
+++ b/src/net/descriptors.hpp
@@ -13,8 +13,8 @@
 
 namespace curlewdoor::net {
 
-enum class Use { kClient, kHost, kCounter, kDiscovery, kAdmin, kFleet };
-inline constexpr int kUses = 6;
+enum class Use { kClient, kHost, kCounter, kDiscovery, kAdmin, kFleet, kControl, kReadiness };
+inline constexpr int kUses = 8;
 inline constexpr int kMostCounterConnections = 8;  // four carry calls, the others owe answers; it allows 32
 inline constexpr int kMostCallers = 24;            // operators' connections at once ...
 inline constexpr int kCallersPart = 16;            // ... and at most this part of all descriptors
@@ -68,7 +68,23 @@
              kMostCounterConnections,
              kDiscoveryConnections,
              callers,
-             with_fleet ? kMostExchanges : 0};
+             with_fleet ? kMostExchanges : 0,
+             0,
+             0};
+  }
+  // The same for a process that serves calls and is linked to others: control and readiness have parts of
+  // their own. Of connections to peers, more are taken in than made: most of them are with a few members of
+  // the core.
+  struct WithCalls {};
+  Descriptors(int total, WithCalls, memory::Budget& memory)
+      : Descriptors(total, false, false, true, &memory) {
+    const int rest = most(Use::kClient) + most(Use::kHost);
+    const int made = std::max(kLeastPeers, rest / 8), readiness = std::clamp(rest / 16, 2, kMostReadiness);
+    const int control = rest / 4;
+    most_[static_cast<std::size_t>(Use::kHost)] = made;
+    most_[static_cast<std::size_t>(Use::kReadiness)] = readiness;
+    most_[static_cast<std::size_t>(Use::kControl)] = control;
+    most_[static_cast<std::size_t>(Use::kClient)] = rest - made - readiness - control;
   }
   Descriptors(const Descriptors&) = delete;
   Descriptors& operator=(const Descriptors&) = delete;
@@ -98,6 +114,8 @@
   static constexpr int kDiscoveryConnections = 2;
   static constexpr int kFleetSockets = 2;  // for datagrams, and the one that listens
   static constexpr int kLeastOfEach = 8;   // however much is set aside
+  static constexpr int kLeastPeers = 10;   // members of a core, and one more
+  static constexpr int kMostReadiness = 16;
 
   std::array<int, kUses> held_{};
   std::array<int, kUses> most_{};
--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -205,6 +205,14 @@
   return it != waiting_.end() ? &it->second->request() : nullptr;
 }
 
+std::unique_ptr<memory::Charge> Door::ChargeTo(RequestId id, std::size_t bytes) {
+  const auto it = waiting_.find(id);
+  if (it == waiting_.end()) return nullptr;
+  auto charge = std::make_unique<memory::Charge>(&it->second->account());
+  charge->Set(bytes);
+  return charge;
+}
+
 Client* Door::TakeWaiting(RequestId id) {
   const auto it = waiting_.find(id);
   if (it == waiting_.end()) return nullptr;
--- a/src/net/door.hpp
+++ b/src/net/door.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <list>
+#include <memory>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -116,6 +117,9 @@
   // From now on the client waits for the answer to this request.
   RequestId Wait(Client& client);
   Client* TakeWaiting(RequestId id);
+  // Counts bytes that are kept elsewhere for a request that waits with its connection's. nullptr: it doesn't
+  // wait.
+  std::unique_ptr<memory::Charge> ChargeTo(RequestId id, std::size_t bytes);
   void AcceptNoMore();
   std::optional<Descriptor> MakeRoom();
   Client& Add(Descriptor descriptor);
--- a/src/system/call_door.cpp
+++ b/src/system/call_door.cpp
@@ -5,10 +5,15 @@
 namespace curlewdoor::system {
 namespace {
 constexpr std::size_t kAhead = 64 * 1024;
+constexpr std::size_t kShortAnswer = 16 * 1024;  // bytes; longer ones are given only where there is room
+constexpr std::string_view kLater = "Retry-After: 0.5\r\n";
 }  // namespace
 
-CallDoor::CallDoor(struct ev_loop* loop, net::Descriptors& descriptors, OnCall on_call, std::size_t most_body)
-    : Door(loop, descriptors, *this, kAhead), on_call_(std::move(on_call)), most_body_(most_body) {}
+CallDoor::CallDoor(struct ev_loop* loop, net::Descriptors& descriptors, OnCall on_call, std::size_t most_body,
+                   net::Use use)
+    : Door(loop, descriptors, *this, kAhead, {use, memory::Share::kControl, true}),
+      on_call_(std::move(on_call)),
+      most_body_(most_body) {}
 
 void CallDoor::OnRequest(net::Client& client) {
   last_came_ = Now();
@@ -39,7 +44,8 @@
 void CallDoor::BeginUpload(RequestId id, Call call, std::size_t size) {
   if (held_ + size > kMostAtOnce * most_body_)
     return Refuse(id, 503, "body: too many long ones at once, send it again later\n");
-  held_ += reserved_[id] = size;
+  held_ += size;
+  reserved_[id] = {size, ChargeTo(id, size)};
   call.body.reserve(size);
   uploads_[id].call = std::move(call);
   OnUpload(id);
@@ -89,7 +95,7 @@
   uploads_.erase(client.id);
   const auto it = reserved_.find(client.id);
   if (it == reserved_.end()) return;
-  held_ -= it->second;
+  held_ -= it->second.bytes;
   reserved_.erase(it);
 }
 
@@ -108,6 +114,11 @@
 void CallDoor::Reply(RequestId id, int status, std::string_view body, std::string_view type) {
   net::Client* client = TakeWaiting(id);
   if (client == nullptr) return;
+  if (body.size() > kShortAnswer && !account().HasRoomFor(body.size())) {
+    client->EndAfterAnswer();
+    const iovec later = http::Piece(kLater);
+    return client->Answer(503, {&later, 1}, {});
+  }
   const std::string line = type.empty() ? std::string() : "Content-Type: " + std::string(type) + "\r\n";
   const iovec piece = http::Piece(line);
   client->Answer(status, {&piece, line.empty() ? 0u : 1u}, body);
--- a/src/system/call_door.hpp
+++ b/src/system/call_door.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -22,7 +23,8 @@
   // answers; one that would go beyond gets a 503.
   static constexpr std::size_t kMostAtOnce = 4;
 
-  CallDoor(struct ev_loop* loop, net::Descriptors& descriptors, OnCall on_call, std::size_t most_body);
+  CallDoor(struct ev_loop* loop, net::Descriptors& descriptors, OnCall on_call, std::size_t most_body,
+           net::Use use = net::Use::kClient);
   // Told of each call whose client has gone before its Reply().
   void SetOnLeft(std::function<void(RequestId)> on_left) { on_left_ = std::move(on_left); }
   void Reply(RequestId id, int status, std::string_view body = {}, std::string_view type = {});
@@ -64,8 +66,12 @@
   const std::size_t most_body_;
   bool declines_ = false;
   std::unordered_map<RequestId, Upload, IdHash> uploads_;
-  std::unordered_map<RequestId, std::size_t, IdHash> reserved_;  // by calls with long bodies, until answered
-  std::size_t held_ = 0;                                         // the sum of these
+  struct Reserved {
+    std::size_t bytes = 0;
+    std::unique_ptr<memory::Charge> charge;  // of its connection's memory
+  };
+  std::unordered_map<RequestId, Reserved, IdHash> reserved_;  // by calls with long bodies, until answered
+  std::size_t held_ = 0;                                      // the sum of these
 };
 
 }  // namespace curlewdoor::system
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -34,7 +34,7 @@
       link_address_{settings_.ip_address, static_cast<std::uint16_t>(settings_.internal_ports.first + 1)},
       memory_(MemoryOf(settings_)),
       front_descriptors_(Descriptors(settings_) * 7 / 10, false, false, false, &memory_),
-      link_descriptors_(Descriptors(settings_) * 3 / 10, false, false, true, &memory_),
+      link_descriptors_(Descriptors(settings_) * 3 / 10, net::Descriptors::WithCalls{}, memory_),
       fleet_link_(loop, link_descriptors_, *this),
       fleet_timer_(loop,
                    [this](int) {
@@ -52,14 +52,15 @@
           [this](const std::string& tenant) { return ClockOffset(tenant); },
           {&registry_lease_, [this] { return !resumed_at_; }}),
       control_(
-          loop, link_descriptors_, [this](CallDoor::Call call) { OnCall(std::move(call)); }, kMostConfig),
+          loop, link_descriptors_, [this](CallDoor::Call call) { OnCall(std::move(call)); }, kMostConfig,
+          net::Use::kControl),
       readiness_(
           loop, link_descriptors_,
           [this](const CallDoor::Call& call) {
             const bool asked = call.path == kReadinessPath;
             readiness_.Reply(call.id, !asked ? 404 : ready_ && !leaving_ ? 200 : 503);
           },
-          1024),
+          1024, net::Use::kReadiness),
       started_at_(Now()),
       house_timer_(loop, [this](int) { KeepHouse(); }),
       reap_(loop,
@@ -67,8 +68,10 @@
               pause_watch_.OnTurn(Now());
               call_pause_watch_.OnTurn(Now());
               front_.ReapAll();
-              control_.Reap();
-              readiness_.Reap();
+              for (CallDoor* door : {&control_, &readiness_}) {
+                door->RelieveMemory();
+                door->Reap();
+              }
             }),
       term_(loop, SIGTERM, [this](int) { OnTerm(); }),
       interrupt_(loop, SIGINT, [this](int) { OnTerm(); }),
@@ -93,6 +96,7 @@
     const auto waiting = coordination_numbers_.extract(id);
     if (!waiting) return;
     ++coordination_ends_.left;
+    watches_.erase(id);
     coordination_calls_.Forget(waiting.mapped());
   });
   control_.StartAccepting();
@@ -184,7 +188,7 @@
   if (founding_) founding_->Tick();
   if ((core_ || !InContact()) && ticks_ % 10 == 0) OnView();
   if (ticks_ % 2 == 0) front_.KeepHouse();
-  if (ticks_ % 5 == 0) {
+  if (ticks_ % 2 == 0) {
     control_.CheckTimes();
     readiness_.CheckTimes();
   }
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -11,6 +11,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "agreement/core.hpp"
@@ -342,6 +343,7 @@
   CoordinationCalls coordination_calls_{*this, {}};
   CallEnds coordination_ends_;
   std::unordered_map<RequestId, std::uint64_t, IdHash> coordination_numbers_;  // of calls that wait here
+  std::unordered_set<RequestId, IdHash> watches_;                              // of these
   CoreCalls core_calls_{*this, {}};
   std::unordered_map<std::uint64_t, Replication> replications_;
   std::unordered_map<std::uint64_t, Adding> addings_;
--- a/src/system/node_coordination.cpp
+++ b/src/system/node_coordination.cpp
@@ -42,12 +42,21 @@
     control_.Reply(call.id, 503);
     return true;
   }
+  const bool watches = std::holds_alternative<coordination::WatchGroup>(*decoded);
+  // Other calls have to find room beside those that wait for long.
+  if (watches && static_cast<int>(watches_.size()) >= link_descriptors_.most(net::Use::kControl) / 2) {
+    ++coordination_ends_.answered[429];
+    control_.Reply(call.id, 429);
+    return true;
+  }
+  if (watches) watches_.insert(call.id);
   const std::uint64_t number = next_number_++;
   coordination_numbers_[call.id] = number;
   // Bytes that were not read yet may hide the connection's end.
   const auto waits = [this, id = call.id] { return control_.StateOf(id) == net::Door::ClientState::kSilent; };
   const auto answer = [this, id = call.id](const CoordinationCalls::Answer& ended) {
     coordination_numbers_.erase(id);
+    watches_.erase(id);
     const HttpAnswer http = EncodeAnswer(ended);
     ++coordination_ends_.answered[http.status];
     ReplyJson(id, http.status, http.body);
--- a/tests/net_test.cpp
+++ b/tests/net_test.cpp
@@ -161,6 +161,27 @@
   EXPECT_EQ(budget.most(Use::kHost), hosts);
 }
 
+// Guards against callers of control that take the descriptors of readiness, or of other gateways.
+TEST(Descriptors, ControlReadinessAndPeersHavePartsOfTheirOwn) {
+  for (const int total : {76, 210, 1140}) {
+    memory::Budget memory;
+    Descriptors budget(total, Descriptors::WithCalls{}, memory);
+    int all = 16 + 2 + kMostExchanges;
+    for (Use use :
+         {Use::kClient, Use::kHost, Use::kCounter, Use::kDiscovery, Use::kControl, Use::kReadiness}) {
+      EXPECT_GE(budget.most(use), 2) << total;
+      all += budget.most(use);
+    }
+    EXPECT_LE(all, total);
+    EXPECT_GE(budget.most(Use::kClient), budget.most(Use::kControl)) << total;  // peers that come
+    EXPECT_GE(budget.most(Use::kHost), 10) << total;                            // ... and that are dialled
+    std::vector<Descriptor> held;
+    while (auto descriptor = budget.Take(Use::kControl)) held.push_back(std::move(*descriptor));
+    EXPECT_TRUE(budget.Take(Use::kReadiness));
+    EXPECT_TRUE(budget.Take(Use::kClient));
+  }
+}
+
 TEST(Descriptors, GivenBackOnce) {
   Descriptors budget(128);
   const int fd = ::open("/dev/null", O_RDONLY | O_CLOEXEC);
--- a/tests/system/call_door_test.cpp
+++ b/tests/system/call_door_test.cpp
@@ -268,6 +268,79 @@
   BOOST_TEST(CameWhole(stand, "/next", body));
 }
 
+// Guards against answers that nobody reads, each as long as a configuration, in more memory than control is
+// granted.
+BOOST_AUTO_TEST_CASE(ALongAnswerIsGivenOnlyWhereThereIsRoom) {
+  constexpr std::size_t kTotal = 32 * 1024 * 1024, kLongAnswer = 900'000;
+  constexpr std::size_t kCallers = 12;
+  memory::Budget memory(kTotal);
+  memory::Account& held = memory.account(memory::Share::kControl);
+  Loop loop;
+  net::Descriptors descriptors(256, net::Descriptors::WithCalls{}, memory);
+  std::vector<RequestId> calls;
+  CallDoor door(
+      loop.get(), descriptors, [&](const CallDoor::Call& call) { calls.push_back(call.id); }, kMost,
+      net::Use::kControl);
+  std::string error;
+  BOOST_REQUIRE_MESSAGE(door.Listen({0x7f000001, 0}, error), error);
+  door.StartAccepting();
+  std::vector<std::unique_ptr<Plain>> callers;
+  for (std::size_t i = 0; i < kCallers; ++i) {
+    callers.push_back(std::make_unique<Plain>(loop.get(), door.port(), false));
+    callers.back()->Write("GET /long HTTP/1.1\r\nHost: x\r\n\r\n");
+  }
+  BOOST_REQUIRE(loop.Until([&] { return calls.size() == kCallers; }));
+  for (const RequestId id : calls) {
+    door.Reply(id, 200, std::string(kLongAnswer, 'a'));
+    BOOST_TEST(!held.over());
+  }
+  BOOST_TEST(held.held() > held.limit() / 2);
+  Plain reader(loop.get(), door.port());  // a short answer is given all the same
+  reader.Write("GET /short HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(loop.Until([&] { return calls.size() == kCallers + 1; }));
+  door.Reply(calls.back(), 200, "short");
+  BOOST_TEST(loop.Until([&] { return reader.came.ends_with("short"); }));
+  reader.Write("GET /long HTTP/1.1\r\nHost: x\r\n\r\n");
+  BOOST_REQUIRE(loop.Until([&] { return calls.size() == kCallers + 2; }));
+  reader.came.clear();
+  door.Reply(calls.back(), 200, std::string(kLongAnswer, 'a'));
+  BOOST_TEST(loop.Until([&] { return reader.came.starts_with("HTTP/1.1 503"); }));
+  BOOST_TEST(reader.came.find("Retry-After: ") != std::string::npos);
+  callers.clear();
+  BOOST_REQUIRE(loop.Until([&] { return door.connections() <= 1; }, [&] { door.Reap(); }));
+  door.Reap();
+  BOOST_TEST(held.held() < kLongAnswer);
+}
+
+// Guards against long bodies that are set aside for and that nobody counts.
+BOOST_AUTO_TEST_CASE(WhoeverHasMostSetAsideGoesFirst) {
+  constexpr std::size_t kTotal = 2 * 1024 * 1024;  // 256 KiB for control
+  constexpr std::size_t kSmall = 100'000;
+  memory::Budget memory(kTotal);
+  Loop loop;
+  net::Descriptors descriptors(256, net::Descriptors::WithCalls{}, memory);
+  std::size_t calls = 0;
+  CallDoor door(
+      loop.get(), descriptors, [&](const CallDoor::Call&) { ++calls; }, kMost, net::Use::kControl);
+  std::string error;
+  BOOST_REQUIRE_MESSAGE(door.Listen({0x7f000001, 0}, error), error);
+  door.StartAccepting();
+  Plain large(loop.get(), door.port()), small(loop.get(), door.port());
+  small.Write("POST /small HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n");
+  BOOST_REQUIRE(loop.Until([&] { return door.held() == kSmall; }));
+  large.Write("POST /large HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(kMost) + "\r\n\r\n");
+  BOOST_REQUIRE(loop.Until([&] { return door.held() == kSmall + kMost; }));
+  door.RelieveMemory();
+  door.Reap();
+  BOOST_TEST(loop.Until([&] { return large.over; }));
+  BOOST_TEST(!small.over);
+  BOOST_TEST(door.held() == kSmall);
+  const std::string body(kSmall, 'b');
+  for (std::size_t sent = 0; sent < body.size(); ev_run(loop.get(), EVRUN_NOWAIT))
+    sent += small.Write(std::string_view(body).substr(sent));
+  BOOST_TEST(loop.Until([&] { return calls == 1; }));
+}
+
 BOOST_AUTO_TEST_CASE(PipelinedCallsAreAnsweredInOrder) {
   for (const bool at_once : {true, false}) {
     Stand stand;
