A peer's stream is bounded until it has said its name, and counted

What callers saw: a gateway that ran out of memory beside connections at its internal port: 200 of them, each with the head of a frame of 9 MiB and as many bytes, took 755 MB. Cause: whoever connected could have 9 MiB gathered for one frame, and 12 MiB kept that it didn't read, on as many streams as there were descriptors; new streams were refused where others had taken these. Change: until a stream that came has sent its Hello, a frame may have 16 KiB. What streams hold counts under the peers' share; where it is met, those without a name go first, then whoever holds most. Where descriptors are taken, the oldest stream without a name makes room. Their sockets have receive buffers of 64 KiB.

--- a/src/system/link.cpp
+++ b/src/system/link.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cerrno>
 
+#include "memory/eviction.hpp"
 #include "net/socket_io.hpp"
 #include "util/hash.hpp"
 
@@ -14,6 +15,9 @@
 namespace {
 
 constexpr std::size_t kHead = 4;
+// Bytes in the socket of a stream. Those that come are held to it from their beginning.
+constexpr net::SocketLimits kSocketLimits{.receive = 64 * 1024, .unsent = 64 * 1024};
+constexpr int kBacklog = 128;
 
 void PutLength(char* at, std::size_t length) {
   for (std::size_t i = 0; i < kHead; ++i) at[i] = static_cast<char>(length >> (8 * (kHead - 1 - i)));
@@ -31,6 +35,7 @@
 
 Link::Stream::Stream(Link& link, net::Descriptor descriptor, const Address& to, bool dialled)
     : link_(link),
+      account_(&link.account_),
       descriptor_(std::move(descriptor)),
       to_(to),
       dialled_(dialled),
@@ -47,6 +52,7 @@
 void Link::Stream::Want() {
   if (closed_) return;
   io_.Want(descriptor_.fd(), !up_ ? EV_WRITE : out_.empty() ? EV_READ : EV_READ | EV_WRITE);
+  own_.Set(sizeof(Stream) + (out_.empty() ? 0 : kSocketLimits.unsent));
 }
 
 void Link::Stream::Send(std::string_view frame) {
@@ -102,7 +108,7 @@
     const std::string_view bytes = in_.view().substr(at);
     if (bytes.size() < kHead) break;
     const std::size_t length = ReadLength(bytes);
-    if (length > kMostFrame) {
+    if (length > most_frame) {
       ++link_.dropped_;
       return Close();
     }
@@ -123,6 +129,7 @@
            std::uint64_t seed)
     : loop_(loop),
       descriptors_(descriptors),
+      account_(descriptors.memory().account(memory::Share::kPeers)),
       owner_(owner),
       options_(options),
       seed_(seed),
@@ -137,6 +144,8 @@
 bool Link::Listen(const Address& address, std::string& error) {
   fd_ = net::ListenOn(address, address_, error);
   if (fd_ < 0) return false;
+  net::LimitSocket(fd_, kSocketLimits);
+  net::LimitBacklog(fd_, kBacklog);
   io_.Want(fd_, EV_READ);
   return true;
 }
@@ -148,6 +157,7 @@
     const int fd = ::accept4(fd_, reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
     if (fd < 0) return;
     auto descriptor = descriptors_.Take(net::Use::kClient);
+    if (!descriptor && ShedNameless()) descriptor = descriptors_.Take(net::Use::kClient);
     if (!descriptor || streams_.size() >= options_.most_streams) {
       ::close(fd);
       continue;
@@ -159,6 +169,44 @@
   }
 }
 
+std::vector<Link::Stream*> Link::Present() const {
+  std::vector<Stream*> present;
+  for (const auto& stream : streams_) present.push_back(stream.get());
+  return present;
+}
+
+// A peer says its name at once: of those that came and have not, the oldest makes room.
+bool Link::ShedNameless() {
+  const auto nameless = std::find_if(streams_.begin(), streams_.end(), [](const auto& stream) {
+    return !stream->dialled_ && stream->name.empty();
+  });
+  if (nameless == streams_.end()) return false;
+  ++evicted_;
+  (*nameless)->Close();
+  return true;
+}
+
+void Link::RelieveMemory() {
+  if (memory::ExcessOf(account_) == 0) return;
+  std::vector<Stream*> nameless, named;
+  for (Stream* stream : Present()) (stream->name.empty() ? nameless : named).push_back(stream);
+  Evict(nameless);
+  Evict(named);
+}
+
+void Link::Evict(const std::vector<Stream*>& streams) {
+  const std::size_t excess = memory::ExcessOf(account_);
+  if (excess == 0) return;
+  std::vector<memory::ConnectionState> states;
+  for (const Stream* stream : streams)
+    states.push_back({.waited = Now() - stream->heard_, .held = stream->held()});
+  for (const std::size_t chosen : memory::ChooseForMemory(states, excess)) {
+    ++evicted_;
+    streams[chosen]->Close();
+  }
+  retired_.clear();
+}
+
 void Link::SetTargets(const std::vector<Address>& targets) {
   std::map<Address, Target> next;
   for (const Address& address : targets) {
@@ -189,6 +237,7 @@
   descriptor->Set(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const sockaddr_in address = to.ToSocket();
   if (!descriptor->open()) return;
+  net::LimitSocket(descriptor->fd(), kSocketLimits);
   const sockaddr_in from = Address{options_.from_ip, 0}.ToSocket();
   if (options_.from_ip != 0 &&
       ::bind(descriptor->fd(), reinterpret_cast<const sockaddr*>(&from), sizeof from) != 0)
@@ -212,9 +261,7 @@
 void Link::KeepHouse() {
   retired_.clear();
   const TimePoint now = Now();
-  std::vector<Stream*> present;
-  for (auto& stream : streams_) present.push_back(stream.get());
-  for (Stream* stream : present) {
+  for (Stream* stream : Present()) {
     if (stream->closed_) continue;
     if (!stream->up_ && now - stream->begun_ > options_.connect) {
       stream->Close();
--- a/src/system/link.hpp
+++ b/src/system/link.hpp
@@ -13,6 +13,7 @@
 
 #include "http/buffer.hpp"
 #include "logic.hpp"
+#include "memory/account.hpp"
 #include "net/descriptors.hpp"
 #include "net/watcher.hpp"
 #include "system/announce_pace.hpp"
@@ -21,6 +22,7 @@
 namespace curlewdoor::system {
 
 inline constexpr std::size_t kMostFrame = 9 * 1024 * 1024;       // bytes
+inline constexpr std::size_t kMostFirstFrame = 16 * 1024;        // ... until the other side has said its name
 inline constexpr std::size_t kMostUnwritten = 12 * 1024 * 1024;  // bytes; one that reads no more is dropped
 
 class Link {
@@ -46,16 +48,18 @@
     const Address& to() const { return to_; }  // where it was dialled to, or came from
     TimePoint heard() const { return heard_; }
     std::size_t unwritten() const { return out_.size(); }
+    std::size_t held() const { return account_.held(); }    // bytes, of the system's too
     bool receiving() const { return !in_.view().empty(); }  // a part of a frame is here
 
-    std::string name;          // of the other side's machine, once it has said so
-    bool counted = false;      // it is of the core, or may come to be
-    int strayed = 0;           // digests in a row that were not ours
-    bool subscribed = false;   // wants news
-    bool fetches = false;      // knows Announce, Fetch and Fetched
-    AnnouncePace announcing;   // of configurations, to the other side
-    bool told_later = false;   // said that it sends kinds of a later version
-    std::uint64_t number = 0;  // of this stream in this process
+    std::string name;                     // of the other side's machine, once it has said so
+    std::size_t most_frame = kMostFrame;  // bytes; one that sends a longer frame is closed
+    bool counted = false;                 // it is of the core, or may come to be
+    int strayed = 0;                      // digests in a row that were not ours
+    bool subscribed = false;              // wants news
+    bool fetches = false;                 // knows Announce, Fetch and Fetched
+    AnnouncePace announcing;              // of configurations, to the other side
+    bool told_later = false;              // said that it sends kinds of a later version
+    std::uint64_t number = 0;             // of this stream in this process
 
    private:
     friend class Link;
@@ -65,12 +69,14 @@
     void Want();
 
     Link& link_;
+    memory::Account account_;
+    memory::Charge own_{&account_};  // this object, and what the system may hold
     net::Descriptor descriptor_;
     const Address to_;
     const bool dialled_;
     bool up_ = false, closed_ = false;
     net::IoWatcher io_;
-    http::Buffer in_, out_;
+    http::Buffer in_{&account_}, out_{&account_};
     TimePoint begun_, heard_, sent_;
   };
 
@@ -101,8 +107,12 @@
   }
   // About every 100 ms: says that we are there, finds who isn't, dials again; frees what was closed.
   void KeepHouse();
+  // Closes streams where all of them hold more than their share; whoever has not said its name goes first.
+  // Not from within an event of one of them.
+  void RelieveMemory();
   std::uint64_t bytes_out() const { return bytes_out_; }
   std::uint64_t dropped() const { return dropped_; }  // streams that sent no frames of ours
+  std::uint64_t evicted() const { return evicted_; }  // ... that were closed for a descriptor or for memory
 
  private:
   friend class Stream;
@@ -113,11 +123,15 @@
   };
   TimePoint Now() const;
   void Accept();
+  bool ShedNameless();
+  std::vector<Stream*> Present() const;
+  void Evict(const std::vector<Stream*>& streams);
   void Dial(const Address& to, Target& target);
   void Remove(Stream& stream);
 
   struct ev_loop* loop_;
   net::Descriptors& descriptors_;
+  memory::Account& account_;
   Owner& owner_;
   const Options options_;
   std::uint64_t seed_;
@@ -126,7 +140,7 @@
   net::IoWatcher io_;
   std::vector<std::unique_ptr<Stream>> streams_, retired_;
   std::map<Address, Target> targets_;
-  std::uint64_t next_number_ = 1, bytes_out_ = 0, dropped_ = 0;
+  std::uint64_t next_number_ = 1, bytes_out_ = 0, dropped_ = 0, evicted_ = 0;
 };
 
 }  // namespace curlewdoor::system
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -68,6 +68,7 @@
               pause_watch_.OnTurn(Now());
               call_pause_watch_.OnTurn(Now());
               front_.ReapAll();
+              link_.RelieveMemory();
               for (CallDoor* door : {&control_, &readiness_}) {
                 door->RelieveMemory();
                 door->Reap();
--- a/src/system/node_messages.cpp
+++ b/src/system/node_messages.cpp
@@ -32,6 +32,7 @@
 }
 
 void Node::OnUp(Link::Stream& stream) {
+  if (!stream.dialled()) stream.most_frame = kMostFirstFrame;
   stream.Send(Encode(Hello{settings_.node_name, core_.has_value(), true}));
   if (!stream.dialled()) return;
   Say(Event::kLinkUp, stream.to().ToText());
@@ -42,6 +43,7 @@
 // A stream that was dialled here wants all news from now on, and begins with all that there is.
 void Node::Handle(Link::Stream& stream, Hello& message) {
   stream.name = message.name;
+  stream.most_frame = kMostFrame;
   stream.counted = message.counted;
   stream.fetches = message.fetches;
   if (stream.dialled()) {
--- a/tests/system/link_test.cpp
+++ b/tests/system/link_test.cpp
@@ -25,7 +25,9 @@
 
 // One gateway's link, and what it saw.
 struct Side : Link::Owner {
-  Side(Loop& loop, Link::Options options = {}) : link(loop.get(), descriptors, *this, options, 7) {
+  Side(Loop& loop, memory::Budget* memory) : Side(loop, Link::Options{}, memory) {}
+  Side(Loop& loop, Link::Options options = {}, memory::Budget* memory = nullptr)
+      : descriptors(256, false, false, false, memory), link(loop.get(), descriptors, *this, options, 7) {
     std::string error;
     BOOST_REQUIRE_MESSAGE(link.Listen(address, error), error);
   }
@@ -43,7 +45,7 @@
     if (last == &stream) last = nullptr;
   }
 
-  net::Descriptors descriptors{256};
+  net::Descriptors descriptors;
   const Address address{kHere, FreePort()};
   int ups = 0, downs = 0;
   std::uint32_t last_from = 0;
@@ -203,6 +205,63 @@
   BOOST_TEST(side.descriptors.held(net::Use::kClient) == 0);
 }
 
+// Guards against streams of nobody that take what peers need.
+BOOST_AUTO_TEST_CASE(WhoeverHasNoNameMakesRoomForAPeer) {
+  Loop loop;
+  Side side(loop);
+  const auto most = static_cast<std::size_t>(side.descriptors.most(net::Use::kClient));
+  std::vector<std::unique_ptr<Plain>> silent;
+  for (std::size_t i = 0; i < most; ++i)
+    silent.push_back(std::make_unique<Plain>(loop.get(), side.address.port));
+  BOOST_REQUIRE(loop.Until([&] { return side.ups == static_cast<int>(most); }));
+  side.last->name = "peer";  // it has said so
+  Plain late(loop.get(), side.address.port);
+  BOOST_REQUIRE(loop.Until([&] { return silent.front()->over; }));  // the one that came first
+  BOOST_TEST(side.ups == static_cast<int>(most) + 1);
+  BOOST_TEST(!late.over);
+  BOOST_TEST(!silent.back()->over);
+  BOOST_TEST(side.link.evicted() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(ALongFrameIsTakenOnlyWhereTheOwnerAllowsIt) {
+  Loop loop;
+  Side side(loop);
+  for (const std::size_t length : {kMostFirstFrame, kMostFirstFrame + 1}) {
+    Plain stranger(loop.get(), side.address.port);
+    BOOST_REQUIRE(loop.Until([&] { return side.last != nullptr; }));
+    side.last->most_frame = kMostFirstFrame;
+    const char head[] = {0, 0, static_cast<char>(length >> 8), static_cast<char>(length)};
+    stranger.Write(std::string(head, sizeof head) + std::string(100, 'f'));
+    const bool closed = loop.Until([&] { return stranger.over; }, {}, milliseconds(300));
+    BOOST_TEST(closed == (length > kMostFirstFrame));
+    if (side.last != nullptr) side.last->Close();
+  }
+}
+
+// What the nameless hold goes first, then whoever holds most.
+BOOST_AUTO_TEST_CASE(StreamsThatHoldTooMuchAreClosed) {
+  Loop loop;
+  memory::Budget memory(16 * 1024 * 1024);  // 2 MiB for peers
+  Side side(loop, &memory);
+  Plain deaf(loop.get(), side.address.port, false);
+  BOOST_REQUIRE(loop.Until([&] { return side.last != nullptr; }));
+  Link::Stream* const named = side.last;
+  named->name = "peer";
+  Plain nameless(loop.get(), side.address.port, false);
+  BOOST_REQUIRE(loop.Until([&] { return side.last != nullptr && side.last != named; }));
+  side.last->Send(std::string(1024 * 1024, 'x'));
+  side.link.RelieveMemory();
+  BOOST_TEST(side.downs == 0);
+  named->Send(std::string(1536 * 1024, 'x'));
+  side.link.RelieveMemory();
+  BOOST_TEST(side.downs == 1);
+  BOOST_TEST(named->up());
+  named->Send(std::string(1536 * 1024, 'x'));
+  side.link.RelieveMemory();
+  BOOST_TEST(side.downs == 2);
+  BOOST_TEST(memory.held() == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(SetTargetsClosesThoseThatAreGone) {
   Pair pair;
   Side other(pair.loop);
