Memory that was freed goes back to the system once clients have left

What callers saw: hundreds of MB stay with a gateway after the clients that caused them have left. What the allocator keeps of freed memory between blocks in use is left. Change: once a second, where 4 MB or more have been freed since the last time, malloc_trim() gives back what is free. Evidence: misbehaving_clients_memory_is_given_back_once_they_have_left: four crowds, one after another, and 16 of 64 MB at most after each.

--- a/src/app/service.cpp
+++ b/src/app/service.cpp
@@ -8,6 +8,7 @@
 
 constexpr Duration kHouseEvery = std::chrono::milliseconds(250);  // what it looks after is in seconds
 constexpr Duration kFiguresEvery = std::chrono::seconds(10);
+constexpr int kTrimTurns = 4;  // of KeepHouse
 constexpr std::size_t kMiB = 1024 * 1024;
 
 // What is held of one long body: a fourth of the memory, shared out over as many clients as there may be.
@@ -267,6 +268,7 @@
   upstream_.CloseIdle();
   counter_.CheckTimes();
   admin_.CheckTimes();
+  if (++house_turns_ % kTrimTurns == 0) trimmer_.Look(memory_.held());
 }
 
 void Service::LogFigures() {
--- a/src/app/service.hpp
+++ b/src/app/service.hpp
@@ -13,6 +13,7 @@
 #include "config/config.hpp"
 #include "host_overrides/host_overrides.hpp"
 #include "log/log.hpp"
+#include "memory/trim.hpp"
 #include "net/admin_door.hpp"
 #include "net/counter.hpp"
 #include "net/discovery.hpp"
@@ -127,6 +128,8 @@
   net::PrepareWatcher before_wait_;
   net::CheckWatcher after_wait_;
   net::TimerWatcher due_timer_, house_timer_, figures_timer_;
+  memory::Trimmer trimmer_;
+  int house_turns_ = 0;
   TimePoint house_due_;
   std::deque<Input> inputs_;
   std::vector<Effect> effects_;
--- a/src/system/node.cpp
+++ b/src/system/node.cpp
@@ -218,6 +218,7 @@
   TickReplications();
   FailAdds([now](const Adding& adding) { return now >= adding.ends; });
   if (ticks_ % kSecondTicks == 0) {
+    trimmer_.Look(memory_.held());
     if (const auto proved = registry_lease_.proved_at()) directory_.ConfirmDepartures(*proved);
     directory_.PurgeExpired(now);
     KeepHosts();
--- a/src/system/node.hpp
+++ b/src/system/node.hpp
@@ -16,6 +16,7 @@
 
 #include "agreement/core.hpp"
 #include "fleet/membership_protocol.hpp"
+#include "memory/trim.hpp"
 #include "net/fleet_link.hpp"
 #include "quota/quota_counters.hpp"
 #include "registry_replication/lease.hpp"
@@ -365,6 +366,7 @@
   bool ready_ = false, leaving_ = false;
   bool alone_ = false;  // as the log says
   Steady term_at_, started_at_;
+  memory::Trimmer trimmer_;
   net::TimerWatcher house_timer_;
   net::PrepareWatcher reap_;
   net::SignalWatcher term_, interrupt_, hang_up_;
--- a/tests/system/misbehaving_clients_test.cpp
+++ b/tests/system/misbehaving_clients_test.cpp
@@ -24,6 +24,7 @@
 namespace {
 
 constexpr double kMemoryMb = 64;
+constexpr double kKeptMb = kMemoryMb / 4;            // once all clients have left
 constexpr int kFdLimit = 1000, kKeptForFiles = 200;  // DEPLOY.md: kept for files outside the disk folder
 constexpr std::size_t kCrowd = 200;                  // as many as its descriptors let a gateway take in
 constexpr std::size_t kLargeCrowd = 600;             // more than that
@@ -150,6 +151,9 @@
     }
   }
 
+  // What a machine's process held when it was looked at last.
+  HeldByProcess Now(int machine) const { return latest_.at(machine); }
+
   World world;
 
  private:
@@ -169,15 +173,17 @@
   }
   void Look() {
     const SocketTable sockets;
-    for (const int machine : world.machines.all())
-      if (world.machines.Running(machine))
-        peaks_[machine].Add(
-            HeldBy(world.machines.pid(machine), world.machines.data_plane(machine).ip, sockets));
+    for (const int machine : world.machines.all()) {
+      if (!world.machines.Running(machine)) continue;
+      latest_[machine] = HeldBy(world.machines.pid(machine), world.machines.data_plane(machine).ip, sockets);
+      peaks_[machine].Add(latest_[machine]);
+    }
   }
 
   const LogsOnFailure logs_{world.machines};
   double stepped_ = 0, looked_ = 0;
   std::vector<int> pids_;
+  std::map<int, HeldByProcess> latest_;
   std::map<int, PeakUse> peaks_;
   std::vector<std::unique_ptr<ClientCrowd>> crowds_;
 };
@@ -296,6 +302,29 @@
             kLargeCrowd);
 }
 
+// What was held for those that have left is the system's again, and not the allocator's: the next crowd may
+// be of another kind.
+BOOST_AUTO_TEST_CASE(memory_is_given_back_once_they_have_left) {
+  Attack attack;
+  std::string behind;
+  for (int i = 0; i < 8; ++i) behind += LargeGet(60'000);
+  const Address door = AddressOf(attack.world.machines, Door::kData);
+  for (const ClientScript& script :
+       {ClientScript{.opening = SlowGet(), .repeated = QuickGet(), .repeats = 1500},
+        ClientScript{.opening = PostOf(60'000) + std::string(59'999, 'b')},
+        ClientScript{.opening = SlowGet() + behind},
+        ClientScript{.opening = "", .repeated = LargeGet(20'000), .repeats = 400}}) {
+    attack.Add(door, script, kCrowd);
+    attack.Play();
+    attack.LeaveAll();
+    BOOST_TEST(
+        (!kMemoryTells || attack.Until([&] { return attack.Now(kAttacked).memory_mb() <= kKeptMb; }, kHangs)),
+        "gateway " << kAttacked << " still holds " << attack.Now(kAttacked).memory_mb() << " MB");
+  }
+  attack.ExpectOrdinaryCalls("after the crowds", kAttacked, 200);
+  attack.Judge();
+}
+
 // ---- The other doors -------------------------------------------------------------------------------------
 
 // Whoever is cut off there comes again: a time-out alone makes no room.
