Figures of what is held, by share, and of connections that were closed for it

What callers saw: nothing; operators had no figure that tells clients that don't behave from a memory_mb that is small. Change: `held_bytes{share}`, `held_bytes_limit{share}` and `evicted_total{share}`; `descriptors_open` names control and readiness, which had come to have uses of their own.

--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -430,12 +430,17 @@
   const TimePoint now = inputs_.Now();
   std::vector<Link*> present;
   std::vector<memory::ConnectionState> states;
+  present.reserve(links_.size());
+  states.reserve(links_.size());
   for (Link& link : links_) {
     present.push_back(&link);
     states.push_back({.waited = now - link.moved_at, .held = link.connection.held() + link.waiting.bytes()});
   }
   for (const std::size_t chosen : memory::ChooseForMemory(states, excess))
-    if (present[chosen]->connection.open()) OnBroken(*present[chosen]);
+    if (present[chosen]->connection.open()) {
+      ++evicted_;
+      OnBroken(*present[chosen]);
+    }
 }
 
 // Kept ones, and those whose host has stopped in the middle of a long body or answer.
--- a/src/net/upstream.hpp
+++ b/src/net/upstream.hpp
@@ -72,6 +72,7 @@
   std::size_t connections() const { return links_.size(); }
   std::size_t attempts() const { return by_attempt_.size(); }  // on a connection, or waiting for one
   std::uint64_t opened() const { return opened_; }
+  std::uint64_t evicted() const { return evicted_; }  // connections broken for memory
   std::uint64_t written() const { return written_; }  // attempts, to their last byte
 
  private:
@@ -150,7 +151,7 @@
   std::unordered_map<HostId, std::vector<Link*>, IdHash> kept_;  // the latest used last
   const http::Message* current_answer_ = nullptr;
   KeepTime keep_time_;
-  std::uint64_t opened_ = 0, written_ = 0;
+  std::uint64_t opened_ = 0, written_ = 0, evicted_ = 0;
 };
 
 }  // namespace curlewdoor::net
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -97,6 +97,7 @@
   };
   const Figures& figures() const { return figures_; }
   std::uint64_t opened() const { return upstream_.opened(); }
+  std::uint64_t host_connections_evicted() const { return upstream_.evicted(); }
   std::size_t host_connections() const { return upstream_.connections(); }
   const Leases::Figures& quota_figures() const { return leases_.figures(); }
   std::vector<Leases::CustomerView> LookAtTenants() { return leases_.ListCustomers(Now()); }  // for operators
--- a/src/system/link.cpp
+++ b/src/system/link.cpp
@@ -198,6 +198,7 @@
   const std::size_t excess = memory::ExcessOf(account_);
   if (excess == 0) return;
   std::vector<memory::ConnectionState> states;
+  states.reserve(streams.size());
   for (const Stream* stream : streams)
     states.push_back({.waited = Now() - stream->heard_, .held = stream->held()});
   for (const std::size_t chosen : memory::ChooseForMemory(states, excess)) {
--- a/src/system/report.cpp
+++ b/src/system/report.cpp
@@ -5,6 +5,7 @@
 #include <cinttypes>
 #include <cstdio>
 #include <ctime>
+#include <iterator>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -154,8 +155,9 @@
 }
 
 void AddDescriptors(Page& page, const char* pool, const net::Descriptors& descriptors) {
-  constexpr std::string_view kNames[net::kUses] = {"client",    "host",  "counter",
-                                                   "discovery", "admin", "fleet"};
+  constexpr std::string_view kNames[] = {"client", "host",  "counter", "discovery",
+                                         "admin",  "fleet", "control", "readiness"};
+  static_assert(std::size(kNames) == net::kUses);
   for (int i = 0; i < net::kUses; ++i) {
     const auto use = static_cast<net::Use>(i);
     if (descriptors.most(use) <= 0) continue;
@@ -165,6 +167,19 @@
   }
 }
 
+void AddMemory(Page& page, memory::Budget& memory) {
+  constexpr std::string_view kNames[] = {"clients", "hosts", "control", "peers"};
+  static_assert(std::size(kNames) == memory::kShares);
+  page.Head("held_bytes", "gauge", "Bytes held for peers of each kind, their sockets' bounds included.");
+  for (std::size_t i = 0; i < memory::kShares; ++i)
+    page.Line(memory.account(static_cast<memory::Share>(i)).held(),
+              "share=\"" + std::string(kNames[i]) + "\"");
+  page.Head("held_bytes_limit", "gauge", "... above which those that hold most are closed.");
+  for (std::size_t i = 0; i < memory::kShares; ++i)
+    page.Line(memory.account(static_cast<memory::Share>(i)).limit(),
+              "share=\"" + std::string(kNames[i]) + "\"");
+}
+
 }  // namespace
 
 void Node::ReplyReport(RequestId id, const std::string& json) {
@@ -422,6 +437,11 @@
                "Since the question by which a majority last proved the list of hosts.");
   page.Counter("accepted_total", door.accepted, "Connections taken from clients.");
   page.Counter("shed_total", door.shed, "Connections turned away or closed for lack of descriptors.");
+  page.Head("evicted_total", "counter", "Connections closed because all of their kind held too much.");
+  page.Line(door.evicted, "share=\"clients\"");
+  page.Line(front_.host_connections_evicted(), "share=\"hosts\"");
+  page.Line(control_.counts().evicted + readiness_.counts().evicted, "share=\"control\"");
+  page.Line(link_.evicted(), "share=\"peers\"");
   page.Gauge("open_requests", front_.open_requests(), "Requests that wait for their answer.");
   page.Gauge("client_connections", front_.connections(), "Connections of clients.");
   page.Gauge("host_connections", front_.host_connections(), "Connections to hosts, kept ones included.");
@@ -463,6 +483,7 @@
   page.Head("descriptors_open", "gauge", "Descriptors held, by use.");
   AddDescriptors(page, "front", front_descriptors_);
   AddDescriptors(page, "link", link_descriptors_);
+  AddMemory(page, memory_);
   page.Gauge("resident_bytes", ResidentBytes(), "Memory of this process that is resident.");
   control_.Reply(id, 200, page.text(), "text/plain; version=0.0.4");
 }
--- a/tests/upgrade_test.cpp
+++ b/tests/upgrade_test.cpp
@@ -116,8 +116,8 @@
       SendNext(load_.back().first, load_.back().second);
     }
   }
-  // Asks until the answer begins with `yes`, under load. A caller that has another answer is closed, and the next one
-  // comes a little later: thousands of them would take all descriptors of this process.
+  // Asks until the answer begins with `yes`, under load. A caller that has another answer is closed, and the
+  // next one comes a little later: thousands of them would take all descriptors of this process.
   [[nodiscard]] bool UntilSays(Child& child, const std::string& line, const std::string& yes = "OK") {
     constexpr milliseconds kAgain{5};
     Peer* caller = nullptr;
