A client that is too far ahead makes room, as its end can't be seen

What callers saw: after clients had left behind slow answers, with much sent ahead, new clients got no answer until those answers came. Cause: a connection with over 20 KB behind its request is read no more. Its end stands behind bytes that the closed window holds back, so it looks as one that waits for its answer, and those never made room for a new connection. Change: such a connection may go for a descriptor, after idle ones and before those at work. One that was reset is seen at the next look at times (POLLRDHUP, POLLHUP, POLLERR), where before nothing waited for it. POLLRDHUP alone didn't mend it (no answer in 20 s either). eviction_test has the order.

--- a/src/memory/eviction.cpp
+++ b/src/memory/eviction.cpp
@@ -21,6 +21,7 @@
   kNeverAsked,
   kKeepsWaiting,
   kServedAndIdle,
+  kTooFarAhead,
   kAtWork,
   kIsYetToAsk,
   kAsksElsewhere,
@@ -39,6 +40,7 @@
     case Phase::kClosing:
       return prompt ? kAtWork : kKeepsWaiting;
     case Phase::kServing:
+      if (connection.too_far_ahead) return kTooFarAhead;
       return connection.repeats && connection.waited >= kRepeatsAfter ? kAsksElsewhere : kStays;
   }
   return kStays;
--- a/src/memory/eviction.hpp
+++ b/src/memory/eviction.hpp
@@ -25,8 +25,9 @@
 
 struct ConnectionState {
   Phase phase = Phase::kIdle;
-  bool served = false;   // it has had an answer before
-  bool repeats = false;  // whoever waits here too long asks elsewhere: it may go while it is served
+  bool served = false;         // it has had an answer before
+  bool too_far_ahead = false;  // it is read no more, so much stands behind its request: its end can't be seen
+  bool repeats = false;        // whoever waits here too long asks elsewhere: it may go while it is served
   std::chrono::nanoseconds waited{};  // how long the phase has lasted, or since bytes moved in it
   std::size_t held = 0;               // bytes
 };
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -52,7 +52,8 @@
   const std::size_t most_ahead = owner_.account().tight() ? kUsualRead : kMostAhead;
   const bool full = ahead && (uploading_ ? upload_full() : request_.rest().size() > most_ahead);
   const bool held = state_ == State::kReading && owner_.holding();
-  const int reads = full || held ? 0 : EV_READ;
+  reads_ = !full && !held;
+  const int reads = reads_ ? EV_READ : 0;
   const bool writes = (state_ == State::kStreaming || behind) && !out_.empty();
   io_.Want(descriptor_.fd(), state_ == State::kWriting ? EV_WRITE : writes ? reads | EV_WRITE : reads);
   CountMemory();
@@ -67,6 +68,7 @@
   memory::ConnectionState state;
   state.served = served_any_;
   state.held = account_.held();
+  state.too_far_ahead = !reads_ && !uploading_;
   state.waited = now - since_;
   switch (state_) {
     case State::kReading:
@@ -491,6 +493,8 @@
   const bool body = request_.head_done() && head_at_ != TimePoint{};
   const Duration taken = body ? now - head_at_ : in_state;
   if (state_ == State::kReading && request_.started() && taken > times.slowest_request) return AnswerBad(408);
+  const bool awaits_us = state_ == State::kWaiting || state_ == State::kStreaming || state_ == State::kBehind;
+  if (awaits_us && !reads_ && HasEnded(descriptor_.fd())) return Close();
   // A long body's pace counts while its connection is read, a long answer's while some of it waits.
   if (state_ == State::kWaiting && uploading_ && pace_.TooSlow(now, !upload_full())) return Close();
   if (state_ == State::kSkipping && pace_.TooSlow(now, true)) return Close();
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -180,6 +180,7 @@
   Pace pace_;          // of a long body, or of who takes a long answer
   bool close_after_ = false, advancing_ = false, served_any_ = false, continued_ = false;
   bool uploading_ = false, chunked_ = false, stream_ended_ = false;
+  bool reads_ = true;  // waits for bytes; else its end would not be seen
 };
 
 }  // namespace curlewdoor::net
--- a/src/net/socket_io.cpp
+++ b/src/net/socket_io.cpp
@@ -4,6 +4,7 @@
 #include <fmt/format.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -125,6 +126,11 @@
   return StatusOf(::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT));
 }
 
+bool HasEnded(int socket) {
+  pollfd state{socket, POLLRDHUP, 0};
+  return ::poll(&state, 1, 0) > 0 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 void LimitSilence(int socket, Duration longest) {
   const auto set = [&](int level, int option, int value) {
     ::setsockopt(socket, level, option, &value, sizeof value);
--- a/src/net/socket_io.hpp
+++ b/src/net/socket_io.hpp
@@ -50,6 +50,10 @@
 // What a read would meet now: bytes, nothing yet, the other side's end or a broken connection. Reads nothing.
 ReadStatus Peek(int fd);
 
+// Whether the other side has ended its sending, or the connection is broken, whatever stands before that
+// unread.
+bool HasEnded(int socket);
+
 // A TCP connection breaks where what was sent is not acknowledged for so long, and where the other side's
 // machine is silent for about as long while nothing is sent (whole seconds: one at the least).
 void LimitSilence(int socket, Duration longest);
--- a/tests/memory/eviction_test.cpp
+++ b/tests/memory/eviction_test.cpp
@@ -64,6 +64,15 @@
   EXPECT_EQ(ChooseForDescriptor({}), std::nullopt);
 }
 
+// Guards against clients that have left behind a slow answer: what they sent ahead hides their end.
+TEST(ChooseForDescriptor, WhoIsTooFarAheadGoesBeforeThoseAtWork) {
+  std::vector<ConnectionState> connections{
+      Of(Phase::kServing, seconds(9)), Of(Phase::kServing, seconds(1)), Of(Phase::kServing, seconds(2)),
+      Of(Phase::kReceiving, milliseconds(9)), Of(Phase::kIdle, seconds(1), true)};
+  connections[1].too_far_ahead = connections[2].too_far_ahead = true;
+  EXPECT_EQ(Order(connections), (std::vector<std::size_t>{4, 2, 1, 3}));
+}
+
 TEST(ChooseForMemory, WhoHoldsMostGoesFirst) {
   std::vector<ConnectionState> connections(4);
   connections[0].held = 10;
--- a/tests/system/misbehaving_clients_test.cpp
+++ b/tests/system/misbehaving_clients_test.cpp
@@ -302,6 +302,13 @@
             kLargeCrowd);
 }
 
+// Behind a slow answer so much may wait that the gateway reads no more, and sees no end: those that have left
+// must not keep their descriptors until that answer comes.
+BOOST_AUTO_TEST_CASE(many_that_leave_behind_a_slow_answer) {
+  const std::string slower = Head("GET", "/read/slow?work_ms=28000");
+  Withstand(Door::kData, {.opening = slower, .repeated = std::string(4096, 'x'), .repeats = 100}, kCrowd);
+}
+
 // What was held for those that have left is the system's again, and not the allocator's: the next crowd may
 // be of another kind.
 BOOST_AUTO_TEST_CASE(memory_is_given_back_once_they_have_left) {
