Sockets hold 128 KiB of answers, as smaller ones cost processor time

Cause: with 32 KiB in a host's receive buffer and not sent to a client, an answer of 100 KB takes many more turns. Receive buffers of clients stay at 16 to 64 KiB, as all of them count always.

--- a/src/net/door.cpp
+++ b/src/net/door.cpp
@@ -16,7 +16,7 @@
 
 constexpr int kAcceptAtOnce = 64;                                  // then others get their turn
 constexpr Duration kLooksForRoom = std::chrono::milliseconds(10);  // where there was none to accept
-constexpr std::size_t kUnsent = 32 * 1024;  // bytes in a client's socket that aren't sent yet
+constexpr std::size_t kUnsent = 128 * 1024;  // bytes in a client's socket that aren't sent yet
 
 }  // namespace
 
