Soak: crowds at all doors beside gateways that end, are killed or stand still

What callers saw: nothing; a test. Judged as the cases are: no process ends by itself, memory and descriptors stay under their bounds, and each gateway answers afterwards.

--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -45,11 +45,13 @@
     scenario_tests(shutdown_soak 2)
     scenario_tests(two_builds 2)
     # One at a time and apart from other load: their processes are to have the machine for themselves.
-    scenario_tests(misbehaving_clients 1)
-    test_cases_run_serially(tests/system/misbehaving_clients_test.cpp misbehaving_clients)
-    if(CURLEWDOOR_SANITIZE)
-      target_compile_definitions(misbehaving_clients_test PRIVATE CURLEWDOOR_SANITIZED)
-    endif()
+    foreach(misbehaving misbehaving_clients misbehaving_soak)
+      scenario_tests(${misbehaving} 1)
+      test_cases_run_serially(tests/system/${misbehaving}_test.cpp ${misbehaving})
+      if(CURLEWDOOR_SANITIZE)
+        target_compile_definitions(${misbehaving}_test PRIVATE CURLEWDOOR_SANITIZED)
+      endif()
+    endforeach()
     # The longest, which mostly waits: begun first.
     set_tests_properties(return_a_gateway_and_a_member_that_stood_still_for_75_s_bring_nobody_back PROPERTIES COST 2000)
     # Histories of the register, judged from outside; each scenario a test, as above.
