Kit: a process that was told to end is started again once it has ended

Cause: Troubles::EndInOrder looked once, after its seconds, whether the process had ended, and else forgot it; its page says that it starts again once it has ended. Change: it looks again until that life of the process has ended, unless another trouble has started the next one.

--- a/src/systemkit/troubles.cpp
+++ b/src/systemkit/troubles.cpp
@@ -1,12 +1,16 @@
 #include "systemkit/troubles.hpp"
 
 #include <algorithm>
+#include <chrono>
 #include <csignal>
+#include <thread>
 
 namespace curlewdoor::systemkit {
 namespace {
 
 constexpr double kResetLasts_s = 0.05;
+constexpr std::chrono::milliseconds kWaits{10};
+constexpr double kLooksAgain_s = 0.05;  // whether a process that was told to end has ended
 
 }  // namespace
 
@@ -47,10 +51,16 @@
 void Troubles::EndInOrder(int machine, double seconds) {
   ending_.insert(machine);
   world_.machines.Signal(machine, SIGTERM);
-  Later(seconds, [this, machine] {
-    ending_.erase(machine);
-    if (!world_.machines.Running(machine)) world_.machines.Start(machine, false);
-  });
+  Later(seconds, [this, machine, life = world_.machines.life(machine)] { StartOnceEnded(machine, life); });
+}
+
+// Unless another trouble has ended that life of it and started it again meanwhile.
+void Troubles::StartOnceEnded(int machine, int life) {
+  const bool runs = world_.machines.Running(machine);
+  if (runs && world_.machines.life(machine) == life)
+    return Later(kLooksAgain_s, [this, machine, life] { StartOnceEnded(machine, life); });
+  ending_.erase(machine);
+  if (!runs) world_.machines.Start(machine, false);
 }
 
 void Troubles::Cut(int machine, const std::vector<int>& others, bool one_way, double seconds) {
@@ -94,9 +104,11 @@
 
 void Troubles::EndAll() {
   while (!ends_.empty()) {
+    const std::size_t before = ends_.size();
     const auto end = std::move(ends_.begin()->second);
     ends_.erase(ends_.begin());
     end();
+    if (ends_.size() >= before) std::this_thread::sleep_for(kWaits);  // a process has not ended yet
   }
 }
 
--- a/src/systemkit/troubles.hpp
+++ b/src/systemkit/troubles.hpp
@@ -43,6 +43,7 @@
  private:
   void Later(double seconds, std::function<void()> end);
   void Go(int machine);
+  void StartOnceEnded(int machine, int life);
   void CutWay(int from, int to);
   void JoinWay(int from, int to);
   bool IsCut(int from, int to) const;
