Review case 5: fewer clients, four bursts, and an end without a crash of the stand-ins

They now end at once, behind the gateways. 75 and 127 clients take the place of 80 and 136, and four bursts that of three, so that a slower machine cuts nothing without the burst.

--- a/review/standin-2/kit.hpp
+++ b/review/standin-2/kit.hpp
@@ -222,15 +222,18 @@
       if (Free()) break;
     }
     char folder[] = "/tmp/review-2-XXXXXX";
-    if (::mkdtemp(folder) == nullptr) std::exit(2);
+    if (::mkdtemp(folder) == nullptr) std::_Exit(2);
     folder_ = folder;
     pids_.assign(static_cast<std::size_t>(count) + 1, 0);
     for (int m = 1; m <= count; ++m) WriteSettings(m, true, true);
   }
-  ~Gateways() {
+  // Ends all processes and this program, whose other threads are still at work.
+  [[noreturn]] void End(int code) {
     for (const pid_t pid : pids_)
       if (pid > 0) ::kill(pid, SIGKILL), ::waitpid(pid, nullptr, 0);
-    if (folder_.starts_with("/tmp/review-2-") && std::system(("rm -rf " + folder_).c_str()) != 0) return;
+    if (folder_.starts_with("/tmp/review-2-") && std::system(("rm -rf " + folder_).c_str()) != 0) code = 2;
+    std::fflush(nullptr);
+    std::_Exit(code);
   }
 
   void Start(int m) {
@@ -317,7 +320,7 @@
   }
   void LoseDisk(int m) const {
     if (!folder_.starts_with("/tmp/review-2-") || std::system(("rm -rf " + Disk(m)).c_str()) != 0)
-      std::exit(2);
+      std::_Exit(2);
     ::mkdir(Disk(m).c_str(), 0755);
   }
 
@@ -378,7 +381,7 @@
     const sockaddr_in at = At(ip_, gateways.host_port());
     if (::bind(listener_.fd, reinterpret_cast<const sockaddr*>(&at), sizeof at) != 0 ||
         ::listen(listener_.fd, 512) != 0)
-      std::exit(2);
+      std::_Exit(2);
     std::thread([this] { Accept(); }).detach();
     std::thread([this] { Beats(); }).detach();
   }
--- a/review/standin-2/late_answer.cpp
+++ b/review/standin-2/late_answer.cpp
@@ -72,7 +72,7 @@
   kit::Record record(arguments[1]);
   const bool trouble = kit::Troubled();
   kit::Gateways gateways(3, 160, record);
-  if (!gateways.Begin(kit::Config("non_idempotent", kTimeoutMs, 1800))) return 2;
+  if (!gateways.Begin(kit::Config("non_idempotent", kTimeoutMs, 1800))) gateways.End(2);
   std::vector<std::unique_ptr<kit::Host>> hosts;
   for (int i = 0; i < kHosts; ++i)
     hosts.push_back(std::make_unique<kit::Host>(
@@ -81,7 +81,7 @@
         }));
   kit::Sleep(4);  // all hosts have beaten, and the core has been settled for longer than contact_ms
   for (const auto& host : hosts)
-    if (host->beats() == 0) return 2;
+    if (host->beats() == 0) gateways.End(2);
 
   std::vector<Sent> all(kClients * kRounds);
   for (int round = 0; round < kRounds; ++round) {
@@ -108,7 +108,7 @@
     for (std::thread& client : clients) client.join();
     if (round + 1 < kRounds) kit::Sleep(std::max(1.0, began + kRoundsApart - kit::Seconds()));
   }
-  if (gateways.Ended() > 0) return 2;
+  if (gateways.Ended() > 0) gateways.End(2);
 
   int whole = 0, longer = 0, late = 0, never = 0;
   for (const Sent& sent : all) {
@@ -125,5 +125,5 @@
              ", that never had one " + std::to_string(never));
   record.Say(broken ? "broken: CONFIG" : "held: CONFIG");
   std::printf("longer %d, late %d, never %d: %s\n", longer, late, never, broken ? "broken" : "held");
-  return broken ? 1 : whole > 0 ? 0 : 2;
+  gateways.End(broken ? 1 : whole > 0 ? 0 : 2);
 }
--- a/review/standin-2/long_created.cpp
+++ b/review/standin-2/long_created.cpp
@@ -51,7 +51,7 @@
   kit::Record record(arguments[1]);
   const bool trouble = kit::Troubled();
   kit::Gateways gateways(3, 160, record);
-  if (!gateways.Begin(kit::Config("non_idempotent", 8000, 4000))) return 2;
+  if (!gateways.Begin(kit::Config("non_idempotent", 8000, 4000))) gateways.End(2);
   std::vector<std::unique_ptr<kit::Host>> hosts;
   for (int i = 0; i < kHosts; ++i)
     hosts.push_back(std::make_unique<kit::Host>(
@@ -60,7 +60,7 @@
         }));
   kit::Sleep(4);
   for (const auto& host : hosts)
-    if (host->beats() == 0) return 2;
+    if (host->beats() == 0) gateways.End(2);
 
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i)
@@ -92,7 +92,7 @@
   for (std::thread& client : clients) client.join();
   kit::Sleep(1);
   if (trouble) record.Say("gateway-1 has ended with " + std::to_string(gateways.Await(1)));
-  if (gateways.Ended() > 0) return 2;
+  if (gateways.Ended() > 0) gateways.End(2);
 
   int run = 0, replaced = 0, elsewhere = 0;
   for (const auto& [id, sent] : all) {
@@ -108,5 +108,5 @@
   record.Say(broken ? "broken: LOST" : "held: LOST");
   std::printf("run %d, replaced %d, elsewhere %d: %s\n", run, replaced, elsewhere,
               broken ? "broken" : "held");
-  return broken ? 1 : run == kClients ? 0 : 2;
+  gateways.End(broken ? 1 : run == kClients ? 0 : 2);
 }
--- a/review/standin-2/many_at_once.cpp
+++ b/review/standin-2/many_at_once.cpp
@@ -5,9 +5,9 @@
 namespace {
 
 constexpr int kHosts = 10, kSlots = 64, kAhead = 8;
-constexpr int kClients = 80, kBurstClients = 56;  // 136 are 1.7 times 80
+constexpr int kClients = 75, kBurstClients = 52;  // 127 are 1.69 times 75
 constexpr double kCalm = 8, kBurst = 3, kBetween = 5;
-constexpr int kBursts = 3;
+constexpr int kBursts = 4;
 constexpr std::size_t kAnswer = 100'000;  // bytes
 constexpr int kTimeoutMs = 10'000, kTargetMs = 4'000;
 
@@ -91,7 +91,7 @@
   kit::Record record(arguments[1]);
   const bool trouble = kit::Troubled();
   kit::Gateways gateways(3, 160, record, false);
-  if (!gateways.Begin(kit::Config("idempotent", kTimeoutMs, kTargetMs))) return 2;
+  if (!gateways.Begin(kit::Config("idempotent", kTimeoutMs, kTargetMs))) gateways.End(2);
   std::vector<std::unique_ptr<kit::Host>> hosts;
   for (int i = 0; i < kHosts; ++i)
     hosts.push_back(std::make_unique<kit::Host>(
@@ -100,7 +100,7 @@
         }));
   kit::Sleep(4);  // all hosts have beaten, and the core has been settled for longer than contact_ms
   for (const auto& host : hosts)
-    if (host->beats() == 0) return 2;
+    if (host->beats() == 0) gateways.End(2);
 
   std::vector<std::thread> clients;
   for (int i = 0; i < kClients; ++i)
@@ -121,7 +121,7 @@
   for (std::thread& client : clients) client.join();
   record.Say("the gateway's peak of resident memory: " + std::to_string(gateways.PeakMegabytes(1)) +
              " of 160 MB");
-  if (gateways.Ended() > 0) return 2;
+  if (gateways.Ended() > 0) gateways.End(2);
 
   const std::lock_guard lock(mutex);
   int answered = 0, cut = 0, lost = 0;
@@ -135,5 +135,5 @@
              std::to_string(cut) + ", of these passed on from a kept connection " + std::to_string(lost));
   record.Say(broken ? "broken: LOST" : "held: LOST");
   std::printf("answered %d, cut %d, lost %d: %s\n", answered, cut, lost, broken ? "broken" : "held");
-  return broken ? 1 : answered > 0 ? 0 : 2;
+  gateways.End(broken ? 1 : answered > 0 ? 0 : 2);
 }
--- a/review/standin-2/numbers_later.cpp
+++ b/review/standin-2/numbers_later.cpp
@@ -32,7 +32,7 @@
   kit::Record record(arguments[1]);
   kit::Gateways gateways(kGateways, 160, record);
   for (int m = 1; m <= kGateways; ++m) gateways.WriteSettings(m, true, false);
-  if (!gateways.Begin(kit::Config("idempotent", 2000, 1000))) return 2;
+  if (!gateways.Begin(kit::Config("idempotent", 2000, 1000))) gateways.End(2);
   for (int m = 1; m <= kGateways; ++m) gateways.WriteSettings(m, false, false);
   kit::Sleep(4);
 
@@ -42,7 +42,7 @@
     gateways.Await(2);
     gateways.LoseDisk(2);
     gateways.Start(2);
-    if (!AwaitReady(gateways, 2)) return 2;
+    if (!AwaitReady(gateways, 2)) gateways.End(2);
   }
   kit::Sleep(kSyncTime + 2);
 
@@ -53,7 +53,7 @@
     gateways.Start(m);
     record.Say("planned: gateway-" + std::to_string(m) + " has ended with " + std::to_string(code) +
                ", and starts with \"coord\" among its active_contracts");
-    if (code != 0 || !AwaitReady(gateways, m)) return 2;
+    if (code != 0 || !AwaitReady(gateways, m)) gateways.End(2);
     kit::Sleep(kSyncTime + 1);
   }
 
@@ -64,10 +64,10 @@
   }
   const int config = kit::Call(gateways.Ip(1), gateways.control(), "GET", "/v1/config/read");
   record.Say("GET /v1/config/read at gateway-1: " + std::to_string(config));
-  if (gateways.Ended() > 0) return 2;
+  if (gateways.Ended() > 0) gateways.End(2);
   const bool broken = numbers == 0 && locks == 0;
   record.Say("numbers given " + std::to_string(numbers) + ", locks given " + std::to_string(locks));
   record.Say(broken ? "broken: LOST" : "held: LOST");
   std::printf("numbers %d, locks %d, config %d: %s\n", numbers, locks, config, broken ? "broken" : "held");
-  return broken ? 1 : numbers > 0 && locks > 0 ? 0 : 2;
+  gateways.End(broken ? 1 : numbers > 0 && locks > 0 ? 0 : 2);
 }
--- a/review/standin-2/power_loss.cpp
+++ b/review/standin-2/power_loss.cpp
@@ -69,7 +69,7 @@
   kit::Record record(arguments[1]);
   const bool trouble = kit::Troubled();
   kit::Gateways gateways(kGateways, 160, record);
-  if (!gateways.Begin(kit::Config("idempotent", 2000, 1000))) return 2;
+  if (!gateways.Begin(kit::Config("idempotent", 2000, 1000))) gateways.End(2);
   for (int m = 1; m <= kGateways; ++m) gateways.WriteSettings(m, false, true);
   kit::Sleep(4);
 
@@ -125,7 +125,7 @@
     kit::Sleep(struck ? 1 : 4);
     socket.Close();
   }
-  if (!struck) return 2;
+  if (!struck) gateways.End(2);
 
   // Read back, again and again, at all gateways.
   long seen = -1;
@@ -157,10 +157,10 @@
            answer))
     record.Say("the next put of the group: status " + std::to_string(answer.status) + " revision " +
                std::to_string(Number(answer.body, "revision")) + ", after " + std::to_string(revision));
-  if (gateways.Ended() > 0 || read == 0) return 2;
+  if (gateways.Ended() > 0 || read == 0) gateways.End(2);
   const bool broken = behind > 0;
   record.Say(broken ? "broken: LOST" : "held: LOST");
   std::printf("acknowledged %ld, read back %ld, keys behind %d: %s\n", revision, seen, behind,
               broken ? "broken" : "held");
-  return broken ? 1 : 0;
+  gateways.End(broken ? 1 : 0);
 }
