--- /dev/null
+++ b/tests/storage/simulated_disk.cpp
@@ -0,0 +1,270 @@
+#include "simulated_disk.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace curlewdoor::storage {
+namespace {
+
+using leveldb::Slice;
+using leveldb::Status;
+
+constexpr std::size_t kFileBufferBytes = 64 << 10;  // same as LevelDB's POSIX files
+constexpr unsigned kFullLengthOdds = 8;             // one in so many torn writes keeps its length only
+
+Status InjectedError(const std::string& name) { return Status::IOError(name, "refused"); }
+
+// Keeps, drops or truncates each unsynced write at random. A missing part before a kept one reads as zeros.
+std::string TearWrites(const std::vector<std::string>& pieces, std::mt19937_64& random) {
+  std::string bytes;
+  std::size_t end = 0;  // of the kept data
+  for (const std::string& piece : pieces) {
+    std::size_t at = bytes.size(), kept = 0;
+    switch (random() % 3) {
+      case 0:
+        kept = piece.size();
+        break;
+      case 1:
+        kept = random() % (piece.size() + 1);
+        break;
+      default:
+        break;
+    }
+    bytes += piece.substr(0, kept) + std::string(piece.size() - kept, '\0');
+    if (kept > 0) end = at + kept;
+    if (kept > 0 && random() % kFullLengthOdds == 0)
+      end = bytes.size();  // the length is durable, not the bytes
+  }
+  bytes.resize(end);
+  return bytes;
+}
+
+struct SimulatedLock : leveldb::FileLock {};
+
+// Reads a snapshot of a file, taken when it was opened.
+class SimulatedReadableFile : public leveldb::SequentialFile, public leveldb::RandomAccessFile {
+ public:
+  explicit SimulatedReadableFile(std::string content) : content_(std::move(content)) {}
+  Status Read(std::size_t n, Slice* result, char* scratch) override {
+    Status status = Read(at_, n, result, scratch);
+    at_ += result->size();
+    return status;
+  }
+  Status Skip(std::uint64_t n) override {
+    at_ += n;
+    return Status::OK();
+  }
+  Status Read(std::uint64_t at, std::size_t n, Slice* result, char* scratch) const override {
+    at = std::min<std::uint64_t>(at, content_.size());
+    n = std::min<std::size_t>(n, content_.size() - at);
+    content_.copy(scratch, n, at);
+    *result = Slice(scratch, n);
+    return Status::OK();
+  }
+
+ private:
+  const std::string content_;
+  std::uint64_t at_ = 0;
+};
+
+// Buffers writes like LevelDB's POSIX files and passes them to the disk, where they can fail.
+class SimulatedWritableFile : public leveldb::WritableFile {
+ public:
+  SimulatedWritableFile(SimulatedDisk& disk, std::string name, SimulatedFilePtr file)
+      : disk_(disk), name_(std::move(name)), file_(std::move(file)) {}
+  ~SimulatedWritableFile() override { SimulatedWritableFile::Flush(); }
+  Status Append(const Slice& data) override {
+    buffer_.append(data.data(), data.size());
+    return buffer_.size() < kFileBufferBytes ? Status::OK() : Flush();
+  }
+  Status Close() override { return Flush(); }
+  Status Flush() override {
+    if (buffer_.empty()) return Status::OK();
+    return disk_.Write(file_, std::exchange(buffer_, {})) ? Status::OK() : InjectedError(name_);
+  }
+  Status Sync() override {
+    if (name_.find("MANIFEST") != std::string::npos && !disk_.SyncDirectory()) return InjectedError(name_);
+    if (Status status = Flush(); !status.ok()) return status;
+    return disk_.Sync(file_, name_) ? Status::OK() : InjectedError(name_);
+  }
+
+ private:
+  SimulatedDisk& disk_;
+  const std::string name_;
+  const SimulatedFilePtr file_;
+  std::string buffer_;
+};
+
+}  // namespace
+
+std::string SimulatedFile::Content() const {
+  std::string content = synced;
+  for (const std::string& piece : unsynced) content += piece;
+  return content;
+}
+
+std::size_t SimulatedFile::size() const {
+  std::size_t total = synced.size();
+  for (const std::string& piece : unsynced) total += piece.size();
+  return total;
+}
+
+void SimulatedDisk::FailAt(std::uint64_t from, std::uint64_t to) {
+  std::lock_guard lock(mutex_);
+  operations_ = 0;
+  fail_from_ = from;
+  fail_to_ = to;
+}
+
+std::uint64_t SimulatedDisk::operations() const {
+  std::lock_guard lock(mutex_);
+  return operations_;
+}
+
+void SimulatedDisk::SetCapacity(std::size_t bytes) {
+  std::lock_guard lock(mutex_);
+  capacity_ = bytes;
+}
+
+std::size_t SimulatedDisk::peak_bytes() const {
+  std::lock_guard lock(mutex_);
+  return peak_bytes_;
+}
+
+void SimulatedDisk::Crash(UnsyncedLoss loss, std::mt19937_64& random) {
+  std::lock_guard lock(mutex_);
+  operations_ = 0;
+  fail_from_ = fail_to_ = ~0ull;
+  if (loss == UnsyncedLoss::kNone) return;  // unsynced data stays, and a later crash may still lose it
+  names_ = durable_names_;
+  for (const NameChange& change : unsynced_name_changes_) {
+    if (loss == UnsyncedLoss::kAll || random() % 2 == 0) continue;
+    if (!change.from.empty()) names_.erase(change.from);
+    if (!change.to.empty()) names_[change.to] = change.file;
+  }
+  for (auto& [name, file] : names_) {
+    file->synced += loss == UnsyncedLoss::kAll ? "" : TearWrites(file->unsynced, random);
+    file->unsynced.clear();
+  }
+  durable_names_ = names_;
+  unsynced_name_changes_.clear();
+}
+
+bool SimulatedDisk::SyncDirectory() {
+  std::lock_guard lock(mutex_);
+  if (NextOperationFails()) return false;
+  durable_names_ = names_;
+  unsynced_name_changes_.clear();
+  return true;
+}
+
+Status SimulatedDisk::NewSequentialFile(const std::string& name, leveldb::SequentialFile** file) {
+  std::lock_guard lock(mutex_);
+  const SimulatedFilePtr found = Find(name);
+  if (!found) return Status::NotFound(name);
+  *file = new SimulatedReadableFile(found->Content());
+  return Status::OK();
+}
+
+Status SimulatedDisk::NewRandomAccessFile(const std::string& name, leveldb::RandomAccessFile** file) {
+  std::lock_guard lock(mutex_);
+  const SimulatedFilePtr found = Find(name);
+  if (!found) return Status::NotFound(name);
+  *file = new SimulatedReadableFile(found->Content());
+  return Status::OK();
+}
+
+Status SimulatedDisk::NewWritableFile(const std::string& name, leveldb::WritableFile** file) {
+  std::lock_guard lock(mutex_);
+  if (NextOperationFails()) return InjectedError(name);
+  SimulatedFilePtr made = names_[name] = std::make_shared<SimulatedFile>();
+  unsynced_name_changes_.push_back({"", name, made});
+  *file = new SimulatedWritableFile(*this, name, made);
+  return Status::OK();
+}
+
+Status SimulatedDisk::NewAppendableFile(const std::string& name, leveldb::WritableFile** file) {
+  *file = nullptr;
+  return Status::NotSupported(name);
+}
+
+bool SimulatedDisk::FileExists(const std::string& name) {
+  std::lock_guard lock(mutex_);
+  return names_.contains(name);
+}
+
+Status SimulatedDisk::GetChildren(const std::string& directory, std::vector<std::string>* children) {
+  std::lock_guard lock(mutex_);
+  children->clear();
+  for (const auto& [name, file] : names_) children->push_back(name.substr(directory.size() + 1));
+  return Status::OK();
+}
+
+Status SimulatedDisk::RemoveFile(const std::string& name) {
+  std::lock_guard lock(mutex_);
+  if (NextOperationFails()) return InjectedError(name);
+  if (names_.erase(name) == 0) return Status::NotFound(name);
+  unsynced_name_changes_.push_back({name, "", nullptr});
+  return Status::OK();
+}
+
+Status SimulatedDisk::GetFileSize(const std::string& name, std::uint64_t* size) {
+  std::lock_guard lock(mutex_);
+  const SimulatedFilePtr found = Find(name);
+  if (!found) return Status::NotFound(name);
+  *size = found->size();
+  return Status::OK();
+}
+
+Status SimulatedDisk::RenameFile(const std::string& from, const std::string& to) {
+  std::lock_guard lock(mutex_);
+  if (NextOperationFails()) return InjectedError(from);
+  const SimulatedFilePtr file = Find(from);
+  if (!file) return Status::NotFound(from);
+  names_.erase(from);
+  names_[to] = file;
+  unsynced_name_changes_.push_back({from, to, file});
+  return Status::OK();
+}
+
+Status SimulatedDisk::LockFile(const std::string&, leveldb::FileLock** lock) {
+  *lock = new SimulatedLock;
+  return Status::OK();
+}
+
+Status SimulatedDisk::UnlockFile(leveldb::FileLock* lock) {
+  delete lock;
+  return Status::OK();
+}
+
+bool SimulatedDisk::Write(const SimulatedFilePtr& file, std::string bytes) {
+  std::lock_guard lock(mutex_);
+  if (NextOperationFails()) return false;
+  std::size_t total = bytes.size();
+  for (const auto& [name, each] : names_) total += each->size();
+  if (total > capacity_) return false;
+  peak_bytes_ = std::max(peak_bytes_, total);
+  file->unsynced.push_back(std::move(bytes));
+  return true;
+}
+
+bool SimulatedDisk::Sync(const SimulatedFilePtr& file, const std::string& name) {
+  std::lock_guard lock(mutex_);
+  if (NextOperationFails()) return false;
+  file->synced = file->Content();
+  file->unsynced.clear();
+  if (Find(name) == file) durable_names_[name] = file;
+  return true;
+}
+
+bool SimulatedDisk::NextOperationFails() {
+  const std::uint64_t operation = operations_++;
+  return operation >= fail_from_ && operation < fail_to_;
+}
+
+SimulatedFilePtr SimulatedDisk::Find(const std::string& name) const {
+  const auto found = names_.find(name);
+  return found == names_.end() ? nullptr : found->second;
+}
+
+}  // namespace curlewdoor::storage
--- /dev/null
+++ b/tests/storage/simulated_disk.hpp
@@ -0,0 +1,85 @@
+// A disk in memory for tests of the storage: it fails at chosen operations, and a crash drops or tears what
+// was not synced.
+#pragma once
+
+#include <leveldb/env.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace curlewdoor::storage {
+
+// What a crash does to unsynced data. kNone: only the process crashes, and the machine keeps running.
+enum class UnsyncedLoss { kNone, kAll, kTorn };
+
+// The content of a file, divided into what a crash keeps and what it may lose.
+struct SimulatedFile {
+  std::string synced;
+  std::vector<std::string> unsynced;  // appended since the last sync
+
+  std::string Content() const;
+  std::size_t size() const;
+};
+using SimulatedFilePtr = std::shared_ptr<SimulatedFile>;
+
+// Files in memory that follow the rules of docs/core.md, "The disk": the bytes and the name of a file are
+// durable once the file is synced; a rename or removal is durable once the directory is synced.
+class SimulatedDisk : public leveldb::EnvWrapper {
+ public:
+  static constexpr char kDirectory[] = "/disk";
+
+  SimulatedDisk() : EnvWrapper(leveldb::Env::Default()) {}
+
+  // Makes operations `from` (inclusive) to `to` (exclusive) fail, counted from this call.
+  void FailAt(std::uint64_t from, std::uint64_t to);
+  std::uint64_t operations() const;
+  // Limits the total size of all files, in bytes.
+  void SetCapacity(std::size_t bytes);
+  std::size_t peak_bytes() const;
+  // Simulates a crash. No storage may have the disk open.
+  void Crash(UnsyncedLoss loss, std::mt19937_64& random);
+  // Returns false if the operation fails.
+  bool SyncDirectory();
+
+  leveldb::Status NewSequentialFile(const std::string& name, leveldb::SequentialFile** file) override;
+  leveldb::Status NewRandomAccessFile(const std::string& name, leveldb::RandomAccessFile** file) override;
+  leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** file) override;
+  leveldb::Status NewAppendableFile(const std::string& name, leveldb::WritableFile** file) override;
+  bool FileExists(const std::string& name) override;
+  leveldb::Status GetChildren(const std::string& directory, std::vector<std::string>* children) override;
+  leveldb::Status RemoveFile(const std::string& name) override;
+  leveldb::Status CreateDir(const std::string&) override { return leveldb::Status::OK(); }
+  leveldb::Status GetFileSize(const std::string& name, std::uint64_t* size) override;
+  leveldb::Status RenameFile(const std::string& from, const std::string& to) override;
+  leveldb::Status LockFile(const std::string& name, leveldb::FileLock** lock) override;
+  leveldb::Status UnlockFile(leveldb::FileLock* lock) override;
+
+  // For the files of this disk. Both return false if the operation fails.
+  bool Write(const SimulatedFilePtr& file, std::string bytes);
+  bool Sync(const SimulatedFilePtr& file, const std::string& name);
+
+ private:
+  struct NameChange {
+    std::string from, to;  // empty `from`: created; empty `to`: removed
+    SimulatedFilePtr file;
+  };
+  using Names = std::map<std::string, SimulatedFilePtr>;
+
+  // The functions below require mutex_ to be held.
+  bool NextOperationFails();
+  SimulatedFilePtr Find(const std::string& name) const;
+
+  mutable std::mutex mutex_;
+  Names names_, durable_names_;
+  std::vector<NameChange> unsynced_name_changes_;  // since the last sync of the directory
+  std::size_t capacity_ = ~std::size_t{0}, peak_bytes_ = 0;
+  std::uint64_t operations_ = 0, fail_from_ = ~0ull, fail_to_ = ~0ull;
+};
+
+}  // namespace curlewdoor::storage
