Storage: a write isn't reported before its new log has a durable name

Any write to storage could go so: puts, numbers, locks, votes, promises, configurations and memberships share the log.

LevelDB begins a new log within a write, syncs the record in that file, and syncs the folder only when the old log has become a table and the manifest is written. The environment of the storage made up for renames alone.

A trace of the calls of one member: log 000004 made at 9.88116 s, the put's record written to it at 9.88158, its fdatasync done at 9.88195, the put answered 200 at 9.88303, the folder's fdatasync begun only at 9.88536.

Change: DurableNamesEnv takes the place of DirectorySyncEnv.

--- a/src/storage/leveldb_storage.cpp
+++ b/src/storage/leveldb_storage.cpp
@@ -7,11 +7,11 @@
 #include <signal.h>
 #include <unistd.h>
 
-#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <mutex>
 
+#include "storage/durable_names_env.hpp"
 #include "storage/storage.hpp"
 
 namespace curlewdoor::storage {
@@ -28,42 +28,6 @@
   void Logv(const char*, std::va_list) override {}
 };
 
-// Syncs the directory after each rename. A rename is durable only after its directory is synced, and LevelDB
-// removes the old manifest right after it renames CURRENT: without the sync, a power failure could leave a
-// CURRENT that refers to a removed file. A failed sync isn't returned to LevelDB, which would then remove the
-// new manifest that CURRENT already refers to. Until a later sync succeeds, no file is removed and no write
-// is reported as successful.
-class DirectorySyncEnv : public leveldb::EnvWrapper {
- public:
-  DirectorySyncEnv(leveldb::Env& env, std::string directory, std::function<bool()> sync_directory)
-      : leveldb::EnvWrapper(&env),
-        directory_(std::move(directory)),
-        sync_directory_(std::move(sync_directory)) {}
-  leveldb::Status RenameFile(const std::string& from, const std::string& to) override {
-    leveldb::Status status = leveldb::EnvWrapper::RenameFile(from, to);
-    if (!status.ok()) return status;
-    rename_unsynced_ = true;
-    SyncPendingRenames();
-    return status;
-  }
-  leveldb::Status RemoveFile(const std::string& name) override {
-    if (leveldb::Status status = SyncPendingRenames(); !status.ok()) return status;
-    return leveldb::EnvWrapper::RemoveFile(name);
-  }
-  // Syncs the directory if a rename hasn't been synced yet.
-  leveldb::Status SyncPendingRenames() {
-    if (!rename_unsynced_) return leveldb::Status::OK();
-    if (!sync_directory_()) return leveldb::Status::IOError(directory_, "the directory can't be synced");
-    rename_unsynced_ = false;
-    return leveldb::Status::OK();
-  }
-
- private:
-  std::string directory_;
-  std::function<bool()> sync_directory_;
-  std::atomic<bool> rename_unsynced_ = false;  // a rename isn't durable yet
-};
-
 bool SyncDirectory(const std::string& directory) {
   int fd = open(directory.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   bool synced = fd >= 0 && fsync(fd) == 0;
@@ -160,7 +124,7 @@
     leveldb::WriteOptions options;
     options.sync = true;
     leveldb::Status status = db_->Write(options, &batch);
-    if (status.ok()) status = env_.SyncPendingRenames();
+    if (status.ok()) status = env_.SyncRenames();
     if (!status.ok()) db_.reset();
     return status;
   }
@@ -208,7 +172,7 @@
   }
 
   NullLogger logger_;
-  DirectorySyncEnv env_;
+  DurableNamesEnv env_;
   std::unique_ptr<leveldb::Cache> cache_;
   std::string directory_;
   std::unique_ptr<leveldb::DB> db_;
--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -155,6 +155,21 @@
   BOOST_TEST_MESSAGE(length << " operations, " << restarts << " restarts, " << seconds.count() << " s");
 }
 
+// Guards against a write that is reported while its log may still lose its name, after a power failure of the
+// whole cluster: the new log was synced, but not its directory.
+BOOST_AUTO_TEST_CASE(what_was_reported_outlives_the_loss_of_unsynced_names) {
+  std::mt19937_64 random(1);
+  SimulatedDisk disk;
+  Writer writer;
+  auto storage = Open(disk);
+  for (int i = 0; i < 2 * kWrites; ++i) {
+    BOOST_REQUIRE(writer.Write(*storage));
+    const auto crashed = disk.CrashedCopy(UnsyncedLoss::kAll, random);
+    Writer after = writer;
+    BOOST_TEST(Reopen(*crashed, after) == "");
+  }
+}
+
 // Operations that fail for a while, as on a full disk, fail only the writes concerned and lose nothing that
 // was reported.
 BOOST_AUTO_TEST_CASE(what_was_reported_is_there_after_a_disk_has_refused) {
--- a/tests/storage/simulated_disk.cpp
+++ b/tests/storage/simulated_disk.cpp
@@ -85,7 +85,7 @@
   Status Sync() override {
     if (name_.find("MANIFEST") != std::string::npos && !disk_.SyncDirectory()) return InjectedError(name_);
     if (Status status = Flush(); !status.ok()) return status;
-    return disk_.Sync(file_, name_) ? Status::OK() : InjectedError(name_);
+    return disk_.Sync(file_) ? Status::OK() : InjectedError(name_);
   }
 
  private:
@@ -150,6 +150,25 @@
   unsynced_name_changes_.clear();
 }
 
+std::unique_ptr<SimulatedDisk> SimulatedDisk::CrashedCopy(UnsyncedLoss loss, std::mt19937_64& random) const {
+  auto copy = std::make_unique<SimulatedDisk>();
+  {
+    std::lock_guard lock(mutex_);
+    std::map<SimulatedFilePtr, SimulatedFilePtr> copies;
+    const auto copy_of = [&copies](const SimulatedFilePtr& file) {
+      SimulatedFilePtr& made = copies[file];
+      if (file && !made) made = std::make_shared<SimulatedFile>(*file);
+      return made;
+    };
+    for (const auto& [name, file] : names_) copy->names_[name] = copy_of(file);
+    for (const auto& [name, file] : durable_names_) copy->durable_names_[name] = copy_of(file);
+    for (const NameChange& change : unsynced_name_changes_)
+      copy->unsynced_name_changes_.push_back({change.from, change.to, copy_of(change.file)});
+  }
+  copy->Crash(loss, random);
+  return copy;
+}
+
 bool SimulatedDisk::SyncDirectory() {
   std::lock_guard lock(mutex_);
   if (NextOperationFails()) return false;
@@ -248,12 +267,11 @@
   return true;
 }
 
-bool SimulatedDisk::Sync(const SimulatedFilePtr& file, const std::string& name) {
+bool SimulatedDisk::Sync(const SimulatedFilePtr& file) {
   std::lock_guard lock(mutex_);
   if (NextOperationFails()) return false;
   file->synced = file->Content();
   file->unsynced.clear();
-  if (Find(name) == file) durable_names_[name] = file;
   return true;
 }
 
--- a/tests/storage/simulated_disk.hpp
+++ b/tests/storage/simulated_disk.hpp
@@ -28,8 +28,9 @@
 };
 using SimulatedFilePtr = std::shared_ptr<SimulatedFile>;
 
-// Files in memory that follow the rules of docs/core.md, "The disk": the bytes and the name of a file are
-// durable once the file is synced; a rename or removal is durable once the directory is synced.
+// Files in memory that follow the rules of docs/core.md, "The disk": the bytes of a file are durable once the
+// file is synced; its creation, renaming or removal is durable once the directory is synced. Until then a
+// crash keeps or loses each of these changes by itself.
 class SimulatedDisk : public leveldb::EnvWrapper {
  public:
   static constexpr char kDirectory[] = "/disk";
@@ -44,6 +45,8 @@
   std::size_t peak_bytes() const;
   // Simulates a crash. No storage may have the disk open.
   void Crash(UnsyncedLoss loss, std::mt19937_64& random);
+  // Returns a copy of the disk as a crash at this moment would leave it. A storage may have this disk open.
+  std::unique_ptr<SimulatedDisk> CrashedCopy(UnsyncedLoss loss, std::mt19937_64& random) const;
   // Returns false if the operation fails.
   bool SyncDirectory();
 
@@ -62,7 +65,7 @@
 
   // For the files of this disk. Both return false if the operation fails.
   bool Write(const SimulatedFilePtr& file, std::string bytes);
-  bool Sync(const SimulatedFilePtr& file, const std::string& name);
+  bool Sync(const SimulatedFilePtr& file);
 
  private:
   struct NameChange {
