Storage: the directory of the storage is durable before a write is reported

What callers would see: after the first start, or on a wiped disk, all that a member had acknowledged is gone with a loss of power, as if the disk had never been used. With all members starting together the whole configuration goes.

Cause: LevelDB makes `core` in data_directory, and nobody syncs data_directory. A trace of a first start of three gateways has 15 syncs of folders, all of `core` itself, none of the disk above it.

Change: opening makes the directory itself and syncs its parent, each time, as an earlier process may have been killed between the two. A refusal of either is an error of the opening (tried again by the node), also where the directory can't be made: LevelDB would otherwise make it behind the sync.

Tests: the simulated disk has directories whose names can be lost.

One sync more at each start.

--- a/src/storage/leveldb_storage.cpp
+++ b/src/storage/leveldb_storage.cpp
@@ -9,6 +9,7 @@
 
 #include <condition_variable>
 #include <deque>
+#include <filesystem>
 #include <mutex>
 
 #include "storage/durable_names_env.hpp"
@@ -28,6 +29,12 @@
   void Logv(const char*, std::va_list) override {}
 };
 
+std::string ParentOf(const std::string& directory) {
+  const std::filesystem::path path = std::filesystem::path(directory).lexically_normal();
+  const std::filesystem::path parent = (path.has_filename() ? path : path.parent_path()).parent_path();
+  return parent.empty() ? "." : parent.string();
+}
+
 bool SyncDirectory(const std::string& directory) {
   int fd = open(directory.c_str(), O_RDONLY | O_DIRECTORY | O_CLOEXEC);
   bool synced = fd >= 0 && fsync(fd) == 0;
@@ -38,8 +45,9 @@
 // Storage in a LevelDB database, written by one background thread.
 class LevelDbStorage : public Storage {
  public:
-  LevelDbStorage(const std::string& directory, leveldb::Env& env, std::function<bool()> sync_directory)
-      : env_(env, directory, std::move(sync_directory)),
+  LevelDbStorage(const std::string& directory, leveldb::Env& env, SyncDirectoryFunction sync_directory)
+      : sync_directory_(std::move(sync_directory)),
+        env_(env, directory, [this] { return sync_directory_(directory_); }),
         cache_(leveldb::NewLRUCache(kBlockCacheBytes)),
         directory_(directory) {
     if (leveldb::Status status = Open(); !status.ok())
@@ -94,7 +102,18 @@
   int fd() const override { return pipe_[0]; }
 
  private:
+  // Creates the directory if it is missing, and makes its name durable. Always syncs the parent: an earlier
+  // process may have created the directory and ended before the sync.
+  leveldb::Status MakeDirectory() {
+    const leveldb::Status created = env_.CreateDir(directory_);
+    if (!created.ok() && !env_.FileExists(directory_)) return created;
+    if (!sync_directory_(ParentOf(directory_)))
+      return leveldb::Status::IOError(directory_, "its parent directory can't be synced");
+    return leveldb::Status::OK();
+  }
+
   leveldb::Status Open() {
+    if (leveldb::Status status = MakeDirectory(); !status.ok()) return status;
     leveldb::Options options;
     options.env = &env_;
     options.create_if_missing = true;
@@ -172,6 +191,7 @@
   }
 
   NullLogger logger_;
+  const SyncDirectoryFunction sync_directory_;
   DurableNamesEnv env_;
   std::unique_ptr<leveldb::Cache> cache_;
   std::string directory_;
@@ -188,11 +208,11 @@
 }  // namespace
 
 std::unique_ptr<Storage> OpenStorage(const std::string& directory) {
-  return OpenStorage(directory, *leveldb::Env::Default(), [directory] { return SyncDirectory(directory); });
+  return OpenStorage(directory, *leveldb::Env::Default(), SyncDirectory);
 }
 
 std::unique_ptr<Storage> OpenStorage(const std::string& directory, leveldb::Env& env,
-                                     std::function<bool()> sync_directory) {
+                                     SyncDirectoryFunction sync_directory) {
   return std::make_unique<LevelDbStorage>(directory, env, std::move(sync_directory));
 }
 
--- a/src/storage/storage.hpp
+++ b/src/storage/storage.hpp
@@ -51,13 +51,15 @@
   virtual int fd() const = 0;
 };
 
-// Opens a LevelDB database in `directory`, which is created if missing (its parent must exist). Throws
+// Opens a LevelDB database in `directory`, which is created if missing (its parent must exist and be durable
+// itself). Syncs the parent, so that a write that is reported can't be lost with the directory. Throws
 // StorageError. The destructor waits for the write in progress and discards those queued behind it.
 std::unique_ptr<Storage> OpenStorage(const std::string& directory);
-// For tests: uses the file system of `env`. `sync_directory` makes the names in the directory durable and
-// returns false if it fails.
+// Makes the names in a directory durable. Returns false if it fails.
+using SyncDirectoryFunction = std::function<bool(const std::string& directory)>;
+// For tests: uses the file system of `env`, whose directories are synced by `sync_directory`.
 std::unique_ptr<Storage> OpenStorage(const std::string& directory, leveldb::Env& env,
-                                     std::function<bool()> sync_directory);
+                                     SyncDirectoryFunction sync_directory);
 // Returns true if `directory` holds no database (no file CURRENT) or doesn't exist.
 bool StorageEmpty(const std::string& directory);
 
--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -17,7 +17,8 @@
 namespace {
 
 std::unique_ptr<Storage> Open(SimulatedDisk& disk) {
-  return OpenStorage(SimulatedDisk::kDirectory, disk, [&disk] { return disk.SyncDirectory(); });
+  return OpenStorage(SimulatedDisk::kDirectory, disk,
+                     [&disk](const std::string& directory) { return disk.SyncDirectory(directory); });
 }
 
 std::string ValueText(std::uint64_t version) {
@@ -170,6 +171,27 @@
   }
 }
 
+// Guards against a storage that is lost as a whole with its directory, which the parent may lose: at the
+// first start or on a wiped disk, after a process that ended before it synced the parent, and after a
+// refusal.
+BOOST_AUTO_TEST_CASE(what_was_reported_outlives_the_loss_of_an_unsynced_directory) {
+  enum class Start { kEmptyDisk, kAfterKill, kFirstOperationRefused };
+  for (Start start : {Start::kEmptyDisk, Start::kAfterKill, Start::kFirstOperationRefused}) {
+    std::mt19937_64 random(1);
+    SimulatedDisk disk;
+    if (start == Start::kAfterKill) BOOST_REQUIRE(disk.CreateDir(SimulatedDisk::kDirectory).ok());
+    if (start == Start::kFirstOperationRefused) {
+      disk.FailAt(0, 1);
+      BOOST_CHECK_THROW(Open(disk), StorageError);
+    }
+    Writer writer;
+    const auto storage = Open(disk);
+    BOOST_REQUIRE(writer.Write(*storage));
+    const auto crashed = disk.CrashedCopy(UnsyncedLoss::kAll, random);
+    BOOST_TEST(Reopen(*crashed, writer) == "");
+  }
+}
+
 // Operations that fail for a while, as on a full disk, fail only the writes concerned and lose nothing that
 // was reported.
 BOOST_AUTO_TEST_CASE(what_was_reported_is_there_after_a_disk_has_refused) {
--- a/tests/storage/simulated_disk.cpp
+++ b/tests/storage/simulated_disk.cpp
@@ -39,6 +39,8 @@
   return bytes;
 }
 
+std::string DirectoryOf(const std::string& name) { return name.substr(0, name.rfind('/')); }
+
 struct SimulatedLock : leveldb::FileLock {};
 
 // Reads a snapshot of a file, taken when it was opened.
@@ -83,7 +85,8 @@
     return disk_.Write(file_, std::exchange(buffer_, {})) ? Status::OK() : InjectedError(name_);
   }
   Status Sync() override {
-    if (name_.find("MANIFEST") != std::string::npos && !disk_.SyncDirectory()) return InjectedError(name_);
+    if (name_.find("MANIFEST") != std::string::npos && !disk_.SyncDirectory(DirectoryOf(name_)))
+      return InjectedError(name_);
     if (Status status = Flush(); !status.ok()) return status;
     return disk_.Sync(file_) ? Status::OK() : InjectedError(name_);
   }
@@ -139,9 +142,10 @@
   names_ = durable_names_;
   for (const NameChange& change : unsynced_name_changes_) {
     if (loss == UnsyncedLoss::kAll || random() % 2 == 0) continue;
-    if (!change.from.empty()) names_.erase(change.from);
-    if (!change.to.empty()) names_[change.to] = change.file;
+    Apply(change, names_);
   }
+  // In this order a directory comes before what is in it.
+  std::erase_if(names_, [this](const auto& entry) { return !IsDirectory(DirectoryOf(entry.first)); });
   for (auto& [name, file] : names_) {
     file->synced += loss == UnsyncedLoss::kAll ? "" : TearWrites(file->unsynced, random);
     file->unsynced.clear();
@@ -169,11 +173,14 @@
   return copy;
 }
 
-bool SimulatedDisk::SyncDirectory() {
+bool SimulatedDisk::SyncDirectory(const std::string& directory) {
   std::lock_guard lock(mutex_);
-  if (NextOperationFails()) return false;
-  durable_names_ = names_;
-  unsynced_name_changes_.clear();
+  if (NextOperationFails() || !IsDirectory(directory)) return false;
+  std::erase_if(unsynced_name_changes_, [&](const NameChange& change) {
+    if (change.Directory() != directory) return false;
+    Apply(change, durable_names_);
+    return true;
+  });
   return true;
 }
 
@@ -196,6 +203,7 @@
 Status SimulatedDisk::NewWritableFile(const std::string& name, leveldb::WritableFile** file) {
   std::lock_guard lock(mutex_);
   if (NextOperationFails()) return InjectedError(name);
+  if (!IsDirectory(DirectoryOf(name))) return Status::NotFound(name);
   SimulatedFilePtr made = names_[name] = std::make_shared<SimulatedFile>();
   unsynced_name_changes_.push_back({"", name, made});
   *file = new SimulatedWritableFile(*this, name, made);
@@ -215,7 +223,10 @@
 Status SimulatedDisk::GetChildren(const std::string& directory, std::vector<std::string>* children) {
   std::lock_guard lock(mutex_);
   children->clear();
-  for (const auto& [name, file] : names_) children->push_back(name.substr(directory.size() + 1));
+  if (!IsDirectory(directory)) return Status::NotFound(directory);
+  for (const auto& [name, file] : names_) {
+    if (DirectoryOf(name) == directory) children->push_back(name.substr(directory.size() + 1));
+  }
   return Status::OK();
 }
 
@@ -227,6 +238,17 @@
   return Status::OK();
 }
 
+Status SimulatedDisk::CreateDir(const std::string& directory) {
+  std::lock_guard lock(mutex_);
+  if (NextOperationFails()) return InjectedError(directory);
+  if (Find(directory)) return Status::IOError(directory, "exists");
+  if (!IsDirectory(DirectoryOf(directory))) return Status::NotFound(directory);
+  SimulatedFilePtr made = names_[directory] = std::make_shared<SimulatedFile>();
+  made->is_directory = true;
+  unsynced_name_changes_.push_back({"", directory, made});
+  return Status::OK();
+}
+
 Status SimulatedDisk::GetFileSize(const std::string& name, std::uint64_t* size) {
   std::lock_guard lock(mutex_);
   const SimulatedFilePtr found = Find(name);
@@ -285,4 +307,16 @@
   return found == names_.end() ? nullptr : found->second;
 }
 
+bool SimulatedDisk::IsDirectory(const std::string& name) const {
+  const SimulatedFilePtr found = Find(name);
+  return name == kRoot || (found && found->is_directory);
+}
+
+std::string SimulatedDisk::NameChange::Directory() const { return DirectoryOf(from.empty() ? to : from); }
+
+void SimulatedDisk::Apply(const NameChange& change, Names& names) {
+  if (!change.from.empty()) names.erase(change.from);
+  if (!change.to.empty()) names[change.to] = change.file;
+}
+
 }  // namespace curlewdoor::storage
--- a/tests/storage/simulated_disk.hpp
+++ b/tests/storage/simulated_disk.hpp
@@ -18,8 +18,9 @@
 // What a crash does to unsynced data. kNone: only the process crashes, and the machine keeps running.
 enum class UnsyncedLoss { kNone, kAll, kTorn };
 
-// The content of a file, divided into what a crash keeps and what it may lose.
+// The content of a file, divided into what a crash keeps and what it may lose. Empty for a directory.
 struct SimulatedFile {
+  bool is_directory = false;
   std::string synced;
   std::vector<std::string> unsynced;  // appended since the last sync
 
@@ -33,7 +34,8 @@
 // crash keeps or loses each of these changes by itself.
 class SimulatedDisk : public leveldb::EnvWrapper {
  public:
-  static constexpr char kDirectory[] = "/disk";
+  static constexpr char kRoot[] = "/disk";  // the only directory that is always there
+  static constexpr char kDirectory[] = "/disk/core";
 
   SimulatedDisk() : EnvWrapper(leveldb::Env::Default()) {}
 
@@ -47,8 +49,8 @@
   void Crash(UnsyncedLoss loss, std::mt19937_64& random);
   // Returns a copy of the disk as a crash at this moment would leave it. A storage may have this disk open.
   std::unique_ptr<SimulatedDisk> CrashedCopy(UnsyncedLoss loss, std::mt19937_64& random) const;
-  // Returns false if the operation fails.
-  bool SyncDirectory();
+  // Returns false if the operation fails or there is no such directory.
+  bool SyncDirectory(const std::string& directory);
 
   leveldb::Status NewSequentialFile(const std::string& name, leveldb::SequentialFile** file) override;
   leveldb::Status NewRandomAccessFile(const std::string& name, leveldb::RandomAccessFile** file) override;
@@ -57,7 +59,7 @@
   bool FileExists(const std::string& name) override;
   leveldb::Status GetChildren(const std::string& directory, std::vector<std::string>* children) override;
   leveldb::Status RemoveFile(const std::string& name) override;
-  leveldb::Status CreateDir(const std::string&) override { return leveldb::Status::OK(); }
+  leveldb::Status CreateDir(const std::string& directory) override;
   leveldb::Status GetFileSize(const std::string& name, std::uint64_t* size) override;
   leveldb::Status RenameFile(const std::string& from, const std::string& to) override;
   leveldb::Status LockFile(const std::string& name, leveldb::FileLock** lock) override;
@@ -71,16 +73,19 @@
   struct NameChange {
     std::string from, to;  // empty `from`: created; empty `to`: removed
     SimulatedFilePtr file;
+    std::string Directory() const;  // whose sync makes the change durable
   };
   using Names = std::map<std::string, SimulatedFilePtr>;
+  static void Apply(const NameChange& change, Names& names);
 
   // The functions below require mutex_ to be held.
   bool NextOperationFails();
   SimulatedFilePtr Find(const std::string& name) const;
+  bool IsDirectory(const std::string& name) const;
 
   mutable std::mutex mutex_;
   Names names_, durable_names_;
-  std::vector<NameChange> unsynced_name_changes_;  // since the last sync of the directory
+  std::vector<NameChange> unsynced_name_changes_;  // since the last sync of their directories
   std::size_t capacity_ = ~std::size_t{0}, peak_bytes_ = 0;
   std::uint64_t operations_ = 0, fail_from_ = ~0ull, fail_to_ = ~0ull;
 };
