Storage: after a repair the newest value is read, whatever the order of the files

What callers would see: after a loss of power that tears the end of a manifest, a member comes back with older values than it had acknowledged: an older promise, configuration or put. Seen in tests only.

Cause: a torn manifest is a corruption for LevelDB, and the storage has RepairDB make it again. RepairDB turns the logs into tables in the order in which readdir lists them, and it also takes in logs and tables that had been replaced (a removal without a sync of the folder may be lost). All stand at level 0 then, where a read takes the table with the highest number for the newest.

The disk of the test listed names sorted before, which hid it.

Change: a file REPAIR is synced before a repair. While it is there, opening merges all tables (a compaction goes by sequence numbers, which a repair keeps) before anything is read, and then removes it; if they can't be merged, the opening fails. So a crash between the two is covered.

An ordinary start does nothing more than before but asking whether the file is there.

--- a/src/storage/leveldb_storage.cpp
+++ b/src/storage/leveldb_storage.cpp
@@ -49,7 +49,8 @@
       : sync_directory_(std::move(sync_directory)),
         env_(env, directory, [this] { return sync_directory_(directory_); }),
         cache_(leveldb::NewLRUCache(kBlockCacheBytes)),
-        directory_(directory) {
+        directory_(directory),
+        repair_mark_(directory + "/REPAIR") {
     if (leveldb::Status status = Open(); !status.ok())
       throw StorageError(directory + ": " + status.ToString());
     if (pipe2(pipe_, O_CLOEXEC | O_NONBLOCK) != 0)
@@ -112,8 +113,7 @@
     return leveldb::Status::OK();
   }
 
-  leveldb::Status Open() {
-    if (leveldb::Status status = MakeDirectory(); !status.ok()) return status;
+  leveldb::Options DatabaseOptions() {
     leveldb::Options options;
     options.env = &env_;
     options.create_if_missing = true;
@@ -122,16 +122,54 @@
     options.block_cache = cache_.get();
     options.max_open_files = kMaxOpenFiles;
     options.compression = leveldb::kNoCompression;
+    return options;
+  }
+
+  leveldb::Status Open() {
+    if (leveldb::Status status = MakeDirectory(); !status.ok()) return status;
+    leveldb::Status status = OpenDatabase();
+    if (status.IsCorruption()) status = Repair();
+    if (status.ok() && env_.FileExists(repair_mark_)) status = MergeRepairedTables();
+    if (!status.ok()) db_.reset();
+    return status;
+  }
+
+  leveldb::Status OpenDatabase() {
     leveldb::DB* db = nullptr;
-    leveldb::Status status = leveldb::DB::Open(options, directory_, &db);
-    // The unsynced end of a manifest may be torn. RepairDB rebuilds the manifest from the other files, which
-    // hold everything that was synced.
-    if (status.IsCorruption() && leveldb::RepairDB(directory_, options).ok())
-      status = leveldb::DB::Open(options, directory_, &db);
+    leveldb::Status status = leveldb::DB::Open(DatabaseOptions(), directory_, &db);
     if (status.ok()) db_.reset(db);
     return status;
   }
 
+  // The unsynced end of a manifest may be torn. RepairDB rebuilds the manifest from the other files, which
+  // hold everything that was synced.
+  leveldb::Status Repair() {
+    if (leveldb::Status status = WriteRepairMark(); !status.ok()) return status;
+    if (leveldb::Status status = leveldb::RepairDB(directory_, DatabaseOptions()); !status.ok())
+      return status;
+    return OpenDatabase();
+  }
+
+  // The mark stays until the repaired tables are merged, through any crash.
+  leveldb::Status WriteRepairMark() {
+    leveldb::WritableFile* opened = nullptr;
+    if (leveldb::Status status = env_.NewWritableFile(repair_mark_, &opened); !status.ok()) return status;
+    const std::unique_ptr<leveldb::WritableFile> mark(opened);
+    return mark->Sync();
+  }
+
+  // RepairDB turns the logs into tables in the order in which they are listed, and also takes in files that
+  // LevelDB had already replaced. Reads take the table with the highest number for the newest, so they could
+  // return an old value. A compaction goes by sequence numbers, which a repair keeps.
+  leveldb::Status MergeRepairedTables() {
+    db_->CompactRange(nullptr, nullptr);
+    std::string unmerged;
+    if (!db_->GetProperty("leveldb.num-files-at-level0", &unmerged) || unmerged != "0")
+      return leveldb::Status::IOError(directory_, "the tables can't be merged after a repair");
+    env_.RemoveFile(repair_mark_);  // if it stays, the next opening merges once more
+    return leveldb::Status::OK();
+  }
+
   // Writes and syncs one batch. After a failed sync, LevelDB rejects all writes until it is reopened, so a
   // failure closes the database and the next call reopens it.
   leveldb::Status WriteSynced(const Records& records) {
@@ -194,7 +232,8 @@
   const SyncDirectoryFunction sync_directory_;
   DurableNamesEnv env_;
   std::unique_ptr<leveldb::Cache> cache_;
-  std::string directory_;
+  const std::string directory_;
+  const std::string repair_mark_;  // a file that is there from a repair until its tables are merged
   std::unique_ptr<leveldb::DB> db_;
   int pipe_[2] = {-1, -1};
   pthread_t thread_{};
--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -192,6 +192,64 @@
   }
 }
 
+// Removes the manifests, so that the next opening has to repair the database.
+void RemoveManifests(SimulatedDisk& disk) {
+  std::vector<std::string> names;
+  BOOST_REQUIRE(disk.GetChildren(SimulatedDisk::kDirectory, &names).ok());
+  for (const std::string& name : names) {
+    if (!name.starts_with("MANIFEST")) continue;
+    BOOST_REQUIRE(disk.RemoveFile(SimulatedDisk::kDirectory + ("/" + name)).ok());
+  }
+}
+
+// Guards against a repair after which an old value is read in place of the one that was reported: of two
+// logs, or of a log and the tables that replaced it.
+BOOST_AUTO_TEST_CASE(what_was_reported_is_read_after_a_repair) {
+  std::mt19937_64 random(1);
+  SimulatedDisk disk;
+  Writer writer;
+  auto storage = Open(disk);
+  for (int i = 0; i < 2 * kWrites; ++i) {
+    BOOST_REQUIRE(writer.Write(*storage));
+    for (UnsyncedLoss loss : {UnsyncedLoss::kAll, UnsyncedLoss::kTorn}) {
+      const auto crashed = disk.CrashedCopy(loss, random);
+      RemoveManifests(*crashed);
+      Writer after = writer;
+      BOOST_TEST(Reopen(*crashed, after) == "");
+    }
+  }
+}
+
+// The same where the disk dies at an operation of the repair, and the machine starts again.
+BOOST_AUTO_TEST_CASE(what_was_reported_is_read_after_a_repair_that_a_crash_cut_short) {
+  constexpr std::uint64_t kMostOperations = 200;  // of a repair
+  Sweep sweep;
+  std::mt19937_64 random(1);
+  SimulatedDisk disk;
+  Writer writer;
+  auto storage = Open(disk);
+  for (int i = 0; i < kWrites; ++i) {
+    BOOST_REQUIRE(writer.Write(*storage));
+    if (i % 5 != 3) continue;
+    for (std::uint64_t k = 0; k < kMostOperations; k += sweep.step) {
+      const UnsyncedLoss loss = k / sweep.step % 2 ? UnsyncedLoss::kTorn : UnsyncedLoss::kAll;
+      const auto crashed = disk.CrashedCopy(UnsyncedLoss::kAll, random);
+      RemoveManifests(*crashed);
+      crashed->FailAt(k, ~0ull);
+      try {
+        Open(*crashed);
+      } catch (const StorageError&) {
+      }
+      const bool done = crashed->operations() < k;
+      crashed->Crash(loss, random);
+      Writer after = writer;
+      const std::string fault = Reopen(*crashed, after);
+      BOOST_CHECK_MESSAGE(fault.empty(), "write " << i << ", operation " << k << ": " << fault);
+      if (done) break;
+    }
+  }
+}
+
 // Operations that fail for a while, as on a full disk, fail only the writes concerned and lose nothing that
 // was reported.
 BOOST_AUTO_TEST_CASE(what_was_reported_is_there_after_a_disk_has_refused) {
--- a/tests/storage/simulated_disk.cpp
+++ b/tests/storage/simulated_disk.cpp
@@ -156,6 +156,7 @@
 
 std::unique_ptr<SimulatedDisk> SimulatedDisk::CrashedCopy(UnsyncedLoss loss, std::mt19937_64& random) const {
   auto copy = std::make_unique<SimulatedDisk>();
+  copy->listing_order_.seed(random());
   {
     std::lock_guard lock(mutex_);
     std::map<SimulatedFilePtr, SimulatedFilePtr> copies;
@@ -227,6 +228,7 @@
   for (const auto& [name, file] : names_) {
     if (DirectoryOf(name) == directory) children->push_back(name.substr(directory.size() + 1));
   }
+  std::shuffle(children->begin(), children->end(), listing_order_);
   return Status::OK();
 }
 
--- a/tests/storage/simulated_disk.hpp
+++ b/tests/storage/simulated_disk.hpp
@@ -57,6 +57,7 @@
   leveldb::Status NewWritableFile(const std::string& name, leveldb::WritableFile** file) override;
   leveldb::Status NewAppendableFile(const std::string& name, leveldb::WritableFile** file) override;
   bool FileExists(const std::string& name) override;
+  // In no particular order, like readdir().
   leveldb::Status GetChildren(const std::string& directory, std::vector<std::string>* children) override;
   leveldb::Status RemoveFile(const std::string& name) override;
   leveldb::Status CreateDir(const std::string& directory) override;
@@ -87,6 +88,7 @@
   Names names_, durable_names_;
   std::vector<NameChange> unsynced_name_changes_;  // since the last sync of their directories
   std::size_t capacity_ = ~std::size_t{0}, peak_bytes_ = 0;
+  std::mt19937_64 listing_order_;  // of GetChildren
   std::uint64_t operations_ = 0, fail_from_ = ~0ull, fail_to_ = ~0ull;
 };
 
