Storage: a repair takes in no bytes whose checksums are wrong

What callers would see: after a loss of power that tears both the end of a manifest and a write at work, a member can't read its state and begins another life (its promises are gone), holds half of a write that was never acknowledged, or ends with SIGABRT at each start. Seen in tests only.

Cause: RepairDB reads logs without their checksums, and tables too unless paranoid_checks is set. A torn record became a whole one with a hole in it; a torn table whose index is zeros looked empty, which LevelDB's own assertion (dbformat.h, InternalKey::Encode) doesn't bear. It also closes what it writes without a sync, and relies on it.

Change: logs are hidden from RepairDB; opening replays them next, in order and with checksums. The repair checks tables. Closing a file syncs what it still holds, so what a repair wrote lasts before it is renamed or named by a manifest.

Nothing changes on the ordinary path: LevelDB syncs all that it closes there.

--- a/src/storage/durable_names_env.cpp
+++ b/src/storage/durable_names_env.cpp
@@ -7,16 +7,25 @@
 
 using leveldb::Status;
 
-// A file whose Sync() includes its name.
+// A file whose Sync() includes its name, and whose Close() includes a sync of what was appended since.
 class DurableNamesEnv::File : public leveldb::WritableFile {
  public:
   File(DurableNamesEnv& env, std::unique_ptr<leveldb::WritableFile> file, NameChange creation)
       : env_(env), file_(std::move(file)), creation_(creation) {}
-  Status Append(const leveldb::Slice& data) override { return file_->Append(data); }
-  Status Close() override { return file_->Close(); }
+  Status Append(const leveldb::Slice& data) override {
+    unsynced_ = true;
+    return file_->Append(data);
+  }
+  Status Close() override {
+    if (unsynced_) {
+      if (Status status = Sync(); !status.ok()) return status;
+    }
+    return file_->Close();
+  }
   Status Flush() override { return file_->Flush(); }
   Status Sync() override {
     if (Status status = file_->Sync(); !status.ok()) return status;
+    unsynced_ = false;
     return env_.SyncNames(creation_);
   }
 
@@ -24,6 +33,7 @@
   DurableNamesEnv& env_;
   const std::unique_ptr<leveldb::WritableFile> file_;
   const NameChange creation_;
+  bool unsynced_ = false;
 };
 
 DurableNamesEnv::DurableNamesEnv(leveldb::Env& env, std::string directory,
@@ -52,6 +62,12 @@
   return leveldb::EnvWrapper::RemoveFile(name);
 }
 
+Status DurableNamesEnv::GetChildren(const std::string& directory, std::vector<std::string>* children) {
+  const Status status = leveldb::EnvWrapper::GetChildren(directory, children);
+  if (hide_logs_) std::erase_if(*children, [](const std::string& name) { return name.ends_with(".log"); });
+  return status;
+}
+
 Status DurableNamesEnv::SyncRenames() { return SyncNames(last_rename_); }
 
 // A change is numbered only after it was made, so that a concurrent sync can't count it too early.
--- a/src/storage/durable_names_env.hpp
+++ b/src/storage/durable_names_env.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <mutex>
 #include <string>
+#include <vector>
 
 namespace curlewdoor::storage {
 
@@ -18,8 +19,12 @@
 // - before WritableFile::Sync() returns, if the file was created since the last sync of the directory,
 // - after each rename, and before each removal if a rename hasn't been synced yet.
 //
-// A failed sync is an error of the file's Sync() or of the removal. After a rename it isn't returned to
-// LevelDB, which would then remove the new manifest that CURRENT already refers to: SyncRenames() returns it.
+// It also syncs a file with unsynced data before Close() returns, as RepairDB closes files without a sync and
+// then relies on them.
+//
+// A failed sync is an error of the file's Sync() or Close(), or of the removal. After a rename it isn't
+// returned to LevelDB, which would then remove the new manifest that CURRENT already refers to: SyncRenames()
+// returns it.
 //
 // Thread-safe. Covers one directory: all files must be in it.
 class DurableNamesEnv : public leveldb::EnvWrapper {
@@ -32,6 +37,10 @@
   leveldb::Status NewAppendableFile(const std::string& name, leveldb::WritableFile** file) override;
   leveldb::Status RenameFile(const std::string& from, const std::string& to) override;
   leveldb::Status RemoveFile(const std::string& name) override;
+  leveldb::Status GetChildren(const std::string& directory, std::vector<std::string>* children) override;
+
+  // While true, GetChildren() leaves out LevelDB's logs.
+  void HideLogs(bool hide) { hide_logs_ = hide; }
 
   // Makes all renames so far durable. Blocks while the disk does, if one isn't durable yet.
   leveldb::Status SyncRenames();
@@ -47,6 +56,7 @@
 
   const std::string directory_;
   const std::function<bool()> sync_directory_;
+  std::atomic<bool> hide_logs_ = false;
   std::atomic<NameChange> last_change_ = 0;
   std::atomic<NameChange> last_rename_ = 0;
   std::atomic<NameChange> durable_ = 0;  // changes up to this one are durable
--- a/src/storage/leveldb_storage.cpp
+++ b/src/storage/leveldb_storage.cpp
@@ -141,13 +141,17 @@
     return status;
   }
 
-  // The unsynced end of a manifest may be torn. RepairDB rebuilds the manifest from the other files, which
-  // hold everything that was synced.
+  // The unsynced end of a manifest may be torn. RepairDB rebuilds the manifest from the tables, which opening
+  // then completes from the logs: together they hold everything that was synced. RepairDB would read the logs
+  // without their checksums, so it doesn't see them; tables it checks only if told so.
   leveldb::Status Repair() {
     if (leveldb::Status status = WriteRepairMark(); !status.ok()) return status;
-    if (leveldb::Status status = leveldb::RepairDB(directory_, DatabaseOptions()); !status.ok())
-      return status;
-    return OpenDatabase();
+    leveldb::Options options = DatabaseOptions();
+    options.paranoid_checks = true;
+    env_.HideLogs(true);
+    const leveldb::Status status = leveldb::RepairDB(directory_, options);
+    env_.HideLogs(false);
+    return status.ok() ? OpenDatabase() : status;
   }
 
   // The mark stays until the repaired tables are merged, through any crash.
@@ -158,9 +162,9 @@
     return mark->Sync();
   }
 
-  // RepairDB turns the logs into tables in the order in which they are listed, and also takes in files that
-  // LevelDB had already replaced. Reads take the table with the highest number for the newest, so they could
-  // return an old value. A compaction goes by sequence numbers, which a repair keeps.
+  // RepairDB also takes in tables that LevelDB had already replaced, as opening does with logs. Reads take
+  // the table with the highest number for the newest, so they could return an old value. A compaction goes by
+  // sequence numbers, which a repair keeps.
   leveldb::Status MergeRepairedTables() {
     db_->CompactRange(nullptr, nullptr);
     std::string unmerged;
