Storage: a database that is gone while it is open isn't begun anew

What callers would see: the directory of a member's storage is taken away while it runs (a volume unmounted, a disk replaced), a write fails, and the next ones are acknowledged from a new and empty database: the promises and values before them are gone, and the member votes on.

Cause: after a failed write the storage opens the database again, by the same options as at the start, which create it where it is missing.

Change: only the first opening creates. A later one that finds no CURRENT is an error of the write, and it makes nothing.

--- a/src/storage/leveldb_storage.cpp
+++ b/src/storage/leveldb_storage.cpp
@@ -125,15 +125,23 @@
     return options;
   }
 
+  // The first opening creates the database if there is none. A later one never does: it would go on without
+  // what was reported before.
   leveldb::Status Open() {
-    if (leveldb::Status status = MakeDirectory(); !status.ok()) return status;
-    leveldb::Status status = OpenDatabase();
+    leveldb::Status status = was_open_ ? CheckStillThere() : MakeDirectory();
+    if (status.ok()) status = OpenDatabase();
     if (status.IsCorruption()) status = Repair();
     if (status.ok() && env_.FileExists(repair_mark_)) status = MergeRepairedTables();
     if (!status.ok()) db_.reset();
+    was_open_ = was_open_ || status.ok();
     return status;
   }
 
+  leveldb::Status CheckStillThere() {
+    if (env_.FileExists(directory_ + "/CURRENT")) return leveldb::Status::OK();
+    return leveldb::Status::IOError(directory_, "the database is gone");
+  }
+
   leveldb::Status OpenDatabase() {
     leveldb::DB* db = nullptr;
     leveldb::Status status = leveldb::DB::Open(DatabaseOptions(), directory_, &db);
@@ -239,6 +247,7 @@
   const std::string directory_;
   const std::string repair_mark_;  // a file that is there from a repair until its tables are merged
   std::unique_ptr<leveldb::DB> db_;
+  bool was_open_ = false;
   int pipe_[2] = {-1, -1};
   pthread_t thread_{};
   std::mutex mutex_;
--- a/tests/storage/storage_test.cpp
+++ b/tests/storage/storage_test.cpp
@@ -87,6 +87,26 @@
   BOOST_TEST(OpenStorage(directory.path)->Read("value").value() == "new");
 }
 
+// Guards against a member that goes on with an empty database, without what it has promised, after its
+// directory was taken away while it was open.
+BOOST_AUTO_TEST_CASE(a_directory_that_is_gone_while_open_is_not_begun_anew) {
+  TemporaryDirectory directory;
+  const auto storage = OpenStorage(directory.path);
+  storage->Write(1, {{"promise", "kept"}});
+  BOOST_TEST(WaitForResults(*storage, 1).at(0).ok);
+  std::filesystem::remove_all(directory.path);
+  const std::string large(600'000, 'x');  // larger than the write buffer, so that LevelDB creates files
+  bool refused = false;
+  for (std::uint64_t id = 2; id <= 12; ++id) {
+    storage->Write(id, {{"value", large}});
+    const bool ok = WaitForResults(*storage, 1).at(0).ok;
+    BOOST_TEST(!(refused && ok), "write " << id << " was taken after a refusal");
+    refused = refused || !ok;
+  }
+  BOOST_TEST(refused);
+  BOOST_TEST(StorageEmpty(directory.path));
+}
+
 BOOST_AUTO_TEST_CASE(memory_storage_fails_stalls_and_crashes_on_request) {
   MemoryStorage storage;
   storage.Write(1, {{"a", "1"}});
