Storage: a new log is begun between writes, never within one

Cause: LevelDB makes the new log within the write that finds the memtable full.

Change: once the memtable is full, the writer thread begins the new log and turns the old one into a table, after the result is reported and before the next write. It returns when the manifest is synced, so a log has a durable name before its first record, and no acknowledged record lies in a file that was made during its own write. If the disk refuses, the database is closed and the next write opens it anew, as after a failed write. The sync before the report stays: a log that is made at an opening, or by LevelDB itself, has a durable name too.

--- a/src/storage/leveldb_storage.cpp
+++ b/src/storage/leveldb_storage.cpp
@@ -198,6 +198,28 @@
     return status;
   }
 
+  // Once the memtable is full, begins a new log and turns the old one into a table. LevelDB would do so
+  // within the next write, which would then wait for the sync of the new name. Returns when the manifest is
+  // synced, so every log has a durable name before its first record.
+  void RotateFullLog() {
+    if (!db_ || MemoryUsageBytes() <= kWriteBufferBytes) return;
+    const leveldb::Slice no_key;  // a range that holds nothing: only the memtable is compacted
+    db_->CompactRange(&no_key, &no_key);
+    if (MemoryUsageBytes() > kWriteBufferBytes) db_.reset();  // refused: the next write opens it anew
+  }
+
+  // Of the memtables and the block cache.
+  std::size_t MemoryUsageBytes() {
+    std::string bytes;
+    return db_->GetProperty("leveldb.approximate-memory-usage", &bytes) ? std::stoull(bytes) : 0;
+  }
+
+  // Requires mutex_ to be held.
+  void Report(WriteResult result) {
+    results_.push_back(std::move(result));
+    [[maybe_unused]] const ssize_t written = write(pipe_[1], "r", 1);  // a full pipe is already readable
+  }
+
   bool StartThread() {
     pthread_attr_t attributes;
     sigset_t all, before;
@@ -230,8 +252,10 @@
       leveldb::Status status = WriteSynced(records);
       lock.lock();
       writing_ = false;
-      results_.push_back({id, status.ok(), status.ok() ? "" : status.ToString()});
-      if (write(pipe_[1], "r", 1) != 1) continue;  // a full pipe is already readable
+      Report({id, status.ok(), status.ok() ? "" : status.ToString()});
+      lock.unlock();
+      RotateFullLog();
+      lock.lock();
     }
   }
 
--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -182,6 +182,16 @@
   }
 }
 
+// Guards against a record in a log that was made within its own write: whoever takes away that log, going by
+// the manifest alone, takes away what was reported.
+BOOST_AUTO_TEST_CASE(a_log_has_a_durable_name_before_its_first_record) {
+  SimulatedDisk disk;
+  Writer writer;
+  const auto storage = Open(disk);
+  for (int i = 0; i < 2 * kWrites; ++i) BOOST_REQUIRE(writer.Write(*storage));
+  BOOST_TEST(disk.writes_to_unsynced_logs() == 0u);
+}
+
 // Guards against a storage that is lost as a whole with its directory, which the parent may lose: at the
 // first start or on a wiped disk, after a process that ended before it synced the parent, and after a
 // refusal.
--- a/tests/storage/simulated_disk.cpp
+++ b/tests/storage/simulated_disk.cpp
@@ -82,7 +82,7 @@
   Status Close() override { return Flush(); }
   Status Flush() override {
     if (buffer_.empty()) return Status::OK();
-    return disk_.Write(file_, std::exchange(buffer_, {})) ? Status::OK() : InjectedError(name_);
+    return disk_.Write(file_, name_, std::exchange(buffer_, {})) ? Status::OK() : InjectedError(name_);
   }
   Status Sync() override {
     if (name_.find("MANIFEST") != std::string::npos && !disk_.SyncDirectory(DirectoryOf(name_)))
@@ -134,6 +134,11 @@
   return peak_bytes_;
 }
 
+std::uint64_t SimulatedDisk::writes_to_unsynced_logs() const {
+  std::lock_guard lock(mutex_);
+  return writes_to_unsynced_logs_;
+}
+
 void SimulatedDisk::Crash(UnsyncedLoss loss, std::mt19937_64& random) {
   std::lock_guard lock(mutex_);
   operations_ = 0;
@@ -280,9 +285,10 @@
   return Status::OK();
 }
 
-bool SimulatedDisk::Write(const SimulatedFilePtr& file, std::string bytes) {
+bool SimulatedDisk::Write(const SimulatedFilePtr& file, const std::string& name, std::string bytes) {
   std::lock_guard lock(mutex_);
   if (NextOperationFails()) return false;
+  if (name.ends_with(".log") && !durable_names_.contains(name)) ++writes_to_unsynced_logs_;
   std::size_t total = bytes.size();
   for (const auto& [name, each] : names_) total += each->size();
   if (total > capacity_) return false;
--- a/tests/storage/simulated_disk.hpp
+++ b/tests/storage/simulated_disk.hpp
@@ -45,6 +45,8 @@
   // Limits the total size of all files, in bytes.
   void SetCapacity(std::size_t bytes);
   std::size_t peak_bytes() const;
+  // How many writes went to a log whose name wasn't durable yet.
+  std::uint64_t writes_to_unsynced_logs() const;
   // Simulates a crash. No storage may have the disk open.
   void Crash(UnsyncedLoss loss, std::mt19937_64& random);
   // Returns a copy of the disk as a crash at this moment would leave it. A storage may have this disk open.
@@ -67,7 +69,7 @@
   leveldb::Status UnlockFile(leveldb::FileLock* lock) override;
 
   // For the files of this disk. Both return false if the operation fails.
-  bool Write(const SimulatedFilePtr& file, std::string bytes);
+  bool Write(const SimulatedFilePtr& file, const std::string& name, std::string bytes);
   bool Sync(const SimulatedFilePtr& file);
 
  private:
@@ -89,6 +91,7 @@
   std::vector<NameChange> unsynced_name_changes_;  // since the last sync of their directories
   std::size_t capacity_ = ~std::size_t{0}, peak_bytes_ = 0;
   std::mt19937_64 listing_order_;  // of GetChildren
+  std::uint64_t writes_to_unsynced_logs_ = 0;
   std::uint64_t operations_ = 0, fail_from_ = ~0ull, fail_to_ = ~0ull;
 };
 
