--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -25,29 +25,45 @@
   return std::to_string(version) + std::string(40'000, static_cast<char>('a' + version % 26));
 }
 
+constexpr int kReportMilliseconds = 10'000;  // a result that takes longer is missing
+
 // Writes like the core: the state with each write, and the value only if its version has changed.
 struct Writer {
   std::uint64_t attempted = 0, reported = 0, value = 0;
 
+  // Writes once. Returns whether the write was reported as successful.
   bool Write(Storage& storage) {
-    std::uint64_t id = ++attempted, version = id - id % 2;
+    BOOST_REQUIRE(Begin(storage));
+    BOOST_REQUIRE(Await(storage, kReportMilliseconds));
+    return reported == attempted;
+  }
+
+  // Starts a write. Returns whether the storage has accepted it.
+  bool Begin(Storage& storage) {
+    const std::uint64_t id = ++attempted, version = VersionAt(id);
     agreement::CoreState state;
     state.promised.round = id;
     Records records{{agreement::kStateKey, agreement::EncodeState(state)}};
     if (version != value)
       records.emplace_back(agreement::kValueKey, agreement::EncodeValue({version, ValueText(version)}));
-    BOOST_REQUIRE(storage.Write(id, std::move(records)));
+    return storage.Write(id, std::move(records));
+  }
+
+  // Waits for results and takes them in. Returns false if there are none in time.
+  bool Await(Storage& storage, int milliseconds) {
     pollfd wait{storage.fd(), POLLIN, 0};
-    BOOST_REQUIRE(poll(&wait, 1, 10000) == 1);
-    auto results = storage.Drain();
-    BOOST_REQUIRE((results.size() == 1 && results[0].id == id));
-    if (results[0].ok) {
-      reported = id;
-      value = version;
+    if (poll(&wait, 1, milliseconds) != 1) return false;
+    for (const WriteResult& result : storage.Drain()) {
+      BOOST_REQUIRE(result.id <= attempted);
+      if (!result.ok) continue;
+      reported = result.id;
+      value = VersionAt(result.id);
     }
-    return results[0].ok;
+    return true;
   }
 
+  static std::uint64_t VersionAt(std::uint64_t id) { return id - id % 2; }
+
   // Returns an empty string if everything reported as written can be read back, otherwise a description of
   // the fault.
   std::string Check(Storage& storage) {
@@ -57,7 +73,7 @@
     std::uint64_t round = state->promised.round, version = state->value.version;
     std::string found = "reported " + std::to_string(reported) + " of " + std::to_string(attempted) +
                         ", found " + std::to_string(round) + " with value " + std::to_string(version);
-    if (round < reported || round > attempted || version != round - round % 2) return found;
+    if (round < reported || round > attempted || version != VersionAt(round)) return found;
     if (version > 0 && state->value.text != ValueText(version)) return found + ", of another text";
     reported = round;
     value = version;
@@ -192,6 +208,48 @@
   BOOST_TEST(disk.writes_to_unsynced_logs() == 0u);
 }
 
+// Guards against writes that are reported while the names of their files can't be made durable.
+BOOST_AUTO_TEST_CASE(a_directory_sync_that_fails_fails_the_writes_that_need_it) {
+  std::mt19937_64 random(1);
+  SimulatedDisk disk;
+  Writer writer;
+  const auto storage = Open(disk);
+  BOOST_REQUIRE(writer.Write(*storage));
+  disk.SetDirectorySyncs(DirectorySyncs::kFail);
+  bool refused = false;
+  for (int i = 0; i < kWrites; ++i) {
+    refused = !writer.Write(*storage) || refused;
+    const auto crashed = disk.CrashedCopy(UnsyncedLoss::kAll, random);
+    Writer after = writer;
+    BOOST_TEST(Reopen(*crashed, after) == "");
+  }
+  BOOST_TEST(refused);
+  disk.SetDirectorySyncs(DirectorySyncs::kWork);
+  BOOST_TEST(writer.Write(*storage));
+  BOOST_TEST(Reopen(*disk.CrashedCopy(UnsyncedLoss::kAll, random), writer) == "");
+}
+
+// Guards against the same while such a sync hangs, and against an owner that hangs with it.
+BOOST_AUTO_TEST_CASE(a_directory_sync_that_hangs_delays_reports_and_blocks_nobody) {
+  constexpr int kQuietMilliseconds = 300;  // after which nothing more is expected to be reported
+  std::mt19937_64 random(1);
+  SimulatedDisk disk;
+  Writer writer;
+  const auto storage = Open(disk);
+  BOOST_REQUIRE(writer.Write(*storage));
+  disk.SetDirectorySyncs(DirectorySyncs::kHang);
+  for (int i = 0; i < kWrites; ++i) BOOST_TEST(writer.Begin(*storage));
+  while (writer.Await(*storage, kQuietMilliseconds)) {
+  }
+  BOOST_TEST(writer.reported < writer.attempted);
+  Writer after = writer;
+  BOOST_TEST(Reopen(*disk.CrashedCopy(UnsyncedLoss::kAll, random), after) == "");
+  disk.SetDirectorySyncs(DirectorySyncs::kWork);
+  while (writer.reported < writer.attempted && writer.Await(*storage, kReportMilliseconds)) {
+  }
+  BOOST_TEST(writer.reported == writer.attempted);
+}
+
 // Guards against a storage that is lost as a whole with its directory, which the parent may lose: at the
 // first start or on a wiped disk, after a process that ended before it synced the parent, and after a
 // refusal.
--- a/tests/storage/simulated_disk.cpp
+++ b/tests/storage/simulated_disk.cpp
@@ -179,8 +179,16 @@
   return copy;
 }
 
-bool SimulatedDisk::SyncDirectory(const std::string& directory) {
+void SimulatedDisk::SetDirectorySyncs(DirectorySyncs how) {
   std::lock_guard lock(mutex_);
+  directory_syncs_ = how;
+  directory_syncs_changed_.notify_all();
+}
+
+bool SimulatedDisk::SyncDirectory(const std::string& directory) {
+  std::unique_lock lock(mutex_);
+  directory_syncs_changed_.wait(lock, [this] { return directory_syncs_ != DirectorySyncs::kHang; });
+  if (directory_syncs_ == DirectorySyncs::kFail) return false;
   if (NextOperationFails() || !IsDirectory(directory)) return false;
   std::erase_if(unsynced_name_changes_, [&](const NameChange& change) {
     if (change.Directory() != directory) return false;
--- a/tests/storage/simulated_disk.hpp
+++ b/tests/storage/simulated_disk.hpp
@@ -4,6 +4,7 @@
 
 #include <leveldb/env.h>
 
+#include <condition_variable>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -18,6 +19,9 @@
 // What a crash does to unsynced data. kNone: only the process crashes, and the machine keeps running.
 enum class UnsyncedLoss { kNone, kAll, kTorn };
 
+// How syncs of directories go, beside those of files.
+enum class DirectorySyncs { kWork, kFail, kHang };
+
 // The content of a file, divided into what a crash keeps and what it may lose. Empty for a directory.
 struct SimulatedFile {
   bool is_directory = false;
@@ -47,6 +51,8 @@
   std::size_t peak_bytes() const;
   // How many writes went to a log whose name wasn't durable yet.
   std::uint64_t writes_to_unsynced_logs() const;
+  // kHang lasts until the next call.
+  void SetDirectorySyncs(DirectorySyncs how);
   // Simulates a crash. No storage may have the disk open.
   void Crash(UnsyncedLoss loss, std::mt19937_64& random);
   // Returns a copy of the disk as a crash at this moment would leave it. A storage may have this disk open.
@@ -87,6 +93,8 @@
   bool IsDirectory(const std::string& name) const;
 
   mutable std::mutex mutex_;
+  std::condition_variable directory_syncs_changed_;
+  DirectorySyncs directory_syncs_ = DirectorySyncs::kWork;
   Names names_, durable_names_;
   std::vector<NameChange> unsynced_name_changes_;  // since the last sync of their directories
   std::size_t capacity_ = ~std::size_t{0}, peak_bytes_ = 0;
