--- a/src/storage/inspect.cpp
+++ b/src/storage/inspect.cpp
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <filesystem>
 
+#include "storage/null_logger.hpp"
+
 namespace curlewdoor::storage {
 namespace {
 
@@ -17,12 +19,6 @@
 constexpr std::uintmax_t kMaxTotalBytes = 1u << 30;  // a core member stores a few megabytes
 constexpr int kMaxFiles = 10'000;
 
-// Discards the LevelDB info log.
-class NullLogger : public leveldb::Logger {
- public:
-  void Logv(const char*, std::va_list) override {}
-};
-
 // A new directory under the system's temporary directory, removed with its contents on destruction.
 struct TemporaryDirectory {
   TemporaryDirectory() {
