--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -78,8 +78,9 @@
 # What CI plays under the thread sanitizer (CURLEWDOOR_SANITIZE_THREADS): the storage's thread beside the loop's, in
 # its own tests and in whole processes.
 if(CURLEWDOOR_KIT AND CURLEWDOOR_TESTS)
-  set(threaded_programs storage_test storage_trouble_test leave_test)
-  set(threaded_tests storage_test storage_trouble_test leave_an_acknowledged_leave_outlives_a_kill_of_all
+  set(threaded_programs storage_test storage_names_test storage_trouble_test leave_test)
+  set(threaded_tests storage_test storage_names_test storage_trouble_test
+                     leave_an_acknowledged_leave_outlives_a_kill_of_all
                      leave_a_member_that_was_just_cut_off_acknowledges_no_leave)
   add_custom_target(thread_sanitized_tests DEPENDS ${threaded_programs})
   set_tests_properties(${threaded_tests} PROPERTIES LABELS threads)
