--- a/src/storage/database.cpp
+++ b/src/storage/database.cpp
@@ -85,7 +85,7 @@
 // Creates the directory if it is missing, and makes its name durable. Always syncs the parent: an earlier
 // process may have created the directory and ended before the sync.
 Status Database::MakeDirectory() {
-  const Status created = env_.CreateDir(directory_);
+  Status created = env_.CreateDir(directory_);
   if (!created.ok() && !env_.FileExists(directory_)) return created;
   if (!sync_directory_(ParentDirectory(directory_)))
     return Status::IOError(directory_, "its parent directory can't be synced");
@@ -99,7 +99,7 @@
 
 Status Database::OpenOnce() {
   leveldb::DB* db = nullptr;
-  const Status status = leveldb::DB::Open(OpenOptions(), directory_, &db);
+  Status status = leveldb::DB::Open(OpenOptions(), directory_, &db);
   if (status.ok()) db_.reset(db);
   return status;
 }
--- a/src/storage/durable_names_env.cpp
+++ b/src/storage/durable_names_env.cpp
@@ -63,7 +63,7 @@
 }
 
 Status DurableNamesEnv::GetChildren(const std::string& directory, std::vector<std::string>* children) {
-  const Status status = leveldb::EnvWrapper::GetChildren(directory, children);
+  Status status = leveldb::EnvWrapper::GetChildren(directory, children);
   if (hide_logs_) std::erase_if(*children, [](const std::string& name) { return name.ends_with(".log"); });
   return status;
 }
