Tests: the crash test asks again for exactly one result of each write, in order

The check is as strict as before again, and also holds for groups: each result is that of the next write, and a write that is awaited has its own.

--- a/tests/storage/crash_test.cpp
+++ b/tests/storage/crash_test.cpp
@@ -29,12 +29,13 @@
 
 // Writes like the core: the state with each write, and the value only if its version has changed.
 struct Writer {
-  std::uint64_t attempted = 0, reported = 0, value = 0;
+  std::uint64_t attempted = 0, answered = 0, reported = 0, value = 0;
 
   // Writes once. Returns whether the write was reported as successful.
   bool Write(Storage& storage) {
     BOOST_REQUIRE(Begin(storage));
     BOOST_REQUIRE(Await(storage, kReportMilliseconds));
+    BOOST_REQUIRE(answered == attempted);
     return reported == attempted;
   }
 
@@ -49,11 +50,13 @@
     return storage.Write(id, std::move(records));
   }
 
-  // Waits for results and takes them in. Returns false if there are none in time.
+  // Waits for results and takes them in: one for each write, in their order. Returns false if there are none
+  // in time.
   bool Await(Storage& storage, int milliseconds) {
     pollfd wait{storage.fd(), POLLIN, 0};
     if (poll(&wait, 1, milliseconds) != 1) return false;
     for (const WriteResult& result : storage.Drain()) {
+      BOOST_REQUIRE(result.id == ++answered);
       BOOST_REQUIRE(result.id <= attempted);
       if (!result.ok) continue;
       reported = result.id;
@@ -75,6 +78,7 @@
                         ", found " + std::to_string(round) + " with value " + std::to_string(version);
     if (round < reported || round > attempted || version != VersionAt(round)) return found;
     if (version > 0 && state->value.text != ValueText(version)) return found + ", of another text";
+    answered = attempted;  // a storage that was opened anew reports nothing of earlier writes
     reported = round;
     value = version;
     return {};
