System: no request reaches a host with no time left

What callers saw: a client whose time was over could have its request run by a host for nobody.

Cause: a gateway ends a request 20 ms after its expiry, so that a host's own answer at the deadline goes first. In between nothing looked at the time: a request that had waited for the list of hosts to be proved, or whose connection came up after the process had stood still, was written with X-Deadline-Remaining: 0. So was one that came with 0 or 1 ms.

Change: an attempt isn't begun, and isn't written once its connection is up, with less than 2 ms left. What no host has had is answered with 503.

--- a/src/net/dialect.hpp
+++ b/src/net/dialect.hpp
@@ -23,8 +23,9 @@
   virtual ~Dialect() = default;
   // Headers of the client's that are not passed on as they stand.
   virtual std::initializer_list<std::string_view> Dropped() const = 0;
-  // Looked at as the request is about to be written; false: the attempt breaks, with nothing sent.
-  virtual bool MaySend(const AttemptId&) const { return true; }
+  // Looked at as the request is about to be written, `left` before it expires; false: the attempt breaks,
+  // with nothing sent.
+  virtual bool MaySend(const AttemptId&, Duration /*left*/) const { return true; }
   // Appends whole header lines of this attempt alone; `left` until it expires, as its request is written.
   virtual void AppendLines(const AttemptId& attempt, Duration left, std::string& out) const = 0;
   virtual Whose Belongs(const AttemptId&, const http::Message&) const { return Whose::kAttempt; }
--- a/src/net/upstream.cpp
+++ b/src/net/upstream.cpp
@@ -178,7 +178,7 @@
 
 void Upstream::OnUp(Link& link) {
   const auto* attempt = std::get_if<AttemptId>(&link.task);
-  if (attempt != nullptr && !dialect_.MaySend(*attempt)) return OnBroken(link);
+  if (attempt != nullptr && !dialect_.MaySend(*attempt, link.expires - inputs_.Now())) return OnBroken(link);
   const std::string head = std::move(link.head), body = std::move(link.body);
   link.head.clear();
   link.body.clear();
--- a/src/system/front.cpp
+++ b/src/system/front.cpp
@@ -258,6 +258,7 @@
 void Front::Attempt(Request& request) {
   const TimePoint now = Now();
   if (!MayFinish(request)) return ConcludeTooLate(request);
+  if (request.expires - now < kLeastTimeLeft) return Expire(request);
   const auto host = request.service->chooser.Choose(now, request.tried);
   if (!host) {
     events::Say(events::Event::kNoHost, request.service->name);
@@ -471,17 +472,19 @@
     while (!deadlines_.empty() && deadlines_.begin()->first <= now) {
       const auto it = requests_.find(deadlines_.begin()->second);
       deadlines_.erase(deadlines_.begin());
-      if (it == requests_.end()) continue;
-      ++figures_.expired;
-      Request& request = it->second;
-      if (request.claim.customer != nullptr && !request.held_open) leases_.Cancel(request.claim);
-      GiveUp(request, load_balancing::AttemptFeedback::kFailed);
-      Conclude(request, milliseconds(50), 504);
+      if (it != requests_.end()) Expire(it->second);
     }
   });
   ArmTimer();
 }
 
+void Front::Expire(Request& request) {
+  ++figures_.expired;
+  if (request.claim.customer != nullptr && !request.held_open) leases_.Cancel(request.claim);
+  GiveUp(request, load_balancing::AttemptFeedback::kFailed);
+  Conclude(request, kExpiredRetryAfter, 504);
+}
+
 void Front::OnCount(const CounterReply& answer) {
   Run([&] { leases_.OnCounterReply(Now(), answer); });
 }
--- a/src/system/front.hpp
+++ b/src/system/front.hpp
@@ -107,6 +107,9 @@
   static constexpr std::uint64_t kLargestOfAll = std::uint64_t{1} << 30;
   // A host's own answer at the deadline goes first.
   static constexpr Duration kExpiryMargin = std::chrono::milliseconds(20);
+  // Hosts are told whole milliseconds, counted as the request is written.
+  static constexpr Duration kLeastTimeLeft = std::chrono::milliseconds(2);
+  static constexpr Duration kExpiredRetryAfter = std::chrono::milliseconds(50);
 
   struct Service {
     std::string name;
@@ -165,7 +168,7 @@
   void OnBound(const AttemptId& attempt) override;
   // Dialect.
   std::initializer_list<std::string_view> Dropped() const override;
-  bool MaySend(const AttemptId& attempt) const override;
+  bool MaySend(const AttemptId& attempt, Duration left) const override;
   void AppendLines(const AttemptId& attempt, Duration left, std::string& out) const override;
   net::Whose Belongs(const AttemptId& attempt, const http::Message& answer) const override;
   bool NotRun(const http::Message& answer) const override;
@@ -194,6 +197,8 @@
   bool MayFinish(const Request& request);
   bool IsUnfinishable(const Request& request);
   void ConcludeTooLate(Request& request);
+  void Expire(Request& request);  // its client waits no longer
+  bool MaySendToHost(const Request& request) const;
   void FailWhatBlocksAnswers();
   bool MaySendNow() const { return knowledge_.hosts == nullptr || knowledge_.hosts->MaySend(RegistryNow()); }
   bool MayTakeIn() const {
--- a/src/system/front_dialect.cpp
+++ b/src/system/front_dialect.cpp
@@ -21,10 +21,13 @@
 std::initializer_list<std::string_view> Front::Dropped() const { return kDropped; }
 
 // Asked as the request is written, on a connection that may have come up long after the host was chosen.
-bool Front::MaySend(const AttemptId& attempt) const {
+bool Front::MaySend(const AttemptId& attempt, Duration left) const {
   const auto it = requests_.find(attempt.request);
-  if (it == requests_.end()) return false;
-  const auto host = hosts_.find(it->second.host);
+  return it != requests_.end() && left >= kLeastTimeLeft && MaySendToHost(it->second);
+}
+
+bool Front::MaySendToHost(const Request& request) const {
+  const auto host = hosts_.find(request.host);
   return host != hosts_.end() && !host->second.leaves && MaySendNow();
 }
 
@@ -32,7 +35,7 @@
   const auto it = requests_.find(attempt.request);
   if (it == requests_.end()) return;
   const Request& request = it->second;
-  if (!MaySend(attempt)) {
+  if (!MaySendToHost(request)) {
     ++figures_.written_to_leaving;
     events::Say(events::Event::kWrittenToLeaving, request.instance);
   }
--- a/tests/system/attempt_path_test.cpp
+++ b/tests/system/attempt_path_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "kitchen.hpp"
@@ -152,6 +153,35 @@
       }
 }
 
+// Guards against a request that reaches a host when its client waits no longer, with a deadline of 0 ms.
+BOOST_AUTO_TEST_CASE(NoHostSeesARequestWithoutTimeLeft) {
+  for (const int left_ms : {0, 1})
+    for (const bool repeatable : {false, true}) {
+      BOOST_TEST_CONTEXT("left " << left_ms << " ms, repeatable " << repeatable) {
+        Kitchen kitchen;
+        const std::string path = repeatable ? "/read/x" : "/write/x";
+        const Answers answers = kitchen.Call(Kitchen::Ask(path, "a", "", "key-a1", "GET", "", left_ms));
+        BOOST_REQUIRE_EQUAL(answers.whole.size(), 1u);
+        BOOST_TEST(answers.whole[0].status == 503);
+        BOOST_TEST(kitchen.seen.empty());
+      }
+    }
+}
+
+// The same when the process has stood still between the connect and its end.
+BOOST_AUTO_TEST_CASE(NoHostSeesARequestWhoseConnectionCameTooLate) {
+  constexpr milliseconds kLeft(100);
+  Kitchen kitchen;
+  Caller caller(kitchen.loop.get(), kitchen.front->port());
+  const auto sent = std::chrono::steady_clock::now();
+  caller.Write(Kitchen::Ask("/write/x", "a", "", "key-a1", "GET", "", static_cast<int>(kLeft.count())));
+  BOOST_REQUIRE(kitchen.Until([&] { return kitchen.front->host_connections() == 1; }));
+  std::this_thread::sleep_until(sent + kLeft + milliseconds(5));
+  BOOST_REQUIRE(kitchen.Until([&] { return !Split(caller.came, false).whole.empty(); }));
+  BOOST_TEST(Split(caller.came, false).whole[0].status == 503);
+  BOOST_TEST(kitchen.seen.empty());
+}
+
 // One try goes to so many hosts at the most, each another one, however they end.
 BOOST_AUTO_TEST_CASE(ATryGoesToNoMoreHostsThanItsRouteAllows) {
   for (const Way way : {Way::kNotRun503, Way::kNotRun421, Way::kResetUnread, Way::kOwn500, Way::kResetRead}) {
