--- a/src/systemkit/package.cmake
+++ b/src/systemkit/package.cmake
@@ -65,18 +65,12 @@
     foreach(history ${histories})
       test_cases(history_test tests/system/history_${history}_test.cpp history_${history} TIMEOUT 120 PROCESSORS 1)
     endforeach()
-    # Their bounds are a machine's whose disk works: the disks are in memory, as others may keep this computer's disk
-    # busy for seconds.
+    # Their bound is a machine's whose disk works (sync_time_s): the disks are in memory, as others may keep this
+    # computer's disk busy.
     if(IS_DIRECTORY /dev/shm)
-      set(disks_in_memory
-          history_loss_second_loss_after_a_repair_of_three history_loss_second_loss_after_a_repair_of_five
-          history_loss_second_loss_after_a_repair_of_eight
-          history_orders_calm_ones_have_one_proposer_of_three history_orders_calm_ones_have_one_proposer_of_five
-          late_finish_a_finish_that_lay_at_a_paused_gateway_ends_no_hold_that_was_begun_again
-          late_finish_a_finish_that_lay_at_a_paused_member_ends_no_hold_that_was_begun_again
-          late_finish_a_call_that_lay_at_a_paused_gateway_is_not_begun_once_its_caller_has_gone
-          late_finish_a_finish_ends_a_hold_that_was_begun_twice_and_renewed)
-      set_tests_properties(${disks_in_memory} PROPERTIES ENVIRONMENT TMPDIR=/dev/shm)
+      foreach(members three five eight)
+        set_tests_properties(history_loss_second_loss_after_a_repair_of_${members} PROPERTIES ENVIRONMENT TMPDIR=/dev/shm)
+      endforeach()
     endif()
   endif()
 endif()
